Add the design and the first coordination parts

The repository was empty. The design page states the requirements and how each failure is handled; the core crate has ids, time, fair shares, a fleet view, an agent ledger and the agent's decisions.

--- /dev/null
+++ b/crates/figdeal-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/figdeal-core/src/id.rs
@@ -0,0 +1,108 @@
+//! Identities of submissions, processes, kinds and teams.
+
+use std::{collections::HashMap, fmt};
+
+use serde::{Deserialize, Serialize};
+
+/// Hash of the team and the caller's own submission id.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SubmissionKey(pub [u8; 16]);
+
+/// Hash of the content of a submission.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Digest(pub [u8; 16]);
+
+/// Position of an entry process in the list of entries of the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EntryId(pub u16);
+
+/// Distinguishes the runs of one process; a restart draws a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+/// One task of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The submission that the task belongs to.
+    pub key: SubmissionKey,
+    /// Position of the task in its submission.
+    pub index: u16,
+}
+
+/// Interned name of a kind of task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u16);
+
+/// Interned name of a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TeamId(pub u16);
+
+fn write_hex(bytes: &[u8], f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    bytes.iter().try_for_each(|b| write!(f, "{b:02x}"))
+}
+
+impl fmt::Display for SubmissionKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_hex(&self.0, f)
+    }
+}
+
+impl fmt::Debug for SubmissionKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_hex(&self.0[..4], f)
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_hex(&self.0[..4], f)
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.key, self.index)
+    }
+}
+
+/// Table of names with small dense ids. Names are never removed, so an id stays valid.
+///
+/// ```
+/// use figdeal_core::id::Names;
+///
+/// let mut names = Names::default();
+/// let swap = names.intern("swap-check");
+/// assert_eq!(names.intern("swap-check"), swap);
+/// assert_eq!(names.name(swap), "swap-check");
+/// ```
+#[derive(Debug, Default)]
+pub struct Names {
+    ids: HashMap<String, u16>,
+    names: Vec<String>,
+}
+
+impl Names {
+    /// Returns the id of `name`, adding it if it is new.
+    ///
+    /// # Panics
+    /// Panics after 65,536 names; callers bound what they intern by the configuration.
+    pub fn intern(&mut self, name: &str) -> u16 {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = u16::try_from(self.names.len()).expect("at most 65,536 names");
+        self.ids.insert(name.to_owned(), id);
+        self.names.push(name.to_owned());
+        id
+    }
+
+    /// Returns the id of `name` if it is known.
+    pub fn get(&self, name: &str) -> Option<u16> {
+        self.ids.get(name).copied()
+    }
+
+    /// Returns the name of an id that this table gave out.
+    pub fn name(&self, id: u16) -> &str {
+        &self.names[usize::from(id)]
+    }
+}
