--- /dev/null
+++ b/crates/figdeal-agent/src/agent.rs
@@ -0,0 +1,195 @@
+//! Life cycle of an agent.
+
+use std::{
+    io,
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use displaydoc::Display;
+use figdeal_core::{id::Incarnation, ledger::LedgerLimits};
+use figdeal_wire::channel::Limits;
+use tokio::runtime::Handle;
+
+use crate::{announcer, control, control::Event, http, server, upstream};
+
+/// Result of starting or stopping an agent.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What an agent cannot do.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {0}: {1}
+    Listen(String, io::Error),
+    /// cannot start the {0} thread: {1}
+    Thread(&'static str, io::Error),
+    /// work was still in progress after {0:?}
+    StopLimit(Duration),
+}
+
+impl std::error::Error for Error {}
+
+/// What an agent needs to know to start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the upstream, stable over restarts.
+    pub name: String,
+    /// Data centre of the agent.
+    pub data_centre: String,
+    /// Where entries reach the agent; port 0 picks a free one.
+    pub listen: SocketAddr,
+    /// Where the upstream announces itself; port 0 picks a free one.
+    pub http: SocketAddr,
+    /// Addresses of the entries.
+    pub entries: Vec<String>,
+    /// Time after which an upstream that did not renew counts as gone.
+    pub expire_after: Duration,
+    /// Time between two announcements to the entries.
+    pub announce_every: Duration,
+    /// Bounds of the ledger.
+    pub ledger: LedgerLimits,
+    /// Time limits of connections to entries.
+    pub limits: Limits,
+}
+
+impl Options {
+    /// Creates options with the default limits.
+    pub fn new(name: impl Into<String>, listen: SocketAddr, http: SocketAddr) -> Options {
+        Options {
+            name: name.into(),
+            data_centre: String::new(),
+            listen,
+            http,
+            entries: Vec::new(),
+            expire_after: Duration::from_secs(3),
+            announce_every: Duration::from_secs(1),
+            ledger: LedgerLimits::default(),
+            limits: Limits::default(),
+        }
+    }
+
+    /// Sets the addresses of the entries.
+    pub fn with_entries(mut self, entries: Vec<String>) -> Options {
+        self.entries = entries;
+        self
+    }
+}
+
+/// An agent that serves.
+#[derive(Debug)]
+pub struct Serving;
+/// An agent that declines new work and finishes what runs.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A running agent; the type parameter is its phase.
+#[derive(Debug)]
+pub struct Agent<Phase> {
+    /// Where entries reach the agent.
+    pub listen: SocketAddr,
+    /// Where the upstream announces itself.
+    pub http: SocketAddr,
+    /// This run of the agent.
+    pub incarnation: Incarnation,
+    events: mpsc::Sender<Event>,
+    stop: Arc<tokio::sync::Notify>,
+    phase: PhantomData<Phase>,
+}
+
+impl Agent<Serving> {
+    /// Starts an agent; its network tasks run on `runtime`.
+    ///
+    /// # Errors
+    /// Fails when an address cannot be listened on or a thread cannot be started.
+    pub fn start(options: Options, runtime: &Handle) -> Result<Agent<Serving>> {
+        let incarnation = Incarnation(rand::random());
+        let listen_error = |e| Error::Listen(options.listen.to_string(), e);
+        let listener = std::net::TcpListener::bind(options.listen).map_err(listen_error)?;
+        listener.set_nonblocking(true).map_err(listen_error)?;
+        let listen = listener.local_addr().map_err(listen_error)?;
+        let http_server = tiny_http::Server::http(options.http)
+            .map_err(|e| Error::Listen(options.http.to_string(), io::Error::other(e)))?;
+        let http = http_server.server_addr().to_ip().unwrap_or(options.http);
+        let (events, inbox) = mpsc::channel();
+        let (calls, call_inbox) = mpsc::channel();
+        let (presence, presence_view) = tokio::sync::watch::channel(control::Presence::default());
+        let stop = Arc::new(tokio::sync::Notify::new());
+
+        control::spawn(&options, incarnation, inbox, calls, presence, runtime)
+            .map_err(|e| Error::Thread("control", e))?;
+        upstream::spawn(events.clone(), call_inbox).map_err(|e| Error::Thread("upstream", e))?;
+        http::spawn(http_server, events.clone()).map_err(|e| Error::Thread("http", e))?;
+        runtime.spawn(server::serve(listener, events.clone(), Arc::clone(&stop)));
+        for entry in &options.entries {
+            let announcer = announcer::Announcer {
+                name: options.name.clone(),
+                data_centre: options.data_centre.clone(),
+                address: listen.to_string(),
+                incarnation,
+                every: options.announce_every,
+                limits: options.limits,
+                events: events.clone(),
+            };
+            let run = announcer.run(entry.clone(), presence_view.clone(), Arc::clone(&stop));
+            runtime.spawn(run);
+        }
+        Ok(Agent {
+            listen,
+            http,
+            incarnation,
+            events,
+            stop,
+            phase: PhantomData,
+        })
+    }
+
+    /// Declines new work and tells the entries.
+    pub fn drain(self) -> Agent<Draining> {
+        // A control thread that is gone has nothing to drain.
+        let _ = self.events.send(Event::Stop);
+        let Agent {
+            listen,
+            http,
+            incarnation,
+            events,
+            stop,
+            ..
+        } = self;
+        Agent {
+            listen,
+            http,
+            incarnation,
+            events,
+            stop,
+            phase: PhantomData,
+        }
+    }
+}
+
+impl Agent<Draining> {
+    /// Waits until every running task ended.
+    ///
+    /// # Errors
+    /// [`Error::StopLimit`] when work is still in progress after `limit`.
+    pub fn finish(self, limit: Duration) -> Result<()> {
+        let (sender, receiver) = mpsc::channel();
+        let _ = self.events.send(Event::NotifyIdle(sender));
+        let is_idle = receiver.recv_timeout(limit).is_ok();
+        self.stop.notify_waiters();
+        if is_idle {
+            Ok(())
+        } else {
+            Err(Error::StopLimit(limit))
+        }
+    }
+}
+
+impl<Phase> Agent<Phase> {
+    /// Ends the agent at once, as a crash would: nothing is finished and nobody is told.
+    pub fn kill(self) {
+        let _ = self.events.send(Event::Kill);
+        self.stop.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/figdeal-agent/src/announcer.rs
@@ -0,0 +1,95 @@
+//! Announces the agent to one entry.
+
+use std::{
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use figdeal_core::id::Incarnation;
+use figdeal_wire::{
+    channel::{Channel, Limits},
+    count::{self, Class},
+    message::Announcement,
+    service::EntryRpcClient,
+};
+use tokio::sync::{Notify, watch};
+
+use crate::control::{Event, Presence};
+
+/// Time limit of one announcement.
+const ANNOUNCE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Sends announcements to one entry.
+#[derive(Debug)]
+pub(crate) struct Announcer {
+    pub(crate) name: String,
+    pub(crate) data_centre: String,
+    pub(crate) address: String,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) every: Duration,
+    pub(crate) limits: Limits,
+    pub(crate) events: mpsc::Sender<Event>,
+}
+
+impl Announcer {
+    /// Announces at once, then at each change and each interval, until `stop` is notified.
+    pub(crate) async fn run(
+        self,
+        entry: String,
+        mut presence: watch::Receiver<Presence>,
+        stop: Arc<Notify>,
+    ) {
+        let channel: Arc<Channel<EntryRpcClient>> = Channel::new(entry, self.limits);
+        let stopped = stop.notified();
+        tokio::pin!(stopped);
+        loop {
+            let current = presence.borrow_and_update().clone();
+            if let Some(announcement) = self.announcement(current) {
+                self.announce(&channel, announcement).await;
+            }
+            tokio::select! {
+                () = &mut stopped => return,
+                changed = presence.changed() => if changed.is_err() { return },
+                () = tokio::time::sleep(self.every) => {}
+            }
+        }
+    }
+
+    async fn announce(&self, channel: &Arc<Channel<EntryRpcClient>>, announcement: Announcement) {
+        count::record(Class::Heartbeat);
+        let call = channel.call(ANNOUNCE_LIMIT, |client, context| async move {
+            client.announce(context, announcement).await
+        });
+        match call.await {
+            Ok(reply) => {
+                count::record(Class::Heartbeat);
+                let _ = self.events.send(Event::Version(reply.version));
+            }
+            Err(e) => {
+                log::debug!("E205 announcement: {e}");
+                channel.close();
+            }
+        }
+    }
+
+    fn announcement(&self, presence: Presence) -> Option<Announcement> {
+        let upstream = presence.upstream?;
+        let data_centre = if upstream.data_centre.is_empty() {
+            self.data_centre.clone()
+        } else {
+            upstream.data_centre
+        };
+        Some(Announcement {
+            name: self.name.clone(),
+            address: self.address.clone(),
+            incarnation: self.incarnation,
+            slots: upstream.slots,
+            kinds: upstream.kinds,
+            size: upstream.size,
+            data_centre,
+            draining: presence.draining,
+            load: presence.load,
+            version: 0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/figdeal-agent/src/control.rs
@@ -0,0 +1,404 @@
+//! The thread that owns the agent's control state.
+
+use std::{collections::HashMap, io, net::SocketAddr, sync::mpsc, thread, time::Duration};
+
+use figdeal_core::{
+    agent::{Action, AgentCore, Declined, Known, TaskOrder, Verdict},
+    fleet::Load,
+    id::{Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
+    ledger::TaskResult,
+    time::Timestamp,
+};
+use figdeal_wire::message::{
+    CollectReply, LoadReport, QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
+};
+use tokio::{
+    runtime::Handle,
+    sync::{oneshot, watch},
+    time::Instant,
+};
+
+use crate::{agent::Options, upstream::Call};
+
+/// How often expiries are checked when no event arrives.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What an upstream announced.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Upstream {
+    /// Where the agent calls it.
+    pub(crate) address: SocketAddr,
+    /// Tasks that it runs at the same time.
+    pub(crate) slots: u32,
+    /// Connections that it accepts.
+    pub(crate) connections: u32,
+    /// Kinds that it accepts; empty accepts all.
+    #[serde(default)]
+    pub(crate) kinds: Vec<String>,
+    /// Largest task size.
+    #[serde(default = "max_size")]
+    pub(crate) size: u32,
+    /// Its data centre.
+    #[serde(default)]
+    pub(crate) data_centre: String,
+}
+
+fn max_size() -> u32 {
+    u32::MAX
+}
+
+/// What the announcers tell the entries.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Presence {
+    pub(crate) upstream: Option<Upstream>,
+    pub(crate) draining: bool,
+    pub(crate) load: LoadReport,
+}
+
+#[derive(Debug)]
+pub(crate) enum Event {
+    Run(RunRequest, oneshot::Sender<TaskReply>),
+    Query(QueryRequest, oneshot::Sender<TaskReply>),
+    Cancel(Vec<TaskId>),
+    Collect(SubmissionKey, oneshot::Sender<CollectReply>),
+    Finished(TaskId, TaskResult),
+    Announce(Upstream),
+    Leave,
+    Version(u64),
+    Stop,
+    NotifyIdle(mpsc::Sender<()>),
+    Kill,
+}
+
+#[derive(Debug)]
+struct Order {
+    kind: String,
+    payload: Vec<u8>,
+    deadline: Timestamp,
+}
+
+#[derive(Debug)]
+struct Collecting {
+    key: SubmissionKey,
+    reply: oneshot::Sender<CollectReply>,
+}
+
+struct Control {
+    core: AgentCore,
+    start: Instant,
+    names: Names,
+    teams: Names,
+    orders: HashMap<TaskId, Order>,
+    waiters: HashMap<TaskId, Vec<oneshot::Sender<TaskReply>>>,
+    collecting: Vec<Collecting>,
+    idle: Vec<mpsc::Sender<()>>,
+    calls: mpsc::Sender<Call>,
+    presence: watch::Sender<Presence>,
+    upstream: Option<Upstream>,
+    renewed: Timestamp,
+    expire_after: Duration,
+    is_stopping: bool,
+}
+
+/// Starts the control thread.
+pub(crate) fn spawn(
+    options: &Options,
+    incarnation: Incarnation,
+    inbox: mpsc::Receiver<Event>,
+    calls: mpsc::Sender<Call>,
+    presence: watch::Sender<Presence>,
+    runtime: &Handle,
+) -> io::Result<()> {
+    let core = AgentCore::new(incarnation, options.ledger);
+    let expire_after = options.expire_after;
+    let runtime = runtime.clone();
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let _guard = runtime.enter();
+            let control = Control {
+                core,
+                start: Instant::now(),
+                names: Names::default(),
+                teams: Names::default(),
+                orders: HashMap::new(),
+                waiters: HashMap::new(),
+                collecting: Vec::new(),
+                idle: Vec::new(),
+                calls,
+                presence,
+                upstream: None,
+                renewed: Timestamp::ZERO,
+                expire_after,
+                is_stopping: false,
+            };
+            control.run(inbox);
+        })?;
+    Ok(())
+}
+
+impl Control {
+    fn run(mut self, inbox: mpsc::Receiver<Event>) {
+        loop {
+            match inbox.recv_timeout(TICK) {
+                Ok(Event::Kill) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Ok(event) => self.handle(event),
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+            }
+            self.tick();
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_micros(self.start.elapsed().as_micros() as u64)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Run(request, reply) => self.take_order(request, reply, now),
+            Event::Query(request, reply) => self.query(request, reply, now),
+            Event::Cancel(tasks) => {
+                for task in tasks {
+                    let actions = self.core.cancel(task, now);
+                    self.perform(actions, now);
+                }
+            }
+            Event::Collect(key, reply) => self.collect(key, reply, now),
+            Event::Finished(task, result) => {
+                let actions = self.core.finish(task, result, now);
+                self.perform(actions, now);
+                self.answer_collects(now);
+            }
+            Event::Announce(upstream) => self.announce(upstream, now),
+            Event::Leave => self.leave(now),
+            Event::Version(_) => {}
+            Event::Stop => {
+                self.is_stopping = true;
+                self.leave(now);
+            }
+            Event::NotifyIdle(sender) => self.idle.push(sender),
+            Event::Kill => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let is_expired = now.since(self.renewed) > self.expire_after;
+        if self.upstream.is_some() && is_expired && !self.core.is_draining() {
+            log::warn!("E201 upstream did not renew its announcement, draining");
+            self.leave(now);
+        }
+        let actions = self.core.tick(now);
+        self.perform(actions, now);
+        if self.core.is_idle() {
+            for sender in self.idle.drain(..) {
+                let _ = sender.send(());
+            }
+        }
+    }
+
+    fn announce(&mut self, upstream: Upstream, now: Timestamp) {
+        if self.is_stopping {
+            return;
+        }
+        self.renewed = now;
+        let is_new = self.core.is_draining() || self.upstream.as_ref() != Some(&upstream);
+        if is_new {
+            log::info!(
+                "E202 upstream at {} announced {} slots",
+                upstream.address,
+                upstream.slots
+            );
+            self.core.set_slots(upstream.slots);
+            self.upstream = Some(upstream);
+            self.publish(now, false);
+        }
+    }
+
+    fn leave(&mut self, now: Timestamp) {
+        let actions = self.core.drain(now);
+        self.perform(actions, now);
+        self.publish(now, true);
+    }
+
+    fn publish(&self, now: Timestamp, draining: bool) {
+        let load = self.load(now);
+        let upstream = self.upstream.clone();
+        self.presence.send_replace(Presence {
+            upstream,
+            draining,
+            load,
+        });
+    }
+
+    fn take_order(
+        &mut self,
+        request: RunRequest,
+        reply: oneshot::Sender<TaskReply>,
+        now: Timestamp,
+    ) {
+        let deadline = now + Duration::from_micros(request.remaining);
+        let order = TaskOrder {
+            task: request.task,
+            kind: KindId(self.names.intern(&request.kind)),
+            team: TeamId(self.teams.intern(&request.team)),
+            order: request.order,
+            deadline,
+            incarnation: request.incarnation,
+            entry: request.entry,
+        };
+        self.waiters.entry(request.task).or_default().push(reply);
+        self.orders.entry(request.task).or_insert(Order {
+            kind: request.kind,
+            payload: request.payload,
+            deadline,
+        });
+        let actions = self.core.run(order, now);
+        self.perform(actions, now);
+    }
+
+    fn query(&mut self, request: QueryRequest, reply: oneshot::Sender<TaskReply>, now: Timestamp) {
+        match self.core.query(request.task, request.incarnation, now) {
+            Known::Pending => self.waiters.entry(request.task).or_default().push(reply),
+            Known::Ended(Verdict::NotStarted(Declined::Incarnation)) => {
+                let word = TaskWord::OtherIncarnation;
+                let load = self.load(now);
+                let _ = reply.send(TaskReply {
+                    task: request.task,
+                    word,
+                    run: 0,
+                    load,
+                });
+            }
+            Known::Ended(verdict) => {
+                let _ = reply.send(self.reply(request.task, verdict, now));
+            }
+        }
+    }
+
+    fn collect(
+        &mut self,
+        key: SubmissionKey,
+        reply: oneshot::Sender<CollectReply>,
+        now: Timestamp,
+    ) {
+        self.collecting.push(Collecting { key, reply });
+        let queued: Vec<TaskId> = self
+            .orders
+            .keys()
+            .filter(|t| t.key == key)
+            .copied()
+            .collect();
+        for task in queued {
+            let actions = self.core.cancel(task, now);
+            self.perform(actions, now);
+        }
+        self.answer_collects(now);
+    }
+
+    fn answer_collects(&mut self, _now: Timestamp) {
+        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.collecting)
+            .into_iter()
+            .partition(|c| self.core.running(c.key).is_empty());
+        self.collecting = waiting;
+        for collecting in ready {
+            let held = self.core.held(collecting.key);
+            let results = held
+                .into_iter()
+                .map(|(index, result)| (index, word(result)))
+                .collect();
+            let _ = collecting.reply.send(CollectReply { results });
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>, now: Timestamp) {
+        for action in actions {
+            match action {
+                Action::Call(task) => self.call(task, now),
+                Action::Reply(task, verdict) => {
+                    self.orders.remove(&task);
+                    let reply = self.reply(task, verdict, now);
+                    for waiter in self.waiters.remove(&task).unwrap_or_default() {
+                        let _ = waiter.send(reply.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, task: TaskId, now: Timestamp) {
+        let order = self
+            .orders
+            .get_mut(&task)
+            .expect("a started task has an order");
+        let upstream = self
+            .upstream
+            .as_ref()
+            .expect("a task starts only at an announced upstream");
+        let call = Call {
+            task,
+            kind: order.kind.clone(),
+            payload: std::mem::take(&mut order.payload),
+            address: upstream.address,
+            slots: upstream.slots,
+            connections: upstream.connections,
+            remaining: order.deadline.since(now),
+        };
+        self.calls
+            .send(call)
+            .expect("the call threads outlive the control thread");
+    }
+
+    fn reply(&self, task: TaskId, verdict: Verdict, now: Timestamp) -> TaskReply {
+        let load = self.load(now);
+        let (word, run) = match verdict {
+            Verdict::Ran { result, run } => (word(result), run),
+            Verdict::ResultDropped => (TaskWord::Unknown, Duration::ZERO),
+            Verdict::NotStarted(declined) => {
+                (TaskWord::NotStarted(reason(declined)), Duration::ZERO)
+            }
+        };
+        TaskReply {
+            task,
+            word,
+            run: run.as_micros() as u64,
+            load,
+        }
+    }
+
+    fn load(&self, now: Timestamp) -> LoadReport {
+        let Load {
+            free, queued, wait, ..
+        } = self.core.load(now);
+        let queued = queued
+            .into_iter()
+            .map(|(k, n)| (self.names.name(k.0).to_owned(), n))
+            .collect();
+        LoadReport {
+            free,
+            queued,
+            wait: wait.as_micros() as u64,
+        }
+    }
+}
+
+fn word(result: TaskResult) -> TaskWord {
+    match result {
+        TaskResult::Done(bytes) => TaskWord::Done(bytes),
+        TaskResult::Failed => TaskWord::Failed,
+        TaskResult::Unknown => TaskWord::Unknown,
+    }
+}
+
+fn reason(declined: Declined) -> Reason {
+    match declined {
+        Declined::Incarnation => Reason::Incarnation,
+        Declined::Draining => Reason::Draining,
+        Declined::Full => Reason::Full,
+        Declined::Fenced => Reason::Fenced,
+        Declined::Deadline => Reason::Deadline,
+        Declined::Cancelled => Reason::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/figdeal-agent/src/server.rs
@@ -0,0 +1,109 @@
+//! The tarpc service that entries call.
+
+use std::{
+    net::TcpListener,
+    sync::{Arc, mpsc},
+};
+
+use figdeal_core::id::{SubmissionKey, TaskId};
+use figdeal_wire::{
+    codec::transport,
+    message::{CollectReply, LoadReport, QueryRequest, RunRequest, TaskReply, TaskWord},
+    service::AgentRpc,
+};
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::sync::{Notify, oneshot};
+
+use crate::control::Event;
+
+#[derive(Debug, Clone)]
+struct Server {
+    events: mpsc::Sender<Event>,
+}
+
+impl AgentRpc for Server {
+    async fn run(self, _: Context, request: RunRequest) -> TaskReply {
+        let task = request.task;
+        self.ask(task, |reply| Event::Run(request, reply)).await
+    }
+
+    async fn query(self, _: Context, request: QueryRequest) -> TaskReply {
+        let task = request.task;
+        self.ask(task, |reply| Event::Query(request, reply)).await
+    }
+
+    async fn cancel(self, _: Context, tasks: Vec<TaskId>) {
+        let _ = self.events.send(Event::Cancel(tasks));
+    }
+
+    async fn collect(self, _: Context, key: SubmissionKey) -> CollectReply {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(Event::Collect(key, reply));
+        match answer.await {
+            Ok(answer) => answer,
+            // A stopped control thread holds no results; the connection ends with the process.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    async fn ping(self, _: Context) {}
+}
+
+impl Server {
+    async fn ask(
+        &self,
+        task: TaskId,
+        event: impl FnOnce(oneshot::Sender<TaskReply>) -> Event,
+    ) -> TaskReply {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(event(reply));
+        match answer.await {
+            Ok(answer) => answer,
+            Err(_) => TaskReply {
+                task,
+                word: TaskWord::Unknown,
+                run: 0,
+                load: LoadReport::default(),
+            },
+        }
+    }
+}
+
+/// Serves entries until `stop` is notified.
+pub(crate) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>, stop: Arc<Notify>) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("E203 cannot serve entries: {e}"),
+    };
+    let mut connections = tokio::task::JoinSet::new();
+    let stopped = stop.notified();
+    tokio::pin!(stopped);
+    loop {
+        let stream = tokio::select! {
+            () = &mut stopped => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("E204 cannot accept an entry's connection: {e}");
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+        };
+        while connections.try_join_next().is_some() {}
+        let server = Server {
+            events: events.clone(),
+        };
+        connections.spawn(async move {
+            let channel = BaseChannel::with_defaults(transport(stream));
+            channel
+                .execute(server.serve())
+                .for_each_concurrent(None, |response| response)
+                .await;
+        });
+    }
+}
--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -258,6 +258,11 @@
             .collect()
     }
 
+    /// Results that the ledger holds of a submission, by task index.
+    pub fn held(&self, key: SubmissionKey) -> Vec<(u16, TaskResult)> {
+        self.ledger.held(key)
+    }
+
     /// Number of tasks at the upstream.
     pub fn busy(&self) -> u32 {
         self.busy
--- /dev/null
+++ b/crates/figdeal-core/src/entry/answer.rs
@@ -0,0 +1,165 @@
+//! Final outcomes and the requests that wait for them.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Action, Answer, EntryCore, MIN_RETRY,
+    job::{JobKey, Phase, Progress, WaiterId},
+};
+use crate::{
+    outcome::{Outcome, Refusal, TaskState},
+    time::Timestamp,
+};
+
+impl EntryCore {
+    pub(super) fn answer(&mut self, waiter: WaiterId, answer: Answer) {
+        self.actions.push(Action::Answer { waiter, answer });
+    }
+
+    pub(super) fn wait_for(&mut self, key: JobKey, waiter: WaiterId, wait: bool) {
+        match &self.jobs[key].phase {
+            Phase::Finished(outcome) => {
+                let answer = Answer::Final(Arc::clone(outcome));
+                self.answer(waiter, answer);
+            }
+            _ if wait => self.jobs[key].waiters.push(waiter),
+            _ => self.answer(waiter, Answer::Running),
+        }
+    }
+
+    pub(super) fn refuse(&mut self, key: JobKey, reason: Refusal, now: Timestamp) {
+        let retry = self.retry_after();
+        self.finish_with(key, Arc::new(Outcome::NotRun { reason, retry }), now);
+    }
+
+    /// Answers the waiters of a job that this entry does not own and forgets it.
+    pub(super) fn dismiss(&mut self, key: JobKey, answer: Answer) {
+        let job = self.jobs.remove(key).expect("the job is in the table");
+        self.keys.remove(&job.key);
+        for waiter in job.waiters {
+            self.answer(waiter, answer.clone());
+        }
+    }
+
+    /// Builds the answer of a job whose tasks are all resolved.
+    pub(super) fn finish(&mut self, key: JobKey, now: Timestamp) {
+        let job = &mut self.jobs[key];
+        assert_eq!(job.unresolved, 0, "a finished job has no unresolved task");
+        let states = job.states();
+        let left = self.in_progress.entry(job.team).or_default();
+        *left = left
+            .checked_sub(states.len() as u32)
+            .expect("the job counts as in progress");
+        let is_complete = states.iter().all(|s| *s == TaskState::Done);
+        let is_untouched = states.iter().all(|s| *s == TaskState::NotStarted);
+        let outcome = if is_complete {
+            let results: Vec<Vec<u8>> = job
+                .tasks
+                .iter_mut()
+                .filter_map(|t| match &mut t.progress {
+                    Progress::Done(bytes) => Some(std::mem::take(bytes)),
+                    _ => None,
+                })
+                .collect();
+            assert_eq!(
+                results.len(),
+                states.len(),
+                "a complete answer has every result"
+            );
+            Outcome::Complete(results)
+        } else if job.is_cancelled {
+            Outcome::Cancelled(states)
+        } else if is_untouched {
+            let is_late = now >= job.deadline;
+            let reason = if is_late {
+                Refusal::DeadlinePassed
+            } else {
+                Refusal::Unplaceable
+            };
+            Outcome::NotRun {
+                reason,
+                retry: self.retry_after(),
+            }
+        } else {
+            Outcome::Failed(states)
+        };
+        self.finish_with(key, Arc::new(outcome), now);
+    }
+
+    pub(super) fn finish_with(&mut self, key: JobKey, outcome: Arc<Outcome>, now: Timestamp) {
+        let job = &mut self.jobs[key];
+        assert!(
+            !matches!(job.phase, Phase::Finished(_)),
+            "a job is answered once"
+        );
+        job.phase = Phase::Finished(Arc::clone(&outcome));
+        job.tasks = Vec::new();
+        let deadline = job.deadline;
+        let waiters = std::mem::take(&mut job.waiters);
+        self.deadlines.remove(&(deadline, key));
+        self.deadlines.remove(&(deadline + self.limits.grace, key));
+        self.finished.push_back((now, key));
+        self.bytes += outcome_bytes(&outcome);
+        match *outcome {
+            Outcome::Complete(_) => self.counts.complete += 1,
+            Outcome::Failed(_) => self.counts.failed += 1,
+            Outcome::NotRun { .. } => self.counts.refused += 1,
+            Outcome::Cancelled(_) => self.counts.cancelled += 1,
+        }
+        for waiter in waiters {
+            self.answer(waiter, Answer::Final(Arc::clone(&outcome)));
+        }
+        self.bound_answers();
+    }
+
+    pub(super) fn expire_finished(&mut self, now: Timestamp) {
+        while let Some(&(at, key)) = self.finished.front() {
+            if now.since(at) < self.limits.retention {
+                return;
+            }
+            self.finished.pop_front();
+            if let Some(job) = self.jobs.remove(key) {
+                self.keys.remove(&job.key);
+                if let Phase::Finished(outcome) = &job.phase {
+                    self.bytes -= outcome_bytes(outcome);
+                }
+            }
+        }
+    }
+
+    /// Drops the results of the oldest complete answers; whoever asks for them later learns that the job ran.
+    fn bound_answers(&mut self) {
+        let mut oldest = 0;
+        while self.bytes > self.limits.bytes && oldest < self.finished.len() {
+            let (_, key) = self.finished[oldest];
+            oldest += 1;
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            let Phase::Finished(outcome) = &job.phase else {
+                continue;
+            };
+            let Outcome::Complete(results) = &**outcome else {
+                continue;
+            };
+            let dropped = Arc::new(Outcome::Failed(vec![TaskState::Done; results.len()]));
+            self.bytes -= outcome_bytes(outcome);
+            self.bytes += outcome_bytes(&dropped);
+            job.phase = Phase::Finished(dropped);
+        }
+    }
+
+    fn retry_after(&self) -> Duration {
+        let slots: u32 = self.fleet.iter().map(|(_, a)| a.info.slots).sum();
+        let waves = self.queue.len() as u32 / slots.max(1);
+        MIN_RETRY.max(Duration::from_millis(300) * waves)
+    }
+}
+
+fn outcome_bytes(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Complete(results) => results.iter().map(|r| r.len() + 24).sum(),
+        Outcome::Failed(states) | Outcome::Cancelled(states) => states.len(),
+        Outcome::NotRun { .. } => 0,
+    }
+}
--- a/crates/figdeal-core/src/id.rs
+++ b/crates/figdeal-core/src/id.rs
@@ -8,10 +8,26 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SubmissionKey(pub [u8; 16]);
 
-/// Hash of the content of a submission.
+/// Hash of the content of a submission. The last two bytes are the number of its tasks, so that an entry that
+/// collects results without a copy of the content knows how many make the answer complete.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Digest(pub [u8; 16]);
 
+impl Digest {
+    /// Joins a hash of the content and the number of tasks.
+    pub fn new(hash: [u8; 14], tasks: u16) -> Digest {
+        let mut bytes = [0; 16];
+        bytes[..14].copy_from_slice(&hash);
+        bytes[14..].copy_from_slice(&tasks.to_le_bytes());
+        Digest(bytes)
+    }
+
+    /// The number of tasks of the submission.
+    pub fn tasks(&self) -> u16 {
+        u16::from_le_bytes([self.0[14], self.0[15]])
+    }
+}
+
 /// Position of an entry process in the list of entries of the settings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EntryId(pub u16);
--- a/crates/figdeal-core/src/ledger.rs
+++ b/crates/figdeal-core/src/ledger.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use crate::{id::TaskId, time::Timestamp};
+use crate::{
+    id::{SubmissionKey, TaskId},
+    time::Timestamp,
+};
 
 /// Result of a task as the upstream gave it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -166,6 +169,18 @@
         self.marks.get(&task)
     }
 
+    /// Results of a submission's tasks by index; the scan is paid only when another entry collects.
+    pub fn held(&self, key: SubmissionKey) -> Vec<(u16, TaskResult)> {
+        self.marks
+            .iter()
+            .filter(|(task, _)| task.key == key)
+            .filter_map(|(task, mark)| match mark {
+                Mark::Finished(Some(result)) => Some((task.index, result.clone())),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Number of marks.
     pub fn len(&self) -> usize {
         self.marks.len()
--- a/crates/figdeal-core/src/lib.rs
+++ b/crates/figdeal-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! can replay any schedule and other programs can embed the parts.
 
 pub mod agent;
+pub mod entry;
 
 pub mod fleet;
 pub mod id;
--- /dev/null
+++ b/crates/figdeal-wire/src/codec.rs
@@ -0,0 +1,66 @@
+//! Postcard frames over TCP.
+
+use std::{io, marker::PhantomData, pin::Pin};
+
+use serde::{Serialize, de::DeserializeOwned};
+use tarpc::{
+    serde_transport::Transport,
+    tokio_serde::{Deserializer, Serializer},
+    tokio_util::{
+        bytes::{Bytes, BytesMut},
+        codec::{Framed, LengthDelimitedCodec},
+    },
+};
+use tokio::net::TcpStream;
+
+/// Largest frame in bytes: an answer of 390 results of up to 64 KiB passes.
+const MAX_FRAME: usize = 32 << 20;
+
+/// Encodes and decodes frames with postcard.
+#[derive(Debug)]
+pub struct Postcard<In, Out> {
+    marker: PhantomData<fn(In) -> Out>,
+}
+
+impl<In, Out> Default for Postcard<In, Out> {
+    fn default() -> Self {
+        Postcard {
+            marker: PhantomData,
+        }
+    }
+}
+
+impl<In: DeserializeOwned, Out> Deserializer<In> for Postcard<In, Out> {
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> io::Result<In> {
+        postcard::from_bytes(src).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    }
+}
+
+impl<In, Out: Serialize> Serializer<Out> for Postcard<In, Out> {
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, item: &Out) -> io::Result<Bytes> {
+        postcard::to_stdvec(item)
+            .map(Bytes::from)
+            .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))
+    }
+}
+
+/// A tarpc transport over one TCP connection.
+pub type TcpTransport<In, Out> = Transport<TcpStream, In, Out, Postcard<In, Out>>;
+
+/// Makes a transport of an open connection. Nagle's algorithm is off, since messages are small and urgent.
+pub fn transport<In, Out>(stream: TcpStream) -> TcpTransport<In, Out>
+where
+    In: DeserializeOwned,
+    Out: Serialize,
+{
+    // A connection that cannot turn the option on still works.
+    let _ = stream.set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec();
+    tarpc::serde_transport::new(Framed::new(stream, codec), Postcard::default())
+}
--- /dev/null
+++ b/crates/figdeal-wire/src/count.rs
@@ -0,0 +1,53 @@
+//! Counts of the messages between figdeal processes, by what they carry.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What a message carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// A task on its way to an agent.
+    Work,
+    /// The result of a task.
+    Result,
+    /// A claim or its reply.
+    Claim,
+    /// An announcement, a ping or a configuration poll, or the reply to one.
+    Heartbeat,
+    /// A query, cancellation, collection or relayed answer, or the reply to one.
+    Recovery,
+}
+
+/// All classes, in the order of the counters.
+pub const CLASSES: [Class; 5] = [
+    Class::Work,
+    Class::Result,
+    Class::Claim,
+    Class::Heartbeat,
+    Class::Recovery,
+];
+
+static COUNTERS: [AtomicU64; 5] = [const { AtomicU64::new(0) }; 5];
+
+impl Class {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::Work => "work",
+            Class::Result => "result",
+            Class::Claim => "claim",
+            Class::Heartbeat => "heartbeat",
+            Class::Recovery => "recovery",
+        }
+    }
+}
+
+/// Counts one message of this process.
+pub fn record(class: Class) {
+    COUNTERS[class as usize].fetch_add(1, Ordering::Relaxed);
+    metrics::counter!("figdeal_messages_total", "class" => class.name()).increment(1);
+}
+
+/// Messages of a class that this process sent or received as a client since its start.
+pub fn total(class: Class) -> u64 {
+    COUNTERS[class as usize].load(Ordering::Relaxed)
+}
--- a/crates/figdeal-wire/src/lib.rs
+++ b/crates/figdeal-wire/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Messages, services and connections between the figdeal processes.
+
+pub mod channel;
+pub mod codec;
+pub mod count;
+pub mod message;
+pub mod service;
--- /dev/null
+++ b/crates/figdeal-wire/src/service.rs
@@ -0,0 +1,42 @@
+//! The tarpc services.
+
+use figdeal_core::id::{SubmissionKey, TaskId};
+
+use crate::message::{
+    AnnounceReply, Announcement, CollectReply, OwnerRecord, PeerAnswer, PeerQuery, QueryRequest,
+    RunRequest, TaskReply,
+};
+
+/// What an agent offers to entries.
+#[tarpc::service]
+pub trait AgentRpc {
+    /// Runs a task and replies when its verdict is final.
+    async fn run(request: RunRequest) -> TaskReply;
+    /// Replies with the verdict on a task that was sent before; an unknown task is fenced.
+    async fn query(request: QueryRequest) -> TaskReply;
+    /// Fences tasks that have not started.
+    async fn cancel(tasks: Vec<TaskId>);
+    /// Fences a submission and replies with its results once its running tasks ended.
+    async fn collect(key: SubmissionKey) -> CollectReply;
+    /// Shows that the connection works.
+    async fn ping();
+}
+
+/// What an entry offers to agents and to other entries.
+#[tarpc::service]
+pub trait EntryRpc {
+    /// Takes an announcement.
+    async fn announce(announcement: Announcement) -> AnnounceReply;
+    /// Takes a claim in the encoding of the claims module.
+    async fn claim(request: Vec<u8>) -> Vec<u8>;
+    /// Replies with the outcome once it is final.
+    async fn await_answer(query: PeerQuery) -> PeerAnswer;
+    /// Cancels a submission that this entry owns and replies with its outcome.
+    async fn cancel(key: SubmissionKey) -> PeerAnswer;
+    /// Replies with what this entry remembers as a member of the submission's register.
+    async fn find(key: SubmissionKey) -> Option<OwnerRecord>;
+    /// Replies with the accepted configuration if it is newer than `version`.
+    async fn config(version: u64) -> Option<Vec<u8>>;
+    /// Shows that the connection works.
+    async fn ping();
+}
--- /dev/null
+++ b/crates/figdeal/src/cli.rs
@@ -0,0 +1,34 @@
+//! The command line of `figdeal`.
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::command;
+
+/// Result of a command.
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+/// Dispatcher for jobs of many sub-second tasks.
+#[derive(Debug, Parser)]
+#[command(name = "figdeal", version)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments
+    Demo(command::demo::Args),
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// Fails when the command could not do its work; the error names the step and the peer.
+pub fn run(cli: Cli) -> Result<ExitCode> {
+    match cli.command {
+        Command::Demo(args) => command::demo::run(&args),
+    }
+}
--- /dev/null
+++ b/crates/figdeal/src/command.rs
@@ -0,0 +1,3 @@
+//! The commands of `figdeal`, one module each.
+
+pub mod demo;
--- /dev/null
+++ b/crates/figdeal/src/command/demo.rs
@@ -0,0 +1,318 @@
+//! `figdeal demo`: the whole path in one process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    process::ExitCode,
+    thread,
+    time::{Duration, Instant},
+};
+
+use clap::Args as ClapArgs;
+use figdeal_agent::agent::{Agent, Options as AgentOptions, Serving as AgentServing};
+use figdeal_core::{id::EntryId, time::UnixMillis};
+use serde_json::{Value, json};
+
+use crate::{
+    cli::Result,
+    entry::{Entry, Options as EntryOptions, Serving},
+    rules::Rules,
+    stand_in::{self, StandIn},
+};
+
+/// Slots of each stand-in upstream, as in both sample deployments.
+const SLOTS: u32 = 8;
+/// Longest wait for the agents to be known to the entry.
+const START_LIMIT: Duration = Duration::from_secs(5);
+
+/// Options of the demo.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    /// Number of agents with one stand-in upstream each
+    #[arg(long, default_value_t = 4)]
+    agents: u16,
+}
+
+struct Fleet {
+    entry: Entry<Serving>,
+    agents: Vec<Agent<AgentServing>>,
+    upstreams: Vec<StandIn>,
+}
+
+/// Runs the demo; the exit code is a failure when an answer is not the expected one.
+///
+/// # Errors
+/// Fails when a part cannot be started.
+pub fn run(args: &Args) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let mut problems = 0;
+    for (deployment, rules, jobs) in deployments() {
+        println!(
+            "== {deployment}: {} upstreams with {SLOTS} slots",
+            args.agents
+        );
+        let fleet = start(args.agents, rules, runtime.handle())?;
+        problems += submit_all(&fleet, jobs)?;
+        problems += check_journals(&fleet);
+        stop(fleet)?;
+    }
+    if problems == 0 {
+        println!("demo: every answer was the expected one");
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("demo: {problems} problems");
+    Ok(ExitCode::FAILURE)
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn start(count: u16, rules: Rules, runtime: &tokio::runtime::Handle) -> Result<Fleet> {
+    let options = EntryOptions::new(EntryId(0), any_port(), any_port()).with_rules(rules);
+    let entry = Entry::start(options, runtime)?;
+    let mut agents = Vec::new();
+    let mut upstreams = Vec::new();
+    for i in 0..count {
+        let options = AgentOptions::new(format!("upstream-{i}"), any_port(), any_port())
+            .with_entries(vec![entry.listen.to_string()]);
+        let agent = Agent::start(options, runtime)?;
+        let upstream = StandIn::start(any_port(), agent.http, SLOTS, None, runtime)?;
+        agents.push(agent);
+        upstreams.push(upstream);
+    }
+    wait_for_agents(entry.http, usize::from(count))?;
+    Ok(Fleet {
+        entry,
+        agents,
+        upstreams,
+    })
+}
+
+fn wait_for_agents(entry: SocketAddr, count: usize) -> Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < START_LIMIT {
+        let (_, status) = call("GET", &format!("http://{entry}/v1/status"), None)?;
+        if status["agents"]
+            .as_array()
+            .is_some_and(|a| a.len() >= count)
+        {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Err(format!("step announce, entry {entry}: not all agents known after {START_LIMIT:?}").into())
+}
+
+fn stop(fleet: Fleet) -> Result<()> {
+    fleet.entry.drain().finish(Duration::from_secs(5))?;
+    for agent in fleet.agents {
+        agent.drain().finish(Duration::from_secs(5))?;
+    }
+    fleet.upstreams.iter().for_each(StandIn::stop);
+    Ok(())
+}
+
+struct Job {
+    title: &'static str,
+    body: Value,
+    expected: &'static str,
+}
+
+impl Job {
+    fn new(
+        title: &'static str,
+        team: &str,
+        kind: &str,
+        runs: impl IntoIterator<Item = u64>,
+        deadline: u64,
+        expected: &'static str,
+    ) -> Job {
+        let tasks: Vec<Value> = runs
+            .into_iter()
+            .map(|ms| json!({ "kind": kind, "payload": format!("{ms} {kind}"), "deadline_ms": deadline }))
+            .collect();
+        let id = title.replace(' ', "-");
+        let body =
+            json!({ "id": id, "team": team, "created_ms": UnixMillis::now().0, "tasks": tasks });
+        Job {
+            title,
+            body,
+            expected,
+        }
+    }
+
+    fn with_size(mut self, size: u32) -> Job {
+        self.body["tasks"][0]["size"] = json!(size);
+        self
+    }
+}
+
+fn deployments() -> Vec<(&'static str, Rules, Vec<Job>)> {
+    let second = Duration::from_secs(1);
+    let kuorotee = Rules::default()
+        .with_kind("swap-check", 4, 3, second * 2)
+        .with_kind("reminder", 2, 2, second * 5)
+        .with_kind("rota-build", 1, 1, second * 30)
+        .with_team("kaleva-parish", 2_000)
+        .with_team("tesoma-choir", 2_000);
+    let botella = Rules::default()
+        .with_kind("quote-check", 4, 3, second * 2)
+        .with_kind("seal-order", 2, 2, second * 5)
+        .with_kind("tide-slot", 1, 1, second * 10)
+        .with_team("storefront", 2_000)
+        .with_team("hotel-chain", 4_000);
+    let rota = (0..120).map(|i| 50 + (i * 37) % 250);
+    let quotes = (0..60).map(|i| 50 + (i * 13) % 100);
+    vec![
+        (
+            "Kuorotee",
+            kuorotee,
+            vec![
+                Job::new(
+                    "rota builds for a term",
+                    "kaleva-parish",
+                    "rota-build",
+                    rota,
+                    30_000,
+                    "complete",
+                ),
+                Job::new(
+                    "swap checks",
+                    "tesoma-choir",
+                    "swap-check",
+                    [60, 80, 120],
+                    2_000,
+                    "complete",
+                ),
+                Job::new(
+                    "reminders for tonight",
+                    "kaleva-parish",
+                    "reminder",
+                    [50; 20],
+                    5_000,
+                    "complete",
+                ),
+                Job::new(
+                    "rota too large",
+                    "kaleva-parish",
+                    "rota-build",
+                    [50],
+                    30_000,
+                    "not_run",
+                )
+                .with_size(stand_in::SIZE + 1),
+            ],
+        ),
+        (
+            "Botella Viajera",
+            botella,
+            vec![
+                Job::new(
+                    "hotel quotes",
+                    "hotel-chain",
+                    "quote-check",
+                    quotes,
+                    2_000,
+                    "complete",
+                ),
+                Job::new(
+                    "seal order",
+                    "storefront",
+                    "seal-order",
+                    [300],
+                    5_000,
+                    "complete",
+                ),
+                Job::new(
+                    "tide slots",
+                    "storefront",
+                    "tide-slot",
+                    [100, 150],
+                    10_000,
+                    "complete",
+                ),
+                Job::new(
+                    "unknown kind",
+                    "storefront",
+                    "glass-blowing",
+                    [100],
+                    1_000,
+                    "invalid",
+                ),
+            ],
+        ),
+    ]
+}
+
+fn submit_all(fleet: &Fleet, jobs: Vec<Job>) -> Result<usize> {
+    let url = format!("http://{}/v1/jobs", fleet.entry.http);
+    let threads: Vec<_> = jobs
+        .into_iter()
+        .map(|job| {
+            let url = url.clone();
+            thread::spawn(move || {
+                let start = Instant::now();
+                let answer = call("POST", &url, Some(&job.body)).map_err(|e| e.to_string());
+                (job, answer, start.elapsed())
+            })
+        })
+        .collect();
+    let mut problems = 0;
+    for thread in threads {
+        let (job, answer, took) = thread
+            .join()
+            .map_err(|_| "step submit: a caller panicked")?;
+        let (status, body) = answer?;
+        let outcome = body["outcome"].as_str().unwrap_or("none");
+        let detail = body["reason"]
+            .as_str()
+            .or(body["error"].as_str())
+            .unwrap_or("");
+        let tasks = job.body["tasks"].as_array().map_or(0, Vec::len);
+        println!(
+            "{:24} {tasks:4} tasks  {status} {outcome:10} {:5} ms  {detail}",
+            job.title,
+            took.as_millis()
+        );
+        if outcome != job.expected {
+            println!("  expected {}, got {body}", job.expected);
+            problems += 1;
+        }
+    }
+    Ok(problems)
+}
+
+fn check_journals(fleet: &Fleet) -> usize {
+    let mut starts = std::collections::HashMap::new();
+    for upstream in &fleet.upstreams {
+        for (start, count) in upstream.journal() {
+            *starts.entry(start).or_insert(0) += count;
+        }
+    }
+    let doubled = starts.values().filter(|&&n| n > 1).count();
+    println!("{} tasks started, {doubled} of them twice", starts.len());
+    doubled
+}
+
+fn call(method: &str, url: &str, body: Option<&Value>) -> Result<(u16, Value)> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut response = match (method, body) {
+        ("GET", _) => agent.get(url).call(),
+        ("DELETE", _) => agent.delete(url).call(),
+        (_, body) => agent
+            .post(url)
+            .send(body.map(Value::to_string).unwrap_or_default()),
+    }
+    .map_err(|e| format!("step {method}, peer {url}: {e}"))?;
+    let status = response.status().as_u16();
+    let text = response.body_mut().read_to_string()?;
+    Ok((
+        status,
+        serde_json::from_str(&text).unwrap_or(Value::String(text)),
+    ))
+}
--- /dev/null
+++ b/crates/figdeal/src/entry.rs
@@ -0,0 +1,247 @@
+//! Life cycle of an entry process.
+
+use std::{
+    io,
+    marker::PhantomData,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, RwLock, atomic::AtomicBool, atomic::Ordering, mpsc},
+    time::Duration,
+};
+
+use displaydoc::Display;
+use figdeal_core::{
+    entry::EntryLimits,
+    id::{EntryId, Incarnation},
+};
+use figdeal_wire::channel::Limits;
+use tokio::{runtime::Handle, sync::Notify};
+
+use self::control::Event;
+use crate::rules::Rules;
+
+mod answer;
+mod control;
+mod http;
+mod peers;
+mod server;
+
+/// Largest number of open connections of callers.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Result of starting or stopping an entry.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What an entry cannot do.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {0}: {1}
+    Listen(String, io::Error),
+    /// cannot start the {0} thread: {1}
+    Thread(&'static str, io::Error),
+    /// work was still in progress after {0:?}
+    StopLimit(Duration),
+}
+
+impl std::error::Error for Error {}
+
+/// What an entry needs to know to start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Position in the list of entries.
+    pub id: EntryId,
+    /// Where callers and operators reach the entry; port 0 picks a free one.
+    pub http: SocketAddr,
+    /// Where agents and other entries reach it; port 0 picks a free one.
+    pub listen: SocketAddr,
+    /// The other entries.
+    pub peers: Vec<(EntryId, String)>,
+    /// Bounds of the job table and of placement.
+    pub entry: EntryLimits,
+    /// Time limits of connections.
+    pub limits: Limits,
+    /// Rules at the start.
+    pub rules: Rules,
+}
+
+impl Options {
+    /// Creates options with the default limits.
+    pub fn new(id: EntryId, http: SocketAddr, listen: SocketAddr) -> Options {
+        Options {
+            id,
+            http,
+            listen,
+            peers: Vec::new(),
+            entry: EntryLimits::default(),
+            limits: Limits::default(),
+            rules: Rules::default(),
+        }
+    }
+
+    /// Sets the other entries.
+    pub fn with_peers(mut self, peers: Vec<(EntryId, String)>) -> Options {
+        self.peers = peers;
+        self
+    }
+
+    /// Sets the rules.
+    pub fn with_rules(mut self, rules: Rules) -> Options {
+        self.rules = rules;
+        self
+    }
+}
+
+/// An entry that serves.
+#[derive(Debug)]
+pub struct Serving;
+/// An entry that is not ready for the balancer and finishes what is in progress.
+#[derive(Debug)]
+pub struct Draining;
+
+/// State that traffic threads read.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) rules: RwLock<Arc<Rules>>,
+    pub(crate) is_ready: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn rules(&self) -> Arc<Rules> {
+        Arc::clone(&self.rules.read().expect("the lock is not poisoned"))
+    }
+}
+
+/// A running entry; the type parameter is its phase.
+#[derive(Debug)]
+pub struct Entry<Phase> {
+    /// Where callers and operators reach the entry.
+    pub http: SocketAddr,
+    /// Where agents and other entries reach it.
+    pub listen: SocketAddr,
+    /// This run of the entry.
+    pub incarnation: Incarnation,
+    events: mpsc::Sender<Event>,
+    stop: Arc<Notify>,
+    shared: Arc<Shared>,
+    phase: PhantomData<Phase>,
+}
+
+impl Entry<Serving> {
+    /// Starts an entry; its network tasks run on `runtime`.
+    ///
+    /// # Errors
+    /// Fails when an address cannot be listened on or a thread cannot be started.
+    pub fn start(options: Options, runtime: &Handle) -> Result<Entry<Serving>> {
+        let listener = bind(options.listen)?;
+        let listen = listener.local_addr().unwrap_or(options.listen);
+        let http_listener = bind(options.http)?;
+        let http = http_listener.local_addr().unwrap_or(options.http);
+        Entry::start_on(options, listener, http_listener, runtime, listen, http)
+    }
+
+    fn start_on(
+        options: Options,
+        listener: TcpListener,
+        http_listener: TcpListener,
+        runtime: &Handle,
+        listen: SocketAddr,
+        http: SocketAddr,
+    ) -> Result<Entry<Serving>> {
+        let incarnation = Incarnation(rand::random());
+        let shared = Arc::new(Shared {
+            rules: RwLock::new(Arc::new(options.rules.clone())),
+            is_ready: AtomicBool::new(true),
+        });
+        let (events, inbox) = mpsc::channel();
+        let stop = Arc::new(Notify::new());
+        control::spawn(
+            &options,
+            incarnation,
+            inbox,
+            events.clone(),
+            Arc::clone(&shared),
+            runtime,
+        )
+        .map_err(|e| Error::Thread("control", e))?;
+        let http_limits = crate::http::Limits {
+            connections: MAX_CONNECTIONS,
+            body: options.rules.max_body,
+        };
+        let handler = http::Http {
+            events: events.clone(),
+            shared: Arc::clone(&shared),
+        };
+        let handle = move |call| handler.clone().handle(call);
+        runtime.spawn(crate::http::serve(
+            http_listener,
+            http_limits,
+            Arc::clone(&stop),
+            handle,
+        ));
+        runtime.spawn(server::serve(listener, events.clone(), Arc::clone(&stop)));
+        Ok(Entry {
+            http,
+            listen,
+            incarnation,
+            events,
+            stop,
+            shared,
+            phase: PhantomData,
+        })
+    }
+
+    /// Tells the balancer to send nothing more; what is in progress goes on.
+    pub fn drain(self) -> Entry<Draining> {
+        self.shared.is_ready.store(false, Ordering::Relaxed);
+        let Entry {
+            http,
+            listen,
+            incarnation,
+            events,
+            stop,
+            shared,
+            ..
+        } = self;
+        Entry {
+            http,
+            listen,
+            incarnation,
+            events,
+            stop,
+            shared,
+            phase: PhantomData,
+        }
+    }
+}
+
+impl Entry<Draining> {
+    /// Waits until every job is answered.
+    ///
+    /// # Errors
+    /// [`Error::StopLimit`] when work is still in progress after `limit`.
+    pub fn finish(self, limit: Duration) -> Result<()> {
+        let (sender, receiver) = mpsc::channel();
+        let _ = self.events.send(Event::NotifyIdle(sender));
+        let is_idle = receiver.recv_timeout(limit).is_ok();
+        self.stop.notify_waiters();
+        if is_idle {
+            Ok(())
+        } else {
+            Err(Error::StopLimit(limit))
+        }
+    }
+}
+
+impl<Phase> Entry<Phase> {
+    /// Ends the entry at once, as a crash would.
+    pub fn kill(self) {
+        let _ = self.events.send(Event::Kill);
+        self.stop.notify_waiters();
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let error = |e| Error::Listen(address.to_string(), e);
+    let listener = TcpListener::bind(address).map_err(error)?;
+    listener.set_nonblocking(true).map_err(error)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/crates/figdeal/src/entry/control.rs
@@ -0,0 +1,590 @@
+//! The thread that owns the entry's control state.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
+
+use figdeal_core::{
+    agent::{Declined, Verdict},
+    entry::{Action, Answer, Claimed, Dispatch, EntryCore, Held, Submission, TaskSpec, WaiterId},
+    fleet::{AgentInfo, AgentKey, Load},
+    id::{EntryId, Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
+    ledger::TaskResult,
+    time::{Timestamp, UnixMillis},
+};
+use figdeal_wire::{
+    channel::{self, Channel, Limits},
+    count::{self, Class},
+    message::{
+        AnnounceReply, Announcement, CollectReply, LoadReport, OwnerRecord, PeerQuery,
+        QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
+    },
+    service::AgentRpcClient,
+};
+use serde_json::{Value, json};
+use tokio::{runtime::Handle, sync::oneshot, time::Instant};
+
+use super::{Options, Shared, peers::Peers};
+use crate::submission::JobRequest;
+
+/// Longest time between two ticks.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+/// Time between two attempts to ask an agent about a task.
+const QUERY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for an agent that collects, beyond which it counts as unreachable.
+const COLLECT_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for a cancellation to be taken.
+const CANCEL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Gets the answer to one request.
+pub(crate) type Responder = Box<dyn FnOnce(Answer) + Send>;
+
+pub(crate) enum Event {
+    Submit {
+        job: JobRequest,
+        wait: bool,
+        responder: Responder,
+    },
+    Fetch {
+        key: SubmissionKey,
+        wait: bool,
+        responder: Responder,
+    },
+    Cancel {
+        key: SubmissionKey,
+        responder: Responder,
+    },
+    Status(Box<dyn FnOnce(Value) + Send>),
+    Announce(Announcement, oneshot::Sender<AnnounceReply>),
+    ClaimRequest(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    PeerAwait(PeerQuery, Responder),
+    PeerCancel(SubmissionKey, Responder),
+    Find(SubmissionKey, oneshot::Sender<Option<OwnerRecord>>),
+    Task {
+        agent: AgentKey,
+        task: TaskId,
+        reply: channel::Result<TaskReply>,
+    },
+    Collected {
+        agent: AgentKey,
+        key: SubmissionKey,
+        reply: channel::Result<CollectReply>,
+    },
+    Owner {
+        key: SubmissionKey,
+        answer: Option<Answer>,
+    },
+    NotifyIdle(mpsc::Sender<()>),
+    Kill,
+}
+
+struct Control {
+    id: EntryId,
+    incarnation: Incarnation,
+    core: EntryCore,
+    start: Instant,
+    kinds: Names,
+    teams: Names,
+    shared: Arc<Shared>,
+    events: mpsc::Sender<Event>,
+    runtime: Handle,
+    limits: Limits,
+    peers: Peers,
+    agents: HashMap<AgentKey, Arc<Channel<AgentRpcClient>>>,
+    responders: HashMap<WaiterId, Responder>,
+    next_waiter: u64,
+    idle: Vec<mpsc::Sender<()>>,
+}
+
+/// Starts the control thread.
+pub(crate) fn spawn(
+    options: &Options,
+    incarnation: Incarnation,
+    inbox: mpsc::Receiver<Event>,
+    events: mpsc::Sender<Event>,
+    shared: Arc<Shared>,
+    runtime: &Handle,
+) -> io::Result<()> {
+    let options = options.clone();
+    let runtime = runtime.clone();
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let _guard = runtime.enter();
+            let mut control = Control {
+                id: options.id,
+                incarnation,
+                core: EntryCore::new(options.entry),
+                start: Instant::now(),
+                kinds: Names::default(),
+                teams: Names::default(),
+                shared,
+                events,
+                runtime: runtime.clone(),
+                limits: options.limits,
+                peers: Peers::new(&options.peers, options.limits),
+                agents: HashMap::new(),
+                responders: HashMap::new(),
+                next_waiter: 0,
+                idle: Vec::new(),
+            };
+            control.apply_rules(options.peers.len() as u32 + 1);
+            control.run(inbox);
+        })?;
+    Ok(())
+}
+
+impl Control {
+    fn run(mut self, inbox: mpsc::Receiver<Event>) {
+        loop {
+            let now = self.now();
+            let wait = self
+                .core
+                .next_wake()
+                .map_or(MAX_WAIT, |at| at.since(now).min(MAX_WAIT));
+            match inbox.recv_timeout(wait) {
+                Ok(Event::Kill) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Ok(event) => self.handle(event),
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+            }
+            self.core.tick(self.now());
+            self.perform();
+            self.notify_idle();
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_micros(self.start.elapsed().as_micros() as u64)
+    }
+
+    fn apply_rules(&mut self, entries: u32) {
+        let rules = self.shared.rules();
+        for (name, rule) in &rules.kinds {
+            let kind = KindId(self.kinds.intern(name));
+            self.core.set_share(kind, rule.share);
+        }
+        for (name, rule) in &rules.teams {
+            let team = TeamId(self.teams.intern(name));
+            self.core.set_quota(team, rule.max_tasks.div_ceil(entries));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Submit {
+                job,
+                wait,
+                responder,
+            } => {
+                let waiter = self.add_waiter(responder);
+                let submission = self.submission(job);
+                self.core.submit(submission, waiter, wait, now);
+            }
+            Event::Fetch {
+                key,
+                wait,
+                responder,
+            } => {
+                let waiter = self.add_waiter(self.search_responder(key, responder, false));
+                self.core.fetch(key, waiter, wait);
+            }
+            Event::Cancel { key, responder } => {
+                let waiter = self.add_waiter(self.search_responder(key, responder, true));
+                self.core.cancel(key, waiter, now);
+            }
+            Event::PeerAwait(query, responder) => {
+                let is_other = query.incarnation.is_some_and(|i| i != self.incarnation);
+                if is_other {
+                    return responder(Answer::Unknown);
+                }
+                let waiter = self.add_waiter(responder);
+                self.core.fetch(query.key, waiter, true);
+            }
+            Event::PeerCancel(key, responder) => {
+                let waiter = self.add_waiter(responder);
+                self.core.cancel(key, waiter, now);
+            }
+            Event::Status(responder) => responder(self.status(now)),
+            Event::Announce(announcement, reply) => {
+                self.announce(announcement, now);
+                let _ = reply.send(AnnounceReply {
+                    version: self.shared.rules().version,
+                });
+            }
+            Event::ClaimRequest(_, reply) => {
+                let _ = reply.send(Vec::new());
+            }
+            Event::Find(_, reply) => {
+                let _ = reply.send(None);
+            }
+            Event::Task { agent, task, reply } => self.take_reply(agent, task, reply, now),
+            Event::Collected { agent, key, reply } => {
+                let held = reply.ok().map(held);
+                self.core.collected(agent, key, held, now);
+            }
+            Event::Owner { key, answer } => self.core.remote_answer(key, answer, now),
+            Event::NotifyIdle(sender) => self.idle.push(sender),
+            Event::Kill => {}
+        }
+    }
+
+    fn notify_idle(&mut self) {
+        if !self.idle.is_empty() && self.core.open_jobs() == 0 && self.responders.is_empty() {
+            for sender in self.idle.drain(..) {
+                let _ = sender.send(());
+            }
+        }
+    }
+
+    fn add_waiter(&mut self, responder: Responder) -> WaiterId {
+        self.next_waiter += 1;
+        let waiter = WaiterId(self.next_waiter);
+        self.responders.insert(waiter, responder);
+        waiter
+    }
+
+    /// Asks the other entries when this one does not know the submission.
+    fn search_responder(
+        &self,
+        key: SubmissionKey,
+        responder: Responder,
+        cancel: bool,
+    ) -> Responder {
+        let peers = self.peers.clone();
+        let runtime = self.runtime.clone();
+        Box::new(move |answer| {
+            if answer != Answer::Unknown {
+                return responder(answer);
+            }
+            runtime.spawn(async move {
+                let found = if cancel {
+                    peers.cancel(key).await
+                } else {
+                    peers.search(key).await
+                };
+                responder(found.unwrap_or(Answer::Unknown));
+            });
+        })
+    }
+
+    fn submission(&mut self, job: JobRequest) -> Submission {
+        let rules = self.shared.rules();
+        let (key, digest, created) = (job.key(), job.digest(), job.created());
+        let team = TeamId(self.teams.intern(&job.team));
+        let tasks = job
+            .tasks
+            .into_iter()
+            .map(|task| TaskSpec {
+                kind: KindId(self.kinds.intern(&task.kind)),
+                deadline: task.deadline(&rules),
+                size: task.size,
+                declared: task.run_ms.map(Duration::from_millis),
+                payload: task.payload.into_bytes().into(),
+            })
+            .collect();
+        Submission {
+            key,
+            digest,
+            created,
+            team,
+            tasks,
+        }
+    }
+
+    fn announce(&mut self, announcement: Announcement, now: Timestamp) {
+        let kinds = announcement
+            .kinds
+            .iter()
+            .map(|k| KindId(self.kinds.intern(k)))
+            .collect();
+        let load = self.load(&announcement.load);
+        let info = AgentInfo {
+            name: announcement.name,
+            address: announcement.address,
+            incarnation: announcement.incarnation,
+            slots: announcement.slots,
+            kinds,
+            size: announcement.size,
+            draining: announcement.draining,
+        };
+        let address = info.address.clone();
+        let Some(key) = self.core.announce(info, load, now) else {
+            return;
+        };
+        let limits = self.limits;
+        let channel = self
+            .agents
+            .entry(key)
+            .or_insert_with(|| Channel::new(&*address, limits));
+        if channel.peer() != address {
+            *channel = Channel::new(address, limits);
+        }
+    }
+
+    fn load(&mut self, report: &LoadReport) -> Load {
+        let queued = report
+            .queued
+            .iter()
+            .map(|(k, n)| (KindId(self.kinds.intern(k)), *n))
+            .collect();
+        Load {
+            free: report.free,
+            queued,
+            wait: Duration::from_micros(report.wait),
+        }
+    }
+
+    fn take_reply(
+        &mut self,
+        agent: AgentKey,
+        task: TaskId,
+        reply: channel::Result<TaskReply>,
+        now: Timestamp,
+    ) {
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::info!("E304 task {task}: {e}");
+                return self.core.connection_lost(agent, task);
+            }
+        };
+        assert_eq!(reply.task, task, "a reply is about the task of its request");
+        let load = self.load(&reply.load);
+        let run = Duration::from_micros(reply.run);
+        let verdict = match reply.word {
+            TaskWord::Done(bytes) => Verdict::Ran {
+                result: TaskResult::Done(bytes),
+                run,
+            },
+            TaskWord::Failed => Verdict::Ran {
+                result: TaskResult::Failed,
+                run,
+            },
+            TaskWord::Unknown => Verdict::Ran {
+                result: TaskResult::Unknown,
+                run: Duration::ZERO,
+            },
+            TaskWord::NotStarted(reason) => Verdict::NotStarted(declined(reason)),
+            TaskWord::OtherIncarnation => {
+                return self.core.incarnation_gone(agent, task, now);
+            }
+        };
+        self.core.verdict(agent, task, verdict, Some(load), now);
+    }
+
+    fn perform(&mut self) {
+        loop {
+            let actions = self.core.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.perform_one(action);
+            }
+        }
+    }
+
+    fn perform_one(&mut self, action: Action) {
+        match action {
+            Action::Claim { key, .. } => {
+                let now = self.now();
+                self.core.claimed(key, Claimed::Owner, now);
+            }
+            Action::AwaitAnswer {
+                key,
+                owner,
+                incarnation,
+            } => {
+                let peers = self.peers.clone();
+                let events = self.events.clone();
+                self.runtime.spawn(async move {
+                    let query = PeerQuery {
+                        key,
+                        incarnation: Some(incarnation),
+                    };
+                    let answer = peers.await_answer(owner, query).await;
+                    let _ = events.send(Event::Owner { key, answer });
+                });
+            }
+            Action::Run(dispatch) => self.send_run(dispatch),
+            Action::Query { agent, task } => self.send_query(agent, task),
+            Action::Cancel { agent, tasks } => {
+                let Some(channel) = self.agents.get(&agent).cloned() else {
+                    return;
+                };
+                self.runtime.spawn(async move {
+                    count::record(Class::Recovery);
+                    let call = channel.call(CANCEL_LIMIT, |client, context| async move {
+                        client.cancel(context, tasks).await
+                    });
+                    match call.await {
+                        Ok(()) => count::record(Class::Recovery),
+                        Err(e) => log::info!("E305 cancellation: {e}"),
+                    }
+                });
+            }
+            Action::Collect { agent, key } => self.send_collect(agent, key),
+            Action::Answer { waiter, answer } => {
+                let responder = self
+                    .responders
+                    .remove(&waiter)
+                    .expect("a waiter is answered once");
+                responder(answer);
+            }
+        }
+    }
+
+    fn send_run(&mut self, dispatch: Dispatch) {
+        let channel = Arc::clone(&self.agents[&dispatch.agent]);
+        let agent = self
+            .core
+            .fleet()
+            .get(dispatch.agent)
+            .expect("a task goes to a known agent");
+        let request = RunRequest {
+            entry: self.id,
+            incarnation: agent.info.incarnation,
+            task: dispatch.task,
+            kind: self.kinds.name(dispatch.kind.0).to_owned(),
+            team: self.teams.name(dispatch.team.0).to_owned(),
+            order: dispatch.order,
+            remaining: dispatch.remaining.as_micros() as u64,
+            sent: UnixMillis::now(),
+            payload: dispatch.payload.to_vec(),
+        };
+        let events = self.events.clone();
+        let (agent, task) = (dispatch.agent, dispatch.task);
+        let limit = dispatch.remaining + MAX_WAIT * 20;
+        self.runtime.spawn(async move {
+            count::record(Class::Work);
+            let call = channel.call(limit, |client, context| async move {
+                client.run(context, request).await
+            });
+            let reply = call.await;
+            if reply.is_ok() {
+                count::record(Class::Result);
+            }
+            let _ = events.send(Event::Task { agent, task, reply });
+        });
+    }
+
+    fn send_query(&mut self, agent: AgentKey, task: TaskId) {
+        let Some(info) = self.core.fleet().get(agent).map(|a| &a.info) else {
+            return;
+        };
+        let request = QueryRequest {
+            incarnation: info.incarnation,
+            task,
+        };
+        let Some(channel) = self.agents.get(&agent).cloned() else {
+            return;
+        };
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            tokio::time::sleep(QUERY_PAUSE).await;
+            count::record(Class::Recovery);
+            let call = channel.call(COLLECT_LIMIT, |client, context| async move {
+                client.query(context, request).await
+            });
+            let reply = call.await;
+            if reply.is_ok() {
+                count::record(Class::Recovery);
+            }
+            let _ = events.send(Event::Task { agent, task, reply });
+        });
+    }
+
+    fn send_collect(&mut self, agent: AgentKey, key: SubmissionKey) {
+        let Some(channel) = self.agents.get(&agent).cloned() else {
+            return;
+        };
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            count::record(Class::Recovery);
+            let call = channel.call(COLLECT_LIMIT, |client, context| async move {
+                client.collect(context, key).await
+            });
+            let reply = call.await;
+            if reply.is_ok() {
+                count::record(Class::Recovery);
+            }
+            let _ = events.send(Event::Collected { agent, key, reply });
+        });
+    }
+
+    fn status(&self, now: Timestamp) -> Value {
+        let agents: Vec<Value> = self
+            .core
+            .fleet()
+            .iter()
+            .map(|(key, agent)| {
+                json!({
+                    "name": agent.info.name,
+                    "address": agent.info.address,
+                    "slots": agent.info.slots,
+                    "free": agent.load.free,
+                    "outstanding": agent.outstanding(),
+                    "draining": agent.info.draining,
+                    "live": self.core.fleet().is_live(key, now),
+                })
+            })
+            .collect();
+        let queue: serde_json::Map<String, Value> = self
+            .shared
+            .rules()
+            .kinds
+            .keys()
+            .filter_map(|name| Some((name, self.kinds.get(name)?)))
+            .map(|(name, id)| (name.clone(), json!(self.core.queued(KindId(id)))))
+            .collect();
+        let counts = self.core.counts();
+        json!({
+            "entry": self.id.0,
+            "version": self.shared.rules().version,
+            "agents": agents,
+            "queue": queue,
+            "queued": self.core.queue_len(),
+            "open_jobs": self.core.open_jobs(),
+            "counts": {
+                "sent": counts.sent,
+                "replaced": counts.replaced,
+                "complete": counts.complete,
+                "failed": counts.failed,
+                "not_run": counts.refused,
+                "cancelled": counts.cancelled,
+            },
+        })
+    }
+}
+
+fn declined(reason: Reason) -> Declined {
+    match reason {
+        Reason::Incarnation => Declined::Incarnation,
+        Reason::Draining => Declined::Draining,
+        Reason::Full => Declined::Full,
+        Reason::Fenced => Declined::Fenced,
+        Reason::Deadline => Declined::Deadline,
+        Reason::Cancelled => Declined::Cancelled,
+    }
+}
+
+fn held(reply: CollectReply) -> Held {
+    let results = reply
+        .results
+        .into_iter()
+        .map(|(index, word)| {
+            let result = match word {
+                TaskWord::Done(bytes) => TaskResult::Done(bytes),
+                TaskWord::Failed => TaskResult::Failed,
+                _ => TaskResult::Unknown,
+            };
+            (index, result)
+        })
+        .collect();
+    Held { results }
+}
--- /dev/null
+++ b/crates/figdeal/src/entry/peers.rs
@@ -0,0 +1,116 @@
+//! Calls to other entries.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use figdeal_core::{
+    entry::Answer,
+    id::{EntryId, SubmissionKey},
+};
+use figdeal_wire::{
+    channel::{Channel, Limits},
+    count::{self, Class},
+    message::{OwnerRecord, PeerAnswer, PeerQuery},
+    service::EntryRpcClient,
+};
+
+/// Longest wait for another entry's answer; its connection is checked for silence meanwhile.
+const ANSWER_LIMIT: Duration = Duration::from_secs(900);
+/// Longest wait for a record.
+const FIND_LIMIT: Duration = Duration::from_secs(1);
+
+/// Connections to the other entries.
+#[derive(Debug, Clone)]
+pub(crate) struct Peers {
+    channels: Arc<BTreeMap<EntryId, Arc<Channel<EntryRpcClient>>>>,
+}
+
+impl Peers {
+    pub(crate) fn new(peers: &[(EntryId, String)], limits: Limits) -> Peers {
+        let channels = peers
+            .iter()
+            .map(|(id, address)| (*id, Channel::new(address.clone(), limits)));
+        Peers {
+            channels: Arc::new(channels.collect()),
+        }
+    }
+
+    pub(crate) fn get(&self, id: EntryId) -> Option<&Arc<Channel<EntryRpcClient>>> {
+        self.channels.get(&id)
+    }
+
+    /// Waits for the answer of one entry; `None` when it is gone or another incarnation.
+    pub(crate) async fn await_answer(&self, owner: EntryId, query: PeerQuery) -> Option<Answer> {
+        let channel = self.get(owner)?;
+        count::record(Class::Recovery);
+        let call = channel.call(ANSWER_LIMIT, |client, context| async move {
+            client.await_answer(context, query).await
+        });
+        let answer = call
+            .await
+            .inspect_err(|e| log::info!("E303 answer of an owner: {e}"))
+            .ok()?;
+        count::record(Class::Recovery);
+        match answer {
+            PeerAnswer::Final(outcome) => Some(Answer::Final(Arc::new(outcome))),
+            PeerAnswer::Unknown => None,
+        }
+    }
+
+    /// Asks every other entry for the answer; the first one that knows it wins.
+    pub(crate) async fn search(&self, key: SubmissionKey) -> Option<Answer> {
+        let mut asked = tokio::task::JoinSet::new();
+        for &id in self.channels.keys() {
+            let peers = self.clone();
+            let query = PeerQuery {
+                key,
+                incarnation: None,
+            };
+            asked.spawn(async move { peers.await_answer(id, query).await });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Some(answer)) = answer {
+                return Some(answer);
+            }
+        }
+        None
+    }
+
+    /// Asks every other entry to cancel; the owner's answer wins.
+    pub(crate) async fn cancel(&self, key: SubmissionKey) -> Option<Answer> {
+        let mut asked = tokio::task::JoinSet::new();
+        for channel in self.channels.values() {
+            let channel = Arc::clone(channel);
+            asked.spawn(async move {
+                count::record(Class::Recovery);
+                let call = channel.call(ANSWER_LIMIT, |client, context| async move {
+                    client.cancel(context, key).await
+                });
+                let answer = call.await.ok();
+                count::record(Class::Recovery);
+                answer
+            });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Some(PeerAnswer::Final(outcome))) = answer {
+                return Some(Answer::Final(Arc::new(outcome)));
+            }
+        }
+        None
+    }
+
+    /// Asks every other entry for the owner of a submission.
+    pub(crate) async fn find(&self, key: SubmissionKey) -> Option<OwnerRecord> {
+        for channel in self.channels.values() {
+            count::record(Class::Recovery);
+            let call = channel.call(FIND_LIMIT, |client, context| async move {
+                client.find(context, key).await
+            });
+            let found = call.await;
+            count::record(Class::Recovery);
+            if let Ok(Some(record)) = found {
+                return Some(record);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/figdeal/src/entry/server.rs
@@ -0,0 +1,114 @@
+//! The tarpc service that agents and other entries call.
+
+use std::{
+    net::TcpListener,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use figdeal_core::{entry::Answer, id::SubmissionKey};
+use figdeal_wire::{
+    codec::transport,
+    message::{AnnounceReply, Announcement, OwnerRecord, PeerAnswer, PeerQuery},
+    service::EntryRpc,
+};
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::sync::{Notify, oneshot};
+
+use super::control::{Event, Responder};
+
+#[derive(Debug, Clone)]
+struct Server {
+    events: mpsc::Sender<Event>,
+}
+
+impl EntryRpc for Server {
+    async fn announce(self, _: Context, announcement: Announcement) -> AnnounceReply {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(Event::Announce(announcement, reply));
+        answer.await.unwrap_or(AnnounceReply { version: 0 })
+    }
+
+    async fn claim(self, _: Context, request: Vec<u8>) -> Vec<u8> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(Event::ClaimRequest(request, reply));
+        answer.await.unwrap_or_default()
+    }
+
+    async fn await_answer(self, _: Context, query: PeerQuery) -> PeerAnswer {
+        self.ask(|responder| Event::PeerAwait(query, responder))
+            .await
+    }
+
+    async fn cancel(self, _: Context, key: SubmissionKey) -> PeerAnswer {
+        self.ask(|responder| Event::PeerCancel(key, responder))
+            .await
+    }
+
+    async fn find(self, _: Context, key: SubmissionKey) -> Option<OwnerRecord> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(Event::Find(key, reply));
+        answer.await.ok().flatten()
+    }
+
+    async fn config(self, _: Context, _version: u64) -> Option<Vec<u8>> {
+        None
+    }
+
+    async fn ping(self, _: Context) {}
+}
+
+impl Server {
+    async fn ask(&self, event: impl FnOnce(Responder) -> Event) -> PeerAnswer {
+        let (reply, answer) = oneshot::channel();
+        let responder: Responder = Box::new(move |answer| {
+            let _ = reply.send(answer);
+        });
+        let _ = self.events.send(event(responder));
+        match answer.await {
+            Ok(Answer::Final(outcome)) => PeerAnswer::Final((*outcome).clone()),
+            Ok(_) => PeerAnswer::Unknown,
+            // A stopped control thread knows nothing; the connection ends with the process.
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// Serves agents and entries until `stop` is notified.
+pub(crate) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>, stop: Arc<Notify>) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("E301 cannot serve agents: {e}"),
+    };
+    let mut connections = tokio::task::JoinSet::new();
+    let stopped = stop.notified();
+    tokio::pin!(stopped);
+    loop {
+        let stream = tokio::select! {
+            () = &mut stopped => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("E302 cannot accept a connection: {e}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+        };
+        while connections.try_join_next().is_some() {}
+        let server = Server {
+            events: events.clone(),
+        };
+        connections.spawn(async move {
+            let channel = BaseChannel::with_defaults(transport(stream));
+            channel
+                .execute(server.serve())
+                .for_each_concurrent(None, |response| response)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/figdeal/src/http.rs
@@ -0,0 +1,172 @@
+//! A small HTTP/1 server on hyper with time limits for slow clients.
+
+use std::{convert::Infallible, future::Future, net::TcpListener, sync::Arc, time::Duration};
+
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::{sleep, timeout},
+};
+
+/// Time in which a client has to send the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Time in which a client has to send the body of a request.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, which happens when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    TooLong,
+    TooSlow,
+    Truncated,
+}
+
+/// A request whose body was read.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) body: Result<Bytes, BodyError>,
+}
+
+impl Call {
+    /// Whether the query has the option, written as `name=value`.
+    pub(crate) fn has(&self, option: &str) -> bool {
+        self.query.split('&').any(|q| q == option)
+    }
+}
+
+/// What a handler answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) media: &'static str,
+    pub(crate) retry_after: Option<u64>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Reply {
+    pub(crate) fn new(status: u16, media: &'static str, body: impl Into<Vec<u8>>) -> Reply {
+        Reply {
+            status,
+            media,
+            retry_after: None,
+            body: body.into(),
+        }
+    }
+
+    pub(crate) fn json(status: u16, body: &serde_json::Value) -> Reply {
+        Reply::new(status, "application/json", body.to_string())
+    }
+}
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    pub(crate) connections: usize,
+    pub(crate) body: usize,
+}
+
+/// Serves `handler` until `stop` is notified.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: Arc<Notify>,
+    handler: H,
+) where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("E310 cannot serve HTTP: {e}"),
+    };
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let mut connections = tokio::task::JoinSet::new();
+    let stopped = stop.notified();
+    tokio::pin!(stopped);
+    loop {
+        while connections.try_join_next().is_some() {}
+        let accept = async {
+            let permit = Arc::clone(&permits).acquire_owned().await;
+            (
+                permit.expect("the semaphore is never closed"),
+                listener.accept().await,
+            )
+        };
+        let (permit, stream) = tokio::select! {
+            () = &mut stopped => return,
+            (permit, accepted) = accept => match accepted {
+                Ok((stream, _)) => (permit, stream),
+                Err(e) => {
+                    log::warn!("E311 cannot accept a connection: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        connections.spawn(async move {
+            let _permit = permit;
+            let service = service_fn(move |request| answer(request, limits.body, handler.clone()));
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = connection.await {
+                log::debug!("E312 connection of a client: {e}");
+            }
+        });
+    }
+}
+
+async fn answer<H, F>(
+    request: Request<Incoming>,
+    limit: usize,
+    handler: H,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Reply>,
+{
+    let (head, body) = request.into_parts();
+    let body = match timeout(BODY_LIMIT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Ok(Err(_)) => Err(BodyError::Truncated),
+        Err(_) => Err(BodyError::TooSlow),
+    };
+    let call = Call {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: head.headers,
+        body,
+    };
+    let reply = handler(call).await;
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(reply.media));
+    if let Some(seconds) = reply.retry_after {
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    Ok(response)
+}
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! The entry process, the control role and the operator's command line of figdeal.
+
+pub mod cli;
+pub mod command;
+pub mod entry;
+mod http;
+pub mod rules;
+pub mod stand_in;
+pub mod submission;
--- /dev/null
+++ b/crates/figdeal/src/stand_in.rs
@@ -0,0 +1,240 @@
+//! A small stand-in for an upstream, for the demo, the bench and the fault runs.
+
+use std::{
+    collections::HashMap,
+    io::{self, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    runtime::Handle,
+    sync::{Notify, watch},
+    time::sleep,
+};
+
+use crate::http::{self, Call, Reply};
+
+/// Time between two announcements, a third of the time after which an agent counts its upstream as gone.
+const RENEW_EVERY: Duration = Duration::from_secs(1);
+/// Connections that a stand-in accepts.
+pub const CONNECTIONS: u32 = 60;
+/// Largest task size that a stand-in accepts, the cores of a worker.
+pub const SIZE: u32 = 64;
+/// Largest payload in bytes.
+const MAX_PAYLOAD: usize = 8 << 20;
+
+/// How a stand-in behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Behaviour {
+    /// Runs every task for the time that its payload states.
+    #[default]
+    Normal,
+    /// Fails every task at once.
+    FailAll,
+    /// Never answers.
+    Hang,
+}
+
+/// One start of a task at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Start {
+    /// The submission as the agent names it.
+    pub submission: String,
+    /// Position of the task.
+    pub index: u16,
+}
+
+/// A running stand-in that announces itself to its agent until it leaves or stops.
+#[derive(Debug)]
+pub struct StandIn {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    presence: watch::Sender<bool>,
+    stop: Arc<Notify>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    journal: Mutex<HashMap<Start, u32>>,
+    file: Option<Mutex<std::fs::File>>,
+    behaviour: Mutex<Behaviour>,
+    running: AtomicU32,
+    peak: AtomicU32,
+}
+
+impl StandIn {
+    /// Starts a stand-in with `slots` slots on `address`, which announces itself to the agent at `agent`. Each start of
+    /// a task is written to `file`, if there is one, before the task runs.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub fn start(
+        address: SocketAddr,
+        agent: SocketAddr,
+        slots: u32,
+        file: Option<std::fs::File>,
+        runtime: &Handle,
+    ) -> io::Result<StandIn> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            journal: Mutex::new(HashMap::new()),
+            file: file.map(Mutex::new),
+            behaviour: Mutex::new(Behaviour::Normal),
+            running: AtomicU32::new(0),
+            peak: AtomicU32::new(0),
+        });
+        let stop = Arc::new(Notify::new());
+        let limits = http::Limits {
+            connections: CONNECTIONS as usize,
+            body: MAX_PAYLOAD,
+        };
+        let state = Arc::clone(&shared);
+        let handler = move |call| Arc::clone(&state).serve(call);
+        runtime.spawn(http::serve(listener, limits, Arc::clone(&stop), handler));
+        let (presence, view) = watch::channel(true);
+        runtime.spawn(renew(agent, address, slots, view, Arc::clone(&stop)));
+        Ok(StandIn {
+            address,
+            shared,
+            presence,
+            stop,
+        })
+    }
+
+    /// Changes the behaviour for tasks that start from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *self
+            .shared
+            .behaviour
+            .lock()
+            .expect("the lock is not poisoned") = behaviour;
+    }
+
+    /// Tells the agent that this upstream leaves, or announces it again.
+    pub fn set_present(&self, is_present: bool) {
+        self.presence.send_replace(is_present);
+    }
+
+    /// Every task that was started, with the number of its starts.
+    pub fn journal(&self) -> HashMap<Start, u32> {
+        self.shared
+            .journal
+            .lock()
+            .expect("the lock is not poisoned")
+            .clone()
+    }
+
+    /// Largest number of tasks that ran at the same time.
+    pub fn peak(&self) -> u32 {
+        self.shared.peak.load(Ordering::Relaxed)
+    }
+
+    /// Stops at once, without a leave.
+    pub fn stop(&self) {
+        self.stop.notify_waiters();
+    }
+}
+
+impl Shared {
+    async fn serve(self: Arc<Self>, call: Call) -> Reply {
+        let header = |name| {
+            call.headers
+                .get(name)
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or_default()
+        };
+        let submission = header("figdeal-submission").to_owned();
+        let index = header("figdeal-task").parse().unwrap_or(u16::MAX);
+        let Ok(payload) = &call.body else {
+            return Reply::new(400, "text/plain", "no body");
+        };
+        if let Err(e) = self.record(Start { submission, index }) {
+            return Reply::new(500, "text/plain", e.to_string());
+        }
+        let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.peak.fetch_max(running, Ordering::Relaxed);
+        let behaviour = *self.behaviour.lock().expect("the lock is not poisoned");
+        match behaviour {
+            Behaviour::Normal => sleep(run_time(payload)).await,
+            Behaviour::FailAll => {}
+            Behaviour::Hang => std::future::pending().await,
+        }
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        let status = if behaviour == Behaviour::FailAll {
+            500
+        } else {
+            200
+        };
+        Reply::new(status, "application/octet-stream", payload.to_vec())
+    }
+
+    fn record(&self, start: Start) -> io::Result<()> {
+        if let Some(file) = &self.file {
+            let line = format!("{} {}\n", start.submission, start.index);
+            file.lock()
+                .expect("the lock is not poisoned")
+                .write_all(line.as_bytes())?;
+        }
+        let mut journal = self.journal.lock().expect("the lock is not poisoned");
+        *journal.entry(start).or_default() += 1;
+        Ok(())
+    }
+}
+
+/// A payload starts with the run time in milliseconds, for example `120 quote`.
+fn run_time(payload: &[u8]) -> Duration {
+    let text = std::str::from_utf8(payload).unwrap_or_default();
+    let ms = text
+        .split(' ')
+        .next()
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0);
+    Duration::from_millis(ms)
+}
+
+async fn renew(
+    agent: SocketAddr,
+    address: SocketAddr,
+    slots: u32,
+    mut presence: watch::Receiver<bool>,
+    stop: Arc<Notify>,
+) {
+    let stopped = stop.notified();
+    tokio::pin!(stopped);
+    loop {
+        let is_present = *presence.borrow_and_update();
+        let sent = tokio::task::spawn_blocking(move || match is_present {
+            true => announce(agent, address, slots),
+            false => leave(agent),
+        });
+        if let Ok(Err(e)) = sent.await {
+            log::info!("E320 announcement to the agent at {agent}: {e}");
+        }
+        tokio::select! {
+            () = &mut stopped => return,
+            changed = presence.changed() => if changed.is_err() { return },
+            () = sleep(RENEW_EVERY) => {}
+        }
+    }
+}
+
+fn announce(agent: SocketAddr, address: SocketAddr, slots: u32) -> Result<(), ureq::Error> {
+    let body = serde_json::json!({
+        "address": address, "slots": slots, "connections": CONNECTIONS, "size": SIZE,
+    });
+    ureq::post(format!("http://{agent}/v1/announce")).send(body.to_string())?;
+    Ok(())
+}
+
+fn leave(agent: SocketAddr) -> Result<(), ureq::Error> {
+    ureq::delete(format!("http://{agent}/v1/announce")).call()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/figdeal/src/submission.rs
@@ -0,0 +1,215 @@
+//! Jobs as callers send them: parsing, checks, identity.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+use figdeal_core::{
+    id::{Digest, SubmissionKey},
+    time::UnixMillis,
+};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::rules::Rules;
+
+/// Longest id or name in bytes.
+const MAX_NAME: usize = 128;
+/// Largest declared size of a task.
+const MAX_SIZE: u32 = 1_000_000;
+
+/// Result of a check.
+pub type Result<T> = std::result::Result<T, Invalid>;
+
+/// {field}: {problem}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct Invalid {
+    /// The field of the request.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl std::error::Error for Invalid {}
+
+impl Invalid {
+    /// Creates the error for a field.
+    pub fn new(field: impl Into<String>, problem: impl Into<String>) -> Invalid {
+        Invalid {
+            field: field.into(),
+            problem: problem.into(),
+        }
+    }
+}
+
+/// A job as a caller sends it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobRequest {
+    /// The caller's own id, unique inside the team.
+    pub id: String,
+    /// The team that submits.
+    pub team: String,
+    /// When the caller created the job, in Unix milliseconds.
+    pub created_ms: u64,
+    /// The tasks.
+    pub tasks: Vec<TaskRequest>,
+}
+
+/// A task as a caller sends it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskRequest {
+    /// The kind of task.
+    pub kind: String,
+    /// Passed to the upstream untouched.
+    #[serde(default)]
+    pub payload: String,
+    /// Time from the arrival in milliseconds; the kind's deadline where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// Whether the caller may submit the task again under a new id when it may have run.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Declared size.
+    #[serde(default = "default_size")]
+    pub size: u32,
+    /// Declared run time in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run_ms: Option<u64>,
+}
+
+fn default_size() -> u32 {
+    1
+}
+
+impl JobRequest {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    /// Names the field and the problem.
+    pub fn parse(body: &[u8], rules: &Rules) -> Result<JobRequest> {
+        let text = std::str::from_utf8(body).map_err(|e| {
+            Invalid::new("body", format!("not UTF-8 after byte {}", e.valid_up_to()))
+        })?;
+        let job: JobRequest =
+            serde_json::from_str(text).map_err(|e| Invalid::new("body", e.to_string()))?;
+        job.check(rules)?;
+        Ok(job)
+    }
+
+    /// Identity of the submission.
+    pub fn key(&self) -> SubmissionKey {
+        submission_key(&self.team, &self.id)
+    }
+
+    /// Hash of the content.
+    ///
+    /// # Panics
+    /// Panics when the job was not checked and has more than 65,535 tasks.
+    pub fn digest(&self) -> Digest {
+        let bytes = serde_json::to_vec(self).expect("a job is serializable");
+        let hash = Sha256::digest(&bytes);
+        let tasks = u16::try_from(self.tasks.len()).expect("a checked job has few tasks");
+        Digest::new(hash[..14].try_into().expect("14 of 32 bytes"), tasks)
+    }
+
+    /// When the caller created the job.
+    pub fn created(&self) -> UnixMillis {
+        UnixMillis(self.created_ms)
+    }
+
+    fn check(&self, rules: &Rules) -> Result<()> {
+        check_name("id", &self.id)?;
+        check_name("team", &self.team)?;
+        if !rules.teams.is_empty() && !rules.teams.contains_key(&self.team) {
+            return Err(Invalid::new(
+                "team",
+                format!("{:?} is not configured", self.team),
+            ));
+        }
+        if self.tasks.is_empty() {
+            return Err(Invalid::new("tasks", "must hold at least one task"));
+        }
+        if self.tasks.len() > rules.max_tasks {
+            let problem = format!(
+                "{} tasks, at most {} allowed",
+                self.tasks.len(),
+                rules.max_tasks
+            );
+            return Err(Invalid::new("tasks", problem));
+        }
+        self.tasks
+            .iter()
+            .enumerate()
+            .try_for_each(|(i, t)| t.check(i, rules))
+    }
+}
+
+impl TaskRequest {
+    fn check(&self, index: usize, rules: &Rules) -> Result<()> {
+        let field = |name: &str| format!("tasks[{index}].{name}");
+        check_name(&field("kind"), &self.kind)?;
+        if !rules.kinds.is_empty() && !rules.kinds.contains_key(&self.kind) {
+            let problem = format!("{:?} is not configured", self.kind);
+            return Err(Invalid::new(field("kind"), problem));
+        }
+        let max = rules.max_deadline.as_millis() as u64;
+        if self.deadline_ms.is_some_and(|d| d == 0 || d > max) {
+            return Err(Invalid::new(
+                field("deadline_ms"),
+                format!("must be 1 to {max}"),
+            ));
+        }
+        if self.size == 0 || self.size > MAX_SIZE {
+            return Err(Invalid::new(
+                field("size"),
+                format!("must be 1 to {MAX_SIZE}"),
+            ));
+        }
+        if self.run_ms.is_some_and(|r| r > max) {
+            return Err(Invalid::new(field("run_ms"), format!("must be 0 to {max}")));
+        }
+        Ok(())
+    }
+
+    /// The deadline, from the task or from the rules of its kind.
+    pub fn deadline(&self, rules: &Rules) -> Duration {
+        match self.deadline_ms {
+            Some(ms) => Duration::from_millis(ms),
+            None => rules
+                .kinds
+                .get(&self.kind)
+                .map_or(rules.max_deadline, |k| k.deadline),
+        }
+    }
+}
+
+/// Identity of a submission from its team and id.
+pub fn submission_key(team: &str, id: &str) -> SubmissionKey {
+    let mut hash = Sha256::new();
+    hash.update((team.len() as u64).to_le_bytes());
+    hash.update(team);
+    hash.update(id);
+    SubmissionKey(hash.finalize()[..16].try_into().expect("16 of 32 bytes"))
+}
+
+/// Checks an id, a team or a kind.
+///
+/// # Errors
+/// Names the field and the problem.
+pub fn check_name(field: &str, name: &str) -> Result<()> {
+    if name.is_empty() || name.len() > MAX_NAME {
+        return Err(Invalid::new(
+            field,
+            format!("must have 1 to {MAX_NAME} characters"),
+        ));
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "._:-".contains(c);
+    match name.chars().find(|c| !is_allowed(*c)) {
+        Some(c) => Err(Invalid::new(
+            field,
+            format!("character {c:?} is not allowed"),
+        )),
+        None => Ok(()),
+    }
+}
