Add the claims of submissions

`claim::Claims` holds the registers of one entry and its claims in progress; it takes messages and the time and returns the asks to send and the decisions.

A ballot also carries the claimant's incarnation, because an entry that restarts forgets the rounds it used and would reuse one with another owner.

Without faults every claim at a member takes one request and one reply.

--- /dev/null
+++ b/crates/figdeal-core/src/claim/members.rs
@@ -0,0 +1,149 @@
+//! The entries that hold the register of a submission.
+
+use displaydoc::Display;
+
+use crate::{
+    id::{EntryId, SubmissionKey},
+    time::UnixMillis,
+};
+
+/// Largest number of members of a register.
+pub const MAX_MEMBERS: usize = 3;
+
+/// Why a list of entries is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum EpochError {
+    /// the list of entries from {0} is empty or names an entry twice
+    Entries(UnixMillis),
+    /// the list of entries from {0} does not follow the list before it
+    Order(UnixMillis),
+    /// the list of entries from {0} is in force too early for its announcement
+    Late(UnixMillis),
+}
+
+impl std::error::Error for EpochError {}
+
+/// The members of one register, in rendezvous order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Members {
+    ids: [EntryId; MAX_MEMBERS],
+    len: u8,
+}
+
+impl Members {
+    /// Selects up to three of `entries` for `key` by rendezvous hashing.
+    ///
+    /// ```
+    /// use figdeal_core::{
+    ///     claim::Members,
+    ///     id::{EntryId, SubmissionKey},
+    /// };
+    ///
+    /// let entries = [EntryId(0), EntryId(1), EntryId(2), EntryId(3)];
+    /// let members = Members::select(SubmissionKey([7; 16]), &entries);
+    /// assert_eq!(members.as_slice().len(), 3);
+    /// assert_eq!(members.majority(), 2);
+    /// ```
+    pub fn select(key: SubmissionKey, entries: &[EntryId]) -> Members {
+        let mut ids = [EntryId(0); MAX_MEMBERS];
+        let mut weights = [0; MAX_MEMBERS];
+        let mut len = 0;
+        for &entry in entries {
+            let weight = weight(key, entry);
+            let ahead = |i: &usize| (weights[*i], ids[*i].0) > (weight, entry.0);
+            let place = (0..len).take_while(ahead).count();
+            if place == MAX_MEMBERS {
+                continue;
+            }
+            len = (len + 1).min(MAX_MEMBERS);
+            ids[place..len].rotate_right(1);
+            weights[place..len].rotate_right(1);
+            ids[place] = entry;
+            weights[place] = weight;
+        }
+        Members {
+            ids,
+            len: len as u8,
+        }
+    }
+
+    /// The members, the first in rendezvous order first.
+    pub fn as_slice(&self) -> &[EntryId] {
+        &self.ids[..usize::from(self.len)]
+    }
+
+    /// The only member that grants round 0.
+    pub fn first(&self) -> Option<EntryId> {
+        self.as_slice().first().copied()
+    }
+
+    /// Position of `entry` in rendezvous order.
+    pub fn position(&self, entry: EntryId) -> Option<usize> {
+        self.as_slice().iter().position(|&e| e == entry)
+    }
+
+    /// Number of votes that decide.
+    pub fn majority(&self) -> usize {
+        usize::from(self.len) / 2 + 1
+    }
+}
+
+/// The lists of entries, each in force for submissions created from a point in time on.
+#[derive(Debug, Clone)]
+pub struct Epochs {
+    lists: Vec<(UnixMillis, Vec<EntryId>)>,
+}
+
+impl Epochs {
+    /// Creates epochs whose first list is also in force for all older submissions.
+    ///
+    /// # Errors
+    /// [`EpochError`] for an empty list, an entry named twice, or lists out of order.
+    pub fn new(lists: Vec<(UnixMillis, Vec<EntryId>)>) -> Result<Epochs, EpochError> {
+        if lists.is_empty() {
+            return Err(EpochError::Entries(UnixMillis(0)));
+        }
+        let mut epochs = Epochs { lists: Vec::new() };
+        for (from, entries) in lists {
+            epochs.push(from, entries)?;
+        }
+        Ok(epochs)
+    }
+
+    /// Adds a list that is in force for submissions created at `from` or later.
+    ///
+    /// # Errors
+    /// [`EpochError`] for an empty list, an entry named twice, or a `from` that is not after the last one.
+    pub fn push(&mut self, from: UnixMillis, entries: Vec<EntryId>) -> Result<(), EpochError> {
+        let mut sorted = entries.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        if entries.is_empty() || sorted.len() != entries.len() {
+            return Err(EpochError::Entries(from));
+        }
+        if self.lists.last().is_some_and(|(last, _)| from <= *last) {
+            return Err(EpochError::Order(from));
+        }
+        self.lists.push((from, entries));
+        Ok(())
+    }
+
+    /// The members of a submission.
+    pub fn members(&self, key: SubmissionKey, created: UnixMillis) -> Members {
+        let after = self.lists.partition_point(|(from, _)| *from <= created);
+        Members::select(key, &self.lists[after.saturating_sub(1)].1)
+    }
+}
+
+fn weight(key: SubmissionKey, entry: EntryId) -> u64 {
+    let bits = u128::from_le_bytes(key.0);
+    mix(mix(bits as u64 ^ mix(u64::from(entry.0) + 1)) ^ (bits >> 64) as u64)
+}
+
+/// The finaliser of SplitMix64: every input bit changes about half of the output bits.
+pub(super) fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/figdeal-core/src/claim/message.rs
@@ -0,0 +1,146 @@
+//! Messages between the claimant and the members of a register.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{Digest, EntryId, Incarnation, SubmissionKey},
+    time::UnixMillis,
+};
+
+/// One run of an entry process, the only one that may start the tasks of the submissions that it owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// The entry.
+    pub entry: EntryId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+}
+
+/// Ballot, ordered by the round, then by the claimant.
+///
+/// The incarnation is part of it because an entry that restarts forgets the rounds that it used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// 0 for the granted round.
+    pub round: u32,
+    /// Who runs the round.
+    pub claimant: Owner,
+}
+
+/// Value that a member voted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The ballot of the vote.
+    pub ballot: Ballot,
+    /// The owner that was voted for.
+    pub owner: Owner,
+}
+
+/// What a claimant asks of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Step {
+    /// Grant round 0 to the sender; asked of the first member only.
+    Grant,
+    /// Vote for the sender, which holds the grant of round 0.
+    Vote,
+    /// Promise to ignore smaller ballots.
+    Prepare {
+        /// At least 1.
+        round: u32,
+    },
+    /// Vote for an owner in a prepared round.
+    Accept {
+        /// The prepared round.
+        round: u32,
+        /// The owner to vote for.
+        owner: Owner,
+    },
+}
+
+impl Step {
+    /// The round that the step belongs to.
+    pub fn round(&self) -> u32 {
+        match *self {
+            Step::Grant | Step::Vote => 0,
+            Step::Prepare { round } | Step::Accept { round, .. } => round,
+        }
+    }
+}
+
+/// One step of one claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number of the claim at the sender, returned in the answer.
+    pub claim: u64,
+    /// The submission.
+    pub key: SubmissionKey,
+    /// Its content.
+    pub digest: Digest,
+    /// When its caller created it.
+    pub created: UnixMillis,
+    /// What is asked.
+    pub step: Step,
+}
+
+/// Steps of several claims to one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// The claimant.
+    pub from: Owner,
+    /// The claimant's wall clock when it sent the request.
+    pub clock: UnixMillis,
+    /// The steps, in order.
+    pub asks: Vec<Ask>,
+}
+
+/// Verdict of a member on one step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The member ignores smaller ballots from now on.
+    Promised(Option<Accepted>),
+    /// The member voted for the owner.
+    Voted,
+    /// The member has promised another ballot.
+    Refused {
+        /// Round of that promise.
+        promised: u32,
+        /// What the member voted for.
+        accepted: Option<Accepted>,
+    },
+    /// The key is known with another content.
+    Conflict,
+    /// The submission is older than the retention.
+    Expired,
+    /// The submission was created too far in the future of the member's clock.
+    Future,
+    /// The member may have forgotten the submission in a restart.
+    Abstained,
+    /// The member's table is full.
+    Full,
+    /// The claimant's clock differs too much from the member's.
+    ClockDiffers,
+    /// The step is not for this member, or not for this round.
+    Invalid,
+}
+
+/// Verdict on one ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The number from the ask.
+    pub claim: u64,
+    /// The round of the step.
+    pub round: u32,
+    /// The verdict.
+    pub verdict: Verdict,
+}
+
+/// Answers to a [`ClaimRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// The run of the member's process.
+    pub from: Incarnation,
+    /// The run of the claimant's process that asked.
+    pub to: Incarnation,
+    /// One answer for each ask, in order.
+    pub answers: Vec<Answer>,
+}
--- a/crates/figdeal-core/src/lib.rs
+++ b/crates/figdeal-core/src/lib.rs
@@ -4,7 +4,7 @@
 //! can replay any schedule and other programs can embed the parts.
 
 pub mod agent;
-
+pub mod claim;
 pub mod fleet;
 pub mod id;
 pub mod ledger;
--- /dev/null
+++ b/crates/figdeal-core/tests/claims.rs
@@ -0,0 +1,389 @@
+//! Long random runs of the claims of several entries over a lossy network, with restarts and partitions.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use figdeal_core::{
+    claim::{
+        Action, ClaimLimits, ClaimReply, ClaimRequest, Claims, Decision, Epochs, Owner, SteadyClock,
+    },
+    id::{Digest, EntryId, Incarnation, SubmissionKey},
+    time::{Timestamp, UnixMillis},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Wall clock at the start of a run, in milliseconds.
+const WALL: u64 = 1_000_000_000;
+/// Steps of each run; `FIGDEAL_CLAIM_STEPS` replaces it for long runs.
+const STEPS: u64 = 15_000;
+
+#[derive(Clone, Copy)]
+struct Faults {
+    loss: f64,
+    duplicate: f64,
+    /// Longest delay of most messages in microseconds.
+    delay: u64,
+    /// Probabilities of a restart and of a change of the partition, for each step.
+    restart: f64,
+    partition: f64,
+    /// Members vote for submissions that they may have forgotten.
+    amnesia: bool,
+}
+
+const NONE: Faults = Faults {
+    loss: 0.0,
+    duplicate: 0.0,
+    delay: 500,
+    restart: 0.0,
+    partition: 0.0,
+    amnesia: false,
+};
+const ALL: Faults = Faults {
+    loss: 0.03,
+    duplicate: 0.05,
+    delay: 40_000,
+    restart: 0.001,
+    partition: 0.002,
+    amnesia: false,
+};
+
+enum Event {
+    Request(EntryId, ClaimRequest),
+    Reply(EntryId, EntryId, ClaimReply),
+    Unreachable(EntryId, EntryId, SubmissionKey),
+}
+
+#[derive(Debug, Default, Clone)]
+struct Stats {
+    started: u64,
+    messages: u64,
+    decided: u64,
+    owners: u64,
+    owned_by: u64,
+    collectors: u64,
+    undecided: u64,
+    conflicts: u64,
+    expired: u64,
+    restarts: u64,
+    most_asks: u64,
+}
+
+struct World {
+    rng: SmallRng,
+    faults: Faults,
+    limits: ClaimLimits,
+    epochs: Epochs,
+    entries: Vec<(Claims, Owner, SteadyClock)>,
+    apart: HashSet<(EntryId, EntryId)>,
+    events: BTreeMap<(u64, u64), Event>,
+    sent: u64,
+    now: u64,
+    keys: Vec<(SubmissionKey, UnixMillis)>,
+    claimed: HashSet<(SubmissionKey, Owner)>,
+    asks: HashMap<(EntryId, SubmissionKey), u64>,
+    owners: HashMap<SubmissionKey, Owner>,
+    collected: HashMap<SubmissionKey, Owner>,
+    stats: Stats,
+}
+
+impl World {
+    fn new(count: u16, seed: u64, faults: Faults) -> World {
+        let entries: Vec<_> = (0..count).map(EntryId).collect();
+        let mut lists = vec![(UnixMillis(0), entries.clone())];
+        if count > 3 {
+            lists.insert(0, (UnixMillis(0), entries[..3].to_vec()));
+            lists[1].0 = UnixMillis(WALL + 30_000);
+        }
+        let small = faults.loss > 0.0 && seed % 4 == 3;
+        let mut world = World {
+            rng: SmallRng::seed_from_u64(seed),
+            faults,
+            limits: ClaimLimits {
+                max_records: if small { 100 } else { 250_000 },
+                ..ClaimLimits::default()
+            },
+            epochs: Epochs::new(lists).unwrap(),
+            entries: Vec::new(),
+            apart: HashSet::new(),
+            events: BTreeMap::new(),
+            sent: 0,
+            now: 0,
+            keys: Vec::new(),
+            claimed: HashSet::new(),
+            asks: HashMap::new(),
+            owners: HashMap::new(),
+            collected: HashMap::new(),
+            stats: Stats::default(),
+        };
+        world.entries = entries.into_iter().map(|e| world.process(e)).collect();
+        world.now = 10_000_000;
+        world
+    }
+
+    fn wall(&self) -> u64 {
+        WALL + self.now / 1_000
+    }
+
+    /// A process that starts now, with a clock off by up to half of `max_skew`.
+    fn process(&mut self, entry: EntryId) -> (Claims, Owner, SteadyClock) {
+        let half = self.limits.max_skew.as_millis() as u64 / 2;
+        let wall = self.wall() - half + self.rng.random_range(0..=2 * half);
+        let clock = SteadyClock::new(UnixMillis(wall), Timestamp::from_micros(self.now));
+        self.process_with(entry, clock)
+    }
+
+    fn process_with(&mut self, entry: EntryId, clock: SteadyClock) -> (Claims, Owner, SteadyClock) {
+        let incarnation = Incarnation(self.rng.random());
+        let me = Owner { entry, incarnation };
+        let claims = Claims::new(me, self.epochs.clone(), clock, self.limits);
+        (claims, me, clock)
+    }
+
+    fn restart(&mut self, entry: EntryId) {
+        let place = usize::from(entry.0);
+        self.stats.restarts += 1;
+        self.asks.retain(|(at, _), _| *at != entry);
+        // With the clock of the first start, the horizon lies there, so that the member does not abstain.
+        self.entries[place] = match self.faults.amnesia {
+            true => self.process_with(entry, self.entries[place].2),
+            false => self.process(entry),
+        };
+    }
+
+    fn post(&mut self, from: EntryId, to: EntryId, event: impl Fn() -> Event) {
+        self.stats.messages += 1;
+        if self.apart.contains(&(from, to)) || self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        for _ in 0..1 + u64::from(self.rng.random_bool(self.faults.duplicate)) {
+            let long = self.faults.loss > 0.0 && self.rng.random_bool(0.02);
+            let most = self.faults.delay * if long { 100 } else { 1 };
+            let at = self.now + self.rng.random_range(1..=most);
+            self.sent += 1;
+            self.events.insert((at, self.sent), event());
+        }
+    }
+
+    fn start(
+        &mut self,
+        at: EntryId,
+        (key, created): (SubmissionKey, UnixMillis),
+        dead: Option<Owner>,
+    ) -> Result<(), String> {
+        let other = self.faults.loss > 0.0 && self.rng.random_bool(0.01);
+        let now = Timestamp::from_micros(self.now);
+        let (claims, me, _) = &mut self.entries[usize::from(at.0)];
+        self.claimed.insert((key, *me));
+        self.stats.started += 1;
+        let actions = claims.start(key, Digest([other.into(); 16]), created, dead, now);
+        self.apply(at, actions)
+    }
+
+    fn apply(&mut self, at: EntryId, actions: Vec<Action>) -> Result<(), String> {
+        let now = Timestamp::from_micros(self.now);
+        for action in actions {
+            match action {
+                Action::Send { to, ask } => {
+                    let asks = self.asks.entry((at, ask.key)).or_default();
+                    *asks += 1;
+                    self.stats.most_asks = self.stats.most_asks.max(*asks);
+                    let request = self.entries[usize::from(at.0)].0.request(vec![ask], now);
+                    if self.apart.contains(&(at, to)) && self.rng.random_bool(0.5) {
+                        self.sent += 1;
+                        let event = Event::Unreachable(at, to, ask.key);
+                        self.events.insert((self.now + 1_000, self.sent), event);
+                    }
+                    self.post(at, to, || Event::Request(to, request.clone()));
+                }
+                Action::Decided { key, decision, .. } => self.check(at, key, decision)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks a decision against all earlier ones for the key.
+    fn check(&mut self, at: EntryId, key: SubmissionKey, decision: Decision) -> Result<(), String> {
+        let me = self.entries[usize::from(at.0)].1;
+        self.stats.decided += 1;
+        self.asks.remove(&(at, key));
+        if let Decision::OwnedBy(owner) | Decision::Collector(owner) = decision
+            && !self.claimed.contains(&(key, owner))
+        {
+            return Err(format!("{owner:?} never claimed {key}"));
+        }
+        match decision {
+            Decision::Owner => {
+                self.stats.owners += 1;
+                if let Some(before) = self.owners.insert(key, me) {
+                    return Err(format!("{key} is owned by {before:?} and by {me:?}"));
+                }
+            }
+            Decision::OwnedBy(owner) => {
+                self.stats.owned_by += 1;
+                let alive = self.entries[usize::from(owner.entry.0)].1 == owner;
+                if !alive || (self.faults.loss > 0.0 && self.rng.random_bool(0.02)) {
+                    let submission = *self.keys.iter().rfind(|k| k.0 == key).unwrap();
+                    self.start(at, submission, Some(owner))?;
+                }
+            }
+            Decision::Collector(owner) => {
+                self.stats.collectors += 1;
+                self.collected.insert(key, owner);
+            }
+            Decision::Undecided(_) => self.stats.undecided += 1,
+            Decision::Conflict => self.stats.conflicts += 1,
+            Decision::Expired | Decision::Invalid => self.stats.expired += 1,
+        }
+        match (self.owners.get(&key), self.collected.get(&key)) {
+            (Some(owner), Some(other)) if owner != other => Err(format!(
+                "{key} is owned by {owner:?} and collected for {other:?}"
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    fn deliver(&mut self, event: Event) -> Result<(), String> {
+        let now = Timestamp::from_micros(self.now);
+        match event {
+            Event::Request(to, request) => {
+                let reply = self.entries[usize::from(to.0)].0.on_request(&request, now);
+                let back = request.from.entry;
+                self.post(to, back, || Event::Reply(to, back, reply.clone()));
+                Ok(())
+            }
+            Event::Reply(from, to, reply) => {
+                let claims = &mut self.entries[usize::from(to.0)].0;
+                let actions = claims.on_reply(from, &reply, now);
+                self.apply(to, actions)
+            }
+            Event::Unreachable(at, to, key) => {
+                let claims = &mut self.entries[usize::from(at.0)].0;
+                let actions = claims.on_unreachable(to, key, now);
+                self.apply(at, actions)
+            }
+        }
+    }
+
+    /// Advances to `until`, delivering messages and ticking entries in the order of time.
+    fn advance(&mut self, until: u64) -> Result<(), String> {
+        loop {
+            let event = self.events.first_key_value().map(|(at, _)| at.0);
+            let wakes = self.entries.iter().enumerate();
+            let wake = wakes.filter_map(|(i, e)| Some((e.0.next_wake()?.as_micros(), i)));
+            let wake = wake.min();
+            let next = event.into_iter().chain(wake.map(|w| w.0)).min();
+            let Some(next) = next.filter(|at| *at <= until) else {
+                self.now = until;
+                return Ok(());
+            };
+            self.now = self.now.max(next);
+            if event == Some(next) {
+                let (_, event) = self.events.pop_first().unwrap();
+                self.deliver(event)?;
+            } else if let Some((_, place)) = wake {
+                let actions = self.entries[place].0.tick(Timestamp::from_micros(self.now));
+                self.apply(EntryId(place as u16), actions)?;
+            }
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        let faulty = self.faults.loss > 0.0;
+        let count = self.entries.len() as u16;
+        let any = EntryId(self.rng.random_range(0..count));
+        if self.rng.random_bool(self.faults.restart) {
+            self.restart(any);
+        }
+        if self.rng.random_bool(self.faults.partition) {
+            self.apart.clear();
+            let other = EntryId(self.rng.random_range(0..count));
+            match self.rng.random_range(0..4) {
+                0 => self.apart.extend([(any, other), (other, any)]),
+                1 => self.apart.extend([(any, other)]),
+                _ => {}
+            }
+        }
+        let recent = self.keys.len().min(30);
+        if recent == 0 || self.rng.random_bool(0.4) {
+            let ahead = match faulty && self.rng.random_bool(0.2) {
+                true => self.rng.random_range(0..3_500),
+                false => 0,
+            };
+            let key = SubmissionKey(self.rng.random());
+            self.keys.push((key, UnixMillis(self.wall() + ahead)));
+        }
+        let pick = self.keys.len() - self.rng.random_range(1..=recent.max(1));
+        let submission = self.keys[pick];
+        let all = self.rng.random_bool(0.1);
+        for entry in (0..count).map(EntryId).filter(|e| all || *e == any) {
+            self.start(entry, submission, None)?;
+        }
+        let pause = match self.rng.random_range(0..10_000) {
+            0 if faulty => 3_597_000_000 + self.rng.random_range(0..9_000_000),
+            1..20 => self.rng.random_range(0..6_000_000),
+            20..300 => self.rng.random_range(0..300_000),
+            _ => self.rng.random_range(0..3_000),
+        };
+        self.advance(self.now + pause)
+    }
+
+    fn run(&mut self, steps: u64) -> Result<Stats, String> {
+        for _ in 0..steps {
+            self.step()?;
+        }
+        self.advance(self.now + 60_000_000)?;
+        match self.entries.iter().map(|e| e.0.in_progress()).sum() {
+            0usize => Ok(self.stats.clone()),
+            running => Err(format!("{running} claims never ended")),
+        }
+    }
+}
+
+fn steps() -> u64 {
+    let steps = std::env::var("FIGDEAL_CLAIM_STEPS");
+    steps.map_or(STEPS, |s| s.parse().expect("a number of steps"))
+}
+
+/// Guards against double starts: two owners of one key, or a collector for another one than the owner.
+#[test]
+fn faults_never_make_two_owners() {
+    for count in [1, 2, 3, 5] {
+        for seed in 0..4 {
+            let stats = World::new(count, seed, ALL).run(steps());
+            let stats = stats.unwrap_or_else(|e| panic!("{count} entries, seed {seed}: {e}"));
+            println!("{count} entries, seed {seed}: {stats:?}");
+            assert!(stats.owners > 0 && stats.restarts > 0 && stats.owned_by > 0);
+        }
+    }
+}
+
+/// Guards against a run that would not notice a member which votes after it has lost its memory.
+#[test]
+fn forgetful_member_is_caught() {
+    let amnesia = Faults {
+        amnesia: true,
+        ..ALL
+    };
+    for count in [1, 2, 3, 5] {
+        let caught = (0..4).find_map(|seed| World::new(count, seed, amnesia).run(steps()).err());
+        println!("{count} entries: {}", caught.expect("two owners"));
+    }
+}
+
+/// Guards against extra messages: without faults, a claim takes one request and one reply to a member; an entry
+/// that is no member asks two.
+#[test]
+fn without_faults_claims_take_two_messages() {
+    for count in [1, 2, 3, 5] {
+        let mut world = World::new(count, 1, NONE);
+        let stats = world.run(steps()).unwrap();
+        println!("{count} entries: {stats:?}");
+        assert_eq!(
+            stats.undecided + stats.conflicts + stats.collectors + stats.expired,
+            0
+        );
+        assert!(stats.most_asks <= if count > 3 { 2 } else { 1 });
+        assert!(stats.messages <= 2 * stats.most_asks * stats.started);
+        let claimed: HashSet<_> = world.claimed.iter().map(|c| c.0).collect();
+        assert_eq!(stats.owners, claimed.len() as u64);
+    }
+}
