--- a/crates/figdeal-core/src/lib.rs
+++ b/crates/figdeal-core/src/lib.rs
@@ -4,8 +4,8 @@
 //! can replay any schedule and other programs can embed the parts.
 
 pub mod agent;
+pub mod claim;
 pub mod entry;
-
 pub mod fleet;
 pub mod id;
 pub mod ledger;
