Decide claims among the entries and find answers at other entries

Several entries had no way to agree on who starts a submission. The control thread now drives the claims, batches the asks of one round to a member into one message, relays answers of other entries, and takes over submissions whose owner is gone by collecting from the agents.

--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -85,6 +85,19 @@
     Future,
 }
 
+/// A submission whose owner is gone.
+#[derive(Debug, Clone, Copy)]
+pub struct Orphan {
+    /// The submission.
+    pub key: SubmissionKey,
+    /// Hash of its content.
+    pub digest: Digest,
+    /// When the caller created it.
+    pub created: UnixMillis,
+    /// The owner that is gone.
+    pub owner: (EntryId, Incarnation),
+}
+
 /// Decision of a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Claimed {
@@ -134,8 +147,8 @@
         digest: Digest,
         /// When the caller created it.
         created: UnixMillis,
-        /// Whether the known owner is gone.
-        takeover: bool,
+        /// The owner that was found gone, when this is a takeover.
+        dead: Option<(EntryId, Incarnation)>,
     },
     /// Ask the owner for the answer.
     AwaitAnswer {
@@ -274,7 +287,7 @@
             key: submission.key,
             digest: submission.digest,
             created: submission.created,
-            takeover: false,
+            dead: None,
         };
         let id = submission.key;
         let key = self.jobs.insert(Job::new(submission, now));
@@ -315,6 +328,10 @@
             return;
         }
         match claimed {
+            // A takeover for a fetch has no content that could be started.
+            Claimed::Owner if self.jobs[key].tasks.is_empty() => {
+                self.dismiss(key, Answer::Undecided);
+            }
             Claimed::Owner => self.admit(key, now),
             Claimed::OwnedBy(owner, incarnation) => {
                 self.jobs[key].phase = Phase::Remote { owner, incarnation };
@@ -338,9 +355,9 @@
             return;
         };
         let job = &mut self.jobs[key];
-        if !matches!(job.phase, Phase::Remote { .. }) {
+        let Phase::Remote { owner, incarnation } = job.phase else {
             return;
-        }
+        };
         match answer {
             Some(Answer::Final(outcome)) => self.finish_with(key, outcome, now),
             Some(answer) => self.dismiss(key, answer),
@@ -350,13 +367,42 @@
                     key: id,
                     digest: job.digest,
                     created: job.created,
-                    takeover: true,
+                    dead: Some((owner, incarnation)),
                 };
                 self.actions.push(claim);
             }
         }
     }
 
+    /// Takes over a submission of a gone owner for a fetch, which brings no content.
+    pub fn take_over(&mut self, orphan: Orphan, waiter: WaiterId, now: Timestamp) {
+        if let Some(&key) = self.keys.get(&orphan.key) {
+            return self.wait_for(key, waiter, true);
+        }
+        let Orphan {
+            key: id,
+            digest,
+            created,
+            owner,
+        } = orphan;
+        let submission = Submission {
+            key: id,
+            digest,
+            created,
+            team: TeamId(0),
+            tasks: Vec::new(),
+        };
+        let key = self.jobs.insert(Job::new(submission, now));
+        self.keys.insert(id, key);
+        self.actions.push(Action::Claim {
+            key: id,
+            digest,
+            created,
+            dead: Some(owner),
+        });
+        self.wait_for(key, waiter, true);
+    }
+
     /// Takes an announcement of an agent and returns its key, or `None` for an incarnation that was replaced.
     pub fn announce(&mut self, info: AgentInfo, load: Load, now: Timestamp) -> Option<AgentKey> {
         let key = match self.fleet.announce(info, load, now) {
--- a/crates/figdeal-wire/src/message.rs
+++ b/crates/figdeal-wire/src/message.rs
@@ -140,8 +140,12 @@
 pub enum PeerAnswer {
     /// The final outcome.
     Final(Outcome),
-    /// This incarnation knows nothing of it.
+    /// The asked incarnation knows nothing of it, or could not decide who owns it.
     Unknown,
+    /// The submission is in progress.
+    Running,
+    /// The asked process is another incarnation.
+    OtherIncarnation,
 }
 
 /// What a member remembers of a submission's owner.
@@ -151,8 +155,8 @@
     pub digest: Digest,
     /// When the caller created it.
     pub created: UnixMillis,
-    /// The owner, where one was accepted.
-    pub owner: Option<(EntryId, Incarnation)>,
+    /// The owner.
+    pub owner: (EntryId, Incarnation),
 }
 
 /// Asks an entry about a submission.
@@ -160,6 +164,8 @@
 pub struct PeerQuery {
     /// The submission.
     pub key: SubmissionKey,
+    /// Whether to reply only once the outcome is final.
+    pub wait: bool,
     /// The incarnation that is meant, where it is known.
     pub incarnation: Option<Incarnation>,
 }
--- a/crates/figdeal-wire/src/service.rs
+++ b/crates/figdeal-wire/src/service.rs
@@ -1,6 +1,9 @@
 //! The tarpc services.
 
-use figdeal_core::id::{SubmissionKey, TaskId};
+use figdeal_core::{
+    claim::{ClaimReply, ClaimRequest},
+    id::{SubmissionKey, TaskId},
+};
 
 use crate::message::{
     AnnounceReply, Announcement, CollectReply, OwnerRecord, PeerAnswer, PeerQuery, QueryRequest,
@@ -27,8 +30,8 @@
 pub trait EntryRpc {
     /// Takes an announcement.
     async fn announce(announcement: Announcement) -> AnnounceReply;
-    /// Takes a claim in the encoding of the claims module.
-    async fn claim(request: Vec<u8>) -> Vec<u8>;
+    /// Answers claims as a member of their registers; `None` when the process is stopping.
+    async fn claim(request: ClaimRequest) -> Option<ClaimReply>;
     /// Replies with the outcome once it is final.
     async fn await_answer(query: PeerQuery) -> PeerAnswer;
     /// Cancels a submission that this entry owns and replies with its outcome.
--- a/crates/figdeal/src/command/demo.rs
+++ b/crates/figdeal/src/command/demo.rs
@@ -9,7 +9,7 @@
 
 use clap::Args as ClapArgs;
 use figdeal_agent::agent::{Agent, Options as AgentOptions, Serving as AgentServing};
-use figdeal_core::{id::EntryId, time::UnixMillis};
+use figdeal_core::{claim::ClaimLimits, id::EntryId, time::UnixMillis};
 use serde_json::{Value, json};
 
 use crate::{
@@ -21,6 +21,8 @@
 
 /// Slots of each stand-in upstream, as in both sample deployments.
 const SLOTS: u32 = 8;
+/// All clocks of the demo are one clock; a small bound makes the entry ready soon.
+const DEMO_SKEW: Duration = Duration::from_millis(50);
 /// Longest wait for the agents to be known to the entry.
 const START_LIMIT: Duration = Duration::from_secs(5);
 
@@ -70,7 +72,12 @@
 }
 
 fn start(count: u16, rules: Rules, runtime: &tokio::runtime::Handle) -> Result<Fleet> {
-    let options = EntryOptions::new(EntryId(0), any_port(), any_port()).with_rules(rules);
+    let options = EntryOptions::new(EntryId(0), any_port(), any_port())
+        .with_rules(rules)
+        .with_claims(ClaimLimits {
+            max_skew: DEMO_SKEW,
+            ..ClaimLimits::default()
+        });
     let entry = Entry::start(options, runtime)?;
     let mut agents = Vec::new();
     let mut upstreams = Vec::new();
@@ -94,9 +101,11 @@
     let start = Instant::now();
     while start.elapsed() < START_LIMIT {
         let (_, status) = call("GET", &format!("http://{entry}/v1/status"), None)?;
-        if status["agents"]
-            .as_array()
-            .is_some_and(|a| a.len() >= count)
+        let (ready, _) = call("GET", &format!("http://{entry}/readyz"), None)?;
+        if ready == 200
+            && status["agents"]
+                .as_array()
+                .is_some_and(|a| a.len() >= count)
         {
             return Ok(());
         }
@@ -134,8 +143,7 @@
             .map(|ms| json!({ "kind": kind, "payload": format!("{ms} {kind}"), "deadline_ms": deadline }))
             .collect();
         let id = title.replace(' ', "-");
-        let body =
-            json!({ "id": id, "team": team, "created_ms": UnixMillis::now().0, "tasks": tasks });
+        let body = json!({ "id": id, "team": team, "tasks": tasks });
         Job {
             title,
             body,
@@ -250,8 +258,9 @@
     let url = format!("http://{}/v1/jobs", fleet.entry.http);
     let threads: Vec<_> = jobs
         .into_iter()
-        .map(|job| {
+        .map(|mut job| {
             let url = url.clone();
+            job.body["created_ms"] = json!(UnixMillis::now().0);
             thread::spawn(move || {
                 let start = Instant::now();
                 let answer = call("POST", &url, Some(&job.body)).map_err(|e| e.to_string());
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -10,6 +10,7 @@
 
 use displaydoc::Display;
 use figdeal_core::{
+    claim::ClaimLimits,
     entry::EntryLimits,
     id::{EntryId, Incarnation},
 };
@@ -20,6 +21,7 @@
 use crate::rules::Rules;
 
 mod answer;
+mod claims;
 mod control;
 mod http;
 mod peers;
@@ -59,6 +61,8 @@
     pub entry: EntryLimits,
     /// Time limits of connections.
     pub limits: Limits,
+    /// Bounds and times of claims; the same at every entry.
+    pub claims: ClaimLimits,
     /// Rules at the start.
     pub rules: Rules,
 }
@@ -73,6 +77,7 @@
             peers: Vec::new(),
             entry: EntryLimits::default(),
             limits: Limits::default(),
+            claims: ClaimLimits::default(),
             rules: Rules::default(),
         }
     }
@@ -83,6 +88,12 @@
         self
     }
 
+    /// Sets the bounds and times of claims.
+    pub fn with_claims(mut self, claims: ClaimLimits) -> Options {
+        self.claims = claims;
+        self
+    }
+
     /// Sets the rules.
     pub fn with_rules(mut self, rules: Rules) -> Options {
         self.rules = rules;
@@ -102,6 +113,7 @@
 pub(crate) struct Shared {
     pub(crate) rules: RwLock<Arc<Rules>>,
     pub(crate) is_ready: AtomicBool,
+    pub(crate) is_draining: AtomicBool,
 }
 
 impl Shared {
@@ -149,7 +161,8 @@
         let incarnation = Incarnation(rand::random());
         let shared = Arc::new(Shared {
             rules: RwLock::new(Arc::new(options.rules.clone())),
-            is_ready: AtomicBool::new(true),
+            is_ready: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
         });
         let (events, inbox) = mpsc::channel();
         let stop = Arc::new(Notify::new());
@@ -177,7 +190,12 @@
             Arc::clone(&stop),
             handle,
         ));
-        runtime.spawn(server::serve(listener, events.clone(), Arc::clone(&stop)));
+        runtime.spawn(server::serve(
+            listener,
+            incarnation,
+            events.clone(),
+            Arc::clone(&stop),
+        ));
         Ok(Entry {
             http,
             listen,
@@ -191,7 +209,7 @@
 
     /// Tells the balancer to send nothing more; what is in progress goes on.
     pub fn drain(self) -> Entry<Draining> {
-        self.shared.is_ready.store(false, Ordering::Relaxed);
+        self.shared.is_draining.store(true, Ordering::Relaxed);
         let Entry {
             http,
             listen,
--- /dev/null
+++ b/crates/figdeal/src/entry/claims.rs
@@ -0,0 +1,186 @@
+//! Carries the claims of an entry to the other entries.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, mpsc},
+    time::Duration,
+};
+
+use figdeal_core::{
+    claim::{Action, Ask, ClaimReply, ClaimRequest, Claims, Decision, Epochs, Owner, SteadyClock},
+    entry::Claimed,
+    id::{Digest, EntryId, Incarnation, SubmissionKey},
+    time::{Timestamp, UnixMillis},
+};
+use figdeal_wire::{
+    count::{self, Class},
+    message::OwnerRecord,
+};
+
+use super::{Options, control::Event, peers::Peers};
+
+/// Longest wait for a member; the claim itself goes on earlier.
+const MEMBER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Claims that were decided.
+pub(crate) type Decided = Vec<(SubmissionKey, Claimed)>;
+
+/// The claims of one entry and the messages that they have to send.
+#[derive(Debug)]
+pub(crate) struct ClaimDriver {
+    me: Owner,
+    claims: Claims,
+    outbox: BTreeMap<EntryId, Vec<Ask>>,
+    digests: HashMap<SubmissionKey, Digest>,
+}
+
+impl ClaimDriver {
+    pub(crate) fn new(options: &Options, incarnation: Incarnation) -> ClaimDriver {
+        let me = Owner {
+            entry: options.id,
+            incarnation,
+        };
+        let mut entries: Vec<EntryId> = options.peers.iter().map(|(id, _)| *id).collect();
+        entries.push(options.id);
+        entries.sort_unstable();
+        let epochs =
+            Epochs::new(vec![(UnixMillis(0), entries)]).expect("the settings list each entry once");
+        let clock = SteadyClock::new(UnixMillis::now(), Timestamp::ZERO);
+        ClaimDriver {
+            me,
+            claims: Claims::new(me, epochs, clock, options.claims),
+            outbox: BTreeMap::new(),
+            digests: HashMap::new(),
+        }
+    }
+
+    /// Whether submissions created from now on can be claimed.
+    pub(crate) fn is_ready(&self, now: Timestamp) -> bool {
+        now >= self.claims.ready_at()
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Timestamp> {
+        self.claims.next_wake()
+    }
+
+    /// What this entry knows about the owner of a submission.
+    pub(crate) fn find(&self, key: SubmissionKey) -> Option<OwnerRecord> {
+        let known = self.claims.known(key)?;
+        let owner = (known.owner.entry, known.owner.incarnation);
+        Some(OwnerRecord {
+            digest: known.digest,
+            created: known.created,
+            owner,
+        })
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        (key, digest, created): (SubmissionKey, Digest, UnixMillis),
+        dead: Option<(EntryId, Incarnation)>,
+        now: Timestamp,
+    ) -> Decided {
+        let dead = dead.map(|(entry, incarnation)| Owner { entry, incarnation });
+        self.digests.insert(key, digest);
+        let actions = self.claims.start(key, digest, created, dead, now);
+        self.take(actions)
+    }
+
+    pub(crate) fn on_request(&mut self, request: &ClaimRequest, now: Timestamp) -> ClaimReply {
+        self.claims.on_request(request, now)
+    }
+
+    /// Takes the reply of a member; `None` when it could not be reached.
+    pub(crate) fn on_reply(
+        &mut self,
+        from: EntryId,
+        keys: &[SubmissionKey],
+        reply: Option<ClaimReply>,
+        now: Timestamp,
+    ) -> Decided {
+        let actions = match reply {
+            Some(reply) => self.claims.on_reply(from, &reply, now),
+            None => keys
+                .iter()
+                .flat_map(|key| self.claims.on_unreachable(from, *key, now))
+                .collect(),
+        };
+        self.take(actions)
+    }
+
+    pub(crate) fn tick(&mut self, now: Timestamp) -> Decided {
+        let actions = self.claims.tick(now);
+        self.take(actions)
+    }
+
+    /// Sends what has gathered, one message for each member.
+    pub(crate) fn flush(&mut self, peers: &Peers, events: &mpsc::Sender<Event>, now: Timestamp) {
+        for (to, asks) in std::mem::take(&mut self.outbox) {
+            let keys: Vec<SubmissionKey> = asks.iter().map(|a| a.key).collect();
+            let Some(channel) = peers.get(to).map(Arc::clone) else {
+                continue;
+            };
+            let request = self.claims.request(asks, now);
+            let events = events.clone();
+            tokio::spawn(async move {
+                count::record(Class::Claim);
+                let call = channel.call(MEMBER_LIMIT, |client, context| async move {
+                    client.claim(context, request).await
+                });
+                let reply = match call.await {
+                    Ok(reply) => {
+                        count::record(Class::Claim);
+                        reply
+                    }
+                    Err(e) => {
+                        log::info!("E306 claim: {e}");
+                        None
+                    }
+                };
+                let _ = events.send(Event::ClaimReply {
+                    from: to,
+                    keys,
+                    reply,
+                });
+            });
+        }
+    }
+
+    fn take(&mut self, actions: Vec<Action>) -> Decided {
+        let mut decided = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { to, ask } => self.outbox.entry(to).or_default().push(ask),
+                Action::Decided {
+                    key,
+                    digest,
+                    decision,
+                } => {
+                    let is_current = self.digests.get(&key) == Some(&digest);
+                    if is_current {
+                        self.digests.remove(&key);
+                        decided.push((key, self.claimed(decision)));
+                    }
+                }
+            }
+        }
+        decided
+    }
+
+    fn claimed(&self, decision: Decision) -> Claimed {
+        match decision {
+            Decision::Owner => Claimed::Owner,
+            // This process owned it and no longer holds the answer.
+            Decision::OwnedBy(owner) if owner == self.me => Claimed::Expired,
+            Decision::OwnedBy(owner) => Claimed::OwnedBy(owner.entry, owner.incarnation),
+            Decision::Collector(_) => Claimed::Collector,
+            Decision::Conflict => Claimed::Conflict,
+            Decision::Expired => Claimed::Expired,
+            Decision::Undecided(reason) => {
+                log::info!("E307 claim undecided: {reason:?}");
+                Claimed::Undecided
+            }
+            Decision::Invalid => Claimed::Future,
+        }
+    }
+}
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -3,14 +3,17 @@
 use std::{
     collections::HashMap,
     io,
-    sync::{Arc, mpsc},
+    sync::{Arc, atomic::Ordering, mpsc},
     thread,
     time::Duration,
 };
 
 use figdeal_core::{
     agent::{Declined, Verdict},
-    entry::{Action, Answer, Claimed, Dispatch, EntryCore, Held, Submission, TaskSpec, WaiterId},
+    claim::{ClaimReply, ClaimRequest},
+    entry::{
+        Action, Answer, Claimed, Dispatch, EntryCore, Held, Orphan, Submission, TaskSpec, WaiterId,
+    },
     fleet::{AgentInfo, AgentKey, Load},
     id::{EntryId, Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
@@ -28,9 +31,11 @@
 use serde_json::{Value, json};
 use tokio::{runtime::Handle, sync::oneshot, time::Instant};
 
-use super::{Options, Shared, peers::Peers};
+use super::{Options, Shared, claims::ClaimDriver, peers::Peers};
 use crate::submission::JobRequest;
 
+/// Largest number of events that are handled before a tick.
+const MAX_BATCH: usize = 256;
 /// Longest time between two ticks.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 /// Time between two attempts to ask an agent about a task.
@@ -43,6 +48,13 @@
 /// Gets the answer to one request.
 pub(crate) type Responder = Box<dyn FnOnce(Answer) + Send>;
 
+/// What is asked of the other entries about a submission that this one does not know.
+#[derive(Debug, Clone, Copy)]
+enum Search {
+    Fetch { wait: bool },
+    Cancel,
+}
+
 pub(crate) enum Event {
     Submit {
         job: JobRequest,
@@ -60,8 +72,21 @@
     },
     Status(Box<dyn FnOnce(Value) + Send>),
     Announce(Announcement, oneshot::Sender<AnnounceReply>),
-    ClaimRequest(Vec<u8>, oneshot::Sender<Vec<u8>>),
-    PeerAwait(PeerQuery, Responder),
+    ClaimRequest(ClaimRequest, oneshot::Sender<ClaimReply>),
+    ClaimReply {
+        from: EntryId,
+        keys: Vec<SubmissionKey>,
+        reply: Option<ClaimReply>,
+    },
+    PeerAwait {
+        key: SubmissionKey,
+        wait: bool,
+        responder: Responder,
+    },
+    TakeOver {
+        orphan: Orphan,
+        responder: Responder,
+    },
     PeerCancel(SubmissionKey, Responder),
     Find(SubmissionKey, oneshot::Sender<Option<OwnerRecord>>),
     Task {
@@ -84,8 +109,8 @@
 
 struct Control {
     id: EntryId,
-    incarnation: Incarnation,
     core: EntryCore,
+    claims: ClaimDriver,
     start: Instant,
     kinds: Names,
     teams: Names,
@@ -117,8 +142,8 @@
             let _guard = runtime.enter();
             let mut control = Control {
                 id: options.id,
-                incarnation,
                 core: EntryCore::new(options.entry),
+                claims: ClaimDriver::new(&options, incarnation),
                 start: Instant::now(),
                 kinds: Names::default(),
                 teams: Names::default(),
@@ -141,19 +166,45 @@
 impl Control {
     fn run(mut self, inbox: mpsc::Receiver<Event>) {
         loop {
-            let now = self.now();
-            let wait = self
-                .core
-                .next_wake()
-                .map_or(MAX_WAIT, |at| at.since(now).min(MAX_WAIT));
-            match inbox.recv_timeout(wait) {
+            match inbox.recv_timeout(self.wait()) {
                 Ok(Event::Kill) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.handle(event),
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
             }
-            self.core.tick(self.now());
-            self.perform();
-            self.notify_idle();
+            // Events that are there already share the claim messages of this round.
+            for event in inbox.try_iter().take(MAX_BATCH) {
+                if matches!(event, Event::Kill) {
+                    return;
+                }
+                self.handle(event);
+            }
+            self.tick();
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let now = self.now();
+        let wakes = [self.core.next_wake(), self.claims.next_wake()];
+        let wake = wakes.into_iter().flatten().min();
+        wake.map_or(MAX_WAIT, |at| at.since(now).min(MAX_WAIT))
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.core.tick(now);
+        let decided = self.claims.tick(now);
+        self.take_decisions(decided, now);
+        self.perform();
+        self.claims.flush(&self.peers, &self.events, now);
+        if self.claims.is_ready(now) {
+            self.shared.is_ready.store(true, Ordering::Relaxed);
+        }
+        self.notify_idle();
+    }
+
+    fn take_decisions(&mut self, decided: Vec<(SubmissionKey, Claimed)>, now: Timestamp) {
+        for (key, claimed) in decided {
+            self.core.claimed(key, claimed, now);
         }
     }
 
@@ -190,20 +241,25 @@
                 wait,
                 responder,
             } => {
-                let waiter = self.add_waiter(self.search_responder(key, responder, false));
+                let search = Search::Fetch { wait };
+                let waiter = self.add_waiter(self.search_responder(key, responder, search));
                 self.core.fetch(key, waiter, wait);
             }
             Event::Cancel { key, responder } => {
-                let waiter = self.add_waiter(self.search_responder(key, responder, true));
+                let waiter = self.add_waiter(self.search_responder(key, responder, Search::Cancel));
                 self.core.cancel(key, waiter, now);
             }
-            Event::PeerAwait(query, responder) => {
-                let is_other = query.incarnation.is_some_and(|i| i != self.incarnation);
-                if is_other {
-                    return responder(Answer::Unknown);
-                }
+            Event::PeerAwait {
+                key,
+                wait,
+                responder,
+            } => {
                 let waiter = self.add_waiter(responder);
-                self.core.fetch(query.key, waiter, true);
+                self.core.fetch(key, waiter, wait);
+            }
+            Event::TakeOver { orphan, responder } => {
+                let waiter = self.add_waiter(responder);
+                self.core.take_over(orphan, waiter, now);
             }
             Event::PeerCancel(key, responder) => {
                 let waiter = self.add_waiter(responder);
@@ -216,11 +272,15 @@
                     version: self.shared.rules().version,
                 });
             }
-            Event::ClaimRequest(_, reply) => {
-                let _ = reply.send(Vec::new());
+            Event::ClaimRequest(request, reply) => {
+                let _ = reply.send(self.claims.on_request(&request, now));
+            }
+            Event::ClaimReply { from, keys, reply } => {
+                let decided = self.claims.on_reply(from, &keys, reply, now);
+                self.take_decisions(decided, now);
             }
-            Event::Find(_, reply) => {
-                let _ = reply.send(None);
+            Event::Find(key, reply) => {
+                let _ = reply.send(self.claims.find(key));
             }
             Event::Task { agent, task, reply } => self.take_reply(agent, task, reply, now),
             Event::Collected { agent, key, reply } => {
@@ -248,26 +308,49 @@
         waiter
     }
 
-    /// Asks the other entries when this one does not know the submission.
+    /// Asks the other entries when this one does not know the submission. When none answers, and an entry remembers
+    /// that it was claimed, this one takes it over to collect its results.
     fn search_responder(
         &self,
         key: SubmissionKey,
         responder: Responder,
-        cancel: bool,
+        search: Search,
     ) -> Responder {
         let peers = self.peers.clone();
         let runtime = self.runtime.clone();
+        let events = self.events.clone();
+        let known = self.claims.find(key);
         Box::new(move |answer| {
             if answer != Answer::Unknown {
                 return responder(answer);
             }
             runtime.spawn(async move {
-                let found = if cancel {
-                    peers.cancel(key).await
-                } else {
-                    peers.search(key).await
+                let found = match search {
+                    Search::Cancel => peers.cancel(key).await,
+                    Search::Fetch { wait } => peers.search(key, wait).await,
+                };
+                if let Some(answer) = found {
+                    return responder(answer);
+                }
+                let record = match known {
+                    Some(record) => Some(record),
+                    None => peers.find(key).await,
                 };
-                responder(found.unwrap_or(Answer::Unknown));
+                let Some(OwnerRecord {
+                    digest,
+                    created,
+                    owner,
+                }) = record
+                else {
+                    return responder(Answer::Unknown);
+                };
+                let orphan = Orphan {
+                    key,
+                    digest,
+                    created,
+                    owner,
+                };
+                let _ = events.send(Event::TakeOver { orphan, responder });
             });
         })
     }
@@ -391,9 +474,15 @@
 
     fn perform_one(&mut self, action: Action) {
         match action {
-            Action::Claim { key, .. } => {
+            Action::Claim {
+                key,
+                digest,
+                created,
+                dead,
+            } => {
                 let now = self.now();
-                self.core.claimed(key, Claimed::Owner, now);
+                let decided = self.claims.start((key, digest, created), dead, now);
+                self.take_decisions(decided, now);
             }
             Action::AwaitAnswer {
                 key,
@@ -405,9 +494,10 @@
                 self.runtime.spawn(async move {
                     let query = PeerQuery {
                         key,
+                        wait: true,
                         incarnation: Some(incarnation),
                     };
-                    let answer = peers.await_answer(owner, query).await;
+                    let answer = peers.await_owner(owner, query).await;
                     let _ = events.send(Event::Owner { key, answer });
                 });
             }
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -53,7 +53,8 @@
             (Method::GET, ["v1", "status" | "queue"]) => self.status().await,
             (Method::GET, ["healthz"]) => Reply::json(200, &json!({ "healthy": true })),
             (Method::GET, ["readyz"]) => {
-                let is_ready = self.shared.is_ready.load(Ordering::Relaxed);
+                let is_draining = self.shared.is_draining.load(Ordering::Relaxed);
+                let is_ready = self.shared.is_ready.load(Ordering::Relaxed) && !is_draining;
                 Reply::json(
                     if is_ready { 200 } else { 503 },
                     &json!({ "ready": is_ready }),
--- a/crates/figdeal/src/entry/peers.rs
+++ b/crates/figdeal/src/entry/peers.rs
@@ -15,6 +15,10 @@
 
 /// Longest wait for another entry's answer; its connection is checked for silence meanwhile.
 const ANSWER_LIMIT: Duration = Duration::from_secs(900);
+/// Times that an owner is asked before it counts as gone.
+const OWNER_ATTEMPTS: u32 = 3;
+/// Pause between two attempts to ask an owner.
+const OWNER_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for a record.
 const FIND_LIMIT: Duration = Duration::from_secs(1);
 
@@ -38,38 +42,53 @@
         self.channels.get(&id)
     }
 
-    /// Waits for the answer of one entry; `None` when it is gone or another incarnation.
-    pub(crate) async fn await_answer(&self, owner: EntryId, query: PeerQuery) -> Option<Answer> {
-        let channel = self.get(owner)?;
+    /// Waits for the answer of the owner; `None` when it is gone or another incarnation.
+    pub(crate) async fn await_owner(&self, owner: EntryId, query: PeerQuery) -> Option<Answer> {
+        for _ in 0..OWNER_ATTEMPTS {
+            match self.await_answer(owner, query).await {
+                Some(PeerAnswer::Final(outcome)) => return Some(Answer::Final(Arc::new(outcome))),
+                Some(PeerAnswer::Unknown) => return Some(Answer::Undecided),
+                Some(PeerAnswer::Running) => return Some(Answer::Running),
+                Some(PeerAnswer::OtherIncarnation) => return None,
+                None => tokio::time::sleep(OWNER_PAUSE).await,
+            }
+        }
+        None
+    }
+
+    async fn await_answer(&self, entry: EntryId, query: PeerQuery) -> Option<PeerAnswer> {
+        let channel = self.get(entry)?;
         count::record(Class::Recovery);
         let call = channel.call(ANSWER_LIMIT, |client, context| async move {
             client.await_answer(context, query).await
         });
         let answer = call
             .await
-            .inspect_err(|e| log::info!("E303 answer of an owner: {e}"))
+            .inspect_err(|e| log::info!("E303 answer of an entry: {e}"))
             .ok()?;
         count::record(Class::Recovery);
-        match answer {
-            PeerAnswer::Final(outcome) => Some(Answer::Final(Arc::new(outcome))),
-            PeerAnswer::Unknown => None,
-        }
+        Some(answer)
     }
 
     /// Asks every other entry for the answer; the first one that knows it wins.
-    pub(crate) async fn search(&self, key: SubmissionKey) -> Option<Answer> {
+    pub(crate) async fn search(&self, key: SubmissionKey, wait: bool) -> Option<Answer> {
         let mut asked = tokio::task::JoinSet::new();
         for &id in self.channels.keys() {
             let peers = self.clone();
             let query = PeerQuery {
                 key,
+                wait,
                 incarnation: None,
             };
             asked.spawn(async move { peers.await_answer(id, query).await });
         }
         while let Some(answer) = asked.join_next().await {
-            if let Ok(Some(answer)) = answer {
-                return Some(answer);
+            match answer {
+                Ok(Some(PeerAnswer::Final(outcome))) => {
+                    return Some(Answer::Final(Arc::new(outcome)));
+                }
+                Ok(Some(PeerAnswer::Running)) => return Some(Answer::Running),
+                _ => {}
             }
         }
         None
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -6,7 +6,11 @@
     time::Duration,
 };
 
-use figdeal_core::{entry::Answer, id::SubmissionKey};
+use figdeal_core::{
+    claim::{ClaimReply, ClaimRequest},
+    entry::Answer,
+    id::{Incarnation, SubmissionKey},
+};
 use figdeal_wire::{
     codec::transport,
     message::{AnnounceReply, Announcement, OwnerRecord, PeerAnswer, PeerQuery},
@@ -23,6 +27,7 @@
 
 #[derive(Debug, Clone)]
 struct Server {
+    incarnation: Incarnation,
     events: mpsc::Sender<Event>,
 }
 
@@ -33,15 +38,22 @@
         answer.await.unwrap_or(AnnounceReply { version: 0 })
     }
 
-    async fn claim(self, _: Context, request: Vec<u8>) -> Vec<u8> {
+    async fn claim(self, _: Context, request: ClaimRequest) -> Option<ClaimReply> {
         let (reply, answer) = oneshot::channel();
         let _ = self.events.send(Event::ClaimRequest(request, reply));
-        answer.await.unwrap_or_default()
+        answer.await.ok()
     }
 
     async fn await_answer(self, _: Context, query: PeerQuery) -> PeerAnswer {
-        self.ask(|responder| Event::PeerAwait(query, responder))
-            .await
+        if query.incarnation.is_some_and(|i| i != self.incarnation) {
+            return PeerAnswer::OtherIncarnation;
+        }
+        self.ask(|responder| Event::PeerAwait {
+            key: query.key,
+            wait: query.wait,
+            responder,
+        })
+        .await
     }
 
     async fn cancel(self, _: Context, key: SubmissionKey) -> PeerAnswer {
@@ -71,6 +83,7 @@
         let _ = self.events.send(event(responder));
         match answer.await {
             Ok(Answer::Final(outcome)) => PeerAnswer::Final((*outcome).clone()),
+            Ok(Answer::Running) => PeerAnswer::Running,
             Ok(_) => PeerAnswer::Unknown,
             // A stopped control thread knows nothing; the connection ends with the process.
             Err(_) => std::future::pending().await,
@@ -79,7 +92,12 @@
 }
 
 /// Serves agents and entries until `stop` is notified.
-pub(crate) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>, stop: Arc<Notify>) {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    incarnation: Incarnation,
+    events: mpsc::Sender<Event>,
+    stop: Arc<Notify>,
+) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => return log::error!("E301 cannot serve agents: {e}"),
@@ -101,6 +119,7 @@
         };
         while connections.try_join_next().is_some() {}
         let server = Server {
+            incarnation,
             events: events.clone(),
         };
         connections.spawn(async move {
