Test the claims against naive versions

The random run checks agreement only. A naive map without bounds and expiry now checks each verdict of a member for arbitrary messages (bolero), and one map of first claimants checks each decision over the retention.

A tick drops as many known owners as records; a driver that follows `next_wake` would otherwise have ticked once for every four of them.

--- a/crates/figdeal-core/src/claim.rs
+++ b/crates/figdeal-core/src/claim.rs
@@ -37,7 +37,9 @@
     time::{Timestamp, UnixMillis},
 };
 
-/// Records that one [`Claims::tick`] drops, so that a tick stays short.
+/// Known owners that one [`Claims::start`] drops. More than one, so that the tables shrink under a steady stream.
+const DROPS_PER_CLAIM: usize = 4;
+/// Records that one [`Claims::tick`] drops from each table, so that a tick stays short.
 const DROPS_PER_TICK: usize = 4_096;
 /// Largest factor by which the pause between prepares grows.
 const MAX_BACKOFF_FACTOR: u32 = 16;
@@ -179,7 +181,7 @@
         now: Timestamp,
     ) -> Vec<Action> {
         let wall = self.clock.read(now);
-        self.owners.expire(wall);
+        self.owners.expire(wall, DROPS_PER_CLAIM);
         let mut actions = Vec::new();
         if let Some(decision) = self.decide_locally(key, digest, created, wall) {
             actions.push(Action::Decided {
@@ -196,11 +198,16 @@
             return actions;
         }
         let members = self.epochs.members(key, created);
-        let mut claimant = Claimant::new(self.me, members, (key, digest, created));
+        let mut claimant = Claimant::new(
+            self.me,
+            members,
+            (key, digest, created),
+            self.limits.attempts,
+        );
         if let Some(dead) = dead {
             claimant.take_over(dead);
         }
-        let next = claimant.begin(&mut self.rounds, self.limits.attempts);
+        let next = claimant.begin(&mut self.rounds);
         let deadline = now + self.limits.timeout;
         let id = self.running.insert(Running { claimant, deadline });
         self.by_key.insert(key, id);
@@ -252,7 +259,6 @@
                 (place, reply.from),
                 (answer.round, answer.verdict),
                 &mut self.rounds,
-                self.limits.attempts,
             );
             self.follow(id, next, now, &mut actions);
         }
@@ -270,7 +276,7 @@
         if let Some(&id) = self.by_key.get(&key) {
             let claimant = &mut self.running[id].claimant;
             if let Some(place) = claimant.members().position(to) {
-                let next = claimant.on_failed(place, &mut self.rounds, self.limits.attempts);
+                let next = claimant.on_failed(place, &mut self.rounds);
                 self.follow(id, next, now, &mut actions);
             }
         }
@@ -281,13 +287,13 @@
     pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
         self.member.expire(now, DROPS_PER_TICK);
-        self.owners.expire(self.clock.read(now));
+        self.owners.expire(self.clock.read(now), DROPS_PER_TICK);
         while let Some(&(deadline, id)) = self.deadlines.first() {
             if deadline > now {
                 break;
             }
             let claimant = &mut self.running[id].claimant;
-            let next = claimant.on_timeout(&mut self.rounds, self.limits.attempts);
+            let next = claimant.on_timeout(&mut self.rounds);
             assert_ne!(next, Next::Wait, "a time-out leads to a step");
             self.follow(id, next, now, &mut actions);
         }
@@ -381,7 +387,6 @@
             (place, self.me.incarnation),
             (step.round(), verdict),
             &mut self.rounds,
-            self.limits.attempts,
         );
         self.follow(id, next, now, actions);
     }
--- a/crates/figdeal-core/src/claim/owners.rs
+++ b/crates/figdeal-core/src/claim/owners.rs
@@ -3,9 +3,6 @@
 use super::{limits::ClaimLimits, member::Known, message::Owner, table::Table};
 use crate::{id::SubmissionKey, time::UnixMillis};
 
-/// Records dropped for each claim.
-const DROPS_PER_CLAIM: usize = 4;
-
 /// Submissions that this process owns, and a bounded number of those that it knows to be owned elsewhere.
 ///
 /// An own submission is remembered as long as it can be claimed, so that this process becomes its owner only once.
@@ -53,9 +50,9 @@
         }
     }
 
-    pub(super) fn expire(&mut self, wall: UnixMillis) {
-        self.own.expire(wall, DROPS_PER_CLAIM);
-        self.others.expire(wall, DROPS_PER_CLAIM);
+    pub(super) fn expire(&mut self, wall: UnixMillis, limit: usize) {
+        self.own.expire(wall, limit);
+        self.others.expire(wall, limit);
     }
 
     pub(super) fn due(&self) -> Option<UnixMillis> {
--- /dev/null
+++ b/crates/figdeal-core/tests/claims_member.rs
@@ -0,0 +1,267 @@
+//! The member against a naive map, and single claims with the messages in the hands of the test.
+
+use std::{collections::HashMap, time::Duration};
+
+use bolero::check;
+use figdeal_core::{
+    claim::{
+        Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision, Epochs,
+        Member, Owner, Reason, SteadyClock, Step, Verdict,
+    },
+    id::{Digest, EntryId, Incarnation, SubmissionKey},
+    time::{Timestamp, UnixMillis},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const WALL: u64 = 1_000_000_000;
+const DIGEST: Digest = Digest([9; 16]);
+
+fn process(entry: u16, incarnation: u64) -> Owner {
+    Owner {
+        entry: EntryId(entry),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn epochs(count: u16) -> Epochs {
+    Epochs::new(vec![(UnixMillis(0), (0..count).map(EntryId).collect())]).unwrap()
+}
+
+fn claims(me: Owner, count: u16, limits: ClaimLimits) -> Claims {
+    let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+    Claims::new(me, epochs(count), clock, limits)
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_millis(millis)
+}
+
+/// Record of the naive member, which forgets nothing and has no bound.
+#[derive(Clone, Copy)]
+struct Naive {
+    content: (Digest, UnixMillis),
+    promised: Ballot,
+    accepted: Option<Accepted>,
+}
+
+/// What a member has to answer, given only its earlier promises and votes for the key.
+fn naive(map: &mut HashMap<SubmissionKey, Naive>, from: Owner, ask: &Ask) -> Verdict {
+    let round = ask.step.round();
+    let ballot = Ballot {
+        round,
+        claimant: from,
+    };
+    let content = (ask.digest, ask.created);
+    let known = map.get(&ask.key).copied();
+    if known.is_some_and(|n| n.content != content) {
+        return Verdict::Conflict;
+    }
+    let promised = known.map(|n| n.promised);
+    let accepted = known.and_then(|n| n.accepted);
+    let vote = match ask.step {
+        Step::Grant | Step::Vote => Some(from),
+        Step::Prepare { .. } => None,
+        Step::Accept { owner, .. } => Some(owner),
+    };
+    let second = accepted.is_some_and(|a| a.ballot == ballot && vote.is_some_and(|v| v != a.owner));
+    let granted = round == 0 && promised.is_some_and(|p| p != ballot);
+    if promised.is_some_and(|p| p > ballot) || granted || second {
+        let promised = promised.map_or(0, |p| p.round);
+        return Verdict::Refused { promised, accepted };
+    }
+    let voted = vote.map(|owner| Accepted { ballot, owner });
+    let record = Naive {
+        content,
+        promised: ballot,
+        accepted: voted.or(accepted),
+    };
+    map.insert(ask.key, record);
+    voted.map_or(Verdict::Promised(accepted), |_| Verdict::Voted)
+}
+
+/// Guards against a promise that goes down, a second grant, two owners for a ballot and a lost conflict, for any
+/// sequence of messages.
+#[test]
+fn member_answers_like_a_naive_map() {
+    check!()
+        .with_type::<Vec<(u8, u8, u8, u8)>>()
+        .for_each(|input| {
+            let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+            let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+            let (epochs, now) = (epochs(3), at(10_000));
+            let mut map = HashMap::new();
+            for &(key, from, step, round) in input {
+                let key = SubmissionKey([key % 4; 16]);
+                let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
+                let round = u32::from(round % 5);
+                let ask = Ask {
+                    claim: 0,
+                    key,
+                    digest: Digest([u8::from(step > 240); 16]),
+                    created: UnixMillis(WALL + 9_000),
+                    step: match step % 4 {
+                        0 => Step::Grant,
+                        1 => Step::Vote,
+                        2 => Step::Prepare { round },
+                        _ => Step::Accept {
+                            round,
+                            owner: process(u16::from(from / 16 % 3), 1),
+                        },
+                    },
+                };
+                let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
+                let valid = match ask.step {
+                    Step::Grant => first,
+                    Step::Vote => !first,
+                    _ => round > 0,
+                };
+                let expected = match valid {
+                    true => naive(&mut map, from, &ask),
+                    false => Verdict::Invalid,
+                };
+                assert_eq!(
+                    member.answer(&epochs, from, clock.read(now), &ask, now),
+                    expected
+                );
+            }
+        });
+}
+
+/// Guards against a decision that differs from what one map of first claimants says, over the whole retention.
+#[test]
+fn claims_decide_like_a_single_map() {
+    for count in [1, 2, 3, 5] {
+        let mut rng = SmallRng::seed_from_u64(u64::from(count));
+        let owners: Vec<_> = (0..count).map(|e| process(e, 1)).collect();
+        let limits = ClaimLimits::default();
+        let mut entries: Vec<_> = owners.iter().map(|o| claims(*o, count, limits)).collect();
+        let mut map = HashMap::new();
+        let mut millis = 10_000;
+        for _ in 0..20_000 {
+            millis += rng.random_range(0..1_000);
+            let now = at(millis);
+            let number: u64 =
+                rng.random_range(millis.saturating_sub(3_700_000) / 1_500..=millis / 1_500);
+            let created = UnixMillis(WALL + number * 1_500);
+            let digest = Digest([rng.random_range(0..12) / 11; 16]);
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&number.to_le_bytes());
+            let key = SubmissionKey(bytes);
+            let start = rng.random_range(0..usize::from(count));
+            let mut actions = entries[start].start(key, digest, created, None, now);
+            while let Some(i) = actions
+                .iter()
+                .position(|a| matches!(a, Action::Send { .. }))
+            {
+                let Action::Send { to, ask } = actions.remove(i) else {
+                    unreachable!()
+                };
+                let request = entries[start].request(vec![ask], now);
+                let reply = entries[usize::from(to.0)].on_request(&request, now);
+                actions.extend(entries[start].on_reply(to, &reply, now));
+            }
+            let expected = if millis - number * 1_500 > 3_600_000 {
+                Decision::Expired
+            } else if number * 1_500 <= 4_000 {
+                Decision::Undecided(Reason::Restarted)
+            } else {
+                match *map.entry(key).or_insert((owners[start], digest, true)) {
+                    (_, first, _) if first != digest => Decision::Conflict,
+                    (_, _, true) => Decision::Owner,
+                    (owner, _, false) => Decision::OwnedBy(owner),
+                }
+            };
+            map.entry(key).and_modify(|m| m.2 = false);
+            let decision = decided(&actions);
+            assert_eq!(decision, expected, "{count} entries at {millis} ms");
+        }
+    }
+}
+
+fn decided(actions: &[Action]) -> Decision {
+    match *actions {
+        [Action::Decided { decision, .. }] => decision,
+        _ => panic!("not decided: {actions:?}"),
+    }
+}
+
+/// Guards against a double start when the wall clock reads less after a restart than before it.
+#[test]
+fn clock_set_back_by_a_restart_starts_nothing_twice() {
+    let limits = ClaimLimits::default();
+    let key = SubmissionKey([1; 16]);
+    let before = SteadyClock::new(UnixMillis(WALL + 2_000), Timestamp::ZERO);
+    let mut first = Claims::new(process(0, 1), epochs(1), before, limits);
+    let created = before.read(at(5_000)).plus(limits.max_skew);
+    let actions = first.start(key, DIGEST, created, None, at(5_000));
+    assert_eq!(decided(&actions), Decision::Owner);
+    let after = SteadyClock::new(UnixMillis(WALL + 5_001), at(5_001));
+    let mut second = Claims::new(process(0, 2), epochs(1), after, limits);
+    let actions = second.start(key, DIGEST, created, None, at(9_500));
+    assert_eq!(decided(&actions), Decision::Undecided(Reason::Restarted));
+}
+
+/// Guards against an eviction from a full table, and against a table that stays full after the retention.
+#[test]
+fn full_table_refuses_until_records_expire() {
+    let limits = ClaimLimits {
+        max_records: 50,
+        ..ClaimLimits::default()
+    };
+    let mut entry = claims(process(0, 1), 1, limits);
+    let mut claim = |number: u8, created: u64, now: u64| {
+        let created = UnixMillis(WALL + created);
+        decided(&entry.start(SubmissionKey([number; 16]), DIGEST, created, None, at(now)))
+    };
+    assert!((0..50).all(|n| claim(n, 10_000, 10_000) == Decision::Owner));
+    assert_eq!(claim(50, 10_000, 10_000), Decision::Undecided(Reason::Full));
+    assert!((0..50).all(|n| claim(n, 10_000, 3_609_999) == Decision::OwnedBy(process(0, 1))));
+    assert_eq!(claim(0, 10_000, 3_610_001), Decision::Expired);
+    assert_eq!(claim(50, 3_615_000, 3_616_000), Decision::Owner);
+}
+
+/// Guards against a vote that is counted from another run of the member than the one that promised.
+#[test]
+fn vote_of_another_run_is_not_counted() {
+    let key = SubmissionKey([1; 16]);
+    let members = epochs(3).members(key, UnixMillis(WALL));
+    let &[first, second, third] = members.as_slice() else {
+        panic!("three members")
+    };
+    let mut entry = claims(process(first.0, 1), 3, ClaimLimits::default());
+    let now = at(10_000);
+    let dead = Some(process(second.0, 1));
+    let created = UnixMillis(WALL + 9_000);
+    let sent = entry.start(key, DIGEST, created, dead, now);
+    let Action::Send { ask, .. } = sent[0] else {
+        panic!("a prepare is sent")
+    };
+    let mut reply = |member, run, verdict| {
+        let (claim, round) = (ask.claim, ask.step.round());
+        let answers = vec![Answer {
+            claim,
+            round,
+            verdict,
+        }];
+        let (from, to) = (Incarnation(run), Incarnation(1));
+        let actions = entry.on_reply(member, &ClaimReply { from, to, answers }, now);
+        actions.len()
+    };
+    assert_eq!(
+        reply(second, 5, Verdict::Promised(None)),
+        1,
+        "an accept is sent"
+    );
+    assert_eq!(
+        reply(second, 6, Verdict::Voted),
+        0,
+        "not the run that promised"
+    );
+    assert_eq!(reply(third, 7, Verdict::Voted), 0, "promised nothing");
+    assert_eq!(
+        reply(second, 5, Verdict::Voted),
+        0,
+        "has lost its memory since"
+    );
+    assert_eq!(entry.in_progress(), 1);
+}
