--- /dev/null
+++ b/crates/figdeal-core/examples/claims.rs
@@ -0,0 +1,175 @@
+//! Measures claims on one core: memory for each record, claims per second, and bytes of the messages.
+//!
+//! Run with `cargo run --release --example claims -- member 1000000` for the member alone, or with `pair` for whole
+//! claims among three entries. Memory is the growth of the resident set (Linux only), so it includes the spare room of
+//! the tables; each size needs its own process, because memory that was freed is used again.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use figdeal_core::{
+    claim::{
+        Action, Ask, ClaimLimits, ClaimRequest, Claims, Decision, Epochs, Member, Owner,
+        SteadyClock, Step, Verdict,
+    },
+    id::{Digest, EntryId, Incarnation, SubmissionKey},
+    time::{Timestamp, UnixMillis},
+};
+
+const WALL: UnixMillis = UnixMillis(1_700_000_000_000);
+/// Age of the oldest submission of a full table.
+const SPAN: Duration = Duration::from_secs(3_600);
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let mode = args.next();
+    let records = args.next().and_then(|n| n.parse().ok());
+    match (mode.as_deref(), records) {
+        (Some("member"), Some(records)) => member(records),
+        (Some("pair"), Some(records)) => pair(records),
+        _ => panic!("usage: claims member|pair <records>"),
+    }
+    sizes();
+}
+
+fn owner(entry: u16) -> Owner {
+    let incarnation = Incarnation(0x0123_4567_89ab_cdef + u64::from(entry));
+    Owner {
+        entry: EntryId(entry),
+        incarnation,
+    }
+}
+
+fn epochs(count: u16) -> Epochs {
+    let entries = (0..count).map(EntryId).collect();
+    Epochs::new(vec![(UnixMillis(0), entries)]).expect("a valid list")
+}
+
+/// Spreads the keys like a hash does.
+fn key(number: usize) -> SubmissionKey {
+    let low = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let bits = u128::from(low) << 64 | u128::from(low.rotate_left(29));
+    SubmissionKey(bits.to_le_bytes())
+}
+
+fn ask(number: usize, created: UnixMillis, step: Step) -> Ask {
+    Ask {
+        claim: number as u64,
+        key: key(number),
+        digest: Digest(key(number).0),
+        created,
+        step,
+    }
+}
+
+/// Fills the table of a member over the retention, then keeps claiming while old records expire.
+fn member(records: usize) {
+    let clock = SteadyClock::new(WALL, Timestamp::ZERO);
+    let limits = ClaimLimits {
+        max_records: 2 * records,
+        ..ClaimLimits::default()
+    };
+    let (epochs, from) = (epochs(1), owner(1));
+    let before = resident();
+    let mut member = Member::new(EntryId(0), clock, limits);
+    let start = member.ready_at() + limits.max_skew;
+    let mut claim = |number: usize| {
+        let now = start + SPAN.mul_f64(number as f64 / records as f64);
+        let wall = clock.read(now);
+        let verdict = member.answer(&epochs, from, wall, &ask(number, wall, Step::Grant), now);
+        assert_eq!(verdict, Verdict::Voted);
+        member.len()
+    };
+    let began = Instant::now();
+    let held = (0..records).map(&mut claim).last().unwrap_or(0);
+    let fill = began.elapsed();
+    let bytes = resident().saturating_sub(before) as f64 / held as f64;
+    let began = Instant::now();
+    let steady = (records..3 * records).map(&mut claim).max().unwrap_or(0);
+    let turn = began.elapsed();
+    println!(
+        "member: {held} records, {bytes:.0} bytes each, {:.0} claims/s filling, {:.0} claims/s with expiry \
+         (at most {steady} records)",
+        records as f64 / fill.as_secs_f64(),
+        2.0 * records as f64 / turn.as_secs_f64(),
+    );
+}
+
+/// Runs whole claims between two of three entries: the claimant's and the member's work together.
+fn pair(records: usize) {
+    let clock = SteadyClock::new(WALL, Timestamp::ZERO);
+    let limits = ClaimLimits {
+        max_records: 2 * records,
+        ..ClaimLimits::default()
+    };
+    let before = resident();
+    let mut entries: Vec<_> = (0..3)
+        .map(|e| Claims::new(owner(e), epochs(3), clock, limits))
+        .collect();
+    let start = entries[0].ready_at() + limits.max_skew;
+    let (mut messages, mut owners) = (0, 0);
+    let began = Instant::now();
+    for number in 0..records {
+        let now = start + SPAN.mul_f64(number as f64 / records as f64);
+        let at = number % 3;
+        let digest = Digest(key(number).0);
+        let mut actions = entries[at].start(key(number), digest, clock.read(now), None, now);
+        while let [Action::Send { to, ask }] = actions[..] {
+            let request = entries[at].request(vec![ask], now);
+            let reply = entries[usize::from(to.0)].on_request(&request, now);
+            actions = entries[at].on_reply(to, &reply, now);
+            messages += 2;
+        }
+        let [Action::Decided { decision, .. }] = actions[..] else {
+            panic!("claim {number} is not decided");
+        };
+        owners += usize::from(decision == Decision::Owner);
+    }
+    let took = began.elapsed();
+    let bytes = resident().saturating_sub(before) as f64 / records as f64;
+    println!(
+        "three entries: {owners} owners of {records} claims, {messages} messages, {:.0} claims/s, \
+         {bytes:.0} bytes for each claim in all entries",
+        records as f64 / took.as_secs_f64(),
+    );
+}
+
+fn sizes() {
+    let mut other = Claims::new(
+        owner(0),
+        epochs(1),
+        SteadyClock::new(WALL, Timestamp::ZERO),
+        ClaimLimits::default(),
+    );
+    let now = other.ready_at() + Duration::from_secs(3_600);
+    let clock = WALL.plus(now.since(Timestamp::ZERO));
+    for asks in [1, 10] {
+        let asks = (0..asks).map(|n| ask((1 << 32) + n, clock, Step::Grant));
+        let request = ClaimRequest {
+            from: owner(1),
+            clock,
+            asks: asks.collect(),
+        };
+        let reply = other.on_request(&request, now);
+        println!(
+            "{} claims in one message: request {} bytes, reply {} bytes",
+            request.asks.len(),
+            postcard::to_stdvec(&request).expect("serializable").len(),
+            postcard::to_stdvec(black_box(&reply))
+                .expect("serializable")
+                .len(),
+        );
+    }
+}
+
+/// Resident set of this process in bytes, 0 where it is unknown.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|p| p.parse::<usize>().ok());
+    pages.unwrap_or(0) * 4096
+}
