Add the configuration format, its checks and signatures

The crate was a placeholder, while the control register and the entry need the bundle and the typed configuration of a site.

A bundle is base.toml and sites/NAME.toml, byte for byte. Keys are declared once with unit, default and range; a file is parsed into the tables and values that it sets, each with its line. Checks cover unknown keys, units, ranges, names, references and contradictory values, and report all problems with file, key and line. Ed25519 keys are read only from files that their owner alone can access.

--- /dev/null
+++ b/crates/figdeal-config/src/bundle.rs
@@ -0,0 +1,229 @@
+//! The files of a configuration.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::{
+    check,
+    diff::Diff,
+    layer::Layer,
+    problem::{Fault, Problem, Problems, Result},
+    site::{Settings, SiteConfig},
+};
+
+/// Name of the base in a bundle.
+pub const BASE: &str = "base.toml";
+
+/// Folder of the overlays in a bundle.
+pub const SITES: &str = "sites";
+
+/// Largest number of bytes in one file. The register writes all files on each change.
+const MAX_FILE: usize = 256 << 10;
+
+/// Largest number of sites.
+const MAX_SITES: usize = 200;
+
+/// The base and the overlays of a configuration, byte for byte, sorted by name.
+///
+/// A bundle may hold files with problems, so that they can be shown; [`Bundle::check`] reports them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bundle {
+    files: Vec<(String, Vec<u8>)>,
+}
+
+impl Bundle {
+    /// Creates a bundle of named files: `base.toml` and `sites/NAME.toml`.
+    ///
+    /// # Errors
+    /// Returns the problems with the names, the number and the sizes of the files.
+    pub fn new(mut files: Vec<(String, Vec<u8>)>) -> Result<Bundle> {
+        files.sort();
+        let bundle = Bundle { files };
+        Problems::check(bundle.check_files())?;
+        Ok(bundle)
+    }
+
+    /// Reads `base.toml` and `sites/*.toml` below a folder. Hidden files and other entries of the folder are
+    /// skipped; a stray file in `sites` is reported, since it may be an overlay with a misspelt name.
+    ///
+    /// # Errors
+    /// Returns the files that cannot be read or do not belong to a configuration.
+    pub fn read(folder: impl AsRef<Path>) -> Result<Bundle> {
+        let folder = folder.as_ref();
+        let mut names = vec![(BASE.to_owned(), folder.join(BASE))];
+        let sites = folder.join(SITES);
+        if sites.exists() {
+            names.extend(list(&sites).map_err(|error| io_problem(SITES, &error))?);
+        }
+        let mut files = Vec::new();
+        let mut problems = Vec::new();
+        for (name, path) in names {
+            match fs::read(&path) {
+                Ok(bytes) => files.push((name, bytes)),
+                Err(error) => problems.extend_from_slice(io_problem(&name, &error).list()),
+            }
+        }
+        Problems::check(problems)?;
+        Bundle::new(files)
+    }
+
+    /// The files, sorted by name.
+    pub fn files(&self) -> &[(String, Vec<u8>)] {
+        &self.files
+    }
+
+    /// The bytes of a file.
+    pub fn file(&self, name: &str) -> Option<&[u8]> {
+        self.files
+            .iter()
+            .find(|file| file.0 == name)
+            .map(|file| &*file.1)
+    }
+
+    /// The names of the sites, sorted.
+    ///
+    /// ```
+    /// # use figdeal_config::Bundle;
+    /// let files = vec![("base.toml".into(), vec![]), ("sites/nosara.toml".into(), vec![])];
+    /// assert!(Bundle::new(files)?.sites().eq(["nosara"]));
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
+    pub fn sites(&self) -> impl Iterator<Item = &str> {
+        self.files.iter().filter_map(|(name, _)| site_name(name))
+    }
+
+    /// SHA-256 over the names and bytes of all files, each preceded by its length.
+    pub fn digest(&self) -> [u8; 32] {
+        let mut hash = Sha256::new();
+        for (name, bytes) in &self.files {
+            for part in [name.as_bytes(), bytes] {
+                hash.update((part.len() as u64).to_le_bytes());
+                hash.update(part);
+            }
+        }
+        hash.finalize().into()
+    }
+
+    /// Checks every file, every reference between files and the values of every site.
+    ///
+    /// # Errors
+    /// Returns all problems. Checks that depend on an unreadable base are left out until the base is readable.
+    pub fn check(&self) -> Result<()> {
+        let mut problems = self.check_files();
+        let base = self.layer(BASE);
+        problems.extend_from_slice(&base.problems);
+        if base.sound {
+            problems.extend(check::check_base(&base));
+            // The base is valid by itself, so that an empty overlay is always valid.
+            problems.extend(check::check_site(&Settings::merge(&base, None), None));
+        }
+        for site in self.sites() {
+            let overlay = self.layer(&file_name(site));
+            problems.extend_from_slice(&overlay.problems);
+            if base.sound {
+                problems.extend(check::check_overlay(&base, &overlay));
+                let settings = Settings::merge(&base, Some(&overlay));
+                problems.extend(check::check_site(&settings, Some(&overlay.file)));
+            }
+        }
+        Problems::check(problems)
+    }
+
+    /// The typed configuration of a site.
+    ///
+    /// # Errors
+    /// Returns all problems of the bundle, or that it has no such site.
+    pub fn effective(&self, site: &str) -> Result<SiteConfig> {
+        Ok(SiteConfig::from(&self.settings(site)?))
+    }
+
+    /// The values of a site with their origins.
+    ///
+    /// # Errors
+    /// Returns all problems of the bundle, or that it has no such site.
+    pub fn settings(&self, site: &str) -> Result<Settings> {
+        let name = file_name(site);
+        if self.file(&name).is_none() {
+            return Err(Problems::with_file(&name, Fault::MissingFile));
+        }
+        self.check()?;
+        Ok(Settings::merge(&self.layer(BASE), Some(&self.layer(&name))))
+    }
+
+    /// What changes from this bundle to `next`, by file and by key.
+    pub fn diff(&self, next: &Bundle) -> Diff {
+        Diff::new(self, next)
+    }
+
+    pub(crate) fn layer(&self, name: &str) -> Layer {
+        Layer::parse(name, self.file(name).unwrap_or_default())
+    }
+
+    fn check_files(&self) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        let mut report = |file: &str, fault| {
+            problems.extend_from_slice(Problems::with_file(file, fault).list());
+        };
+        if self.file(BASE).is_none() {
+            report(BASE, Fault::MissingFile);
+        }
+        if self.sites().count() > MAX_SITES {
+            report(SITES, Fault::TooMany(MAX_SITES));
+        }
+        for (name, bytes) in &self.files {
+            if name != BASE && site_name(name).is_none() {
+                report(name, Fault::StrayFile);
+            }
+            if bytes.len() > MAX_FILE {
+                report(
+                    name,
+                    Fault::TooLarge {
+                        size: bytes.len(),
+                        limit: MAX_FILE,
+                    },
+                );
+            }
+        }
+        for pair in self.files.windows(2) {
+            if pair[0].0 >= pair[1].0 {
+                report(&pair[1].0, Fault::DuplicateFile);
+            }
+        }
+        problems
+    }
+}
+
+/// Name of the file of a site in a bundle.
+fn file_name(site: &str) -> String {
+    format!("{SITES}/{site}.toml")
+}
+
+fn site_name(file: &str) -> Option<&str> {
+    let name = file
+        .strip_prefix(SITES)?
+        .strip_prefix('/')?
+        .strip_suffix(".toml")?;
+    crate::layer::is_name(name).then_some(name)
+}
+
+fn io_problem(name: &str, error: &std::io::Error) -> Problems {
+    Problems::with_file(name, Fault::Io(error.to_string()))
+}
+
+/// The entries of the folder of overlays, as names in a bundle and paths.
+fn list(sites: &Path) -> std::io::Result<Vec<(String, PathBuf)>> {
+    let mut names = Vec::new();
+    for entry in fs::read_dir(sites)? {
+        let entry = entry?;
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if !name.starts_with('.') {
+            names.push((format!("{SITES}/{name}"), entry.path()));
+        }
+    }
+    Ok(names)
+}
--- /dev/null
+++ b/crates/figdeal-config/src/key.rs
@@ -0,0 +1,109 @@
+//! Descriptions of the keys, and the macro that declares a section from them.
+
+use std::fmt;
+
+use crate::units::{Unit, Value};
+
+/// Description of one key of a section.
+#[derive(Debug)]
+pub struct Key {
+    /// Name in the file.
+    pub name: &'static str,
+    /// Meaning.
+    pub doc: &'static str,
+    /// Value where no file sets the key.
+    pub default: Value,
+    /// Smallest allowed value.
+    pub min: Value,
+    /// Largest allowed value.
+    pub max: Value,
+    /// Whether only the base may set the key, because it must be equal at every site.
+    pub shared: bool,
+}
+
+impl Key {
+    /// The unit of the value.
+    pub fn unit(&self) -> Unit {
+        self.default.unit()
+    }
+}
+
+/// A table of the files.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scope {
+    /// `[limits]`
+    Limits,
+    /// `[time_outs]`
+    TimeOuts,
+    /// `[kinds.NAME]`
+    Kind(String),
+    /// `[teams.NAME]`
+    Team(String),
+    /// `[objectives.KIND]`, or `[objectives.KIND.teams.TEAM]`
+    Objective(String, Option<String>),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Scope::Limits => write!(f, "limits"),
+            Scope::TimeOuts => write!(f, "time_outs"),
+            Scope::Kind(kind) => write!(f, "kinds.{kind}"),
+            Scope::Team(team) => write!(f, "teams.{team}"),
+            Scope::Objective(kind, None) => write!(f, "objectives.{kind}"),
+            Scope::Objective(kind, Some(team)) => write!(f, "objectives.{kind}.teams.{team}"),
+        }
+    }
+}
+
+/// Declares the struct of a section, its list of keys and its construction from values. `shared` in front of
+/// a key marks it as settable in the base only.
+macro_rules! section {
+    (
+        $(#[doc = $about:literal])+
+        $name:ident {
+            $(
+                #[doc = $doc:literal]
+                $($shared:ident)? [$field:ident: $type:ty as $unit:ident = $default:expr, $min:expr, $max:expr];
+            )+
+        }
+    ) => {
+        $(#[doc = $about])+
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct $name {
+            $(#[doc = $doc] pub $field: $type,)+
+        }
+
+        impl $name {
+            /// The keys of the section.
+            pub const KEYS: &[crate::key::Key] = &[$(crate::key::Key {
+                name: stringify!($field),
+                doc: $doc.trim_ascii(),
+                default: crate::units::Value::$unit($default),
+                min: crate::units::Value::$unit($min),
+                max: crate::units::Value::$unit($max),
+                shared: section!(@shared $($shared)?),
+            },)+];
+
+            /// Builds the section from the value of each key.
+            pub(crate) fn from_values(get: impl Fn(&'static str) -> crate::units::Value) -> $name {
+                $name {
+                    $($field: match get(stringify!($field)) {
+                        crate::units::Value::$unit(value) => value,
+                        other => unreachable!("{} holds {other:?}", stringify!($field)),
+                    },)+
+                }
+            }
+        }
+
+        impl Default for $name {
+            fn default() -> $name {
+                $name { $($field: $default,)+ }
+            }
+        }
+    };
+    (@shared) => { false };
+    (@shared shared) => { true };
+}
+
+pub(crate) use section;
--- /dev/null
+++ b/crates/figdeal-config/src/keys.rs
@@ -0,0 +1,208 @@
+//! Keys and signatures of the co-owners.
+
+use std::{
+    fmt, fs,
+    io::{self, Read, Write},
+    os::unix::fs::{OpenOptionsExt, PermissionsExt},
+    path::Path,
+    str::FromStr,
+};
+
+use displaydoc::Display;
+use ed25519_dalek::{Signer, SigningKey, VerifyingKey};
+use rand::{TryRngCore, rngs::OsRng};
+use serde::{Deserialize, Serialize};
+
+/// Start of the text form of a public key.
+const PUBLIC_PREFIX: &str = "figdeal-public-";
+
+/// Start of the content of a key file.
+const PRIVATE_PREFIX: &str = "figdeal-private-";
+
+/// Largest length of a key file in bytes; a valid one has less than 100.
+const MAX_KEY_FILE: u64 = 1_024;
+
+/// Mode bits that let others than the owner access a file.
+const OTHERS: u32 = 0o077;
+
+/// Result of an operation on keys.
+pub type Result<T> = std::result::Result<T, KeyError>;
+
+/// Why an operation on keys failed. No variant holds a part of a private key.
+#[derive(Debug, Display)]
+pub enum KeyError {
+    /// cannot draw random bytes: {0}
+    Random(String),
+    /// cannot {0} key file {1}: {2}
+    Io(&'static str, String, io::Error),
+    /// key file {0} has mode {1:03o}; it must be accessible by its owner only (chmod 600)
+    Exposed(String, u32),
+    /// key file {0} does not hold a private key
+    NotPrivate(String),
+    /// not a public key; expected figdeal-public- and 64 hexadecimal digits
+    NotPublic,
+    /// the signature does not match the message and the key
+    Mismatch,
+}
+
+impl std::error::Error for KeyError {}
+
+/// A private key. Its memory is cleared when it is dropped, and `Debug` shows only the public key.
+///
+/// ```
+/// use figdeal_config::keys::PrivateKey;
+///
+/// let key = PrivateKey::generate()?;
+/// let signature = key.sign(b"message");
+/// key.public().verify(b"message", &signature)?;
+/// assert!(key.public().verify(b"another", &signature).is_err());
+/// # Ok::<(), figdeal_config::keys::KeyError>(())
+/// ```
+pub struct PrivateKey(SigningKey);
+
+impl PrivateKey {
+    /// Draws a key from the system's random numbers.
+    ///
+    /// # Errors
+    /// Fails when the system has no random numbers.
+    pub fn generate() -> Result<PrivateKey> {
+        let mut seed = [0; 32];
+        OsRng
+            .try_fill_bytes(&mut seed)
+            .map_err(|error| KeyError::Random(error.to_string()))?;
+        Ok(PrivateKey(SigningKey::from_bytes(&seed)))
+    }
+
+    /// Reads a key file.
+    ///
+    /// # Errors
+    /// Fails when the file cannot be read, when others than its owner have access, or when it holds no key.
+    pub fn read(path: impl AsRef<Path>) -> Result<PrivateKey> {
+        let path = path.as_ref();
+        let name = || path.display().to_string();
+        let io = |error| KeyError::Io("read", name(), error);
+        let file = fs::File::open(path).map_err(io)?;
+        let mode = file.metadata().map_err(io)?.permissions().mode() & 0o777;
+        if mode & OTHERS != 0 {
+            return Err(KeyError::Exposed(name(), mode));
+        }
+        let mut text = String::new();
+        file.take(MAX_KEY_FILE)
+            .read_to_string(&mut text)
+            .map_err(io)?;
+        let hex = text.trim_end().strip_prefix(PRIVATE_PREFIX);
+        let seed = hex
+            .and_then(parse_hex)
+            .ok_or_else(|| KeyError::NotPrivate(name()))?;
+        Ok(PrivateKey(SigningKey::from_bytes(&seed)))
+    }
+
+    /// Writes a key file that only its owner can access, and syncs it.
+    ///
+    /// # Errors
+    /// Fails when the file exists or cannot be written.
+    pub fn write(&self, path: impl AsRef<Path>) -> Result<()> {
+        let path = path.as_ref();
+        let io = |error| KeyError::Io("write", path.display().to_string(), error);
+        let mut options = fs::OpenOptions::new();
+        let mut file = options
+            .write(true)
+            .create_new(true)
+            .mode(0o600)
+            .open(path)
+            .map_err(io)?;
+        let text = format!("{PRIVATE_PREFIX}{}\n", Hex(self.0.as_bytes()));
+        file.write_all(text.as_bytes())
+            .and_then(|()| file.sync_all())
+            .map_err(io)
+    }
+
+    /// The public key.
+    pub fn public(&self) -> PublicKey {
+        PublicKey(self.0.verifying_key().to_bytes())
+    }
+
+    /// Signs a message.
+    pub fn sign(&self, message: &[u8]) -> Signature {
+        let signature = self.0.sign(message);
+        Signature {
+            r: *signature.r_bytes(),
+            s: *signature.s_bytes(),
+        }
+    }
+}
+
+impl fmt::Debug for PrivateKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "PrivateKey(of {})", self.public())
+    }
+}
+
+/// A public key; its text form is `figdeal-public-` and 64 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PublicKey([u8; 32]);
+
+impl PublicKey {
+    /// Verifies a signature. Weak keys and non-canonical signatures are refused.
+    ///
+    /// # Errors
+    /// Fails when the key is not valid or the signature does not match.
+    pub fn verify(&self, message: &[u8], signature: &Signature) -> Result<()> {
+        let key = VerifyingKey::from_bytes(&self.0).map_err(|_| KeyError::NotPublic)?;
+        let signature = ed25519_dalek::Signature::from_components(signature.r, signature.s);
+        key.verify_strict(message, &signature)
+            .map_err(|_| KeyError::Mismatch)
+    }
+}
+
+impl FromStr for PublicKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<PublicKey> {
+        let hex = text.trim().strip_prefix(PUBLIC_PREFIX);
+        let bytes = hex.and_then(parse_hex).ok_or(KeyError::NotPublic)?;
+        let key = VerifyingKey::from_bytes(&bytes).map_err(|_| KeyError::NotPublic)?;
+        if key.is_weak() {
+            return Err(KeyError::NotPublic);
+        }
+        Ok(PublicKey(bytes))
+    }
+}
+
+impl fmt::Display for PublicKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{PUBLIC_PREFIX}{}", Hex(&self.0))
+    }
+}
+
+impl fmt::Debug for PublicKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+/// A signature in its two halves; serde has no arrays of 64 bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signature {
+    r: [u8; 32],
+    s: [u8; 32],
+}
+
+struct Hex<'a>(&'a [u8; 32]);
+
+impl fmt::Display for Hex<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+fn parse_hex(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; 32];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/figdeal-config/src/layer.rs
@@ -0,0 +1,268 @@
+//! One file of a bundle, parsed into the tables and values that it sets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use toml::{
+    Spanned,
+    de::{DeInteger, DeString, DeTable, DeValue},
+};
+
+use crate::{
+    key::{Key, Scope},
+    problem::{Fault, Problem},
+    section::SECTIONS,
+    units::{Unit, Value},
+};
+
+/// Names are file names and metric labels, so they stay short.
+const MAX_NAME: usize = 63;
+
+type Item<'i> = Spanned<DeValue<'i>>;
+
+/// A value with its line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Found {
+    pub(crate) value: Value,
+    pub(crate) line: usize,
+}
+
+/// A table with its line.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) line: usize,
+    pub(crate) values: BTreeMap<&'static str, Found>,
+    /// Keys with a value that could not be read; comparisons with them would mislead.
+    pub(crate) broken: BTreeSet<&'static str>,
+}
+
+/// What one file sets.
+#[derive(Debug, Default)]
+pub(crate) struct Layer {
+    pub(crate) file: String,
+    pub(crate) tables: BTreeMap<Scope, Table>,
+    pub(crate) problems: Vec<Problem>,
+    /// Whether the file is valid TOML, so that an absent table is certain.
+    pub(crate) sound: bool,
+}
+
+impl Layer {
+    /// Parses a file. Problems are collected beside what could be read.
+    pub(crate) fn parse(file: &str, bytes: &[u8]) -> Layer {
+        let mut layer = Layer {
+            file: file.to_owned(),
+            ..Layer::default()
+        };
+        let text = match std::str::from_utf8(bytes) {
+            Ok(text) => text,
+            Err(error) => {
+                let line = line_at(bytes, error.valid_up_to());
+                layer.report(line, "", Fault::NotUtf8);
+                return layer;
+            }
+        };
+        let (root, errors) = DeTable::parse_recoverable(text);
+        layer.sound = errors.is_empty();
+        for error in errors {
+            let line = error.span().map_or(0, |span| line_at(bytes, span.start));
+            layer.report(line, "", Fault::Syntax(error.message().to_owned()));
+        }
+        Reader {
+            layer: &mut layer,
+            bytes,
+        }
+        .root(root.get_ref());
+        layer
+    }
+
+    pub(crate) fn report(&mut self, line: usize, key: &str, fault: Fault) {
+        let (file, key) = (self.file.clone(), key.to_owned());
+        self.problems.push(Problem {
+            file,
+            line,
+            key,
+            fault,
+        });
+    }
+}
+
+/// Line from 1 of a position; a position past the end belongs to the last line.
+fn line_at(bytes: &[u8], position: usize) -> usize {
+    1 + bytes[..position.min(bytes.len())]
+        .iter()
+        .filter(|&&b| b == b'\n')
+        .count()
+}
+
+struct Reader<'a> {
+    layer: &'a mut Layer,
+    bytes: &'a [u8],
+}
+
+impl Reader<'_> {
+    fn line<T>(&self, item: &Spanned<T>) -> usize {
+        line_at(self.bytes, item.span().start)
+    }
+
+    fn root(&mut self, root: &DeTable<'_>) {
+        for (name, item) in root {
+            let line = self.line(name);
+            match &**name.get_ref() {
+                "limits" => self.values(Scope::Limits, line, item),
+                "time_outs" => self.values(Scope::TimeOuts, line, item),
+                "kinds" => self.named("kinds", item, |r, name, line, item| {
+                    r.values(Scope::Kind(name), line, item);
+                }),
+                "teams" => self.named("teams", item, |r, name, line, item| {
+                    r.values(Scope::Team(name), line, item);
+                }),
+                "objectives" => self.named("objectives", item, Reader::objective),
+                other => {
+                    let known = SECTIONS.map(|(name, _)| name).join(", ");
+                    self.layer.report(line, other, Fault::UnknownKey(known));
+                }
+            }
+        }
+    }
+
+    /// Returns the table in `item`, or reports that it is none.
+    fn table<'i, 'd>(&mut self, key: &str, item: &'d Item<'i>) -> Option<&'d DeTable<'i>> {
+        let table = item.get_ref().as_table();
+        if table.is_none() {
+            let line = self.line(item);
+            self.layer
+                .report(line, key, Fault::NotTable(item.get_ref().type_str()));
+        }
+        table
+    }
+
+    /// Calls `each` for every table below `path`.
+    fn named(
+        &mut self,
+        path: &str,
+        item: &Item<'_>,
+        each: impl Fn(&mut Self, String, usize, &Item<'_>),
+    ) {
+        let Some(table) = self.table(path, item) else {
+            return;
+        };
+        for (name, item) in table {
+            let line = self.line(name);
+            if !is_name(name.get_ref()) {
+                self.layer
+                    .report(line, &format!("{path}.{}", name.get_ref()), Fault::BadName);
+                continue;
+            }
+            each(self, name.get_ref().to_string(), line, item);
+        }
+    }
+
+    fn objective(&mut self, kind: String, line: usize, item: &Item<'_>) {
+        let own = Scope::Objective(kind.clone(), None);
+        let Some(table) = self.table(&own.to_string(), item) else {
+            return;
+        };
+        let teams = table.get("teams");
+        if let Some(teams) = teams {
+            self.named(&format!("{own}.teams"), teams, |r, team, line, item| {
+                r.values(Scope::Objective(kind.clone(), Some(team)), line, item);
+            });
+        }
+        // A table that only holds the objectives of teams sets none for the kind as a whole.
+        if teams.is_none() || table.len() > 1 {
+            self.values(own, line, item);
+        }
+    }
+
+    /// Reads the values of one table. What is no table counts as an empty one, so that references to its name
+    /// are not reported too.
+    fn values(&mut self, scope: Scope, line: usize, item: &Item<'_>) {
+        let mut found = Table {
+            line,
+            ..Table::default()
+        };
+        if let Some(table) = self.table(&scope.to_string(), item) {
+            for (name, item) in table {
+                let nested =
+                    matches!(scope, Scope::Objective(_, None)) && name.get_ref() == "teams";
+                if !nested {
+                    self.value(&scope, &mut found, name, item);
+                }
+            }
+        }
+        self.layer.tables.insert(scope, found);
+    }
+
+    fn value(
+        &mut self,
+        scope: &Scope,
+        table: &mut Table,
+        name: &Spanned<DeString<'_>>,
+        item: &Item<'_>,
+    ) {
+        let line = self.line(name);
+        let path = format!("{scope}.{}", name.get_ref());
+        let Some(key) = scope.keys().iter().find(|key| key.name == name.get_ref()) else {
+            let known: Vec<_> = scope.keys().iter().map(|key| key.name).collect();
+            self.layer
+                .report(line, &path, Fault::UnknownKey(known.join(", ")));
+            return;
+        };
+        match read_value(key, item.get_ref()) {
+            Ok(value) => drop(table.values.insert(key.name, Found { value, line })),
+            Err(fault) => {
+                table.broken.insert(key.name);
+                self.layer.report(line, &path, fault);
+            }
+        }
+    }
+}
+
+pub(crate) fn is_name(name: &str) -> bool {
+    name.len() <= MAX_NAME
+        && name.starts_with(|c: char| c.is_ascii_lowercase())
+        && name
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+}
+
+/// Reads a value of the key's unit within the key's range.
+fn read_value(key: &Key, item: &DeValue<'_>) -> Result<Value, Fault> {
+    let unit = key.unit();
+    let wrong = || Fault::WrongValue {
+        found: show(item),
+        expected: unit.notation(),
+    };
+    let range = || Fault::Range {
+        found: show(item),
+        min: key.min.to_string(),
+        max: key.max.to_string(),
+    };
+    let value = match (unit, item) {
+        (Unit::Count, DeValue::Integer(integer)) => read_count(integer).ok_or_else(range)?,
+        (Unit::Count, _) => return Err(wrong()),
+        (_, DeValue::String(text)) => unit.parse(text).map_err(|_| wrong())?,
+        _ => return Err(wrong()),
+    };
+    if value < key.min || value > key.max {
+        return Err(range());
+    }
+    Ok(value)
+}
+
+fn read_count(integer: &DeInteger<'_>) -> Option<Value> {
+    u32::from_str_radix(integer.as_str(), integer.radix())
+        .ok()
+        .map(Value::Count)
+}
+
+/// A value as it is written, for messages.
+fn show(item: &DeValue<'_>) -> String {
+    match item {
+        DeValue::String(text) => format!("{text:?}"),
+        DeValue::Integer(integer) => integer.to_string(),
+        DeValue::Float(float) => float.to_string(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(time) => time.to_string(),
+        other => format!("({})", other.type_str()),
+    }
+}
--- a/crates/figdeal-config/src/lib.rs
+++ b/crates/figdeal-config/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Format, checks and signatures of the figdeal configuration.
+//!
+//! A [`Bundle`] holds one base and one overlay for each site. [`Bundle::check`] reports every problem with file,
+//! key and line; [`Bundle::effective`] gives the typed configuration of a site.
+//!
+//! ```
+//! use figdeal_config::Bundle;
+//!
+//! let bundle = Bundle::new(vec![
+//!     ("base.toml".into(), b"[kinds.reminder]\nweight = 2\n[teams.choirs]\n".to_vec()),
+//!     ("sites/kaleva.toml".into(), b"[kinds.reminder]\nweight = 5\n".to_vec()),
+//! ])?;
+//! assert_eq!(bundle.effective("kaleva")?.kinds["reminder"].weight, 5);
+//! # Ok::<(), figdeal_config::Problems>(())
+//! ```
+
+mod bundle;
+mod check;
+mod diff;
+mod key;
+pub mod keys;
+mod layer;
+mod problem;
+pub mod section;
+mod site;
+mod units;
+
+pub use bundle::{BASE, Bundle, SITES};
+pub use diff::{Change, Diff, FileChange, KeyChange};
+pub use key::{Key, Scope};
+pub use problem::{Fault, Problem, Problems, Result};
+pub use site::{Origin, Setting, Settings, SiteConfig};
+pub use units::{Share, Unit, Value};
