--- a/crates/figdeal-config/src/layer.rs
+++ b/crates/figdeal-config/src/layer.rs
@@ -52,10 +52,11 @@
             file: file.to_owned(),
             ..Layer::default()
         };
+        let lines = Lines::new(bytes);
         let text = match std::str::from_utf8(bytes) {
             Ok(text) => text,
             Err(error) => {
-                let line = line_at(bytes, error.valid_up_to());
+                let line = lines.at(error.valid_up_to());
                 layer.report(line, "", Fault::NotUtf8);
                 return layer;
             }
@@ -63,14 +64,17 @@
         let (root, errors) = DeTable::parse_recoverable(text);
         layer.sound = errors.is_empty();
         for error in errors {
-            let line = error.span().map_or(0, |span| line_at(bytes, span.start));
-            layer.report(line, "", Fault::Syntax(error.message().to_owned()));
+            let line = error.span().map_or(0, |span| lines.at(span.start));
+            // The span of a duplicate covers its name; other spans cover any text.
+            let span = error.span().filter(|_| error.message() == "duplicate key");
+            let key = span.and_then(|span| text.get(span)).unwrap_or_default();
+            layer.report(line, key, Fault::Syntax(error.message().to_owned()));
         }
-        Reader {
+        let mut reader = Reader {
             layer: &mut layer,
-            bytes,
-        }
-        .root(root.get_ref());
+            lines: &lines,
+        };
+        reader.root(root.get_ref());
         layer
     }
 
@@ -85,22 +89,29 @@
     }
 }
 
-/// Line from 1 of a position; a position past the end belongs to the last line.
-fn line_at(bytes: &[u8], position: usize) -> usize {
-    1 + bytes[..position.min(bytes.len())]
-        .iter()
-        .filter(|&&b| b == b'\n')
-        .count()
+/// Positions of the line starts, so that a line is found without reading the file again for each key.
+struct Lines(Vec<usize>);
+
+impl Lines {
+    fn new(bytes: &[u8]) -> Lines {
+        let ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+        Lines([0].into_iter().chain(ends.map(|(at, _)| at + 1)).collect())
+    }
+
+    /// Line from 1 of a position.
+    fn at(&self, position: usize) -> usize {
+        self.0.partition_point(|start| *start <= position)
+    }
 }
 
 struct Reader<'a> {
     layer: &'a mut Layer,
-    bytes: &'a [u8],
+    lines: &'a Lines,
 }
 
 impl Reader<'_> {
     fn line<T>(&self, item: &Spanned<T>) -> usize {
-        line_at(self.bytes, item.span().start)
+        self.lines.at(item.span().start)
     }
 
     fn root(&mut self, root: &DeTable<'_>) {
