Add the process settings and the offline operator commands

The entry and the agent had no settings, and a configuration could only be checked by a test.

The list of entries and the reading of a settings file are shared in figdeal_config::process.

--- a/crates/figdeal-agent/src/lib.rs
+++ b/crates/figdeal-agent/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod settings;
--- /dev/null
+++ b/crates/figdeal-agent/src/settings.rs
@@ -0,0 +1,141 @@
+//! Settings of an agent process. They are not signed.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+};
+
+use figdeal_config::{
+    Result,
+    process::{Document, EntryAddress, from_text},
+};
+use log::LevelFilter;
+use serde::Deserialize;
+
+/// Port of the HTTP listener for the upstream.
+const HTTP_PORT: u16 = 7_500;
+
+/// Port of the listener for entries.
+const PEER_PORT: u16 = 7_501;
+
+/// Settings with every key, as `Settings::example` prints them.
+const EXAMPLE: &str = r#"# Settings of one agent process of figdeal, which runs beside one upstream.
+
+# Name of the upstream; it stays the same over restarts and is unique in the fleet.
+name = "rota-desk-1"
+# Data centre of this process, which is also its site in the configuration.
+data_centre = "hervanta"
+# Listener for the announcements of the upstream, and for operators.
+http_listen = "127.0.0.1:7500"
+# Listener for entries.
+peer_listen = "127.0.0.1:7501"
+# Where entries reach this agent. The default is peer_listen; needed where that is 0.0.0.0 or [::].
+address = "127.0.0.1:7501"
+# off, error, warn, info, debug or trace
+log_level = "info"
+
+# All entries, in the same list at every process.
+[[entries]]
+id = 0
+address = "127.0.0.1:7401"
+
+[[entries]]
+id = 1
+address = "127.0.0.1:7411"
+
+[[entries]]
+id = 2
+address = "127.0.0.1:7421"
+"#;
+
+/// Settings of an agent process.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the upstream, stable over restarts.
+    pub name: String,
+    /// Data centre and site of this process.
+    pub data_centre: String,
+    /// Listener for the announcements of the upstream, and for operators.
+    #[serde(default = "http_listen")]
+    pub http_listen: SocketAddr,
+    /// Listener for entries.
+    #[serde(default = "peer_listen")]
+    pub peer_listen: SocketAddr,
+    /// Where entries reach this agent, if not at `peer_listen`.
+    #[serde(default)]
+    address: Option<SocketAddr>,
+    /// Least severe level that is logged.
+    #[serde(default = "log_level", deserialize_with = "from_text")]
+    pub log_level: LevelFilter,
+    /// All entries.
+    pub entries: Vec<EntryAddress>,
+}
+
+impl Settings {
+    /// Reads a file and checks it.
+    ///
+    /// # Errors
+    /// Returns an unreadable file, an unknown key or a wrong value, else all contradictions, with their lines.
+    pub fn read(path: impl AsRef<Path>) -> Result<Settings> {
+        Settings::check(Document::read(path)?)
+    }
+
+    /// Parses the text of a file and checks it; `file` names it in problems.
+    ///
+    /// ```
+    /// use figdeal_agent::settings::Settings;
+    ///
+    /// let settings = Settings::parse("agent.toml", Settings::example())?;
+    /// assert_eq!(settings.name, "rota-desk-1");
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
+    ///
+    /// # Errors
+    /// As for [`Settings::read`].
+    pub fn parse(file: &str, text: &str) -> Result<Settings> {
+        Settings::check(Document::new(file, text))
+    }
+
+    /// A file with every key and an explanation of each.
+    pub fn example() -> &'static str {
+        EXAMPLE
+    }
+
+    /// Where entries reach this agent.
+    pub fn address(&self) -> SocketAddr {
+        self.address.unwrap_or(self.peer_listen)
+    }
+
+    fn check(mut document: Document) -> Result<Settings> {
+        let settings: Settings = document.parse()?;
+        document.check_name("name", &settings.name);
+        document.check_name("data_centre", &settings.data_centre);
+        document.check_entries(&settings.entries);
+        if settings.http_listen == settings.peer_listen {
+            document.report("peer_listen", "http_listen has the same address");
+        }
+        let address = settings.address();
+        if address.ip().is_unspecified() || address.port() == 0 {
+            document.report("address", format!("entries cannot reach {address}"));
+        }
+        document.finish()?;
+        Ok(settings)
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn http_listen() -> SocketAddr {
+    loopback(HTTP_PORT)
+}
+
+fn peer_listen() -> SocketAddr {
+    loopback(PEER_PORT)
+}
+
+fn log_level() -> LevelFilter {
+    LevelFilter::Info
+}
--- /dev/null
+++ b/crates/figdeal-agent/tests/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of the agent: defaults, and problems with file and line.
+
+use figdeal_agent::settings::Settings;
+
+const VALID: &str = "\
+name = \"rota-desk-1\"
+data_centre = \"kaleva\"
+[[entries]]
+id = 0
+address = \"127.0.0.1:7401\"
+";
+
+/// Guards against defaults that differ from the example.
+#[test]
+fn defaults_are_those_of_the_example() {
+    let example = Settings::parse("a.toml", Settings::example()).unwrap();
+    let valid = Settings::parse("a.toml", VALID).unwrap();
+    assert_eq!(valid.http_listen, example.http_listen);
+    assert_eq!(valid.peer_listen, example.peer_listen);
+    assert_eq!(valid.address(), example.address());
+    assert_eq!(valid.log_level, example.log_level);
+}
+
+/// Guards against a mistake in the settings that is ignored or reported without its place.
+#[test]
+fn problems_name_file_and_line() {
+    let table = [
+        (
+            "name =",
+            "nam =",
+            "a.toml:1: unknown field `nam`, expected one of `name`",
+        ),
+        (
+            "rota-desk-1",
+            "rota desk",
+            "a.toml:1: name: a name consists of",
+        ),
+        ("kaleva", "", "a.toml:2: data_centre: a name consists of"),
+        (
+            "[[e",
+            "peer_listen = \"0.0.0.0:1\"\n[[e",
+            "a.toml: address: entries cannot reach 0.0.0.0:1",
+        ),
+        (
+            "[[e",
+            "address = \"[::]:1\"\n[[e",
+            "a.toml:3: address: entries cannot reach [::]:1",
+        ),
+        (
+            "[[e",
+            "http_listen = \"127.0.0.1:7501\"\n[[e",
+            "a.toml: peer_listen: http_listen has",
+        ),
+        (
+            "[[entries]]\nid = 0\naddress = \"127.0.0.1:7401\"",
+            "entries = []",
+            "a.toml:3: entries: 1 to 64",
+        ),
+    ];
+    for (from, to, expected) in table {
+        let problems = Settings::parse("a.toml", &VALID.replacen(from, to, 1)).unwrap_err();
+        let found = problems.to_string();
+        assert!(
+            problems.list().len() == 1 && found.starts_with(expected),
+            "{expected}\n{found}"
+        );
+    }
+}
--- a/crates/figdeal-config/src/layer.rs
+++ b/crates/figdeal-config/src/layer.rs
@@ -90,16 +90,16 @@
 }
 
 /// Positions of the line starts, so that a line is found without reading the file again for each key.
-struct Lines(Vec<usize>);
+pub(crate) struct Lines(Vec<usize>);
 
 impl Lines {
-    fn new(bytes: &[u8]) -> Lines {
+    pub(crate) fn new(bytes: &[u8]) -> Lines {
         let ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
         Lines([0].into_iter().chain(ends.map(|(at, _)| at + 1)).collect())
     }
 
     /// Line from 1 of a position.
-    fn at(&self, position: usize) -> usize {
+    pub(crate) fn at(&self, position: usize) -> usize {
         self.0.partition_point(|start| *start <= position)
     }
 }
--- a/crates/figdeal-config/src/lib.rs
+++ b/crates/figdeal-config/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod keys;
 mod layer;
 mod problem;
+pub mod process;
 pub mod section;
 mod site;
 mod units;
--- a/crates/figdeal-config/src/problem.rs
+++ b/crates/figdeal-config/src/problem.rs
@@ -29,6 +29,8 @@
     NotUtf8,
     /// {0}
     Syntax(String),
+    /// {0}
+    Setting(String),
     /// unknown key; known keys: {0}
     UnknownKey(String),
     /// expected a table, found {0}
@@ -119,15 +121,20 @@
         }
     }
 
+    /// A single problem.
+    pub(crate) fn with(problem: Problem) -> Problems {
+        Problems(vec![problem])
+    }
+
     /// A single problem with a whole file.
     pub(crate) fn with_file(file: &str, fault: Fault) -> Problems {
         let (file, key) = (file.to_owned(), String::new());
-        Problems(vec![Problem {
+        Problems::with(Problem {
             file,
             line: 0,
             key,
             fault,
-        }])
+        })
     }
 
     /// The problems.
--- /dev/null
+++ b/crates/figdeal/src/command.rs
@@ -0,0 +1,4 @@
+//! The operator commands, one module each.
+
+pub mod check;
+pub mod keys;
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -1,1 +1,4 @@
 //! Placeholder.
+
+pub mod command;
+pub mod settings;
--- /dev/null
+++ b/crates/figdeal/src/settings.rs
@@ -0,0 +1,206 @@
+//! Settings of an entry process and of its control role. They are not signed.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+use figdeal_config::{
+    Result,
+    process::{Document, EntryAddress, from_text},
+};
+use log::LevelFilter;
+use serde::Deserialize;
+
+/// Port of the HTTP listener for callers and operators.
+const HTTP_PORT: u16 = 7_400;
+
+/// Port of the listener for processes.
+const PEER_PORT: u16 = 7_401;
+
+/// Port of the control role.
+const CONTROL_PORT: u16 = 7_402;
+
+/// Settings with every key, as `Settings::example` prints them.
+const EXAMPLE: &str = r#"# Settings of one entry process of figdeal.
+
+# Number of this entry; it must occur in the list of entries below.
+id = 0
+# Data centre of this process, which is also its site in the configuration.
+data_centre = "hervanta"
+# Listener for callers, the load balancer and operators.
+http_listen = "127.0.0.1:7400"
+# Listener for agents and other entries.
+peer_listen = "127.0.0.1:7401"
+# Where the configuration comes from. Not needed where the control role is on.
+control_vms = ["127.0.0.1:7402", "127.0.0.1:7412", "127.0.0.1:7422"]
+# Folder for files, where the machine has a disk. The control role needs it.
+data_folder = "/var/lib/figdeal"
+# off, error, warn, info, debug or trace
+log_level = "info"
+
+# All entries, this one included, in the same list at every process.
+[[entries]]
+id = 0
+address = "127.0.0.1:7401"
+
+[[entries]]
+id = 1
+address = "127.0.0.1:7411"
+
+[[entries]]
+id = 2
+address = "127.0.0.1:7421"
+
+# The control role, on the few machines with a disk.
+[control]
+on = true
+listen = "127.0.0.1:7402"
+# Addresses of all control replicas, this one included.
+members = ["127.0.0.1:7402", "127.0.0.1:7412", "127.0.0.1:7422"]
+"#;
+
+/// Settings of an entry process.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Number of this entry in `entries`.
+    pub id: u16,
+    /// Data centre and site of this process.
+    pub data_centre: String,
+    /// Listener for callers, the load balancer and operators.
+    #[serde(default = "http_listen")]
+    pub http_listen: SocketAddr,
+    /// Listener for agents and other entries.
+    #[serde(default = "peer_listen")]
+    pub peer_listen: SocketAddr,
+    /// Addresses of the control VMs, which give out the configuration.
+    #[serde(default)]
+    pub control_vms: Vec<SocketAddr>,
+    /// Folder for files; absent where the machine has no disk.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// Least severe level that is logged.
+    #[serde(default = "log_level", deserialize_with = "from_text")]
+    pub log_level: LevelFilter,
+    /// All entries, this one included.
+    pub entries: Vec<EntryAddress>,
+    /// The control role.
+    #[serde(default)]
+    pub control: Control,
+}
+
+/// Settings of the control role.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Control {
+    /// Whether this process takes the role.
+    pub on: bool,
+    /// Listener for entries, operators and other replicas.
+    pub listen: SocketAddr,
+    /// Addresses of all replicas, this one included.
+    pub members: Vec<SocketAddr>,
+}
+
+impl Default for Control {
+    fn default() -> Control {
+        Control {
+            on: false,
+            listen: loopback(CONTROL_PORT),
+            members: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads a file and checks it.
+    ///
+    /// # Errors
+    /// Returns an unreadable file, an unknown key or a wrong value, else all contradictions, with their lines.
+    pub fn read(path: impl AsRef<Path>) -> Result<Settings> {
+        Settings::check(Document::read(path)?)
+    }
+
+    /// Parses the text of a file and checks it; `file` names it in problems.
+    ///
+    /// ```
+    /// use figdeal::settings::Settings;
+    ///
+    /// let settings = Settings::parse("entry.toml", Settings::example())?;
+    /// assert_eq!(settings.entries.len(), 3);
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
+    ///
+    /// # Errors
+    /// As for [`Settings::read`].
+    pub fn parse(file: &str, text: &str) -> Result<Settings> {
+        Settings::check(Document::new(file, text))
+    }
+
+    /// A file with every key and an explanation of each.
+    pub fn example() -> &'static str {
+        EXAMPLE
+    }
+
+    fn check(mut document: Document) -> Result<Settings> {
+        let settings: Settings = document.parse()?;
+        document.check_name("data_centre", &settings.data_centre);
+        document.check_entries(&settings.entries);
+        if settings.entries.iter().all(|entry| entry.id != settings.id) {
+            document.report(
+                "id",
+                format!("no entry of the list has the id {}", settings.id),
+            );
+        }
+        if settings.http_listen == settings.peer_listen {
+            document.report("peer_listen", "http_listen has the same address");
+        }
+        settings.check_control(&mut document);
+        document.finish()?;
+        Ok(settings)
+    }
+
+    fn check_control(&self, document: &mut Document) {
+        let control = &self.control;
+        if !control.on {
+            if self.control_vms.is_empty() {
+                document.report("control_vms", "needed where the control role is off");
+            }
+            return;
+        }
+        if self.data_folder.is_none() {
+            document.report("data_folder", "needed where the control role is on");
+        }
+        if [self.http_listen, self.peer_listen].contains(&control.listen) {
+            document.report("control.listen", "another listener has the same address");
+        }
+        if control.members.is_empty() {
+            document.report("control.members", "needed where the control role is on");
+        }
+        let members = control.members.iter().enumerate();
+        for (index, member) in members {
+            if control.members[..index].contains(member) {
+                document.report(
+                    "control.members",
+                    format!("the address {member} occurs twice"),
+                );
+            }
+        }
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn http_listen() -> SocketAddr {
+    loopback(HTTP_PORT)
+}
+
+fn peer_listen() -> SocketAddr {
+    loopback(PEER_PORT)
+}
+
+fn log_level() -> LevelFilter {
+    LevelFilter::Info
+}
