--- a/crates/figdeal-agent/tests/settings.rs
+++ b/crates/figdeal-agent/tests/settings.rs
@@ -21,48 +21,32 @@
     assert_eq!(valid.log_level, example.log_level);
 }
 
+/// Text of `VALID`, its replacement with `;` for a line end, and the start of the only problem.
+const PROBLEMS: &str = r#"
+name = => nam = => a.toml:1: unknown field `nam`, expected one of `name`
+rota-desk-1 => rota desk => a.toml:1: name: a name consists of
+kaleva =>  => a.toml:2: data_centre: a name consists of
+[[e => peer_listen = "0.0.0.0:1";[[e => a.toml: address: entries cannot reach 0.0.0.0:1
+[[e => address = "[::]:1";[[e => a.toml:3: address: entries cannot reach [::]:1
+[[e => http_listen = "127.0.0.1:7501";[[e => a.toml: peer_listen: http_listen has the same address
+[[e => [[x => a.toml:3: unknown field `xntries`
+"#;
+
 /// Guards against a mistake in the settings that is ignored or reported without its place.
 #[test]
 fn problems_name_file_and_line() {
-    let table = [
-        (
-            "name =",
-            "nam =",
-            "a.toml:1: unknown field `nam`, expected one of `name`",
-        ),
-        (
-            "rota-desk-1",
-            "rota desk",
-            "a.toml:1: name: a name consists of",
-        ),
-        ("kaleva", "", "a.toml:2: data_centre: a name consists of"),
-        (
-            "[[e",
-            "peer_listen = \"0.0.0.0:1\"\n[[e",
-            "a.toml: address: entries cannot reach 0.0.0.0:1",
-        ),
-        (
-            "[[e",
-            "address = \"[::]:1\"\n[[e",
-            "a.toml:3: address: entries cannot reach [::]:1",
-        ),
-        (
-            "[[e",
-            "http_listen = \"127.0.0.1:7501\"\n[[e",
-            "a.toml: peer_listen: http_listen has",
-        ),
-        (
-            "[[entries]]\nid = 0\naddress = \"127.0.0.1:7401\"",
-            "entries = []",
-            "a.toml:3: entries: 1 to 64",
-        ),
-    ];
-    for (from, to, expected) in table {
-        let problems = Settings::parse("a.toml", &VALID.replacen(from, to, 1)).unwrap_err();
+    for row in PROBLEMS.lines().filter(|row| !row.is_empty()) {
+        let mut parts = row.split(" => ");
+        let [from, to, expected] = [(); 3].map(|()| parts.next().expect("a row has three parts"));
+        let text = VALID.replacen(from, &to.replace(';', "\n"), 1);
+        let problems = Settings::parse("a.toml", &text).expect_err(row);
         let found = problems.to_string();
         assert!(
             problems.list().len() == 1 && found.starts_with(expected),
-            "{expected}\n{found}"
+            "{row}\n{found}"
         );
     }
+    let none = "name = \"a\"\ndata_centre = \"b\"\nentries = []\n";
+    let problems = Settings::parse("a.toml", none).unwrap_err().to_string();
+    assert_eq!(problems, "a.toml:3: entries: 1 to 64 entries are needed");
 }
--- a/crates/figdeal-config/src/bundle.rs
+++ b/crates/figdeal-config/src/bundle.rs
@@ -73,6 +73,14 @@
     }
 
     /// The files, sorted by name.
+    ///
+    /// ```
+    /// # use figdeal_config::Bundle;
+    /// let bundle = Bundle::new(vec![("base.toml".into(), b"[limits]".to_vec())])?;
+    /// assert_eq!(bundle.files()[0].0, "base.toml");
+    /// assert_eq!(bundle.file("base.toml"), Some(&b"[limits]"[..]));
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
     pub fn files(&self) -> &[(String, Vec<u8>)] {
         &self.files
     }
@@ -111,6 +119,15 @@
 
     /// Checks every file, every reference between files and the values of every site.
     ///
+    /// ```
+    /// # use figdeal_config::Bundle;
+    /// let base = b"[kinds.reminder]\nweight = 0\n[teams.choirs]\n".to_vec();
+    /// let bundle = Bundle::new(vec![("base.toml".into(), base)])?;
+    /// let problem = &bundle.check().unwrap_err().list()[0].clone();
+    /// assert_eq!((problem.line, problem.key.as_str()), (2, "kinds.reminder.weight"));
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
+    ///
     /// # Errors
     /// Returns all problems. Checks that depend on an unreadable base are left out until the base is readable.
     pub fn check(&self) -> Result<()> {
@@ -144,6 +161,18 @@
 
     /// The values of a site with their origins.
     ///
+    /// ```
+    /// # use figdeal_config::{Bundle, Scope};
+    /// # let bundle = Bundle::new(vec![
+    /// #     ("base.toml".into(), b"[kinds.reminder]\n[teams.choirs]\n[limits]\nwindow = 3".to_vec()),
+    /// #     ("sites/kaleva.toml".into(), vec![]),
+    /// # ])?;
+    /// let settings = bundle.settings("kaleva")?;
+    /// let window = settings.get(&Scope::Limits, "window").unwrap();
+    /// assert_eq!(format!("{} from {}", window.value, window.origin), "3 from base.toml:4");
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
+    ///
     /// # Errors
     /// Returns all problems of the bundle, or that it has no such site.
     pub fn settings(&self, site: &str) -> Result<Settings> {
@@ -156,6 +185,14 @@
     }
 
     /// What changes from this bundle to `next`, by file and by key.
+    ///
+    /// ```
+    /// # use figdeal_config::Bundle;
+    /// let bundle = |text: &str| Bundle::new(vec![("base.toml".into(), text.into())]);
+    /// let diff = bundle("[limits]\nwindow = 2\n")?.diff(&bundle("[limits]\nwindow = 4\n")?);
+    /// assert_eq!(diff.to_string(), "~ base.toml\n  ~ limits.window: 2 -> 4\n");
+    /// # Ok::<(), figdeal_config::Problems>(())
+    /// ```
     pub fn diff(&self, next: &Bundle) -> Diff {
         Diff::new(self, next)
     }
--- a/crates/figdeal-config/src/keys.rs
+++ b/crates/figdeal-config/src/keys.rs
@@ -47,7 +47,8 @@
 
 impl std::error::Error for KeyError {}
 
-/// A private key. Its memory is cleared when it is dropped, and `Debug` shows only the public key.
+/// A private key. The key is cleared from memory when it is dropped, though the text that a key file was read from or
+/// written with is not. `Debug` shows only the public key.
 ///
 /// ```
 /// use figdeal_config::keys::PrivateKey;
@@ -139,6 +140,14 @@
 }
 
 /// A public key; its text form is `figdeal-public-` and 64 hexadecimal digits.
+///
+/// ```
+/// use figdeal_config::keys::{PrivateKey, PublicKey};
+///
+/// let key = PrivateKey::generate()?.public();
+/// assert_eq!(key.to_string().parse::<PublicKey>()?, key);
+/// # Ok::<(), figdeal_config::keys::KeyError>(())
+/// ```
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PublicKey([u8; 32]);
 
--- a/crates/figdeal-config/src/process.rs
+++ b/crates/figdeal-config/src/process.rs
@@ -24,6 +24,15 @@
 }
 
 /// A settings file with the problems found in it.
+///
+/// ```
+/// use figdeal_config::process::Document;
+///
+/// let mut document = Document::new("entry.toml", "id = 1\n[control]\nlisten = 2\n");
+/// document.report("control.listen", "not an address");
+/// let problems = document.finish().unwrap_err();
+/// assert_eq!(problems.to_string(), "entry.toml:3: control.listen: not an address");
+/// ```
 #[derive(Debug)]
 pub struct Document {
     file: String,
--- a/crates/figdeal/tests/settings.rs
+++ b/crates/figdeal/tests/settings.rs
@@ -44,83 +44,36 @@
     );
 }
 
+/// Text of `VALID`, its replacement with `;` for a line end, and the start of each problem, separated by `&`.
+const PROBLEMS: &str = r#"
+control_vms => control_vm => e.toml:3: unknown field `control_vm`, expected one of `id`
+address = => addres = => e.toml:6: unknown field `addres`
+127.0.0.1:7401 => localhost:7401 => e.toml:6: invalid socket address syntax
+id = 3 => id = "3" => e.toml:1: invalid type: string "3", expected u16
+id = 3 =>  => e.toml:1: missing field `id`
+id = 3 => id = 4 => e.toml:1: id: no entry of the list has the id 4
+id = 3 => id = 3;log_level = "loud" => e.toml:2: "loud": attempted to convert
+id = 3 => id = 3;http_listen = "127.0.0.1:7401" => e.toml: peer_listen: http_listen has the same address
+kaleva => Kaleva => e.toml:2: data_centre: a name consists of
+127.0.0.1:7401 => 0.0.0.0:7401 => e.toml:4: entries: nothing can reach 0.0.0.0:7401
+"127.0.0.1:1" =>  => e.toml:3: control_vms: needed where the control role is off
+[[entries]] => [[entries]];id = 3;address = "127.0.0.1:7401";[[entries]] => e.toml:4: entries: the address 127.0.0.1:7401 occurs twice & e.toml:4: entries: the id 3 occurs twice
+[[entries]] => control.on = true;control.listen = "127.0.0.1:7401";[[entries]] => e.toml: data_folder: needed where the control role is on & e.toml:4: control.members: needed where the control role is on & e.toml:5: control.listen: another listener has the same address
+"#;
+
 /// Guards against a mistake in the settings that is ignored or reported without its place.
 #[test]
 fn problems_name_file_and_line() {
-    let table = [
-        (
-            "control_vms",
-            "control_vm",
-            "e.toml:3: unknown field `control_vm`, expected one of `id`",
-        ),
-        ("address =", "addres =", "e.toml:6: unknown field `addres`"),
-        (
-            "127.0.0.1:7401",
-            "localhost:7401",
-            "e.toml:6: invalid socket address syntax",
-        ),
-        (
-            "id = 3",
-            "id = \"3\"",
-            "e.toml:1: invalid type: string \"3\", expected u16",
-        ),
-        ("id = 3\n", "", "e.toml:1: missing field `id`"),
-        (
-            "id = 3\nd",
-            "id = 4\nd",
-            "e.toml:1: id: no entry of the list has the id 4",
-        ),
-        (
-            "kaleva",
-            "Kaleva",
-            "e.toml:2: data_centre: a name consists of",
-        ),
-        (
-            "127.0.0.1:7401",
-            "0.0.0.0:7401",
-            "e.toml:4: entries: nothing can reach 0.0.0.0:7401",
-        ),
-        (
-            "id = 3\nd",
-            "log_level = \"loud\"\nid = 3\nd",
-            "e.toml:1: \"loud\": attempted to convert",
-        ),
-        (
-            "\"127.0.0.1:1\"",
-            "",
-            "e.toml:3: control_vms: needed where the control role is off",
-        ),
-        (
-            "id = 3\nd",
-            "id = 3\nhttp_listen = \"127.0.0.1:7401\"\nd",
-            "e.toml: peer_listen: http_listen has",
-        ),
-    ];
-    for (from, to, expected) in table {
-        assert!(VALID.contains(from));
-        let found = problems(&VALID.replacen(from, to, 1));
-        assert!(
-            found.len() == 1 && found[0].starts_with(expected),
-            "{expected}\n{found:#?}"
-        );
+    for row in PROBLEMS.lines().filter(|row| !row.is_empty()) {
+        let mut parts = row.split(" => ");
+        let [from, to, expected] = [(); 3].map(|()| parts.next().expect("a row has three parts"));
+        assert!(VALID.contains(from), "{row}");
+        let found = problems(&VALID.replacen(from, &to.replace(';', "\n"), 1));
+        let expected: Vec<_> = expected.split(" & ").collect();
+        let starts = |(found, start): (&String, &&str)| found.starts_with(start);
+        let equal = found.len() == expected.len() && found.iter().zip(&expected).all(starts);
+        assert!(equal, "{row}\nfound: {found:#?}");
     }
-    let double = format!("{VALID}[[entries]]\nid = 3\naddress = \"127.0.0.1:7401\"\n");
-    assert_eq!(
-        problems(&double),
-        [
-            "e.toml:4: entries: the address 127.0.0.1:7401 occurs twice",
-            "e.toml:4: entries: the id 3 occurs twice",
-        ]
-    );
-    let control = format!("{VALID}[control]\non = true\nlisten = \"127.0.0.1:7401\"\n");
-    assert_eq!(
-        problems(&control),
-        [
-            "e.toml: data_folder: needed where the control role is on",
-            "e.toml:7: control.members: needed where the control role is on",
-            "e.toml:9: control.listen: another listener has the same address",
-        ]
-    );
 }
 
 /// Guards against sample settings that the processes refuse.
