--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -1,17 +1,12 @@
 //! Life cycle of an agent.
 
-use std::{
-    io,
-    marker::PhantomData,
-    net::SocketAddr,
-    sync::{Arc, mpsc},
-    time::Duration,
-};
+use std::{io, marker::PhantomData, net::SocketAddr, sync::mpsc, time::Duration};
 
 use displaydoc::Display;
 use figdeal_core::{id::Incarnation, ledger::LedgerLimits};
 use figdeal_wire::channel::Limits;
 use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
 
 use crate::{announcer, control, control::Event, http, server, upstream};
 
@@ -42,6 +37,8 @@
     pub listen: SocketAddr,
     /// Where the upstream announces itself; port 0 picks a free one.
     pub http: SocketAddr,
+    /// Where entries reach the agent, if not at `listen`.
+    pub address: Option<SocketAddr>,
     /// Addresses of the entries.
     pub entries: Vec<String>,
     /// Time after which an upstream that did not renew counts as gone.
@@ -62,6 +59,7 @@
             data_centre: String::new(),
             listen,
             http,
+            address: None,
             entries: Vec::new(),
             expire_after: Duration::from_secs(3),
             announce_every: Duration::from_secs(1),
@@ -70,6 +68,12 @@
         }
     }
 
+    /// Sets where entries reach the agent.
+    pub fn with_address(mut self, address: SocketAddr) -> Options {
+        self.address = Some(address);
+        self
+    }
+
     /// Sets the addresses of the entries.
     pub fn with_entries(mut self, entries: Vec<String>) -> Options {
         self.entries = entries;
@@ -94,7 +98,7 @@
     /// This run of the agent.
     pub incarnation: Incarnation,
     events: mpsc::Sender<Event>,
-    stop: Arc<tokio::sync::Notify>,
+    stop: CancellationToken,
     phase: PhantomData<Phase>,
 }
 
@@ -115,24 +119,24 @@
         let (events, inbox) = mpsc::channel();
         let (calls, call_inbox) = mpsc::channel();
         let (presence, presence_view) = tokio::sync::watch::channel(control::Presence::default());
-        let stop = Arc::new(tokio::sync::Notify::new());
+        let stop = CancellationToken::new();
 
         control::spawn(&options, incarnation, inbox, calls, presence, runtime)
             .map_err(|e| Error::Thread("control", e))?;
         upstream::spawn(events.clone(), call_inbox).map_err(|e| Error::Thread("upstream", e))?;
         http::spawn(http_server, events.clone()).map_err(|e| Error::Thread("http", e))?;
-        runtime.spawn(server::serve(listener, events.clone(), Arc::clone(&stop)));
+        runtime.spawn(server::serve(listener, events.clone(), stop.clone()));
         for entry in &options.entries {
             let announcer = announcer::Announcer {
                 name: options.name.clone(),
                 data_centre: options.data_centre.clone(),
-                address: listen.to_string(),
+                address: options.address.unwrap_or(listen).to_string(),
                 incarnation,
                 every: options.announce_every,
                 limits: options.limits,
                 events: events.clone(),
             };
-            let run = announcer.run(entry.clone(), presence_view.clone(), Arc::clone(&stop));
+            let run = announcer.run(entry.clone(), presence_view.clone(), stop.clone());
             runtime.spawn(run);
         }
         Ok(Agent {
@@ -177,7 +181,7 @@
         let (sender, receiver) = mpsc::channel();
         let _ = self.events.send(Event::NotifyIdle(sender));
         let is_idle = receiver.recv_timeout(limit).is_ok();
-        self.stop.notify_waiters();
+        self.stop.cancel();
         if is_idle {
             Ok(())
         } else {
@@ -190,6 +194,6 @@
     /// Ends the agent at once, as a crash would: nothing is finished and nobody is told.
     pub fn kill(self) {
         let _ = self.events.send(Event::Kill);
-        self.stop.notify_waiters();
+        self.stop.cancel();
     }
 }
--- a/crates/figdeal-agent/src/announcer.rs
+++ b/crates/figdeal-agent/src/announcer.rs
@@ -12,7 +12,8 @@
     message::Announcement,
     service::EntryRpcClient,
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::control::{Event, Presence};
 
@@ -32,23 +33,21 @@
 }
 
 impl Announcer {
-    /// Announces at once, then at each change and each interval, until `stop` is notified.
+    /// Announces at once, then at each change and each interval, until `stop` is cancelled.
     pub(crate) async fn run(
         self,
         entry: String,
         mut presence: watch::Receiver<Presence>,
-        stop: Arc<Notify>,
+        stop: CancellationToken,
     ) {
         let channel: Arc<Channel<EntryRpcClient>> = Channel::new(entry, self.limits);
-        let stopped = stop.notified();
-        tokio::pin!(stopped);
         loop {
             let current = presence.borrow_and_update().clone();
             if let Some(announcement) = self.announcement(current) {
                 self.announce(&channel, announcement).await;
             }
             tokio::select! {
-                () = &mut stopped => return,
+                () = stop.cancelled() => return,
                 changed = presence.changed() => if changed.is_err() { return },
                 () = tokio::time::sleep(self.every) => {}
             }
@@ -89,7 +88,7 @@
             data_centre,
             draining: presence.draining,
             load: presence.load,
-            version: 0,
+            version: presence.version,
         })
     }
 }
--- /dev/null
+++ b/crates/figdeal-agent/src/cli.rs
@@ -0,0 +1,62 @@
+//! The command line of `figdeal-agent`.
+
+use std::{path::PathBuf, time::Duration};
+
+use clap::Parser;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use crate::{
+    agent::{Agent, Options},
+    settings::Settings,
+};
+
+/// Longest time that running tasks get after a stop signal.
+const STOP_LIMIT: Duration = Duration::from_secs(60);
+
+/// Result of the program.
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+/// Agent that runs beside one upstream.
+#[derive(Debug, Parser)]
+#[command(name = "figdeal-agent", version)]
+pub struct Cli {
+    /// File with the settings of the process
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+/// Runs the agent until SIGTERM or SIGINT, then finishes what runs.
+///
+/// # Errors
+/// Fails on wrong settings, when an address cannot be listened on, and when tasks still run after the stop limit.
+pub fn run(cli: &Cli) -> Result<()> {
+    let settings = Settings::read(&cli.settings)?;
+    log::set_max_level(settings.log_level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let entries = settings
+        .entries
+        .iter()
+        .map(|e| e.address.to_string())
+        .collect();
+    let mut options = Options::new(&settings.name, settings.peer_listen, settings.http_listen)
+        .with_entries(entries)
+        .with_address(settings.address());
+    options.data_centre.clone_from(&settings.data_centre);
+    let agent = Agent::start(options, runtime.handle())?;
+    log::info!(
+        "E210 agent {} serves entries on {} and its upstream on {}",
+        settings.name,
+        agent.listen,
+        agent.http
+    );
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    signals.forever().next();
+    log::info!("E211 agent {} stops", settings.name);
+    agent.drain().finish(STOP_LIMIT)?;
+    Ok(())
+}
--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -54,6 +54,7 @@
     pub(crate) upstream: Option<Upstream>,
     pub(crate) draining: bool,
     pub(crate) load: LoadReport,
+    pub(crate) version: u64,
 }
 
 #[derive(Debug)]
@@ -98,6 +99,7 @@
     upstream: Option<Upstream>,
     renewed: Timestamp,
     expire_after: Duration,
+    version: u64,
     is_stopping: bool,
 }
 
@@ -131,7 +133,8 @@
                 upstream: None,
                 renewed: Timestamp::ZERO,
                 expire_after,
-                is_stopping: false,
+                version: 0,
+            is_stopping: false,
             };
             control.run(inbox);
         })?;
@@ -173,7 +176,7 @@
             }
             Event::Announce(upstream) => self.announce(upstream, now),
             Event::Leave => self.leave(now),
-            Event::Version(_) => {}
+            Event::Version(version) => self.take_version(version, now),
             Event::Stop => {
                 self.is_stopping = true;
                 self.leave(now);
@@ -226,11 +229,16 @@
     fn publish(&self, now: Timestamp, draining: bool) {
         let load = self.load(now);
         let upstream = self.upstream.clone();
-        self.presence.send_replace(Presence {
-            upstream,
-            draining,
-            load,
-        });
+        let version = self.version;
+        self.presence.send_replace(Presence { upstream, draining, load, version });
+    }
+
+    /// Versions never go down: an entry that lags behind does not take the agent back.
+    fn take_version(&mut self, version: u64, now: Timestamp) {
+        if version > self.version {
+            self.version = version;
+            self.publish(now, self.core.is_draining());
+        }
     }
 
     fn take_order(
--- a/crates/figdeal-agent/src/lib.rs
+++ b/crates/figdeal-agent/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod agent;
 mod announcer;
+pub mod cli;
 mod control;
 mod http;
 mod server;
+pub mod settings;
 mod upstream;
--- a/crates/figdeal-agent/src/server.rs
+++ b/crates/figdeal-agent/src/server.rs
@@ -1,9 +1,6 @@
 //! The tarpc service that entries call.
 
-use std::{
-    net::TcpListener,
-    sync::{Arc, mpsc},
-};
+use std::{net::TcpListener, sync::mpsc};
 
 use figdeal_core::id::{SubmissionKey, TaskId};
 use figdeal_wire::{
@@ -16,7 +13,8 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 use crate::control::Event;
 
@@ -73,18 +71,20 @@
     }
 }
 
-/// Serves entries until `stop` is notified.
-pub(crate) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>, stop: Arc<Notify>) {
+/// Serves entries until `stop` is cancelled.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    events: mpsc::Sender<Event>,
+    stop: CancellationToken,
+) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => return log::error!("E203 cannot serve entries: {e}"),
     };
     let mut connections = tokio::task::JoinSet::new();
-    let stopped = stop.notified();
-    tokio::pin!(stopped);
     loop {
         let stream = tokio::select! {
-            () = &mut stopped => return,
+            () = stop.cancelled() => return,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(e) => {
--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -491,6 +491,11 @@
         [deadline, unplaced].into_iter().flatten().min()
     }
 
+    /// Whether the submission is in the table.
+    pub fn knows(&self, id: SubmissionKey) -> bool {
+        self.keys.contains_key(&id)
+    }
+
     /// The fleet as this entry sees it.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -21,6 +21,12 @@
 enum Command {
     /// Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments
     Demo(command::demo::Args),
+    /// Runs an entry process until SIGTERM
+    Entry(command::entry::Args),
+    /// Checks a configuration without a running process
+    Check(command::check::CheckArgs),
+    /// Makes and shows the keys of the co-owners
+    Keys(command::keys::KeysArgs),
 }
 
 /// Runs a command.
@@ -30,5 +36,13 @@
 pub fn run(cli: Cli) -> Result<ExitCode> {
     match cli.command {
         Command::Demo(args) => command::demo::run(&args),
+        Command::Entry(args) => command::entry::run(&args),
+        Command::Check(args) => done(command::check::run(&args)),
+        Command::Keys(args) => done(command::keys::run(&args)),
     }
 }
+
+fn done<E: std::error::Error + 'static>(result: std::result::Result<(), E>) -> Result<ExitCode> {
+    result?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -1,3 +1,6 @@
 //! The commands of `figdeal`, one module each.
 
+pub mod check;
 pub mod demo;
+pub mod entry;
+pub mod keys;
--- a/crates/figdeal/src/command/demo.rs
+++ b/crates/figdeal/src/command/demo.rs
@@ -9,7 +9,7 @@
 
 use clap::Args as ClapArgs;
 use figdeal_agent::agent::{Agent, Options as AgentOptions, Serving as AgentServing};
-use figdeal_core::{claim::ClaimLimits, id::EntryId, time::UnixMillis};
+use figdeal_core::{id::EntryId, time::UnixMillis};
 use serde_json::{Value, json};
 
 use crate::{
@@ -71,13 +71,9 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn start(count: u16, rules: Rules, runtime: &tokio::runtime::Handle) -> Result<Fleet> {
-    let options = EntryOptions::new(EntryId(0), any_port(), any_port())
-        .with_rules(rules)
-        .with_claims(ClaimLimits {
-            max_skew: DEMO_SKEW,
-            ..ClaimLimits::default()
-        });
+fn start(count: u16, mut rules: Rules, runtime: &tokio::runtime::Handle) -> Result<Fleet> {
+    rules.claims.max_skew = DEMO_SKEW;
+    let options = EntryOptions::new(EntryId(0), any_port(), any_port()).with_rules(rules);
     let entry = Entry::start(options, runtime)?;
     let mut agents = Vec::new();
     let mut upstreams = Vec::new();
@@ -115,7 +111,10 @@
 }
 
 fn stop(fleet: Fleet) -> Result<()> {
-    fleet.entry.drain().finish(Duration::from_secs(5))?;
+    fleet
+        .entry
+        .drain()
+        .finish(Duration::ZERO, Duration::from_secs(5))?;
     for agent in fleet.agents {
         agent.drain().finish(Duration::from_secs(5))?;
     }
--- /dev/null
+++ b/crates/figdeal/src/command/entry.rs
@@ -0,0 +1,76 @@
+//! `figdeal entry`: runs an entry process until it is told to stop.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use clap::Args as ClapArgs;
+use figdeal_config::Bundle;
+use figdeal_core::id::EntryId;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use crate::{
+    cli::Result,
+    entry::{Entry, Options},
+    rules::Rules,
+    settings::Settings,
+};
+
+/// Time between "not ready" and the refusal of new work, in which the balancer takes the entry out.
+const NOTICE: Duration = Duration::from_secs(2);
+
+/// Options of an entry process.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    /// File with the settings of the process
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Folder with a configuration that nobody signed; for trials on one machine only
+    #[arg(long, value_name = "FOLDER")]
+    unsigned_config: Option<PathBuf>,
+}
+
+/// Runs the entry until SIGTERM or SIGINT, then finishes what is in progress.
+///
+/// # Errors
+/// Fails on wrong settings, when an address cannot be listened on, and when work is still in progress after the stop
+/// limit.
+pub fn run(args: &Args) -> Result<ExitCode> {
+    let settings = Settings::read(&args.settings)?;
+    log::set_max_level(settings.log_level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let entry = Entry::start(options(&settings, args)?, runtime.handle())?;
+    log::info!(
+        "E330 entry {} serves HTTP on {} and processes on {}",
+        settings.id,
+        entry.http,
+        entry.listen
+    );
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    signals.forever().next();
+    log::info!("E331 entry {} stops", settings.id);
+    let limit = entry.rules().stop_limit;
+    entry.drain().finish(NOTICE, limit)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn options(settings: &Settings, args: &Args) -> Result<Options> {
+    let id = EntryId(settings.id);
+    let peers = settings
+        .entries
+        .iter()
+        .filter(|e| e.id != settings.id)
+        .map(|e| (EntryId(e.id), e.address.to_string()))
+        .collect();
+    let mut options =
+        Options::new(id, settings.http_listen, settings.peer_listen).with_peers(peers);
+    if let Some(folder) = &args.unsigned_config {
+        log::warn!("E332 running on a configuration that nobody signed");
+        let site = Bundle::read(folder)?.effective(&settings.data_centre)?;
+        options = options.with_rules(Rules::new(0, &site));
+    }
+    Ok(options)
+}
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -5,17 +5,13 @@
     marker::PhantomData,
     net::{SocketAddr, TcpListener},
     sync::{Arc, RwLock, atomic::AtomicBool, atomic::Ordering, mpsc},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use displaydoc::Display;
-use figdeal_core::{
-    claim::ClaimLimits,
-    entry::EntryLimits,
-    id::{EntryId, Incarnation},
-};
-use figdeal_wire::channel::Limits;
-use tokio::{runtime::Handle, sync::Notify};
+use figdeal_core::id::{EntryId, Incarnation};
+use tokio::{runtime::Handle, task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
 
 use self::control::Event;
 use crate::rules::Rules;
@@ -27,6 +23,8 @@
 mod peers;
 mod server;
 
+/// Shortest time in which the last answers are written.
+const MIN_CLOSE: Duration = Duration::from_millis(500);
 /// Largest number of open connections of callers.
 const MAX_CONNECTIONS: usize = 4_096;
 
@@ -57,12 +55,6 @@
     pub listen: SocketAddr,
     /// The other entries.
     pub peers: Vec<(EntryId, String)>,
-    /// Bounds of the job table and of placement.
-    pub entry: EntryLimits,
-    /// Time limits of connections.
-    pub limits: Limits,
-    /// Bounds and times of claims; the same at every entry.
-    pub claims: ClaimLimits,
     /// Rules at the start.
     pub rules: Rules,
 }
@@ -75,9 +67,6 @@
             http,
             listen,
             peers: Vec::new(),
-            entry: EntryLimits::default(),
-            limits: Limits::default(),
-            claims: ClaimLimits::default(),
             rules: Rules::default(),
         }
     }
@@ -88,12 +77,6 @@
         self
     }
 
-    /// Sets the bounds and times of claims.
-    pub fn with_claims(mut self, claims: ClaimLimits) -> Options {
-        self.claims = claims;
-        self
-    }
-
     /// Sets the rules.
     pub fn with_rules(mut self, rules: Rules) -> Options {
         self.rules = rules;
@@ -132,8 +115,10 @@
     /// This run of the entry.
     pub incarnation: Incarnation,
     events: mpsc::Sender<Event>,
-    stop: Arc<Notify>,
+    stop: CancellationToken,
     shared: Arc<Shared>,
+    http_task: JoinHandle<()>,
+    runtime: Handle,
     phase: PhantomData<Phase>,
 }
 
@@ -165,7 +150,7 @@
             is_draining: AtomicBool::new(false),
         });
         let (events, inbox) = mpsc::channel();
-        let stop = Arc::new(Notify::new());
+        let stop = CancellationToken::new();
         control::spawn(
             &options,
             incarnation,
@@ -184,17 +169,17 @@
             shared: Arc::clone(&shared),
         };
         let handle = move |call| handler.clone().handle(call);
-        runtime.spawn(crate::http::serve(
+        let http_task = runtime.spawn(crate::http::serve(
             http_listener,
             http_limits,
-            Arc::clone(&stop),
+            stop.clone(),
             handle,
         ));
         runtime.spawn(server::serve(
             listener,
             incarnation,
             events.clone(),
-            Arc::clone(&stop),
+            stop.clone(),
         ));
         Ok(Entry {
             http,
@@ -203,6 +188,8 @@
             events,
             stop,
             shared,
+            http_task,
+            runtime: runtime.clone(),
             phase: PhantomData,
         })
     }
@@ -217,6 +204,8 @@
             events,
             stop,
             shared,
+            http_task,
+            runtime,
             ..
         } = self;
         Entry {
@@ -226,22 +215,33 @@
             events,
             stop,
             shared,
+            http_task,
+            runtime,
             phase: PhantomData,
         }
     }
 }
 
 impl Entry<Draining> {
-    /// Waits until every job is answered.
+    /// Gives the balancer `notice` to take the entry out, then refuses new work and waits until every job is answered
+    /// and every answer is written.
     ///
     /// # Errors
-    /// [`Error::StopLimit`] when work is still in progress after `limit`.
-    pub fn finish(self, limit: Duration) -> Result<()> {
+    /// [`Error::StopLimit`] when work is still in progress `limit` after the notice.
+    pub fn finish(self, notice: Duration, limit: Duration) -> Result<()> {
+        std::thread::sleep(notice);
+        let start = Instant::now();
         let (sender, receiver) = mpsc::channel();
-        let _ = self.events.send(Event::NotifyIdle(sender));
+        let _ = self.events.send(Event::Stop(sender));
         let is_idle = receiver.recv_timeout(limit).is_ok();
-        self.stop.notify_waiters();
-        if is_idle {
+        self.stop.cancel();
+        let left = limit.saturating_sub(start.elapsed()).max(MIN_CLOSE);
+        let http_task = self.http_task;
+        let closed = self
+            .runtime
+            .block_on(async { timeout(left, http_task).await });
+        let _ = self.events.send(Event::Kill);
+        if is_idle && closed.is_ok() {
             Ok(())
         } else {
             Err(Error::StopLimit(limit))
@@ -250,10 +250,15 @@
 }
 
 impl<Phase> Entry<Phase> {
+    /// The rules in force.
+    pub fn rules(&self) -> Arc<Rules> {
+        self.shared.rules()
+    }
+
     /// Ends the entry at once, as a crash would.
     pub fn kill(self) {
         let _ = self.events.send(Event::Kill);
-        self.stop.notify_waiters();
+        self.stop.cancel();
     }
 }
 
--- a/crates/figdeal/src/entry/claims.rs
+++ b/crates/figdeal/src/entry/claims.rs
@@ -48,7 +48,7 @@
         let clock = SteadyClock::new(UnixMillis::now(), Timestamp::ZERO);
         ClaimDriver {
             me,
-            claims: Claims::new(me, epochs, clock, options.claims),
+            claims: Claims::new(me, epochs, clock, options.rules.claims),
             outbox: BTreeMap::new(),
             digests: HashMap::new(),
         }
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -103,7 +103,8 @@
         key: SubmissionKey,
         answer: Option<Answer>,
     },
-    NotifyIdle(mpsc::Sender<()>),
+    /// Refuses new work from now on and tells when nothing is in progress.
+    Stop(mpsc::Sender<()>),
     Kill,
 }
 
@@ -142,7 +143,7 @@
             let _guard = runtime.enter();
             let mut control = Control {
                 id: options.id,
-                core: EntryCore::new(options.entry),
+                core: EntryCore::new(options.rules.entry),
                 claims: ClaimDriver::new(&options, incarnation),
                 start: Instant::now(),
                 kinds: Names::default(),
@@ -150,8 +151,8 @@
                 shared,
                 events,
                 runtime: runtime.clone(),
-                limits: options.limits,
-                peers: Peers::new(&options.peers, options.limits),
+                limits: options.rules.connections,
+                peers: Peers::new(&options.peers, options.rules.connections),
                 agents: HashMap::new(),
                 responders: HashMap::new(),
                 next_waiter: 0,
@@ -232,6 +233,9 @@
                 wait,
                 responder,
             } => {
+                if !self.idle.is_empty() && !self.core.knows(job.key()) {
+                    return responder(Answer::Undecided);
+                }
                 let waiter = self.add_waiter(responder);
                 let submission = self.submission(job);
                 self.core.submit(submission, waiter, wait, now);
@@ -288,7 +292,7 @@
                 self.core.collected(agent, key, held, now);
             }
             Event::Owner { key, answer } => self.core.remote_answer(key, answer, now),
-            Event::NotifyIdle(sender) => self.idle.push(sender),
+            Event::Stop(sender) => self.idle.push(sender),
             Event::Kill => {}
         }
     }
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -1,10 +1,6 @@
 //! The tarpc service that agents and other entries call.
 
-use std::{
-    net::TcpListener,
-    sync::{Arc, mpsc},
-    time::Duration,
-};
+use std::{net::TcpListener, sync::mpsc, time::Duration};
 
 use figdeal_core::{
     claim::{ClaimReply, ClaimRequest},
@@ -21,7 +17,8 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 use super::control::{Event, Responder};
 
@@ -91,23 +88,21 @@
     }
 }
 
-/// Serves agents and entries until `stop` is notified.
+/// Serves agents and entries until `stop` is cancelled.
 pub(crate) async fn serve(
     listener: TcpListener,
     incarnation: Incarnation,
     events: mpsc::Sender<Event>,
-    stop: Arc<Notify>,
+    stop: CancellationToken,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => return log::error!("E301 cannot serve agents: {e}"),
     };
     let mut connections = tokio::task::JoinSet::new();
-    let stopped = stop.notified();
-    tokio::pin!(stopped);
     loop {
         let stream = tokio::select! {
-            () = &mut stopped => return,
+            () = stop.cancelled() => return,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(e) => {
--- a/crates/figdeal/src/http.rs
+++ b/crates/figdeal/src/http.rs
@@ -12,9 +12,10 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    sync::{Notify, Semaphore},
+    sync::Semaphore,
     time::{sleep, timeout},
 };
+use tokio_util::sync::CancellationToken;
 
 /// Time in which a client has to send the head of a request.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
@@ -79,11 +80,11 @@
     pub(crate) body: usize,
 }
 
-/// Serves `handler` until `stop` is notified.
+/// Serves `handler` until `stop` is cancelled; returns when the last answer is written.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: Limits,
-    stop: Arc<Notify>,
+    stop: CancellationToken,
     handler: H,
 ) where
     H: Fn(Call) -> F + Clone + Send + 'static,
@@ -95,8 +96,6 @@
     };
     let permits = Arc::new(Semaphore::new(limits.connections));
     let mut connections = tokio::task::JoinSet::new();
-    let stopped = stop.notified();
-    tokio::pin!(stopped);
     loop {
         while connections.try_join_next().is_some() {}
         let accept = async {
@@ -107,7 +106,7 @@
             )
         };
         let (permit, stream) = tokio::select! {
-            () = &mut stopped => return,
+            () = stop.cancelled() => break,
             (permit, accepted) = accept => match accepted {
                 Ok((stream, _)) => (permit, stream),
                 Err(e) => {
@@ -119,6 +118,7 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
+        let closing = stop.clone();
         connections.spawn(async move {
             let _permit = permit;
             let service = service_fn(move |request| answer(request, limits.body, handler.clone()));
@@ -126,11 +126,22 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_LIMIT)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = connection.await {
+            tokio::pin!(connection);
+            let closed = tokio::select! {
+                closed = connection.as_mut() => closed,
+                () = closing.cancelled() => {
+                    // Lets a request in progress get its answer.
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(e) = closed {
                 log::debug!("E312 connection of a client: {e}");
             }
         });
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 async fn answer<H, F>(
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod entry;
 mod http;
 pub mod rules;
+pub mod settings;
 pub mod stand_in;
 pub mod submission;
--- a/crates/figdeal/src/rules.rs
+++ b/crates/figdeal/src/rules.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use figdeal_core::share::KindShare;
+use figdeal_config::SiteConfig;
+use figdeal_core::{claim::ClaimLimits, entry::EntryLimits, fleet::FleetLimits, share::KindShare};
+use figdeal_wire::channel;
 
 /// Rules of one kind of task.
 #[derive(Debug, Clone, Copy)]
@@ -35,10 +37,14 @@
     pub max_body: usize,
     /// Largest deadline of a task.
     pub max_deadline: Duration,
-    /// How long a submission is remembered.
-    pub retention: Duration,
-    /// How far clocks may differ.
-    pub max_skew: Duration,
+    /// Longest time that a planned stop may take.
+    pub stop_limit: Duration,
+    /// Bounds of the job table and of placement.
+    pub entry: EntryLimits,
+    /// Bounds and times of claims; read at the start of the process only.
+    pub claims: ClaimLimits,
+    /// Time limits of connections; for connections that are opened from now on.
+    pub connections: channel::Limits,
 }
 
 impl Default for Rules {
@@ -50,13 +56,74 @@
             max_tasks: 390,
             max_body: 4 << 20,
             max_deadline: Duration::from_secs(600),
-            retention: Duration::from_secs(3600),
-            max_skew: Duration::from_secs(2),
+            stop_limit: Duration::from_secs(60),
+            entry: EntryLimits::default(),
+            claims: ClaimLimits::default(),
+            connections: channel::Limits::default(),
         }
     }
 }
 
 impl Rules {
+    /// Takes the rules of a site from version `version` of the configuration.
+    pub fn new(version: u64, site: &SiteConfig) -> Rules {
+        let limits = &site.limits;
+        let times = &site.time_outs;
+        let kinds = site.kinds.iter().map(|(name, kind)| {
+            let share = KindShare {
+                weight: kind.weight,
+                urgency: kind.urgency,
+            };
+            (
+                name.clone(),
+                KindRule {
+                    share,
+                    deadline: kind.deadline,
+                },
+            )
+        });
+        let teams = site.teams.iter().map(|(name, team)| {
+            (
+                name.clone(),
+                TeamRule {
+                    max_tasks: team.max_tasks,
+                },
+            )
+        });
+        Rules {
+            version,
+            kinds: kinds.collect(),
+            teams: teams.collect(),
+            max_tasks: limits.job_tasks as usize,
+            max_body: limits.body_size as usize,
+            stop_limit: times.stop_limit,
+            entry: EntryLimits {
+                queued: limits.queue_bound as usize,
+                retention: limits.retention,
+                unplaceable_after: limits.unplaceable_after,
+                fleet: FleetLimits {
+                    window: limits.window,
+                    expire_after: times.expire_after,
+                    max_ejected: (limits.max_ejected.ratio() * 100.0) as u32,
+                    eject_for: times.probe_after,
+                },
+                ..EntryLimits::default()
+            },
+            claims: ClaimLimits {
+                retention: limits.retention,
+                max_skew: limits.max_skew,
+                max_records: limits.max_records as usize,
+                ..ClaimLimits::default()
+            },
+            connections: channel::Limits {
+                ping_after: times.ping_after,
+                silent_after: times.silent_after,
+                ..channel::Limits::default()
+            },
+            ..Rules::default()
+        }
+    }
+
     /// Adds a kind.
     pub fn with_kind(mut self, name: &str, weight: u32, urgency: u32, deadline: Duration) -> Rules {
         let share = KindShare { weight, urgency };
--- a/crates/figdeal/src/stand_in.rs
+++ b/crates/figdeal/src/stand_in.rs
@@ -11,11 +11,8 @@
     time::Duration,
 };
 
-use tokio::{
-    runtime::Handle,
-    sync::{Notify, watch},
-    time::sleep,
-};
+use tokio::{runtime::Handle, sync::watch, time::sleep};
+use tokio_util::sync::CancellationToken;
 
 use crate::http::{self, Call, Reply};
 
@@ -56,7 +53,7 @@
     pub address: SocketAddr,
     shared: Arc<Shared>,
     presence: watch::Sender<bool>,
-    stop: Arc<Notify>,
+    stop: CancellationToken,
 }
 
 #[derive(Debug)]
@@ -91,16 +88,16 @@
             running: AtomicU32::new(0),
             peak: AtomicU32::new(0),
         });
-        let stop = Arc::new(Notify::new());
+        let stop = CancellationToken::new();
         let limits = http::Limits {
             connections: CONNECTIONS as usize,
             body: MAX_PAYLOAD,
         };
         let state = Arc::clone(&shared);
         let handler = move |call| Arc::clone(&state).serve(call);
-        runtime.spawn(http::serve(listener, limits, Arc::clone(&stop), handler));
+        runtime.spawn(http::serve(listener, limits, stop.clone(), handler));
         let (presence, view) = watch::channel(true);
-        runtime.spawn(renew(agent, address, slots, view, Arc::clone(&stop)));
+        runtime.spawn(renew(agent, address, slots, view, stop.clone()));
         Ok(StandIn {
             address,
             shared,
@@ -139,7 +136,7 @@
 
     /// Stops at once, without a leave.
     pub fn stop(&self) {
-        self.stop.notify_waiters();
+        self.stop.cancel();
     }
 }
 
@@ -205,10 +202,8 @@
     address: SocketAddr,
     slots: u32,
     mut presence: watch::Receiver<bool>,
-    stop: Arc<Notify>,
+    stop: CancellationToken,
 ) {
-    let stopped = stop.notified();
-    tokio::pin!(stopped);
     loop {
         let is_present = *presence.borrow_and_update();
         let sent = tokio::task::spawn_blocking(move || match is_present {
@@ -219,7 +214,7 @@
             log::info!("E320 announcement to the agent at {agent}: {e}");
         }
         tokio::select! {
-            () = &mut stopped => return,
+            () = stop.cancelled() => return,
             changed = presence.changed() => if changed.is_err() { return },
             () = sleep(RENEW_EVERY) => {}
         }
