--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -134,7 +134,7 @@
                 renewed: Timestamp::ZERO,
                 expire_after,
                 version: 0,
-            is_stopping: false,
+                is_stopping: false,
             };
             control.run(inbox);
         })?;
@@ -230,7 +230,12 @@
         let load = self.load(now);
         let upstream = self.upstream.clone();
         let version = self.version;
-        self.presence.send_replace(Presence { upstream, draining, load, version });
+        self.presence.send_replace(Presence {
+            upstream,
+            draining,
+            load,
+            version,
+        });
     }
 
     /// Versions never go down: an entry that lags behind does not take the agent back.
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -23,6 +23,8 @@
     Demo(command::demo::Args),
     /// Runs an entry process until SIGTERM
     Entry(command::entry::Args),
+    /// Runs a stand-in upstream beside an agent, for trials
+    StandIn(command::stand_in::Args),
     /// Checks a configuration without a running process
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
@@ -37,6 +39,7 @@
     match cli.command {
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
+        Command::StandIn(args) => command::stand_in::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
     }
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -4,3 +4,4 @@
 pub mod demo;
 pub mod entry;
 pub mod keys;
+pub mod stand_in;
