--- a/crates/figdeal-core/tests/claims.rs
+++ b/crates/figdeal-core/tests/claims.rs
@@ -65,6 +65,7 @@
     now: u64,
     keys: Vec<(SubmissionKey, UnixMillis)>,
     claimed: HashSet<(SubmissionKey, Owner)>,
+    suspected: HashSet<(SubmissionKey, Owner)>,
     asks: HashMap<(EntryId, SubmissionKey), u64>,
     owners: HashMap<SubmissionKey, Owner>,
     collected: HashMap<SubmissionKey, Owner>,
@@ -95,6 +96,7 @@
             now: 0,
             keys: Vec::new(),
             claimed: HashSet::new(),
+            suspected: HashSet::new(),
             asks: HashMap::new(),
             owners: HashMap::new(),
             collected: HashMap::new(),
@@ -163,6 +165,7 @@
         let now = Timestamp::from_micros(self.now);
         let (claims, me, _) = &mut self.entries[usize::from(at.0)];
         self.claimed.insert((key, *me));
+        self.suspected.extend(dead.map(|owner| (key, owner)));
         self.stats.started += 1;
         let actions = claims.start(key, Digest([other.into(); 16]), created, dead, now);
         self.apply(at, actions)
@@ -198,6 +201,11 @@
         {
             return Err(format!("{owner:?} never claimed {key}"));
         }
+        if let Decision::Collector(owner) = decision
+            && !self.suspected.contains(&(key, owner))
+        {
+            return Err(format!("{owner:?} of {key} was never found dead"));
+        }
         match decision {
             Decision::Owner => {
                 self.stats.owners += 1;
--- a/crates/figdeal-core/tests/claims_member.rs
+++ b/crates/figdeal-core/tests/claims_member.rs
@@ -220,7 +220,8 @@
     assert_eq!(claim(50, 3_615_000, 3_616_000), Decision::Owner);
 }
 
-/// Guards against a vote that is counted from another run of the member than the one that promised.
+/// Guards against a vote that is counted from another run of the member than the one that promised, or for another
+/// run of the claimant.
 #[test]
 fn vote_of_another_run_is_not_counted() {
     let key = SubmissionKey([1; 16]);
@@ -236,32 +237,60 @@
     let Action::Send { ask, .. } = sent[0] else {
         panic!("a prepare is sent")
     };
-    let mut reply = |member, run, verdict| {
+    let mut reply = |member, (run, to), verdict| {
         let (claim, round) = (ask.claim, ask.step.round());
         let answers = vec![Answer {
             claim,
             round,
             verdict,
         }];
-        let (from, to) = (Incarnation(run), Incarnation(1));
+        let (from, to) = (Incarnation(run), Incarnation(to));
         let actions = entry.on_reply(member, &ClaimReply { from, to, answers }, now);
         actions.len()
     };
     assert_eq!(
-        reply(second, 5, Verdict::Promised(None)),
+        reply(second, (5, 1), Verdict::Promised(None)),
         1,
         "an accept is sent"
     );
     assert_eq!(
-        reply(second, 6, Verdict::Voted),
+        reply(second, (5, 0), Verdict::Voted),
+        0,
+        "asked by the run before"
+    );
+    assert_eq!(
+        reply(second, (6, 1), Verdict::Voted),
         0,
         "not the run that promised"
     );
-    assert_eq!(reply(third, 7, Verdict::Voted), 0, "promised nothing");
+    assert_eq!(reply(third, (7, 1), Verdict::Voted), 0, "promised nothing");
     assert_eq!(
-        reply(second, 5, Verdict::Voted),
+        reply(second, (5, 1), Verdict::Voted),
         0,
         "has lost its memory since"
     );
     assert_eq!(entry.in_progress(), 1);
 }
+
+/// Guards against votes for a claimant whose clock, or whose submission, is further off than the horizon allows for.
+#[test]
+fn clock_further_off_than_the_bound_is_refused() {
+    let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+    let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+    let mut answer = |sent: u64, created: u64| {
+        let ask = Ask {
+            claim: 0,
+            key: SubmissionKey([1; 16]),
+            digest: DIGEST,
+            created: UnixMillis(WALL + created),
+            step: Step::Grant,
+        };
+        let sent = UnixMillis(WALL + sent);
+        member.answer(&epochs(1), process(1, 1), sent, &ask, at(10_000))
+    };
+    assert_eq!(answer(7_999, 9_000), Verdict::ClockDiffers);
+    assert_eq!(answer(12_001, 9_000), Verdict::ClockDiffers);
+    assert_eq!(answer(10_000, 12_001), Verdict::Future);
+    assert_eq!(answer(10_000, 4_000), Verdict::Abstained);
+    assert_eq!(answer(8_000, 12_000), Verdict::Voted);
+}
