Share one repeatable runner for property tests

The runner of the configuration tests, which drives bolero's generators with a fixed seed, moves to a crate of its own.

--- a/crates/figdeal-config/tests/merge.rs
+++ b/crates/figdeal-config/tests/merge.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bolero::generator::{TypeGenerator, ValueGenerator, bolero_generator::driver, produce};
+use bolero::generator::{TypeGenerator, produce};
 use figdeal_config::{Bundle, SiteConfig};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -168,26 +168,12 @@
     assert_eq!(reread.as_ref(), Ok(&config), "{printout}");
 }
 
-/// Calls `test` with values of a bolero generator. `bolero::check` draws its seeds from the system, so that a
-/// failure in CI could not be repeated without its output.
-fn for_each<G: ValueGenerator>(iterations: usize, generator: G, mut test: impl FnMut(G::Output)) {
-    let options = driver::Options::default().with_max_len(4_096);
-    let mut driver = driver::Rng::new(StdRng::seed_from_u64(SEED), &options);
-    for _ in 0..iterations {
-        test(
-            generator
-                .generate(&mut driver)
-                .expect("the driver has no end"),
-        );
-    }
-}
-
 /// Guards against a merge that takes a value from the wrong file or table, for few edits and for dense files.
 #[test]
 fn merge_equals_naive_merge() {
-    for_each(2_000, produce::<Vec<Edit>>(), |edits| differential(&edits));
+    figdeal_testing::for_each(2_000, produce::<Vec<Edit>>(), |edits| differential(&edits));
     let dense = produce::<Vec<Edit>>().with().len(20..120usize);
-    for_each(3_000, dense, |edits| differential(&edits));
+    figdeal_testing::for_each(3_000, dense, |edits| differential(&edits));
 }
 
 /// Checks a bundle of any two files: no panic, a place within the file for each problem, and agreement of
@@ -223,7 +209,7 @@
 #[test]
 fn arbitrary_bytes() {
     let files = produce::<(Vec<u8>, Vec<u8>)>();
-    for_each(20_000, files, |(base, overlay)| {
+    figdeal_testing::for_each(20_000, files, |(base, overlay)| {
         any_files(&base, &overlay);
     });
 }
@@ -238,7 +224,7 @@
     let pick = |pick: &u8| tokens[usize::from(*pick) % tokens.len()];
     let join = |picks: &[u8]| picks.iter().map(pick).collect::<String>();
     let files = produce::<(Vec<u8>, Vec<u8>)>();
-    for_each(20_000, files, |(base, overlay)| {
+    figdeal_testing::for_each(20_000, files, |(base, overlay)| {
         any_files(join(&base).as_bytes(), join(&overlay).as_bytes());
     });
 }
--- a/crates/figdeal-core/tests/claims_member.rs
+++ b/crates/figdeal-core/tests/claims_member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use bolero::check;
+use bolero::generator::produce;
 use figdeal_core::{
     claim::{
         Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision, Epochs,
@@ -83,48 +83,46 @@
 /// sequence of messages.
 #[test]
 fn member_answers_like_a_naive_map() {
-    check!()
-        .with_type::<Vec<(u8, u8, u8, u8)>>()
-        .for_each(|input| {
-            let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
-            let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
-            let (epochs, now) = (epochs(3), at(10_000));
-            let mut map = HashMap::new();
-            for &(key, from, step, round) in input {
-                let key = SubmissionKey([key % 4; 16]);
-                let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
-                let round = u32::from(round % 5);
-                let ask = Ask {
-                    claim: 0,
-                    key,
-                    digest: Digest([u8::from(step > 240); 16]),
-                    created: UnixMillis(WALL + 9_000),
-                    step: match step % 4 {
-                        0 => Step::Grant,
-                        1 => Step::Vote,
-                        2 => Step::Prepare { round },
-                        _ => Step::Accept {
-                            round,
-                            owner: process(u16::from(from / 16 % 3), 1),
-                        },
+    figdeal_testing::for_each(1_000, produce::<Vec<(u8, u8, u8, u8)>>(), |input| {
+        let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+        let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+        let (epochs, now) = (epochs(3), at(10_000));
+        let mut map = HashMap::new();
+        for &(key, from, step, round) in &input {
+            let key = SubmissionKey([key % 4; 16]);
+            let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
+            let round = u32::from(round % 5);
+            let ask = Ask {
+                claim: 0,
+                key,
+                digest: Digest([u8::from(step > 240); 16]),
+                created: UnixMillis(WALL + 9_000),
+                step: match step % 4 {
+                    0 => Step::Grant,
+                    1 => Step::Vote,
+                    2 => Step::Prepare { round },
+                    _ => Step::Accept {
+                        round,
+                        owner: process(u16::from(from / 16 % 3), 1),
                     },
-                };
-                let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
-                let valid = match ask.step {
-                    Step::Grant => first,
-                    Step::Vote => !first,
-                    _ => round > 0,
-                };
-                let expected = match valid {
-                    true => naive(&mut map, from, &ask),
-                    false => Verdict::Invalid,
-                };
-                assert_eq!(
-                    member.answer(&epochs, from, clock.read(now), &ask, now),
-                    expected
-                );
-            }
-        });
+                },
+            };
+            let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
+            let valid = match ask.step {
+                Step::Grant => first,
+                Step::Vote => !first,
+                _ => round > 0,
+            };
+            let expected = match valid {
+                true => naive(&mut map, from, &ask),
+                false => Verdict::Invalid,
+            };
+            assert_eq!(
+                member.answer(&epochs, from, clock.read(now), &ask, now),
+                expected
+            );
+        }
+    });
 }
 
 /// Guards against a decision that differs from what one map of first claimants says, over the whole retention.
