--- /dev/null
+++ b/crates/figdeal-control/src/apply.rs
@@ -0,0 +1,339 @@
+//! Transition function of the register: the rules of sign-off.
+
+use figdeal_core::time::UnixMillis;
+
+use crate::{
+    command::{Action, Answer, Command, Refusal},
+    sign::{Verifier, change_digest, reject_message, replace_message, signed_message},
+    state::{
+        Accepted, Answered, MAX_HISTORY, MAX_REQUESTS, MAX_SETS, Member, Pending, RegisterState,
+    },
+    types::{Bundle, Digest, PublicKey, ReplicaId, RequestId, Signature},
+};
+
+/// Result of a transition.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Applies `command` to `state`. A request id that is remembered gets its first answer and changes nothing.
+///
+/// `now` is recorded in the history and has no other effect.
+pub fn apply(
+    state: &RegisterState,
+    command: &Command,
+    now: UnixMillis,
+    verifier: &dyn Verifier,
+) -> (RegisterState, Answer) {
+    let digest = command_digest(command);
+    if let Some(first) = state.answered(command.request) {
+        let answer = if first.command == digest {
+            first.answer.clone()
+        } else {
+            Answer::Refused(Refusal::RequestReused)
+        };
+        return (state.clone(), answer);
+    }
+    let mut next = state.clone();
+    let answer = match run(&mut next, command, now, verifier) {
+        Ok(answer) => answer,
+        Err(refusal) if refusal.is_recorded() => Answer::Refused(refusal),
+        Err(refusal) => return (state.clone(), Answer::Refused(refusal)),
+    };
+    next.requests.push_back(Answered {
+        request: command.request,
+        command: digest,
+        answer: answer.clone(),
+    });
+    while next.requests.len() > MAX_REQUESTS {
+        next.requests.pop_front();
+    }
+    assert_step(state, &next);
+    (next, answer)
+}
+
+fn command_digest(command: &Command) -> Digest {
+    Digest::of(&postcard::to_stdvec(command).expect("a command can be encoded"))
+}
+
+fn run(
+    state: &mut RegisterState,
+    command: &Command,
+    now: UnixMillis,
+    verifier: &dyn Verifier,
+) -> Result<Answer> {
+    match &command.action {
+        Action::Propose {
+            number,
+            bundle,
+            author,
+            new_keys,
+            signature,
+        } => {
+            let pending = new_pending(
+                state,
+                command.request,
+                (*number, bundle, *new_keys),
+                (*author, signature.as_ref()),
+                verifier,
+            )?;
+            check_free(state, *number)?;
+            state.pending = Some(pending);
+            Ok(settle(state, now))
+        }
+        Action::Sign {
+            number,
+            digest,
+            signer,
+            signature,
+        } => sign(
+            state,
+            (*number, *digest),
+            (*signer, signature),
+            now,
+            verifier,
+        ),
+        Action::Reject {
+            number,
+            digest,
+            signer,
+            signature,
+        } => reject(state, (*number, *digest), (*signer, signature), verifier),
+        Action::Replace {
+            epoch,
+            old,
+            new,
+            signer,
+            signature,
+        } => replace(state, *epoch, *old, new, (*signer, signature), verifier),
+    }
+}
+
+fn new_pending(
+    state: &RegisterState,
+    request: RequestId,
+    (number, bundle, new_keys): (u64, &Bundle, Option<[PublicKey; 2]>),
+    (author, signature): (PublicKey, Option<&Signature>),
+    verifier: &dyn Verifier,
+) -> Result<Pending> {
+    check_owner(state, author)?;
+    bundle.check_shape().map_err(Refusal::Invalid)?;
+    verifier.check(bundle).map_err(Refusal::Invalid)?;
+    if new_keys.is_some_and(|[a, b]| a == b) {
+        return Err(Refusal::EqualKeys);
+    }
+    let message = signed_message(number, bundle, &new_keys);
+    if let Some(signature) = signature {
+        check_signature(author, &message, signature, verifier)?;
+    }
+    Ok(Pending {
+        number,
+        digest: Digest::of(&message),
+        bundle: bundle.clone(),
+        new_keys,
+        author,
+        request,
+        signatures: signature.map(|s| (author, s.clone())).into_iter().collect(),
+    })
+}
+
+/// Checks that `number` is the next one and that no proposal has it.
+fn check_free(state: &RegisterState, number: u64) -> Result<()> {
+    if let Some(taken) = taken_by(state, number) {
+        return Err(taken);
+    }
+    if number != state.number + 1 {
+        return Err(Refusal::Stale {
+            asked: number,
+            next: state.number + 1,
+        });
+    }
+    Ok(())
+}
+
+/// The proposal or accepted change that has `number`, as a refusal for the loser of a race.
+fn taken_by(state: &RegisterState, number: u64) -> Option<Refusal> {
+    let pending = state.pending.iter().map(|p| (p.number, p.digest, p.author));
+    let history = state.history.iter().map(|a| (a.number, a.digest, a.author));
+    let (number, digest, author) = pending.chain(history).find(|(n, ..)| *n == number)?;
+    Some(Refusal::Taken {
+        number,
+        digest,
+        author,
+    })
+}
+
+fn sign(
+    state: &mut RegisterState,
+    (number, digest): (u64, Digest),
+    (signer, signature): (PublicKey, &Signature),
+    now: UnixMillis,
+    verifier: &dyn Verifier,
+) -> Result<Answer> {
+    check_owner(state, signer)?;
+    let pending = find_pending(state, number, digest)?;
+    let message = signed_message(number, &pending.bundle, &pending.new_keys);
+    check_signature(signer, &message, signature, verifier)?;
+    let pending = state.pending.as_mut().expect("the proposal was found");
+    if !pending.signatures.iter().any(|(key, _)| *key == signer) {
+        pending.signatures.push((signer, signature.clone()));
+    }
+    Ok(settle(state, now))
+}
+
+fn reject(
+    state: &mut RegisterState,
+    (number, digest): (u64, Digest),
+    (signer, signature): (PublicKey, &Signature),
+    verifier: &dyn Verifier,
+) -> Result<Answer> {
+    check_owner(state, signer)?;
+    let pending = find_pending(state, number, digest)?;
+    let message = reject_message(number, &digest, pending.request);
+    check_signature(signer, &message, signature, verifier)?;
+    state.pending = None;
+    Ok(Answer::Rejected { number, digest })
+}
+
+fn find_pending(state: &RegisterState, number: u64, digest: Digest) -> Result<&Pending> {
+    if let Some(pending) = &state.pending
+        && (pending.number, pending.digest) == (number, digest)
+    {
+        return Ok(pending);
+    }
+    if let Some(taken) = taken_by(state, number) {
+        return Err(taken);
+    }
+    if number != state.number + 1 {
+        return Err(Refusal::Stale {
+            asked: number,
+            next: state.number + 1,
+        });
+    }
+    Err(Refusal::NoProposal(number))
+}
+
+/// Puts the pending proposal in force if both owners have signed it.
+fn settle(state: &mut RegisterState, now: UnixMillis) -> Answer {
+    let pending = state.pending.take().expect("there is a proposal");
+    let signed = |key: &PublicKey| pending.signatures.iter().any(|(k, _)| k == key);
+    let missing: Vec<_> = state
+        .owners
+        .iter()
+        .copied()
+        .filter(|k| !signed(k))
+        .collect();
+    let (number, digest) = (pending.number, pending.digest);
+    if !missing.is_empty() {
+        state.pending = Some(pending);
+        return Answer::Pending {
+            number,
+            digest,
+            missing,
+        };
+    }
+    state.history.push_back(Accepted {
+        number,
+        digest,
+        author: pending.author,
+        signers: state.owners,
+        time: now,
+    });
+    while state.history.len() > MAX_HISTORY {
+        state.history.pop_front();
+    }
+    state.number = number;
+    state.bundle = pending.bundle;
+    state.owners = pending.new_keys.unwrap_or(state.owners);
+    Answer::Accepted { number, digest }
+}
+
+fn replace(
+    state: &mut RegisterState,
+    epoch: u64,
+    old: ReplicaId,
+    new: &Member,
+    (signer, signature): (PublicKey, &Signature),
+    verifier: &dyn Verifier,
+) -> Result<Answer> {
+    check_owner(state, signer)?;
+    check_signature(
+        signer,
+        &replace_message(epoch, old, new),
+        signature,
+        verifier,
+    )?;
+    let members = &mut state.members;
+    if epoch != members.epoch {
+        return Err(Refusal::StaleEpoch {
+            asked: epoch,
+            current: members.epoch,
+        });
+    }
+    if members.contains(new.id) {
+        return Err(Refusal::AlreadyMember(new.id));
+    }
+    if members.sets.len() >= MAX_SETS {
+        return Err(Refusal::ChangePending);
+    }
+    let mut set = members.newest().to_vec();
+    let Some(place) = set.iter_mut().find(|m| m.id == old) else {
+        return Err(Refusal::NotMember(old));
+    };
+    *place = new.clone();
+    members.sets.push(set);
+    members.epoch += 1;
+    Ok(Answer::Replaced {
+        epoch: members.epoch,
+    })
+}
+
+fn check_owner(state: &RegisterState, key: PublicKey) -> Result<()> {
+    if !state.owners.contains(&key) {
+        return Err(Refusal::NotOwner(key));
+    }
+    Ok(())
+}
+
+fn check_signature(
+    key: PublicKey,
+    message: &[u8],
+    signature: &Signature,
+    verifier: &dyn Verifier,
+) -> Result<()> {
+    if !verifier.verify(&key, message, signature) {
+        return Err(Refusal::BadSignature(key));
+    }
+    Ok(())
+}
+
+/// Invariants of one transition.
+fn assert_step(old: &RegisterState, new: &RegisterState) {
+    assert!(
+        new.number == old.number || new.number == old.number + 1,
+        "the number must grow by one, from {} to {}",
+        old.number,
+        new.number
+    );
+    if new.number == old.number {
+        assert!(
+            new.bundle == old.bundle && new.owners == old.owners,
+            "change {} must not be altered",
+            old.number
+        );
+        return;
+    }
+    let accepted = new.accepted().expect("an accepted change is recorded");
+    assert_eq!(
+        accepted.signers, old.owners,
+        "change {} must be signed by both owners",
+        new.number
+    );
+    let keys = (new.owners != old.owners).then_some(new.owners);
+    let plain = change_digest(new.number, &new.bundle, &keys);
+    // New keys equal to the old ones are part of the digest but do not show in the state.
+    let same_keys = change_digest(new.number, &new.bundle, &Some(new.owners));
+    assert!(
+        accepted.digest == plain || accepted.digest == same_keys,
+        "change {} must have the signed bytes",
+        new.number
+    );
+}
--- /dev/null
+++ b/crates/figdeal-control/src/disk.rs
@@ -0,0 +1,138 @@
+//! File operations of the store, as a trait so that tests can crash between any two of them.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Read, Write},
+    path::{Path, PathBuf},
+};
+
+/// Operations on one folder. Names are relative to the folder and have no separator.
+pub trait Disk {
+    /// Names of all files.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// Content of a file.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Creates or truncates a file and writes `bytes`, without a sync.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Syncs the content of a file.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Renames a file over another one.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Syncs the folder, which makes renames and removals durable.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the file system, locked against a second process.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    handle: File,
+    _lock: File,
+}
+
+/// Name of the file that is locked while a replica uses the folder.
+pub const LOCK_FILE: &str = "lock";
+
+impl Folder {
+    /// Opens the folder, creating it if it is absent.
+    ///
+    /// # Errors
+    /// The error of the file system, with the path; [`io::ErrorKind::WouldBlock`] when another process has the
+    /// folder open.
+    pub fn open(path: &Path) -> io::Result<Folder> {
+        let context = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+        fs::create_dir_all(path).map_err(context)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK_FILE))
+            .map_err(context)?;
+        lock.try_lock().map_err(|e| context(e.into()))?;
+        Ok(Folder {
+            path: path.to_owned(),
+            handle: File::open(path).map_err(context)?,
+            _lock: lock,
+        })
+    }
+
+    fn context(&self, name: &str, e: io::Error) -> io::Error {
+        io::Error::new(e.kind(), format!("{}: {e}", self.path.join(name).display()))
+    }
+}
+
+impl Disk for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK_FILE {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        File::open(self.path.join(name))
+            .and_then(|mut f| f.read_to_end(&mut bytes))
+            .map_err(|e| self.context(name, e))?;
+        Ok(bytes)
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        File::create(self.path.join(name))
+            .and_then(|mut f| f.write_all(bytes))
+            .map_err(|e| self.context(name, e))
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        OpenOptions::new()
+            .write(true)
+            .open(self.path.join(name))
+            .and_then(|f| f.sync_all())
+            .map_err(|e| self.context(name, e))
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to)).map_err(|e| self.context(from, e))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name)).map_err(|e| self.context(name, e))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.handle.sync_all().map_err(|e| self.context("", e))
+    }
+}
--- /dev/null
+++ b/crates/figdeal-control/src/node.rs
@@ -0,0 +1,432 @@
+//! One replica: acceptor, proposer and store joined for the driver.
+
+use std::{collections::VecDeque, time::Duration};
+
+use figdeal_core::time::Timestamp;
+
+use crate::{
+    acceptor::{Acceptor, Outcome, Proposal, Record, RegisterId},
+    command::Command,
+    disk::Disk,
+    message::{Envelope, Message},
+    proposer::{ClientId, Clock, Proposer, Reply, Request, Step},
+    sign::Verifier,
+    state::Member,
+    store::{self, Error, Store, Version},
+    types::{Ballot, PublicKey, ReplicaId},
+};
+
+/// Time between background reads; a change must be in force within 2 s.
+pub const SYNC_EVERY: Duration = Duration::from_millis(500);
+/// First wait before an unfinished replacement is finished in the background.
+pub const MIN_FINISH: Duration = Duration::from_secs(2);
+/// Largest such wait, reached while the joining replica does not answer.
+pub const MAX_FINISH: Duration = Duration::from_secs(60);
+
+/// Result of a step of the node.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// What the driver has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to another replica.
+    Send {
+        /// Address of the receiver.
+        address: String,
+        /// The message.
+        envelope: Envelope,
+    },
+    /// Reply to a client.
+    Reply {
+        /// The client.
+        client: ClientId,
+        /// The reply.
+        reply: Reply,
+    },
+}
+
+/// One replica. Every method that returns actions has synced what these actions state.
+///
+/// After an error the node does nothing more; the process has to start again from the folder.
+pub struct Node<D> {
+    id: ReplicaId,
+    register: Option<RegisterId>,
+    acceptor: Acceptor,
+    proposer: Proposer,
+    store: Store<D>,
+    verifier: Box<dyn Verifier>,
+    /// Newest state that is known to be accepted by a quorum.
+    chosen: Option<Proposal>,
+    latest: Option<Version>,
+    address: String,
+    local: VecDeque<Envelope>,
+    actions: Vec<Action>,
+    next_sync: Timestamp,
+    finish_at: Option<Timestamp>,
+    finish_wait: Duration,
+    failed: bool,
+}
+
+impl<D: Disk> Node<D> {
+    /// Opens the replica of a folder; an empty folder gets the identity `fresh`.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn open(
+        disk: D,
+        fresh: ReplicaId,
+        verifier: Box<dyn Verifier>,
+        now: Timestamp,
+    ) -> Result<Node<D>> {
+        let (store, loaded) = Store::open(disk, fresh)?;
+        let mut node = Node {
+            id: loaded.id,
+            register: loaded.register,
+            acceptor: Acceptor::new(loaded.id, loaded.promised, loaded.accepted),
+            proposer: Proposer::new(loaded.id, loaded.run),
+            store,
+            verifier,
+            chosen: None,
+            latest: loaded.latest,
+            address: String::new(),
+            local: VecDeque::new(),
+            actions: Vec::new(),
+            next_sync: now,
+            finish_at: None,
+            finish_wait: MIN_FINISH,
+            failed: false,
+        };
+        node.update_address();
+        Ok(node)
+    }
+
+    /// Founds this replica as one of `members`, see [`store::init`].
+    ///
+    /// # Errors
+    /// Those of [`store::init`].
+    pub fn init(&mut self, owners: [PublicKey; 2], members: Vec<Member>) -> Result<()> {
+        let founding = store::init(&mut self.store, owners, members)?;
+        self.register = Some(founding.0);
+        self.acceptor = Acceptor::new(self.id, Ballot::default(), Some(founding.1));
+        self.update_address();
+        Ok(())
+    }
+
+    /// Identity of the replica.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Whether the replica takes part in the newest state that it knows.
+    pub fn is_member(&self) -> bool {
+        let known = self.chosen.as_ref().or(self.acceptor.accepted());
+        known.is_some_and(|p| p.state.members.contains(self.id))
+    }
+
+    /// Newest state that is known to be accepted by a quorum; it may be out of date.
+    pub fn chosen(&self) -> Option<&Proposal> {
+        self.chosen.as_ref()
+    }
+
+    /// The acceptor, for reports.
+    pub fn acceptor(&self) -> &Acceptor {
+        &self.acceptor
+    }
+
+    /// The store, for history and diff.
+    pub fn store(&self) -> &Store<D> {
+        &self.store
+    }
+
+    /// Gives the folder back.
+    pub fn into_disk(self) -> D {
+        self.store.into_disk()
+    }
+
+    /// The newest accepted version if it is newer than `have`.
+    ///
+    /// It was accepted by a quorum and is archived, so the answer never goes down, also across restarts.
+    pub fn poll(&self, have: u64) -> Option<&Version> {
+        self.latest.as_ref().filter(|v| v.number > have)
+    }
+
+    /// Starts a client's command.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn command(
+        &mut self,
+        client: ClientId,
+        command: Command,
+        clock: Clock,
+    ) -> Result<Vec<Action>> {
+        self.request(client, Request::Command(Box::new(command)), clock)
+    }
+
+    /// Starts a read of the current state through a quorum.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn read(&mut self, client: ClientId, clock: Clock) -> Result<Vec<Action>> {
+        self.request(client, Request::Read, clock)
+    }
+
+    fn request(&mut self, client: ClientId, request: Request, clock: Clock) -> Result<Vec<Action>> {
+        if !self.is_member() {
+            self.actions.push(Action::Reply {
+                client,
+                reply: Reply::NotMember,
+            });
+        } else {
+            self.proposer.submit(Some(client), request, clock.now);
+        }
+        self.finish_step(clock)
+    }
+
+    /// Handles a message of another replica. Messages for another identity or register are dropped.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn receive(&mut self, envelope: Envelope, clock: Clock) -> Result<Vec<Action>> {
+        let is_mine = envelope.to == self.id;
+        let same = self.register.is_none_or(|r| r == envelope.register);
+        if is_mine && same {
+            self.local.push_back(envelope);
+        }
+        self.finish_step(clock)
+    }
+
+    /// Runs what is due by time.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn tick(&mut self, clock: Clock) -> Result<Vec<Action>> {
+        // Each due time moves on even if nothing is submitted, so that `next_wake` is never in the past.
+        if self.finish_at.is_some_and(|at| at <= clock.now) {
+            if self.proposer.is_idle() {
+                self.finish_wait = MAX_FINISH.min(2 * self.finish_wait);
+                self.proposer.submit(None, Request::Finish, clock.now);
+            }
+            self.finish_at = Some(clock.now + self.finish_wait);
+        }
+        if self.next_sync <= clock.now {
+            self.next_sync = clock.now + SYNC_EVERY;
+            if self.is_member() && self.proposer.is_idle() {
+                self.proposer.submit(None, Request::Sync, clock.now);
+            }
+        }
+        self.finish_step(clock)
+    }
+
+    /// When [`Node::tick`] has to run next.
+    pub fn next_wake(&self) -> Timestamp {
+        let times = self.proposer.next_wake().into_iter().chain(self.finish_at);
+        times.fold(self.next_sync, Timestamp::min)
+    }
+
+    fn finish_step(&mut self, clock: Clock) -> Result<Vec<Action>> {
+        if self.failed {
+            return Err(Error::Stopped);
+        }
+        // A storage error leaves the node marked as failed, and what it wanted to send is not sent.
+        self.failed = true;
+        self.run(clock)?;
+        self.failed = false;
+        Ok(std::mem::take(&mut self.actions))
+    }
+
+    fn run(&mut self, clock: Clock) -> Result<()> {
+        loop {
+            if let Some(local) = self.acceptor.accepted() {
+                self.proposer
+                    .drive(local, self.acceptor.promised(), clock.now);
+            }
+            for step in self.proposer.take_steps() {
+                self.take_step(step, clock)?;
+            }
+            let Some(envelope) = self.local.pop_front() else {
+                return Ok(());
+            };
+            self.handle(envelope, clock)?;
+        }
+    }
+
+    fn take_step(&mut self, step: Step, clock: Clock) -> Result<()> {
+        match step {
+            Step::Send(member, message) => self.send(member.id, member.address, message),
+            Step::Reply(client, reply) => self.actions.push(Action::Reply { client, reply }),
+            Step::Chosen { proposal, tell } => {
+                if tell {
+                    let ballot = proposal.ballot;
+                    let mut others = proposal.state.members.all();
+                    others.retain(|m| m.id != self.id);
+                    for member in others {
+                        self.send(member.id, member.address, Message::Chosen { ballot });
+                    }
+                }
+                self.learn(proposal, clock.now)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, to: ReplicaId, address: String, message: Message) {
+        let envelope = Envelope {
+            from: self.id,
+            reply_to: self.address.clone(),
+            to,
+            register: self.register.expect("only a member sends"),
+            message,
+        };
+        if to == self.id {
+            self.local.push_back(envelope);
+        } else {
+            self.actions.push(Action::Send { address, envelope });
+        }
+    }
+
+    fn handle(&mut self, envelope: Envelope, clock: Clock) -> Result<()> {
+        let Envelope {
+            from,
+            reply_to,
+            register,
+            message,
+            ..
+        } = envelope;
+        match message {
+            Message::Prepare { ballot, have } => {
+                let outcome = self.acceptor.prepare(ballot, have);
+                self.finish_vote(outcome, from, reply_to, register)?;
+            }
+            Message::Accept {
+                ballot,
+                base,
+                state,
+            } => {
+                let outcome = self.acceptor.accept(ballot, base, *state);
+                self.finish_vote(outcome, from, reply_to, register)?;
+            }
+            Message::Read { token, have } => {
+                let outcome = self.acceptor.read(token, have);
+                self.finish_vote(outcome, from, reply_to, register)?;
+            }
+            Message::Chosen { ballot } => {
+                // After a restart, a late notice may be about a state older than the archive.
+                let newest = self.latest.as_ref().map_or(0, |v| v.number);
+                let held = self.acceptor.accepted().filter(|p| p.ballot == ballot);
+                if let Some(held) = held.filter(|p| p.state.number >= newest).cloned() {
+                    self.learn(held, clock.now)?;
+                }
+            }
+            Message::Promise { ballot, held } => {
+                self.proposer
+                    .on_promise(from, ballot, held, clock, &*self.verifier);
+            }
+            Message::Accepted { ballot } => {
+                if let Some(local) = self.acceptor.accepted() {
+                    self.proposer.on_accepted(from, ballot, local, clock.now);
+                }
+            }
+            Message::Refuse { ballot, promised } => {
+                self.proposer.on_refuse(ballot, promised, clock.now);
+            }
+            Message::ReadReply { token, held } => {
+                if let Some(local) = self.acceptor.accepted() {
+                    self.proposer
+                        .on_read_reply(from, token, held, local, clock.now);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Syncs what a vote states, then replies.
+    fn finish_vote(
+        &mut self,
+        outcome: Outcome,
+        to: ReplicaId,
+        address: String,
+        register: RegisterId,
+    ) -> Result<()> {
+        if let Some(record) = &outcome.persist {
+            self.register = Some(register);
+            self.persist(record)?;
+        }
+        if let Some(reply) = outcome.reply {
+            self.send(to, address, reply);
+        }
+        Ok(())
+    }
+
+    fn persist(&mut self, record: &Record) -> Result<()> {
+        let register = self.register.expect("a vote belongs to a register");
+        self.store.persist(record, register)?;
+        if matches!(record, Record::Accepted(_)) {
+            self.update_address();
+        }
+        Ok(())
+    }
+
+    fn update_address(&mut self) {
+        let Some(accepted) = self.acceptor.accepted() else {
+            return;
+        };
+        let all = accepted.state.members.all();
+        if let Some(member) = all.into_iter().find(|m| m.id == self.id) {
+            self.address = member.address;
+        }
+    }
+
+    /// Takes note of a state that a quorum has accepted.
+    fn learn(&mut self, proposal: Proposal, now: Timestamp) -> Result<()> {
+        if self
+            .chosen
+            .as_ref()
+            .is_some_and(|c| c.ballot >= proposal.ballot)
+        {
+            return Ok(());
+        }
+        if let Some(record) = self.acceptor.adopt(&proposal) {
+            self.persist(&record)?;
+        }
+        self.learn_version(&proposal)?;
+        let epoch = |p: &Proposal| p.state.members.epoch;
+        if self.chosen.as_ref().map(epoch) != Some(epoch(&proposal)) {
+            self.finish_wait = MIN_FINISH;
+            let is_joint = proposal.state.members.is_joint();
+            self.finish_at = is_joint.then(|| now + self.finish_wait);
+        }
+        self.chosen = Some(proposal);
+        if !self.is_member() {
+            self.finish_at = None;
+            self.proposer.abandon();
+        }
+        Ok(())
+    }
+
+    /// Archives a newer version before [`Node::poll`] gives it out.
+    fn learn_version(&mut self, proposal: &Proposal) -> Result<()> {
+        let Some(version) = Version::of(&proposal.state) else {
+            return Ok(());
+        };
+        if let Some(latest) = &self.latest {
+            assert!(
+                version.number >= latest.number,
+                "accepted version {} must not be reverted to {}",
+                latest.number,
+                version.number
+            );
+            if version.number == latest.number {
+                assert_eq!(
+                    version.digest, latest.digest,
+                    "version {} must have one content",
+                    version.number
+                );
+                return Ok(());
+            }
+        }
+        self.store.archive(&version)?;
+        self.latest = Some(version);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/figdeal-control/src/sign.rs
@@ -0,0 +1,122 @@
+//! Messages that owners sign, and the interface to signature and configuration checks.
+
+use ed25519_dalek::{Signature as EdSignature, VerifyingKey};
+
+use crate::{
+    state::Member,
+    types::{Bundle, Digest, PublicKey, ReplicaId, RequestId, Signature},
+};
+
+/// Domain tag of a sign-off; it keeps signatures of one purpose from being used for another.
+pub const CHANGE_TAG: &[u8] = b"figdeal change v1\0";
+/// Domain tag of the rejection of a proposal.
+pub const REJECT_TAG: &[u8] = b"figdeal reject v1\0";
+/// Domain tag of a member replacement.
+pub const REPLACE_TAG: &[u8] = b"figdeal replace v1\0";
+
+/// Checks that the register needs from outside.
+pub trait Verifier {
+    /// Whether `signature` is the signature of `message` by the owner of `key`.
+    fn verify(&self, key: &PublicKey, message: &[u8], signature: &Signature) -> bool;
+
+    /// Checks the content of a proposed configuration.
+    ///
+    /// # Errors
+    /// Says what is wrong with the configuration.
+    fn check(&self, bundle: &Bundle) -> Result<(), String>;
+}
+
+/// Strict ed25519 signatures together with a check of the configuration.
+///
+/// ```
+/// use figdeal_control::{sign::{Ed25519, Verifier}, types::Bundle};
+///
+/// let verifier = Ed25519::new(|bundle: &Bundle| bundle.check_shape());
+/// assert!(verifier.check(&Bundle::default()).is_err());
+/// ```
+#[derive(Debug, Clone)]
+pub struct Ed25519<C> {
+    check: C,
+}
+
+impl<C: Fn(&Bundle) -> Result<(), String>> Ed25519<C> {
+    /// Creates a verifier that checks configurations by `check`.
+    pub fn new(check: C) -> Ed25519<C> {
+        Ed25519 { check }
+    }
+}
+
+impl<C: Fn(&Bundle) -> Result<(), String>> Verifier for Ed25519<C> {
+    fn verify(&self, key: &PublicKey, message: &[u8], signature: &Signature) -> bool {
+        let Ok(key) = VerifyingKey::from_bytes(&key.0) else {
+            return false;
+        };
+        let Ok(signature) = EdSignature::from_slice(&signature.0) else {
+            return false;
+        };
+        key.verify_strict(message, &signature).is_ok()
+    }
+
+    fn check(&self, bundle: &Bundle) -> Result<(), String> {
+        (self.check)(bundle)
+    }
+}
+
+/// The exact bytes that an owner signs to accept a change.
+///
+/// The layout is the tag, the number (u64), the count of files (u32), for each file the length of its name (u32),
+/// the name and the SHA-256 of its content, then the count of new keys (u8, 0 or 2) and these keys. Integers are
+/// little-endian. Every part has a fixed length or is preceded by its length, so distinct changes give distinct
+/// messages.
+///
+/// ```
+/// use figdeal_control::{sign::signed_message, types::Bundle};
+///
+/// let bundle = Bundle::new([("base.toml", "a = 1")]);
+/// assert_ne!(signed_message(1, &bundle, &None), signed_message(2, &bundle, &None));
+/// ```
+pub fn signed_message(number: u64, bundle: &Bundle, new_keys: &Option<[PublicKey; 2]>) -> Vec<u8> {
+    let mut out = CHANGE_TAG.to_vec();
+    out.extend(number.to_le_bytes());
+    out.extend((bundle.files.len() as u32).to_le_bytes());
+    for file in &bundle.files {
+        out.extend((file.name.len() as u32).to_le_bytes());
+        out.extend(file.name.as_bytes());
+        out.extend(Digest::of(&file.bytes).0);
+    }
+    match new_keys {
+        None => out.push(0),
+        Some(keys) => {
+            out.push(2);
+            keys.iter().for_each(|k| out.extend(k.0));
+        }
+    }
+    out
+}
+
+/// Digest that names a change: the SHA-256 of its [`signed_message`].
+pub fn change_digest(number: u64, bundle: &Bundle, new_keys: &Option<[PublicKey; 2]>) -> Digest {
+    Digest::of(&signed_message(number, bundle, new_keys))
+}
+
+/// The exact bytes that an owner signs to reject a proposal.
+///
+/// The request id of the proposal is included, so that the signature does not apply to a later equal proposal.
+pub fn reject_message(number: u64, digest: &Digest, proposal: RequestId) -> Vec<u8> {
+    let mut out = REJECT_TAG.to_vec();
+    out.extend(number.to_le_bytes());
+    out.extend(digest.0);
+    out.extend(proposal.0.to_le_bytes());
+    out
+}
+
+/// The exact bytes that an owner signs to replace a member; `epoch` is that of the member set to change.
+pub fn replace_message(epoch: u64, old: ReplicaId, new: &Member) -> Vec<u8> {
+    let mut out = REPLACE_TAG.to_vec();
+    out.extend(epoch.to_le_bytes());
+    out.extend(old.0.to_le_bytes());
+    out.extend(new.id.0.to_le_bytes());
+    out.extend((new.address.len() as u32).to_le_bytes());
+    out.extend(new.address.as_bytes());
+    out
+}
