Take accepted versions at entries and agents

An entry keeps the accepted version on disk, synced before it is in force, asserts that the number never goes down, and is not ready without one where control VMs are configured; agents fetch a newer version when the reply to an announcement names one. The polling of the control VMs is still missing.

--- a/crates/figdeal-agent/src/announcer.rs
+++ b/crates/figdeal-agent/src/announcer.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use figdeal_config::Bundle;
 use figdeal_core::id::Incarnation;
 use figdeal_wire::{
     channel::{Channel, Limits},
@@ -41,10 +42,12 @@
         stop: CancellationToken,
     ) {
         let channel: Arc<Channel<EntryRpcClient>> = Channel::new(entry, self.limits);
+        let mut known = 0;
         loop {
             let current = presence.borrow_and_update().clone();
+            known = known.max(current.version);
             if let Some(announcement) = self.announcement(current) {
-                self.announce(&channel, announcement).await;
+                self.announce(&channel, announcement, &mut known).await;
             }
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -54,7 +57,12 @@
         }
     }
 
-    async fn announce(&self, channel: &Arc<Channel<EntryRpcClient>>, announcement: Announcement) {
+    async fn announce(
+        &self,
+        channel: &Arc<Channel<EntryRpcClient>>,
+        announcement: Announcement,
+        known: &mut u64,
+    ) {
         count::record(Class::Heartbeat);
         let call = channel.call(ANNOUNCE_LIMIT, |client, context| async move {
             client.announce(context, announcement).await
@@ -62,7 +70,9 @@
         match call.await {
             Ok(reply) => {
                 count::record(Class::Heartbeat);
-                let _ = self.events.send(Event::Version(reply.version));
+                if reply.version > *known {
+                    self.fetch_config(channel, known).await;
+                }
             }
             Err(e) => {
                 log::debug!("E205 announcement: {e}");
@@ -71,6 +81,32 @@
         }
     }
 
+    async fn fetch_config(&self, channel: &Arc<Channel<EntryRpcClient>>, known: &mut u64) {
+        count::record(Class::Heartbeat);
+        let have = *known;
+        let call = channel.call(ANNOUNCE_LIMIT, |client, context| async move {
+            client.config(context, have).await
+        });
+        let found = match call.await {
+            Ok(found) => found,
+            Err(e) => return log::info!("E213 fetch of the configuration: {e}"),
+        };
+        count::record(Class::Heartbeat);
+        let Some(found) = found else { return };
+        let files = found
+            .files
+            .into_iter()
+            .map(|(name, bytes)| (name, bytes.into_vec()));
+        let site = Bundle::new(files.collect()).and_then(|b| b.effective(&self.data_centre));
+        match site {
+            Ok(site) => {
+                *known = found.number;
+                let _ = self.events.send(Event::Config(found.number, Box::new(site)));
+            }
+            Err(e) => log::error!("E214 version {} is unusable here: {e}", found.number),
+        }
+    }
+
     fn announcement(&self, presence: Presence) -> Option<Announcement> {
         let upstream = presence.upstream?;
         let data_centre = if upstream.data_centre.is_empty() {
--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::mpsc, thread, time::Duration};
 
+use figdeal_config::SiteConfig;
 use figdeal_core::{
     agent::{Action, AgentCore, Declined, Known, TaskOrder, Verdict},
     fleet::Load,
     id::{Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
+    share::KindShare,
     time::Timestamp,
 };
 use figdeal_wire::message::{
@@ -66,7 +68,7 @@
     Finished(TaskId, TaskResult),
     Announce(Upstream),
     Leave,
-    Version(u64),
+    Config(u64, Box<SiteConfig>),
     Stop,
     NotifyIdle(mpsc::Sender<()>),
     Kill,
@@ -176,7 +178,7 @@
             }
             Event::Announce(upstream) => self.announce(upstream, now),
             Event::Leave => self.leave(now),
-            Event::Version(version) => self.take_version(version, now),
+            Event::Config(version, site) => self.take_config(version, &site, now),
             Event::Stop => {
                 self.is_stopping = true;
                 self.leave(now);
@@ -238,12 +240,23 @@
         });
     }
 
-    /// Versions never go down: an entry that lags behind does not take the agent back.
-    fn take_version(&mut self, version: u64, now: Timestamp) {
-        if version > self.version {
-            self.version = version;
-            self.publish(now, self.core.is_draining());
+    /// Puts a newer version in force. An entry that lags behind does not take the agent back.
+    fn take_config(&mut self, version: u64, site: &SiteConfig, now: Timestamp) {
+        if version <= self.version {
+            return;
+        }
+        for (name, kind) in &site.kinds {
+            let id = KindId(self.names.intern(name));
+            let share = KindShare {
+                weight: kind.weight,
+                urgency: kind.urgency,
+            };
+            self.core.set_share(id, share);
         }
+        self.expire_after = site.time_outs.expire_after;
+        self.version = version;
+        log::info!("E212 version {version} is in force");
+        self.publish(now, self.core.is_draining());
     }
 
     fn take_order(
--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -256,6 +256,12 @@
         }
     }
 
+    /// Sets the bounds; what is over a smaller bound already stays.
+    pub fn set_limits(&mut self, limits: EntryLimits) {
+        self.limits = limits;
+        self.fleet.set_limits(limits.fleet);
+    }
+
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
         self.queue.set_share(kind, share);
--- a/crates/figdeal-core/src/fleet.rs
+++ b/crates/figdeal-core/src/fleet.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Sets the bounds.
+    pub fn set_limits(&mut self, limits: FleetLimits) {
+        self.limits = limits;
+    }
+
     /// Takes an announcement.
     pub fn announce(&mut self, info: AgentInfo, load: Load, now: Timestamp) -> Announced {
         let known = self.names.get(&info.name).copied();
--- a/crates/figdeal-wire/src/message.rs
+++ b/crates/figdeal-wire/src/message.rs
@@ -159,6 +159,15 @@
     pub owner: (EntryId, Incarnation),
 }
 
+/// The files of an accepted version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigFiles {
+    /// Number of the version.
+    pub number: u64,
+    /// Names and contents, in the order that was signed.
+    pub files: Vec<(String, serde_bytes::ByteBuf)>,
+}
+
 /// Asks an entry about a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerQuery {
--- a/crates/figdeal-wire/src/service.rs
+++ b/crates/figdeal-wire/src/service.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::message::{
-    AnnounceReply, Announcement, CollectReply, OwnerRecord, PeerAnswer, PeerQuery, QueryRequest,
-    RunRequest, TaskReply,
+    AnnounceReply, Announcement, CollectReply, ConfigFiles, OwnerRecord, PeerAnswer, PeerQuery,
+    QueryRequest, RunRequest, TaskReply,
 };
 
 /// What an agent offers to entries.
@@ -39,7 +39,7 @@
     /// Replies with what this entry remembers as a member of the submission's register.
     async fn find(key: SubmissionKey) -> Option<OwnerRecord>;
     /// Replies with the accepted configuration if it is newer than `version`.
-    async fn config(version: u64) -> Option<Vec<u8>>;
+    async fn config(version: u64) -> Option<ConfigFiles>;
     /// Shows that the connection works.
     async fn ping();
 }
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -4,6 +4,7 @@
     io,
     marker::PhantomData,
     net::{SocketAddr, TcpListener},
+    path::PathBuf,
     sync::{Arc, RwLock, atomic::AtomicBool, atomic::Ordering, mpsc},
     time::{Duration, Instant},
 };
@@ -13,7 +14,10 @@
 use tokio::{runtime::Handle, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use self::control::Event;
+use self::{
+    control::Event,
+    spread::{InForce, Spread},
+};
 use crate::rules::Rules;
 
 mod answer;
@@ -22,6 +26,7 @@
 mod http;
 mod peers;
 mod server;
+mod spread;
 
 /// Shortest time in which the last answers are written.
 const MIN_CLOSE: Duration = Duration::from_millis(500);
@@ -38,6 +43,8 @@
     Listen(String, io::Error),
     /// cannot start the {0} thread: {1}
     Thread(&'static str, io::Error),
+    /// {0}
+    Config(Box<dyn std::error::Error + Send + Sync>),
     /// work was still in progress after {0:?}
     StopLimit(Duration),
 }
@@ -55,7 +62,13 @@
     pub listen: SocketAddr,
     /// The other entries.
     pub peers: Vec<(EntryId, String)>,
-    /// Rules at the start.
+    /// Addresses of the control VMs. Where there are some, the entry is not ready before it has an accepted version.
+    pub control: Vec<String>,
+    /// Data centre, which is the site in the configuration.
+    pub site: String,
+    /// Folder for the last accepted version.
+    pub folder: Option<PathBuf>,
+    /// Rules until a version is in force.
     pub rules: Rules,
 }
 
@@ -67,6 +80,9 @@
             http,
             listen,
             peers: Vec::new(),
+            control: Vec::new(),
+            site: String::new(),
+            folder: None,
             rules: Rules::default(),
         }
     }
@@ -77,6 +93,19 @@
         self
     }
 
+    /// Takes the configuration of `site` from the control VMs and keeps it in `folder`.
+    pub fn with_control(
+        mut self,
+        control: Vec<String>,
+        site: impl Into<String>,
+        folder: Option<PathBuf>,
+    ) -> Options {
+        self.control = control;
+        self.site = site.into();
+        self.folder = folder;
+        self
+    }
+
     /// Sets the rules.
     pub fn with_rules(mut self, rules: Rules) -> Options {
         self.rules = rules;
@@ -94,8 +123,10 @@
 /// State that traffic threads read.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    pub(crate) rules: RwLock<Arc<Rules>>,
-    pub(crate) is_ready: AtomicBool,
+    rules: RwLock<Arc<Rules>>,
+    in_force: RwLock<Option<InForce>>,
+    pub(crate) is_configured: AtomicBool,
+    pub(crate) is_claimable: AtomicBool,
     pub(crate) is_draining: AtomicBool,
 }
 
@@ -103,6 +134,23 @@
     pub(crate) fn rules(&self) -> Arc<Rules> {
         Arc::clone(&self.rules.read().expect("the lock is not poisoned"))
     }
+
+    pub(crate) fn in_force(&self) -> Option<InForce> {
+        self.in_force
+            .read()
+            .expect("the lock is not poisoned")
+            .clone()
+    }
+
+    fn set_rules(&self, rules: Rules) {
+        *self.rules.write().expect("the lock is not poisoned") = Arc::new(rules);
+    }
+
+    /// Whether the balancer may send work.
+    pub(crate) fn is_ready(&self) -> bool {
+        let load = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        load(&self.is_claimable) && load(&self.is_configured) && !load(&self.is_draining)
+    }
 }
 
 /// A running entry; the type parameter is its phase.
@@ -146,9 +194,17 @@
         let incarnation = Incarnation(rand::random());
         let shared = Arc::new(Shared {
             rules: RwLock::new(Arc::new(options.rules.clone())),
-            is_ready: AtomicBool::new(false),
+            in_force: RwLock::new(None),
+            is_configured: AtomicBool::new(options.control.is_empty()),
+            is_claimable: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
         });
+        let spread = Spread::open(
+            &options.site,
+            options.folder.as_deref(),
+            Arc::clone(&shared),
+        )
+        .map_err(|e| Error::Config(Box::new(e)))?;
         let (events, inbox) = mpsc::channel();
         let stop = CancellationToken::new();
         control::spawn(
@@ -179,6 +235,7 @@
             listener,
             incarnation,
             events.clone(),
+            Arc::clone(&shared),
             stop.clone(),
         ));
         Ok(Entry {
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -31,8 +31,8 @@
 use serde_json::{Value, json};
 use tokio::{runtime::Handle, sync::oneshot, time::Instant};
 
-use super::{Options, Shared, claims::ClaimDriver, peers::Peers};
-use crate::submission::JobRequest;
+use super::{Options, Shared, claims::ClaimDriver, peers::Peers, spread};
+use crate::{rules::Rules, submission::JobRequest};
 
 /// Largest number of events that are handled before a tick.
 const MAX_BATCH: usize = 256;
@@ -124,6 +124,8 @@
     responders: HashMap<WaiterId, Responder>,
     next_waiter: u64,
     idle: Vec<mpsc::Sender<()>>,
+    entries: u32,
+    applied: Option<Arc<Rules>>,
 }
 
 /// Starts the control thread.
@@ -157,8 +159,10 @@
                 responders: HashMap::new(),
                 next_waiter: 0,
                 idle: Vec::new(),
+                entries: options.peers.len() as u32 + 1,
+                applied: None,
             };
-            control.apply_rules(options.peers.len() as u32 + 1);
+            control.apply_rules();
             control.run(inbox);
         })?;
     Ok(())
@@ -192,13 +196,14 @@
 
     fn tick(&mut self) {
         let now = self.now();
+        self.apply_rules();
         self.core.tick(now);
         let decided = self.claims.tick(now);
         self.take_decisions(decided, now);
         self.perform();
         self.claims.flush(&self.peers, &self.events, now);
         if self.claims.is_ready(now) {
-            self.shared.is_ready.store(true, Ordering::Relaxed);
+            self.shared.is_claimable.store(true, Ordering::Relaxed);
         }
         self.notify_idle();
     }
@@ -213,8 +218,18 @@
         Timestamp::from_micros(self.start.elapsed().as_micros() as u64)
     }
 
-    fn apply_rules(&mut self, entries: u32) {
+    /// Takes over rules that changed; the pointer tells, so that an unchanged version costs nothing.
+    fn apply_rules(&mut self) {
         let rules = self.shared.rules();
+        if self
+            .applied
+            .as_ref()
+            .is_some_and(|applied| Arc::ptr_eq(applied, &rules))
+        {
+            return;
+        }
+        self.core.set_limits(rules.entry);
+        let entries = self.entries;
         for (name, rule) in &rules.kinds {
             let kind = KindId(self.kinds.intern(name));
             self.core.set_share(kind, rule.share);
@@ -223,6 +238,7 @@
             let team = TeamId(self.teams.intern(name));
             self.core.set_quota(team, rule.max_tasks.div_ceil(entries));
         }
+        self.applied = Some(rules);
     }
 
     fn handle(&mut self, event: Event) {
@@ -640,6 +656,7 @@
         json!({
             "entry": self.id.0,
             "version": self.shared.rules().version,
+            "version_age_ms": self.shared.in_force().map(|f| spread::age(&f).as_millis() as u64),
             "agents": agents,
             "queue": queue,
             "queued": self.core.queue_len(),
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -53,8 +53,7 @@
             (Method::GET, ["v1", "status" | "queue"]) => self.status().await,
             (Method::GET, ["healthz"]) => Reply::json(200, &json!({ "healthy": true })),
             (Method::GET, ["readyz"]) => {
-                let is_draining = self.shared.is_draining.load(Ordering::Relaxed);
-                let is_ready = self.shared.is_ready.load(Ordering::Relaxed) && !is_draining;
+                let is_ready = self.shared.is_ready();
                 Reply::json(
                     if is_ready { 200 } else { 503 },
                     &json!({ "ready": is_ready }),
@@ -65,6 +64,9 @@
     }
 
     async fn submit(self, call: Call) -> Reply {
+        if !self.shared.is_configured.load(Ordering::Relaxed) {
+            return render(&Answer::Undecided, &[]);
+        }
         let wait = !call.has("wait=false");
         let job = match self.read_job(&call) {
             Ok(job) => job,
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -1,6 +1,10 @@
 //! The tarpc service that agents and other entries call.
 
-use std::{net::TcpListener, sync::mpsc, time::Duration};
+use std::{
+    net::TcpListener,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
 
 use figdeal_core::{
     claim::{ClaimReply, ClaimRequest},
@@ -9,7 +13,7 @@
 };
 use figdeal_wire::{
     codec::transport,
-    message::{AnnounceReply, Announcement, OwnerRecord, PeerAnswer, PeerQuery},
+    message::{AnnounceReply, Announcement, ConfigFiles, OwnerRecord, PeerAnswer, PeerQuery},
     service::EntryRpc,
 };
 use futures::StreamExt;
@@ -20,12 +24,16 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use super::control::{Event, Responder};
+use super::{
+    Shared,
+    control::{Event, Responder},
+};
 
 #[derive(Debug, Clone)]
 struct Server {
     incarnation: Incarnation,
     events: mpsc::Sender<Event>,
+    shared: Arc<Shared>,
 }
 
 impl EntryRpc for Server {
@@ -64,8 +72,18 @@
         answer.await.ok().flatten()
     }
 
-    async fn config(self, _: Context, _version: u64) -> Option<Vec<u8>> {
-        None
+    async fn config(self, _: Context, version: u64) -> Option<ConfigFiles> {
+        let in_force = self
+            .shared
+            .in_force()
+            .filter(|f| f.version.number > version)?;
+        let files = in_force.version.bundle.files.iter();
+        Some(ConfigFiles {
+            number: in_force.version.number,
+            files: files
+                .map(|f| (f.name.clone(), f.bytes.clone().into()))
+                .collect(),
+        })
     }
 
     async fn ping(self, _: Context) {}
@@ -93,6 +111,7 @@
     listener: TcpListener,
     incarnation: Incarnation,
     events: mpsc::Sender<Event>,
+    shared: Arc<Shared>,
     stop: CancellationToken,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -116,6 +135,7 @@
         let server = Server {
             incarnation,
             events: events.clone(),
+            shared: Arc::clone(&shared),
         };
         connections.spawn(async move {
             let channel = BaseChannel::with_defaults(transport(stream));
