Share slots among teams by weight and bound the fair queue

With fewer slots than kinds, every kind tied at zero active items and the most urgent one always won; among teams the first one always won. Both starved the others.

Teams now have weights, and ties among them go by a virtual time, which a team keeps while it is ahead of its kind. A kind without active items that was passed over for a round of its share goes first. Teams and kinds without items are forgotten. The queue takes bounds for each kind and in total with a typed error, and holds the rule for reserved slots.

--- a/crates/figdeal-core/src/share.rs
+++ b/crates/figdeal-core/src/share.rs
@@ -1,9 +1,15 @@
 //! Weighted fair queue over kinds and, inside a kind, over teams.
 //!
 //! Shares are enforced on what is in progress: the kind with the smallest progress/weight goes next, so a kind
-//! that holds slots with long tasks is charged for as long as it holds them.
+//! that holds slots with long tasks is charged for as long as it holds them. The same rule applies among the
+//! teams of a kind. With `k` kinds, `t` teams and `n` items, each operation takes `O(k + log t + log n)`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    error::Error,
+};
+
+use displaydoc::Display;
 
 use crate::id::{KindId, TeamId};
 
@@ -46,38 +52,153 @@
     }
 }
 
+/// Bounds of a queue. Both count queued items, not active ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueLimits {
+    /// Largest number of queued items of one kind.
+    pub kind: usize,
+    /// Largest number of queued items of all kinds.
+    pub total: usize,
+}
+
+impl QueueLimits {
+    /// No bounds, for callers that bound what they push by other means.
+    pub const UNBOUNDED: QueueLimits = QueueLimits {
+        kind: usize::MAX,
+        total: usize::MAX,
+    };
+}
+
+/// Why a queue refuses an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum QueueFull {
+    /// the queue of kind {kind:?} holds {limit} tasks, its limit
+    Kind {
+        /// The kind of the refused item.
+        kind: KindId,
+        /// The limit that was reached.
+        limit: usize,
+    },
+    /// the queue holds {limit} tasks, its limit
+    Total {
+        /// The limit that was reached.
+        limit: usize,
+    },
+}
+
+impl Error for QueueFull {}
+
+/// Result of the fallible operations of a queue.
+pub type Result<T> = std::result::Result<T, QueueFull>;
+
+/// Virtual time that one start of a team with weight 1 takes.
+const TURN: u64 = 1 << 20;
+
+/// Position of a team in the order in which the teams of a kind are served: its active items divided by its
+/// weight, then its virtual time. The virtual time keeps the shares where the first part ties, as it does
+/// at an agent that has fewer slots than there are teams.
+type Rank = (u64, u64, TeamId);
+
 #[derive(Debug)]
 struct TeamQueue<T> {
     items: BTreeMap<(u64, u64), T>,
     active: u32,
+    weight: u32,
+    virtual_time: u64,
 }
 
-impl<T> Default for TeamQueue<T> {
-    fn default() -> Self {
-        TeamQueue {
-            items: BTreeMap::new(),
-            active: 0,
-        }
+impl<T> TeamQueue<T> {
+    fn rank(&self, team: TeamId) -> Rank {
+        let load = (u64::from(self.active) << 32) / u64::from(self.weight);
+        (load, self.virtual_time, team)
     }
 }
 
 #[derive(Debug)]
 struct KindQueue<T> {
     share: KindShare,
-    teams: BTreeMap<TeamId, TeamQueue<T>>,
+    teams: HashMap<TeamId, TeamQueue<T>>,
+    /// The teams with queued items.
+    ready: BTreeSet<Rank>,
+    /// The teams without items whose virtual time is ahead of the queue's. Forgetting them at once would
+    /// let a team that submits one task at a time exceed its share.
+    ahead: BTreeSet<(u64, TeamId)>,
+    /// Virtual time of the last start.
+    virtual_time: u64,
     queued: usize,
     active: u32,
+    /// Starts of other kinds since the last start of this one, while it had queued items and none active.
+    passed: u64,
 }
 
 impl<T> KindQueue<T> {
     fn new(share: KindShare) -> Self {
         KindQueue {
             share,
-            teams: BTreeMap::new(),
+            teams: HashMap::new(),
+            ready: BTreeSet::new(),
+            ahead: BTreeSet::new(),
+            virtual_time: 0,
             queued: 0,
             active: 0,
+            passed: 0,
         }
     }
+
+    fn weight(&self) -> u64 {
+        u64::from(self.share.weight.max(1))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.queued == 0 && self.active == 0
+    }
+
+    /// Applies `change` to a team, which is created if it is unknown, and keeps the indexes and counts.
+    fn update<R>(
+        &mut self,
+        team: TeamId,
+        weight: u32,
+        change: impl FnOnce(&mut TeamQueue<T>) -> R,
+    ) -> R {
+        let virtual_time = self.virtual_time;
+        let queue = self.teams.entry(team).or_insert_with(|| TeamQueue {
+            items: BTreeMap::new(),
+            active: 0,
+            weight,
+            virtual_time,
+        });
+        if queue.items.is_empty() {
+            self.ahead.remove(&(queue.virtual_time, team));
+            queue.virtual_time = queue.virtual_time.max(virtual_time);
+        } else {
+            self.ready.remove(&queue.rank(team));
+        }
+        let (items, active) = (queue.items.len(), queue.active);
+        let result = change(queue);
+        self.queued = self.queued + queue.items.len() - items;
+        self.active = self.active + queue.active - active;
+        if !queue.items.is_empty() {
+            self.ready.insert(queue.rank(team));
+        } else if queue.active == 0 {
+            self.ahead.insert((queue.virtual_time, team));
+        }
+        self.forget_idle_teams();
+        result
+    }
+
+    fn forget_idle_teams(&mut self) {
+        while let Some(&(at, team)) = self.ahead.first() {
+            if at > self.virtual_time && !self.is_idle() {
+                break;
+            }
+            self.ahead.pop_first();
+            self.teams.remove(&team);
+        }
+        assert!(
+            !self.is_idle() || self.teams.is_empty(),
+            "a kind without items keeps no team"
+        );
+    }
 }
 
 /// Weighted fair queue. Items move from queued to active by [`FairQueue::pop`] and leave by
@@ -100,8 +221,11 @@
 pub struct FairQueue<T> {
     kinds: BTreeMap<KindId, KindQueue<T>>,
     shares: HashMap<KindId, KindShare>,
+    team_weights: HashMap<TeamId, u32>,
+    limits: QueueLimits,
     arrivals: u64,
     queued: usize,
+    active: u32,
 }
 
 impl<T> Default for FairQueue<T> {
@@ -111,16 +235,41 @@
 }
 
 impl<T> FairQueue<T> {
-    /// Creates an empty queue in which every kind has the default share.
+    /// Creates an empty queue without bounds in which every kind has the default share.
     pub fn new() -> Self {
+        FairQueue::with_limits(QueueLimits::UNBOUNDED)
+    }
+
+    /// Creates an empty queue with bounds.
+    ///
+    /// ```
+    /// use figdeal_core::{
+    ///     id::{KindId, TeamId},
+    ///     share::{FairQueue, QueueFull, QueueLimits},
+    /// };
+    ///
+    /// let mut queue = FairQueue::with_limits(QueueLimits { kind: 1, total: 10 });
+    /// assert!(queue.try_push(KindId(0), TeamId(0), 0, "first").is_ok());
+    /// let full = queue.try_push(KindId(0), TeamId(0), 0, "second").unwrap_err();
+    /// assert_eq!(full, QueueFull::Kind { kind: KindId(0), limit: 1 });
+    /// ```
+    pub fn with_limits(limits: QueueLimits) -> Self {
         FairQueue {
             kinds: BTreeMap::new(),
             shares: HashMap::new(),
+            team_weights: HashMap::new(),
+            limits,
             arrivals: 0,
             queued: 0,
+            active: 0,
         }
     }
 
+    /// Sets the bounds. Items that are queued already stay.
+    pub fn set_limits(&mut self, limits: QueueLimits) {
+        self.limits = limits;
+    }
+
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
         self.shares.insert(kind, share);
@@ -129,41 +278,99 @@
         }
     }
 
+    /// Removes the share of a kind that is no longer configured; queued items of it get the default share.
+    pub fn clear_share(&mut self, kind: KindId) {
+        self.shares.remove(&kind);
+        if let Some(queue) = self.kinds.get_mut(&kind) {
+            queue.share = KindShare::default();
+        }
+    }
+
+    /// Sets the weight of a team, in proportion to its quota. A team without a weight has weight 1.
+    pub fn set_team_weight(&mut self, team: TeamId, weight: u32) {
+        let weight = weight.max(1);
+        self.team_weights.insert(team, weight);
+        for kind in self.kinds.values_mut() {
+            if kind.teams.contains_key(&team) {
+                kind.update(team, weight, |t| t.weight = weight);
+            }
+        }
+    }
+
     /// Adds an item; inside a team the smallest `order` goes first.
+    ///
+    /// # Panics
+    /// Panics when the queue is full; a queue of [`FairQueue::new`] never is.
     pub fn push(&mut self, kind: KindId, team: TeamId, order: u64, item: T) -> ItemKey {
+        match self.try_push(kind, team, order, item) {
+            Ok(key) => key,
+            Err(full) => panic!("pushed without checking the bounds: {full}"),
+        }
+    }
+
+    /// Adds an item if the bounds allow it; inside a team the smallest `order` goes first.
+    ///
+    /// # Errors
+    /// [`QueueFull`] names the bound that was reached.
+    pub fn try_push(&mut self, kind: KindId, team: TeamId, order: u64, item: T) -> Result<ItemKey> {
+        let (limits, queued) = (self.limits, self.queued(kind));
+        if self.queued >= limits.total {
+            return Err(QueueFull::Total {
+                limit: limits.total,
+            });
+        }
+        if queued >= limits.kind {
+            return Err(QueueFull::Kind {
+                kind,
+                limit: limits.kind,
+            });
+        }
         self.arrivals += 1;
         self.queued += 1;
-        let key = ItemKey {
+        let arrival = self.arrivals;
+        let weight = self.team_weight(team);
+        let share = self.shares.get(&kind).copied().unwrap_or_default();
+        self.kinds
+            .entry(kind)
+            .or_insert_with(|| KindQueue::new(share))
+            .update(team, weight, |t| t.items.insert((order, arrival), item));
+        Ok(ItemKey {
             kind,
             team,
             order,
-            arrival: self.arrivals,
-        };
-        let queue = self.kind_mut(kind);
-        queue.queued += 1;
-        queue
-            .teams
-            .entry(team)
-            .or_default()
-            .items
-            .insert((order, key.arrival), item);
-        key
+            arrival,
+        })
+    }
+
+    /// Number of items of a kind that the bounds still admit. A job is admitted only if all its tasks fit.
+    pub fn space(&self, kind: KindId) -> usize {
+        let total = self.limits.total.saturating_sub(self.queued);
+        total.min(self.limits.kind.saturating_sub(self.queued(kind)))
     }
 
     /// Takes the next item of the kinds that `eligible` admits and counts it as active.
-    pub fn pop(&mut self, mut eligible: impl FnMut(KindId) -> bool) -> Option<(ItemKey, T)> {
-        let kind = self.next_kind(&mut eligible)?;
-        let queue = self.kinds.get_mut(&kind)?;
-        let (&team, team_queue) = queue
-            .teams
-            .iter_mut()
-            .filter(|(_, t)| !t.items.is_empty())
-            .min_by_key(|(_, t)| t.active)?;
-        let ((order, arrival), item) = team_queue.items.pop_first()?;
-        team_queue.active += 1;
-        queue.active += 1;
-        queue.queued -= 1;
-        self.queued -= 1;
+    pub fn pop(&mut self, eligible: impl FnMut(KindId) -> bool) -> Option<(ItemKey, T)> {
+        let kind = self.next_kind(eligible)?;
+        self.pop_kind(kind)
+    }
+
+    /// Takes the next item for one of `slots` slots, of which the active items hold one each. A kind that
+    /// holds its share of the slots does not take the last `reserve` free ones.
+    pub fn pop_slot(&mut self, slots: u32, reserve: u32) -> Option<(ItemKey, T)> {
+        let free = slots.saturating_sub(self.active);
+        if free == 0 {
+            return None;
+        }
+        let kind = self.next_kind(|kind| free > reserve || !self.holds_share(kind, slots))?;
+        self.pop_kind(kind)
+    }
+
+    /// The item that [`FairQueue::pop`] would take.
+    pub fn peek(&self, eligible: impl FnMut(KindId) -> bool) -> Option<(ItemKey, &T)> {
+        let kind = self.next_kind(eligible)?;
+        let queue = &self.kinds[&kind];
+        let &(_, _, team) = queue.ready.first()?;
+        let (&(order, arrival), item) = queue.teams[&team].items.first_key_value()?;
         Some((
             ItemKey {
                 kind,
@@ -178,13 +385,12 @@
     /// Removes a queued item, for example after a cancellation.
     pub fn remove(&mut self, key: ItemKey) -> Option<T> {
         let queue = self.kinds.get_mut(&key.kind)?;
-        let item = queue
-            .teams
-            .get_mut(&key.team)?
-            .items
-            .remove(&(key.order, key.arrival))?;
-        queue.queued -= 1;
+        let weight = queue.teams.get(&key.team)?.weight;
+        let item = queue.update(key.team, weight, |t| {
+            t.items.remove(&(key.order, key.arrival))
+        })?;
         self.queued -= 1;
+        self.forget_idle_kind(key.kind);
         Some(item)
     }
 
@@ -197,19 +403,17 @@
             .kinds
             .get_mut(&kind)
             .expect("the kind has active items");
-        let team_queue = queue
+        let weight = queue
             .teams
-            .get_mut(&team)
-            .expect("the team has active items");
-        assert!(
-            queue.active > 0 && team_queue.active > 0,
-            "finished more items than were active"
-        );
-        queue.active -= 1;
-        team_queue.active -= 1;
-        if team_queue.active == 0 && team_queue.items.is_empty() {
-            queue.teams.remove(&team);
-        }
+            .get(&team)
+            .expect("the team has active items")
+            .weight;
+        queue.update(team, weight, |t| {
+            assert!(t.active > 0, "finished more items than were active");
+            t.active -= 1;
+        });
+        self.active -= 1;
+        self.forget_idle_kind(kind);
     }
 
     /// Number of queued items.
@@ -232,6 +436,11 @@
         self.kinds.get(&kind).map_or(0, |k| k.active)
     }
 
+    /// Number of teams that the queue remembers, for checks of its memory.
+    pub fn teams(&self) -> usize {
+        self.kinds.values().map(|k| k.teams.len()).sum()
+    }
+
     /// The kinds with queued items and their number.
     pub fn backlog(&self) -> impl Iterator<Item = (KindId, usize)> + '_ {
         self.kinds
@@ -240,23 +449,83 @@
             .map(|(&id, k)| (id, k.queued))
     }
 
-    fn kind_mut(&mut self, kind: KindId) -> &mut KindQueue<T> {
-        let share = self.shares.get(&kind).copied().unwrap_or_default();
-        self.kinds
-            .entry(kind)
-            .or_insert_with(|| KindQueue::new(share))
+    /// Whether the active items of a kind hold at least its share of `slots`, among all configured kinds.
+    pub fn holds_share(&self, kind: KindId, slots: u32) -> bool {
+        let weights = |share: &KindShare| u64::from(share.weight.max(1));
+        let configured: u64 = self.shares.values().map(weights).sum();
+        let (own, sum) = match self.shares.get(&kind) {
+            Some(share) => (weights(share), configured),
+            None => (1, configured + 1),
+        };
+        u64::from(self.active(kind)) * sum >= u64::from(slots) * own
     }
 
-    fn next_kind(&self, eligible: &mut impl FnMut(KindId) -> bool) -> Option<KindId> {
+    fn team_weight(&self, team: TeamId) -> u32 {
+        self.team_weights.get(&team).copied().unwrap_or(1)
+    }
+
+    /// The eligible kind with the smallest active/weight; ties go to the more urgent kind, but a kind without
+    /// active items that was passed over for a whole round of its share goes first. Without that exception,
+    /// the least urgent kinds would starve where there are fewer slots than kinds.
+    fn next_kind(&self, mut eligible: impl FnMut(KindId) -> bool) -> Option<KindId> {
+        let sum: u64 = self
+            .kinds
+            .values()
+            .filter(|k| k.queued > 0)
+            .map(KindQueue::weight)
+            .sum();
         self.kinds
             .iter()
-            .filter(|(_, k)| k.queued > 0)
-            .filter(|(id, _)| eligible(**id))
+            .filter(|(id, k)| k.queued > 0 && eligible(**id))
             .min_by(|(_, a), (_, b)| {
-                let left = u64::from(a.active) * u64::from(b.share.weight.max(1));
-                let right = u64::from(b.active) * u64::from(a.share.weight.max(1));
-                left.cmp(&right).then(b.share.urgency.cmp(&a.share.urgency))
+                let is_due = |k: &KindQueue<T>| k.active == 0 && k.passed * k.weight() >= sum;
+                let left = u64::from(a.active) * b.weight();
+                let right = u64::from(b.active) * a.weight();
+                is_due(b)
+                    .cmp(&is_due(a))
+                    .then(left.cmp(&right))
+                    .then(b.share.urgency.cmp(&a.share.urgency))
+                    .then((b.passed * b.weight()).cmp(&(a.passed * a.weight())))
             })
             .map(|(&id, _)| id)
     }
+
+    fn pop_kind(&mut self, kind: KindId) -> Option<(ItemKey, T)> {
+        for (&id, other) in &mut self.kinds {
+            other.passed = if id != kind && other.queued > 0 && other.active == 0 {
+                other.passed + 1
+            } else {
+                0
+            };
+        }
+        let queue = self.kinds.get_mut(&kind)?;
+        let &(_, virtual_time, team) = queue.ready.first()?;
+        let virtual_time = queue.virtual_time.max(virtual_time);
+        queue.virtual_time = virtual_time;
+        let weight = queue.teams[&team].weight;
+        let ((order, arrival), item) = queue.update(team, weight, |t| {
+            t.active += 1;
+            // A team that fell behind does not catch up: the lag of long tasks would let it starve others.
+            t.virtual_time = virtual_time + TURN / u64::from(t.weight);
+            t.items.pop_first().expect("a ready team has queued items")
+        });
+        self.queued -= 1;
+        self.active += 1;
+        assert!(self.active >= queue.active, "the total counts every kind");
+        Some((
+            ItemKey {
+                kind,
+                team,
+                order,
+                arrival,
+            },
+            item,
+        ))
+    }
+
+    fn forget_idle_kind(&mut self, kind: KindId) {
+        if self.kinds.get(&kind).is_some_and(KindQueue::is_idle) {
+            self.kinds.remove(&kind);
+        }
+    }
 }
