--- a/crates/figdeal-core/tests/scheduling/main.rs
+++ b/crates/figdeal-core/tests/scheduling/main.rs
@@ -2,6 +2,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 
+mod runtime;
 mod share;
 
 /// Seeds of an ordinary run.
