Fence submissions and prove no more than the ledger knows

A query that reached another incarnation was answered "not started", fences for unknown tasks grew a full ledger without bound, orders of any age were accepted, tasks whose deadline had passed waited for a free slot, and an upstream that shrank below its running tasks failed an assertion.

A query of another incarnation, and one that a full ledger cannot fence, now proves nothing. Orders carry sent_ms and are refused when they are 60 s away from the agent's clock, which set_clock sets. collect() fences a submission in a bounded table that is kept for the retention. Queued tasks expire on tick. Marks are ordered by submission, and each is visited once for its expiry. The reserve of slots is enforced. Repeated verdicts carry the measured run time instead of zero.

--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -1,16 +1,26 @@
 //! Decisions of an agent: which queued task takes a free slot, and what the ledger says about each request.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     fleet::Load,
     id::{EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::{Ledger, LedgerLimits, Mark, Rejected, TaskResult},
     runtime::RunTimes,
-    share::{FairQueue, ItemKey, KindShare},
-    time::Timestamp,
+    share::{FairQueue, ItemKey, KindShare, QueueLimits},
+    time::{Timestamp, UnixMillis},
 };
 
+/// Largest number of tasks of one kind that wait at one agent.
+const MAX_QUEUED_KIND: usize = 2_048;
+/// Largest number of tasks that wait at one agent.
+const MAX_QUEUED: usize = 4_096;
+/// Largest age of an order. Marks are kept for 600 s, so a task is forgotten only when no order for it is valid.
+const MAX_ORDER_AGE: Duration = Duration::from_secs(60);
+
 /// A task as an entry hands it over.
 #[derive(Debug, Clone)]
 pub struct TaskOrder {
@@ -28,6 +38,8 @@
     pub incarnation: Incarnation,
     /// The entry that owns the job.
     pub entry: EntryId,
+    /// When the entry sent the request, by its wall clock.
+    pub sent_ms: UnixMillis,
 }
 
 /// Why a task was not started, for good, at this agent.
@@ -45,6 +57,8 @@
     Deadline,
     /// The owner cancelled it.
     Cancelled,
+    /// The request was sent more than 60 s ago, or the clocks of the entry and the agent differ that much.
+    Stale,
 }
 
 /// Final word of an agent on one task.
@@ -79,73 +93,138 @@
     Pending,
     /// It ended.
     Ended(Verdict),
+    /// Nothing is proven: the task may have run at the incarnation that it was sent to.
+    Unproven,
+}
+
+/// What an agent holds of a submission that a collector asked for. Nothing of it starts here any more if
+/// `is_fenced`; tasks that are not listed are unknown here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Collected {
+    /// Whether the whole submission is fenced; it is not when the table of fenced submissions is full.
+    pub is_fenced: bool,
+    /// Tasks that ended, or never started, with their verdicts.
+    pub ended: Vec<(TaskId, Verdict)>,
+    /// Tasks that run; a query returns their verdict later.
+    pub running: Vec<TaskId>,
+    /// Replies to requests that wait for tasks that the fence declined.
+    pub actions: Vec<Action>,
 }
 
 #[derive(Debug)]
-struct Queued {
-    task: TaskId,
+struct Waiting {
+    key: ItemKey,
     deadline: Timestamp,
 }
 
 #[derive(Debug)]
-struct Place {
-    key: ItemKey,
-    started: Option<Timestamp>,
+struct Running {
+    kind: KindId,
+    team: TeamId,
+    started: Timestamp,
 }
 
 /// Decisions of one agent incarnation.
+///
+/// ```
+/// use figdeal_core::{
+///     agent::{Action, AgentCore, TaskOrder},
+///     id::{EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
+///     ledger::LedgerLimits,
+///     time::{Timestamp, UnixMillis},
+/// };
+///
+/// let (now, wall) = (Timestamp::ZERO, UnixMillis(1_000_000));
+/// let mut agent = AgentCore::new(Incarnation(1), LedgerLimits::default());
+/// agent.set_clock(wall, now);
+/// agent.set_slots(1);
+/// let task = TaskId { key: SubmissionKey([1; 16]), index: 0 };
+/// let order = TaskOrder {
+///     task,
+///     kind: KindId(0),
+///     team: TeamId(0),
+///     order: 0,
+///     deadline: Timestamp::from_micros(1_000_000),
+///     incarnation: Incarnation(1),
+///     entry: EntryId(0),
+///     sent_ms: wall,
+/// };
+/// assert_eq!(agent.run(order, now), [Action::Call(task)]);
+/// ```
 #[derive(Debug)]
 pub struct AgentCore {
     incarnation: Incarnation,
     ledger: Ledger,
-    queue: FairQueue<Queued>,
-    places: HashMap<TaskId, Place>,
+    queue: FairQueue<TaskId>,
+    waiting: BTreeMap<TaskId, Waiting>,
+    deadlines: BTreeSet<(Timestamp, TaskId)>,
+    running: BTreeMap<TaskId, Running>,
     times: RunTimes,
     slots: u32,
-    busy: u32,
+    reserve: u32,
     draining: bool,
-    max_queued: usize,
+    clock: Option<(UnixMillis, Timestamp)>,
 }
 
-/// Largest number of tasks that wait at one agent.
-const MAX_QUEUED: usize = 4_096;
-
 impl AgentCore {
-    /// Creates an agent without an announced upstream: it declines work until [`AgentCore::set_slots`].
+    /// Creates an agent without an announced upstream and without a wall clock: it declines work until
+    /// [`AgentCore::set_slots`] and [`AgentCore::set_clock`].
     pub fn new(incarnation: Incarnation, limits: LedgerLimits) -> AgentCore {
         AgentCore {
             incarnation,
             ledger: Ledger::new(limits),
-            queue: FairQueue::new(),
-            places: HashMap::new(),
+            queue: FairQueue::with_limits(QueueLimits {
+                kind: MAX_QUEUED_KIND,
+                total: MAX_QUEUED,
+            }),
+            waiting: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            running: BTreeMap::new(),
             times: RunTimes::default(),
             slots: 0,
-            busy: 0,
+            reserve: 0,
             draining: true,
-            max_queued: MAX_QUEUED,
+            clock: None,
         }
     }
 
-    /// Sets the slots of the announced upstream and starts to accept work.
+    /// Sets the wall clock as it was read at `now`. The agent advances it by the monotonic clock, so that a jump
+    /// of the wall clock changes no age.
+    pub fn set_clock(&mut self, wall: UnixMillis, now: Timestamp) {
+        self.clock = Some((wall, now));
+    }
+
+    /// Sets the slots of the announced upstream and starts to accept work. Running tasks keep their slots when
+    /// the number shrinks.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots;
         self.draining = false;
     }
 
+    /// Sets the number of slots that are kept free of kinds that hold their share.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
         self.queue.set_share(kind, share);
     }
 
+    /// Removes the share of a kind that is no longer configured.
+    pub fn clear_share(&mut self, kind: KindId) {
+        self.queue.clear_share(kind);
+    }
+
+    /// Sets the weight of a team inside each kind.
+    pub fn set_team_weight(&mut self, team: TeamId, weight: u32) {
+        self.queue.set_team_weight(team, weight);
+    }
+
     /// Stops accepting work and declines what is queued; running tasks go on.
     pub fn drain(&mut self, now: Timestamp) -> Vec<Action> {
         self.draining = true;
-        let queued: Vec<TaskId> = self
-            .places
-            .iter()
-            .filter(|(_, p)| p.started.is_none())
-            .map(|(&task, _)| task)
-            .collect();
+        let queued: Vec<TaskId> = self.waiting.keys().copied().collect();
         queued
             .into_iter()
             .map(|t| self.decline_queued(t, Declined::Draining, now))
@@ -156,36 +235,20 @@
     pub fn run(&mut self, order: TaskOrder, now: Timestamp) -> Vec<Action> {
         let task = order.task;
         if order.incarnation != self.incarnation {
-            return vec![Action::Reply(
-                task,
-                Verdict::NotStarted(Declined::Incarnation),
-            )];
+            return vec![not_started(task, Declined::Incarnation)];
         }
+        self.ledger.expire(now);
         if let Some(mark) = self.ledger.mark(task) {
-            return match ended(mark) {
-                Some(verdict) => vec![Action::Reply(task, verdict)],
-                None => Vec::new(),
-            };
+            let verdict = ended(mark).map(|verdict| Action::Reply(task, verdict));
+            return verdict.into_iter().collect();
         }
-        let declined = if self.draining {
-            Some(Declined::Draining)
-        } else if self.queue.len() >= self.max_queued {
-            Some(Declined::Full)
-        } else {
-            match self.ledger.admit(task, now) {
-                Ok(()) => None,
-                Err(Rejected::Full | Rejected::Known) => Some(Declined::Full),
-            }
-        };
-        if let Some(declined) = declined {
-            return vec![Action::Reply(task, Verdict::NotStarted(declined))];
+        if let Err(declined) = self.admit(&order, now) {
+            return vec![not_started(task, declined)];
         }
-        let queued = Queued {
-            task,
-            deadline: order.deadline,
-        };
-        let key = self.queue.push(order.kind, order.team, order.order, queued);
-        self.places.insert(task, Place { key, started: None });
+        let deadline = order.deadline;
+        let key = self.queue.push(order.kind, order.team, order.order, task);
+        self.waiting.insert(task, Waiting { key, deadline });
+        self.deadlines.insert((deadline, task));
         self.fill(now)
     }
 
@@ -194,16 +257,14 @@
     /// # Panics
     /// Panics when the task is not running.
     pub fn finish(&mut self, task: TaskId, result: TaskResult, now: Timestamp) -> Vec<Action> {
-        let place = self
-            .places
+        let call = self
+            .running
             .remove(&task)
-            .expect("a finished task holds a place");
-        let started = place.started.expect("a finished task was started");
-        let run = now.since(started);
-        self.queue.finish(place.key.kind(), place.key.team());
-        self.busy -= 1;
-        self.times.record(place.key.kind(), run);
-        self.ledger.finish(task, result.clone(), now);
+            .expect("a finished task holds a slot");
+        let run = now.since(call.started);
+        self.queue.finish(call.kind, call.team);
+        self.times.record(call.kind, run);
+        self.ledger.finish(task, result.clone(), run, now);
         let mut actions = vec![Action::Reply(task, Verdict::Ran { result, run })];
         actions.extend(self.fill(now));
         actions
@@ -212,60 +273,113 @@
     /// Answers what became of a task. An unknown task is fenced, so that a delayed request cannot start it.
     pub fn query(&mut self, task: TaskId, incarnation: Incarnation, now: Timestamp) -> Known {
         if incarnation != self.incarnation {
-            return Known::Ended(Verdict::NotStarted(Declined::Incarnation));
+            return Known::Unproven;
         }
-        match self.ledger.mark(task) {
-            Some(mark) => ended(mark).map_or(Known::Pending, Known::Ended),
-            None => {
-                self.ledger.fence(task, now);
-                Known::Ended(Verdict::NotStarted(Declined::Fenced))
-            }
+        if let Some(mark) = self.ledger.mark(task) {
+            return ended(mark).map_or(Known::Pending, Known::Ended);
+        }
+        if !self.ledger.fence(task, now) {
+            return Known::Unproven;
         }
+        Known::Ended(Verdict::NotStarted(Declined::Fenced))
     }
 
-    /// Fences a queued or unknown task. A running task goes on; its verdict is still to come.
+    /// Fences a queued or unknown task. A running task goes on; its verdict is still to come. No reply follows
+    /// for an unknown task while the ledger is full: nothing is proven then. For requests whose incarnation was
+    /// not checked, use [`AgentCore::cancel_for`].
     pub fn cancel(&mut self, task: TaskId, now: Timestamp) -> Vec<Action> {
         match self.ledger.mark(task) {
             Some(Mark::Queued) => {
-                let action = self.decline_queued(task, Declined::Cancelled, now);
-                vec![action]
+                let mut actions = vec![self.decline_queued(task, Declined::Cancelled, now)];
+                actions.extend(self.fill(now));
+                return actions;
             }
-            Some(mark) => match ended(mark) {
-                Some(verdict) => vec![Action::Reply(task, verdict)],
-                None => Vec::new(),
-            },
-            None => {
-                self.ledger.fence(task, now);
-                vec![Action::Reply(
-                    task,
-                    Verdict::NotStarted(Declined::Cancelled),
-                )]
+            Some(mark) => {
+                let verdict = ended(mark).map(|verdict| Action::Reply(task, verdict));
+                return verdict.into_iter().collect();
             }
+            None => {}
+        }
+        if !self.ledger.fence(task, now) {
+            return Vec::new();
+        }
+        vec![not_started(task, Declined::Cancelled)]
+    }
+
+    /// Cancels a task that was sent to `incarnation`. Returns `None` if that is another incarnation, which may
+    /// have run the task: nothing is proven, and the task is not fenced here.
+    pub fn cancel_for(
+        &mut self,
+        task: TaskId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) -> Option<Vec<Action>> {
+        (incarnation == self.incarnation).then(|| self.cancel(task, now))
+    }
+
+    /// Fences everything of a submission that is not started, also tasks that arrive later, and returns what this
+    /// agent holds of it.
+    pub fn collect(&mut self, key: SubmissionKey, now: Timestamp) -> Collected {
+        let is_fenced = self.ledger.fence_submission(key, now);
+        let queued: Vec<TaskId> = self
+            .ledger
+            .tasks(key)
+            .filter(|(_, mark)| **mark == Mark::Queued)
+            .map(|(task, _)| task)
+            .collect();
+        let mut actions: Vec<Action> = queued
+            .into_iter()
+            .map(|task| self.decline_queued(task, Declined::Fenced, now))
+            .collect();
+        actions.extend(self.fill(now));
+        let ended = self
+            .ledger
+            .tasks(key)
+            .filter_map(|(task, mark)| Some((task, ended(mark)?)))
+            .collect();
+        let running = self.running(key);
+        Collected {
+            is_fenced,
+            ended,
+            running,
+            actions,
         }
     }
 
-    /// Declines queued tasks whose deadline passed.
+    /// Declines queued tasks whose deadline passed, fills free slots and drops marks that were kept long enough.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
+        self.ledger.expire(now);
         self.fill(now)
     }
 
     /// Tasks of a submission that were started here and not finished.
     pub fn running(&self, key: SubmissionKey) -> Vec<TaskId> {
-        self.places
-            .iter()
-            .filter(|(t, p)| t.key == key && p.started.is_some())
-            .map(|(&t, _)| t)
+        let (first, last) = (
+            TaskId { key, index: 0 },
+            TaskId {
+                key,
+                index: u16::MAX,
+            },
+        );
+        self.running
+            .range(first..=last)
+            .map(|(&task, _)| task)
             .collect()
     }
 
     /// Number of tasks at the upstream.
     pub fn busy(&self) -> u32 {
-        self.busy
+        self.running.len() as u32
+    }
+
+    /// Number of tasks that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
     }
 
     /// Whether nothing is queued or running.
     pub fn is_idle(&self) -> bool {
-        self.places.is_empty()
+        self.waiting.is_empty() && self.running.is_empty()
     }
 
     /// Whether the agent declines new work.
@@ -275,76 +389,130 @@
 
     /// The load as it rides on replies.
     pub fn load(&self, now: Timestamp) -> Load {
+        let free = self.slots.saturating_sub(self.busy());
         let wait = self
-            .places
+            .running
             .values()
-            .filter_map(|p| Some((p.key.kind(), p.started?)))
-            .map(|(kind, started)| {
+            // A task that exceeds its estimate by some time is expected to need about that time again.
+            .map(|r| {
                 self.times
-                    .estimate(kind, None)
-                    .saturating_sub(now.since(started))
+                    .estimate(r.kind, None)
+                    .abs_diff(now.since(r.started))
             })
             .min()
+            .filter(|_| free == 0)
             .unwrap_or_default();
         Load {
-            free: self.slots.saturating_sub(self.busy),
+            free,
             queued: self.queue.backlog().map(|(k, n)| (k, n as u32)).collect(),
             wait,
         }
     }
 
+    fn admit(&mut self, order: &TaskOrder, now: Timestamp) -> Result<(), Declined> {
+        if self.is_stale(order.sent_ms, now) {
+            return Err(Declined::Stale);
+        }
+        if self.ledger.is_fenced(order.task.key) {
+            return Err(Declined::Fenced);
+        }
+        if self.draining {
+            return Err(Declined::Draining);
+        }
+        if order.deadline <= now {
+            return Err(Declined::Deadline);
+        }
+        if self.queue.space(order.kind) == 0 {
+            return Err(Declined::Full);
+        }
+        self.ledger
+            .admit(order.task, now)
+            .map_err(|rejected| match rejected {
+                Rejected::Full | Rejected::Known => Declined::Full,
+                Rejected::Fenced => Declined::Fenced,
+            })
+    }
+
+    fn is_stale(&self, sent: UnixMillis, now: Timestamp) -> bool {
+        let Some((wall, at)) = self.clock else {
+            return true;
+        };
+        let now = now.max(self.ledger.latest());
+        wall.plus(now.since(at)).distance(sent) > MAX_ORDER_AGE
+    }
+
     fn fill(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = self.expire_queued(now);
+        while let Some((key, task)) = self.queue.pop_slot(self.slots, self.reserve) {
+            let waiting = self.waiting.remove(&task).expect("a queued task waits");
+            self.deadlines.remove(&(waiting.deadline, task));
+            self.ledger.start(task);
+            let (kind, team) = (key.kind(), key.team());
+            self.running.insert(
+                task,
+                Running {
+                    kind,
+                    team,
+                    started: now,
+                },
+            );
+            assert!(self.busy() <= self.slots, "more calls than slots");
+            actions.push(Action::Call(task));
+        }
+        self.check();
+        actions
+    }
+
+    fn expire_queued(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
-        while self.busy < self.slots {
-            let Some((key, item)) = self.queue.pop(|_| true) else {
-                break;
-            };
-            if item.deadline <= now {
-                self.queue.finish(key.kind(), key.team());
-                self.places.remove(&item.task);
-                self.ledger.fence(item.task, now);
-                let verdict = Verdict::NotStarted(Declined::Deadline);
-                actions.push(Action::Reply(item.task, verdict));
-                continue;
-            }
-            self.ledger.start(item.task);
-            self.busy += 1;
-            let place = self
-                .places
-                .get_mut(&item.task)
-                .expect("a queued task holds a place");
-            place.started = Some(now);
-            actions.push(Action::Call(item.task));
+        while let Some(&(deadline, task)) = self.deadlines.first()
+            && deadline <= now
+        {
+            actions.push(self.decline_queued(task, Declined::Deadline, now));
         }
-        assert!(
-            self.busy <= self.slots || self.draining,
-            "more calls than slots"
-        );
         actions
     }
 
     fn decline_queued(&mut self, task: TaskId, declined: Declined, now: Timestamp) -> Action {
-        let place = self
-            .places
-            .remove(&task)
-            .expect("a queued task holds a place");
+        let waiting = self.waiting.remove(&task).expect("a queued task waits");
+        self.deadlines.remove(&(waiting.deadline, task));
         self.queue
-            .remove(place.key)
-            .expect("the place names a queued item");
+            .remove(waiting.key)
+            .expect("a waiting task is queued");
         let is_fenced = self.ledger.fence(task, now);
         assert!(is_fenced, "a queued task can be fenced");
-        Action::Reply(task, Verdict::NotStarted(declined))
+        not_started(task, declined)
     }
+
+    fn check(&self) {
+        assert_eq!(
+            self.waiting.len(),
+            self.queue.len(),
+            "each waiting task is queued"
+        );
+        assert_eq!(
+            self.waiting.len(),
+            self.deadlines.len(),
+            "each waiting task has a deadline"
+        );
+    }
+}
+
+fn not_started(task: TaskId, declined: Declined) -> Action {
+    Action::Reply(task, Verdict::NotStarted(declined))
 }
 
 fn ended(mark: &Mark) -> Option<Verdict> {
     match mark {
         Mark::Queued | Mark::Running => None,
-        Mark::Finished(Some(result)) => Some(Verdict::Ran {
+        Mark::Finished {
+            result: Some(result),
+            run,
+        } => Some(Verdict::Ran {
             result: result.clone(),
-            run: Duration::ZERO,
+            run: *run,
         }),
-        Mark::Finished(None) => Some(Verdict::ResultDropped),
+        Mark::Finished { result: None, .. } => Some(Verdict::ResultDropped),
         Mark::Fenced => Some(Verdict::NotStarted(Declined::Fenced)),
     }
 }
--- a/crates/figdeal-core/src/ledger.rs
+++ b/crates/figdeal-core/src/ledger.rs
@@ -1,11 +1,14 @@
 //! What an agent remembers of the tasks that it was given, so that none starts twice.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
-use crate::{id::TaskId, time::Timestamp};
+use crate::{
+    id::{SubmissionKey, TaskId},
+    time::Timestamp,
+};
 
 /// Result of a task as the upstream gave it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,8 +28,13 @@
     Queued,
     /// Was handed to the upstream.
     Running,
-    /// Finished; the result is `None` once it was dropped to bound memory.
-    Finished(Option<TaskResult>),
+    /// Finished.
+    Finished {
+        /// The result, `None` once it was dropped to bound memory.
+        result: Option<TaskResult>,
+        /// Time that the upstream took.
+        run: Duration,
+    },
     /// Never started and never will.
     Fenced,
 }
@@ -36,6 +44,8 @@
 pub enum Rejected {
     /// The task is known already.
     Known,
+    /// The submission of the task is fenced.
+    Fenced,
     /// The ledger holds as many marks as its bound allows.
     Full,
 }
@@ -49,6 +59,10 @@
     pub bytes: usize,
     /// How long the mark of a finished or fenced task is kept.
     pub keep: Duration,
+    /// Largest number of fenced submissions.
+    pub submissions: usize,
+    /// How long a fenced submission is kept.
+    pub keep_submission: Duration,
 }
 
 impl Default for LedgerLimits {
@@ -57,6 +71,10 @@
             marks: 500_000,
             bytes: 32 << 20,
             keep: Duration::from_secs(600),
+            submissions: 100_000,
+            // The retention of submissions plus twice the largest clock difference: no entry starts tasks of
+            // an older submission.
+            keep_submission: Duration::from_secs(3_604),
         }
     }
 }
@@ -78,10 +96,20 @@
 #[derive(Debug)]
 pub struct Ledger {
     limits: LedgerLimits,
-    marks: HashMap<TaskId, Mark>,
+    /// Ordered, so that the tasks of a submission are found without a scan.
+    marks: BTreeMap<TaskId, Mark>,
+    /// Number of queued and running tasks.
+    open: usize,
+    /// The finished and fenced tasks in the order in which they ended, which is the order of expiry.
     ended: VecDeque<(Timestamp, TaskId)>,
+    /// The finished tasks whose result is held and not empty, in the order in which they ended.
     held: VecDeque<TaskId>,
     bytes: usize,
+    submissions: HashMap<SubmissionKey, Timestamp>,
+    /// The fenced submissions in the order of their expiry.
+    fenced: BTreeSet<(Timestamp, SubmissionKey)>,
+    /// The latest time seen; the queues of expiry rely on times that do not go back.
+    latest: Timestamp,
 }
 
 impl Ledger {
@@ -89,34 +117,49 @@
     pub fn new(limits: LedgerLimits) -> Ledger {
         Ledger {
             limits,
-            marks: HashMap::new(),
+            marks: BTreeMap::new(),
+            open: 0,
             ended: VecDeque::new(),
             held: VecDeque::new(),
             bytes: 0,
+            submissions: HashMap::new(),
+            fenced: BTreeSet::new(),
+            latest: Timestamp::ZERO,
         }
     }
 
     /// Admits a task that was never seen as queued.
     ///
     /// # Errors
-    /// [`Rejected::Known`] for a task with a mark, [`Rejected::Full`] at the bound.
+    /// [`Rejected::Known`] for a task with a mark, [`Rejected::Fenced`] for a task of a fenced submission,
+    /// [`Rejected::Full`] at the bound.
     pub fn admit(&mut self, task: TaskId, now: Timestamp) -> Result<(), Rejected> {
         self.expire(now);
         if self.marks.contains_key(&task) {
             return Err(Rejected::Known);
         }
+        if self.is_fenced(task.key) {
+            return Err(Rejected::Fenced);
+        }
         if self.marks.len() >= self.limits.marks {
             return Err(Rejected::Full);
         }
         self.marks.insert(task, Mark::Queued);
+        self.open += 1;
+        self.check();
         Ok(())
     }
 
     /// Marks a queued task as handed to the upstream.
     ///
     /// # Panics
-    /// Panics when the task is not queued: that would be a second start.
+    /// Panics when the task is not queued or its submission is fenced: that would be a second start, or a start
+    /// that was denied before.
     pub fn start(&mut self, task: TaskId) {
+        assert!(
+            !self.is_fenced(task.key),
+            "task {task} must not be fenced to start"
+        );
         let mark = self
             .marks
             .get_mut(&task)
@@ -129,7 +172,8 @@
     ///
     /// # Panics
     /// Panics when the task is not running.
-    pub fn finish(&mut self, task: TaskId, result: TaskResult, now: Timestamp) {
+    pub fn finish(&mut self, task: TaskId, result: TaskResult, run: Duration, now: Timestamp) {
+        let now = self.advance(now);
         let mark = self
             .marks
             .get_mut(&task)
@@ -139,26 +183,63 @@
             Mark::Running,
             "task {task} must be running to finish"
         );
-        self.bytes += held_bytes(&result);
-        *mark = Mark::Finished(Some(result));
+        let bytes = held_bytes(&result);
+        *mark = Mark::Finished {
+            result: Some(result),
+            run,
+        };
         self.ended.push_back((now, task));
-        self.held.push_back(task);
+        self.open -= 1;
+        if bytes > 0 {
+            self.bytes += bytes;
+            self.held.push_back(task);
+        }
         while self.bytes > self.limits.bytes {
             self.drop_oldest();
         }
+        self.check();
     }
 
-    /// Fences a task that is queued or unknown. Returns whether it is certain never to start.
+    /// Fences a task that is queued or unknown. Returns whether it is certain never to start. An unknown task
+    /// cannot be fenced while the ledger is full, because the fence needs a mark.
     pub fn fence(&mut self, task: TaskId, now: Timestamp) -> bool {
+        self.expire(now);
         match self.marks.get(&task) {
-            None | Some(Mark::Queued) => {
-                self.marks.insert(task, Mark::Fenced);
-                self.ended.push_back((now, task));
-                true
-            }
-            Some(Mark::Fenced) => true,
-            Some(Mark::Running | Mark::Finished(_)) => false,
+            None if self.is_fenced(task.key) => return true,
+            None if self.marks.len() >= self.limits.marks => return false,
+            None => {}
+            Some(Mark::Queued) => self.open -= 1,
+            Some(Mark::Fenced) => return true,
+            Some(Mark::Running | Mark::Finished { .. }) => return false,
         }
+        self.marks.insert(task, Mark::Fenced);
+        self.ended.push_back((self.latest, task));
+        self.check();
+        true
+    }
+
+    /// Fences a submission, or renews its fence: no task of it is admitted for as long as the fence is kept. Returns whether it is fenced; it is not when the
+    /// table of fenced submissions is full. Queued tasks are left to the caller, see [`Ledger::tasks`].
+    pub fn fence_submission(&mut self, key: SubmissionKey, now: Timestamp) -> bool {
+        self.expire(now);
+        if let Some(at) = self.submissions.get(&key) {
+            self.fenced.remove(&(*at, key));
+        } else if self.submissions.len() >= self.limits.submissions {
+            return false;
+        }
+        self.submissions.insert(key, self.latest);
+        self.fenced.insert((self.latest, key));
+        assert_eq!(
+            self.submissions.len(),
+            self.fenced.len(),
+            "each fence expires once"
+        );
+        true
+    }
+
+    /// Whether a submission is fenced.
+    pub fn is_fenced(&self, key: SubmissionKey) -> bool {
+        self.submissions.contains_key(&key)
     }
 
     /// The mark of a task.
@@ -166,6 +247,20 @@
         self.marks.get(&task)
     }
 
+    /// The tasks of a submission with their marks, in order of their index.
+    pub fn tasks(&self, key: SubmissionKey) -> impl Iterator<Item = (TaskId, &Mark)> {
+        let (first, last) = (
+            TaskId { key, index: 0 },
+            TaskId {
+                key,
+                index: u16::MAX,
+            },
+        );
+        self.marks
+            .range(first..=last)
+            .map(|(&task, mark)| (task, mark))
+    }
+
     /// Number of marks.
     pub fn len(&self) -> usize {
         self.marks.len()
@@ -176,28 +271,79 @@
         self.marks.is_empty()
     }
 
-    fn drop_oldest(&mut self) {
-        let Some(task) = self.held.pop_front() else {
-            return;
-        };
-        if let Some(Mark::Finished(result)) = self.marks.get_mut(&task)
-            && let Some(result) = result.take()
-        {
-            self.bytes -= held_bytes(&result);
-        }
+    /// Sum of the bytes of held results.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The latest time that the ledger was given.
+    pub fn latest(&self) -> Timestamp {
+        self.latest
     }
 
-    fn expire(&mut self, now: Timestamp) {
+    /// Drops what was kept for long enough. Each mark is visited once in its life, so the cost for each task is
+    /// constant but for the look-up.
+    pub fn expire(&mut self, now: Timestamp) {
+        let now = self.advance(now);
         while let Some(&(at, task)) = self.ended.front() {
             if now.since(at) < self.limits.keep {
-                return;
+                break;
             }
             self.ended.pop_front();
-            if let Some(Mark::Finished(Some(result))) = self.marks.remove(&task) {
-                self.bytes -= held_bytes(&result);
-                self.held.retain(|t| *t != task);
+            if let Some(Mark::Finished {
+                result: Some(result),
+                ..
+            }) = self.marks.remove(&task)
+            {
+                let bytes = held_bytes(&result);
+                if bytes > 0 {
+                    let oldest = self.held.pop_front();
+                    assert_eq!(
+                        oldest,
+                        Some(task),
+                        "results expire in the order in which they are held"
+                    );
+                    self.bytes -= bytes;
+                }
             }
         }
+        while let Some(&(at, key)) = self.fenced.first() {
+            if now.since(at) < self.limits.keep_submission {
+                break;
+            }
+            self.fenced.pop_first();
+            self.submissions.remove(&key);
+        }
+        self.check();
+    }
+
+    fn advance(&mut self, now: Timestamp) -> Timestamp {
+        self.latest = self.latest.max(now);
+        self.latest
+    }
+
+    fn drop_oldest(&mut self) {
+        let task = self
+            .held
+            .pop_front()
+            .expect("held bytes belong to a held result");
+        let Some(Mark::Finished { result, .. }) = self.marks.get_mut(&task) else {
+            panic!("a held result belongs to a finished task");
+        };
+        let result = result.take().expect("a result is dropped once");
+        self.bytes -= held_bytes(&result);
+    }
+
+    fn check(&self) {
+        assert_eq!(
+            self.open + self.ended.len(),
+            self.marks.len(),
+            "each mark is open or waits for its expiry"
+        );
+        assert!(
+            self.bytes <= self.limits.bytes,
+            "held results exceed their bound"
+        );
     }
 }
 
--- /dev/null
+++ b/crates/figdeal-core/tests/scheduling/agent.rs
@@ -0,0 +1,419 @@
+//! Tests of the agent and its ledger.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use figdeal_core::{
+    agent::{Action, AgentCore, Declined, Known, TaskOrder, Verdict},
+    id::{EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
+    ledger::{LedgerLimits, TaskResult},
+    share::KindShare,
+    time::{Timestamp, UnixMillis},
+};
+use rand::{Rng, rngs::SmallRng};
+
+use crate::for_seeds;
+
+const OWN: Incarnation = Incarnation(1);
+const WALL: u64 = 1_000_000_000;
+
+fn task(key: u8, index: u16) -> TaskId {
+    TaskId {
+        key: SubmissionKey([key; 16]),
+        index,
+    }
+}
+
+fn order(task: TaskId, kind: u16, now: Timestamp) -> TaskOrder {
+    TaskOrder {
+        task,
+        kind: KindId(kind),
+        team: TeamId(0),
+        order: 0,
+        deadline: now + Duration::from_secs(10),
+        incarnation: OWN,
+        entry: EntryId(0),
+        sent_ms: wall(now),
+    }
+}
+
+fn wall(now: Timestamp) -> UnixMillis {
+    UnixMillis(WALL + now.as_micros() / 1_000)
+}
+
+fn new_agent(slots: u32, limits: LedgerLimits) -> AgentCore {
+    let mut agent = AgentCore::new(OWN, limits);
+    agent.set_clock(UnixMillis(WALL), Timestamp::ZERO);
+    agent.set_slots(slots);
+    agent
+}
+
+fn not_started(task: TaskId, declined: Declined) -> Vec<Action> {
+    vec![Action::Reply(task, Verdict::NotStarted(declined))]
+}
+
+/// What the outside of an agent has seen.
+#[derive(Default)]
+struct Seen {
+    sent: Vec<TaskOrder>,
+    started: BTreeSet<TaskId>,
+    running: Vec<TaskId>,
+    ended: BTreeMap<TaskId, TaskResult>,
+    /// Tasks that are certain never to start, however many requests for them follow.
+    fenced: BTreeSet<TaskId>,
+    collected: BTreeMap<SubmissionKey, Timestamp>,
+    latest: Timestamp,
+}
+
+impl Seen {
+    fn take(&mut self, actions: Vec<Action>, now: Timestamp) {
+        self.latest = self.latest.max(now);
+        let (latest, keep) = (self.latest, LedgerLimits::default().keep_submission);
+        self.collected.retain(|_, at| latest.since(*at) < keep);
+        for action in actions {
+            match action {
+                Action::Call(task) => {
+                    assert!(self.started.insert(task), "{task} started twice");
+                    assert!(
+                        !self.fenced.contains(&task),
+                        "{task} started after its fence"
+                    );
+                    let is_collected = self.collected.contains_key(&task.key);
+                    assert!(!is_collected, "{task} started after a collect");
+                    let sent = self.sent.iter().filter(|o| o.task == task);
+                    assert!(
+                        sent.clone().any(|o| o.deadline > now),
+                        "{task} started too late"
+                    );
+                    self.running.push(task);
+                }
+                Action::Reply(task, verdict) => self.check(task, verdict),
+            }
+        }
+    }
+
+    fn check(&mut self, task: TaskId, verdict: Verdict) {
+        match verdict {
+            Verdict::Ran { result, .. } => assert_eq!(self.ended.get(&task), Some(&result)),
+            Verdict::ResultDropped => assert!(self.ended.contains_key(&task)),
+            Verdict::NotStarted(Declined::Incarnation | Declined::Stale) => {}
+            // These refuse one request and leave no mark.
+            Verdict::NotStarted(Declined::Full | Declined::Draining) => {}
+            Verdict::NotStarted(declined) => {
+                assert!(
+                    !self.started.contains(&task),
+                    "{task} ran, but was {declined:?}"
+                );
+                if declined != Declined::Deadline {
+                    self.fenced.insert(task);
+                }
+            }
+        }
+    }
+}
+
+fn step(
+    rng: &mut SmallRng,
+    agent: &mut AgentCore,
+    seen: &mut Seen,
+    now: Timestamp,
+    next: &mut u16,
+) {
+    // Requests, queries and cancels older than this do not exist: an order is refused after 60 s, and an entry
+    // asks until the deadline.
+    let recent: Vec<TaskOrder> = seen
+        .sent
+        .iter()
+        .filter(|o| now.since(o.deadline) < Duration::from_secs(300))
+        .cloned()
+        .collect();
+    let any = (!recent.is_empty()).then(|| recent[rng.random_range(0..recent.len())].task);
+    let fresh = task(rng.random_range(0..20), *next);
+    let known = any.filter(|_| rng.random_bool(0.9)).unwrap_or(fresh);
+    match rng.random_range(0..100) {
+        0..45 => {
+            *next += 1;
+            let mut new = order(fresh, rng.random_range(0..3), now);
+            new.deadline = now + Duration::from_millis(rng.random_range(0..20_000));
+            seen.sent.push(new.clone());
+            if rng.random_bool(0.9) {
+                seen.take(agent.run(new, now), now);
+            }
+        }
+        45..55 if !seen.sent.is_empty() => {
+            // Duplicates and delayed requests of any age.
+            let mut old = seen.sent[rng.random_range(0..seen.sent.len())].clone();
+            let age = wall(now).distance(old.sent_ms);
+            if rng.random_bool(0.1) {
+                old.incarnation = Incarnation(9);
+            }
+            let (task, incarnation) = (old.task, old.incarnation);
+            let actions = agent.run(old, now);
+            if incarnation != OWN {
+                assert_eq!(actions, not_started(task, Declined::Incarnation));
+            }
+            let is_call = |a: &Action| *a == Action::Call(task);
+            assert!(age <= Duration::from_secs(60) || !actions.iter().any(is_call));
+            seen.take(actions, now);
+        }
+        55..80 if !seen.running.is_empty() => {
+            let task = seen
+                .running
+                .swap_remove(rng.random_range(0..seen.running.len()));
+            let result = match rng.random_range(0..10) {
+                0 => TaskResult::Failed,
+                1 => TaskResult::Unknown,
+                n => TaskResult::Done(vec![0; n * 10]),
+            };
+            seen.ended.insert(task, result.clone());
+            seen.take(agent.finish(task, result, now), now);
+        }
+        80..85 => {
+            assert_eq!(agent.query(known, Incarnation(9), now), Known::Unproven);
+            assert!(agent.cancel_for(known, Incarnation(9), now).is_none());
+            if let Known::Ended(verdict) = agent.query(known, OWN, now) {
+                seen.check(known, verdict);
+            }
+        }
+        85..89 => seen.take(agent.cancel(known, now), now),
+        89 => {
+            let wave: Vec<TaskId> = recent.iter().map(|o| o.task).collect();
+            wave.into_iter()
+                .for_each(|task| seen.take(agent.cancel(task, now), now));
+        }
+        90 if now.as_micros() > 50_000_000 => {
+            let collected = agent.collect(known.key, now);
+            if collected.is_fenced {
+                seen.collected.insert(known.key, now);
+            }
+            seen.take(collected.actions, now);
+            collected
+                .ended
+                .into_iter()
+                .for_each(|(task, verdict)| seen.check(task, verdict));
+            let mut running: Vec<TaskId> = seen
+                .running
+                .iter()
+                .copied()
+                .filter(|t| t.key == known.key)
+                .collect();
+            running.sort();
+            assert_eq!(collected.running, running);
+        }
+        91 => agent.set_slots(rng.random_range(1..9)),
+        92 => agent.set_reserve(rng.random_range(0..3)),
+        93 if rng.random_bool(0.2) => {
+            seen.take(agent.drain(now), now);
+            assert_eq!(agent.queued(), 0);
+        }
+        _ => seen.take(agent.tick(now), now),
+    }
+}
+
+/// Guards against double starts, starts after a fence, a collect or the deadline, false "not started" and results
+/// that differ, with duplicates and delays of any length, cancellations in waves and a full ledger.
+#[test]
+fn never_starts_twice_or_after_a_fence() {
+    for_seeds(|rng| {
+        let limits = LedgerLimits {
+            marks: 600,
+            bytes: 2_000,
+            submissions: 15,
+            ..LedgerLimits::default()
+        };
+        let mut agent = new_agent(4, limits);
+        for kind in 0..3 {
+            agent.set_share(
+                KindId(kind),
+                KindShare {
+                    weight: 1,
+                    urgency: u32::from(kind),
+                },
+            );
+        }
+        let (mut seen, mut now, mut next) = (Seen::default(), Timestamp::ZERO, 0);
+        for _ in 0..12_000 {
+            step(rng, &mut agent, &mut seen, now, &mut next);
+            assert_eq!(agent.busy() as usize, seen.running.len());
+            let pause = if rng.random_bool(0.002) { 400_000 } else { 500 };
+            let pause = Duration::from_millis(rng.random_range(0..pause));
+            // A step back of the clock must not free a mark early.
+            let is_back = rng.random_bool(0.01);
+            let back = now.as_micros().saturating_sub(pause.as_micros() as u64);
+            now = if is_back {
+                Timestamp::from_micros(back)
+            } else {
+                now + pause
+            };
+        }
+        assert!(
+            seen.started.len() > 1_000,
+            "only {} tasks started",
+            seen.started.len()
+        );
+    });
+}
+
+/// Guards against a new incarnation that calls a task not started which ran at the old one.
+#[test]
+fn another_incarnation_proves_nothing() {
+    let mut agent = new_agent(1, LedgerLimits::default());
+    let (now, old) = (Timestamp::ZERO, Incarnation(0));
+    assert_eq!(agent.query(task(1, 0), old, now), Known::Unproven);
+    assert_eq!(agent.cancel_for(task(1, 0), old, now), None);
+    let started = agent.run(order(task(1, 0), 0, now), now);
+    assert_eq!(
+        started,
+        [Action::Call(task(1, 0))],
+        "the query fenced nothing"
+    );
+}
+
+/// Guards against delayed orders that outlive the marks, and clocks that make them look young.
+#[test]
+fn refuses_orders_of_another_minute() {
+    let mut agent = new_agent(8, LedgerLimits::default());
+    let (now, sent) = (Timestamp::from_micros(200_000_000), 200_000);
+    for (index, (offset, is_stale)) in [
+        (-60_001, true),
+        (-60_000, false),
+        (0, false),
+        (60_000, false),
+        (60_001, true),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut order = order(task(1, index as u16), 0, now);
+        order.sent_ms = UnixMillis(WALL.saturating_add_signed(sent + offset));
+        let expected = match is_stale {
+            true => not_started(order.task, Declined::Stale),
+            false => vec![Action::Call(order.task)],
+        };
+        assert_eq!(agent.run(order, now), expected, "{offset} ms");
+    }
+    let mut agent = AgentCore::new(OWN, LedgerLimits::default());
+    agent.set_slots(1);
+    let refused = agent.run(order(task(1, 0), 0, now), now);
+    assert_eq!(
+        refused,
+        not_started(task(1, 0), Declined::Stale),
+        "no clock proves no age"
+    );
+}
+
+/// Guards against a fence without bound: queries about unknown tasks must not grow a full ledger.
+#[test]
+fn a_full_ledger_proves_nothing_about_unknown_tasks() {
+    let mut agent = new_agent(
+        1,
+        LedgerLimits {
+            marks: 2,
+            ..LedgerLimits::default()
+        },
+    );
+    let now = Timestamp::ZERO;
+    agent.run(order(task(1, 0), 0, now), now);
+    agent.run(order(task(1, 1), 0, now), now);
+    assert_eq!(agent.query(task(1, 2), OWN, now), Known::Unproven);
+    assert_eq!(agent.cancel(task(1, 2), now), []);
+    assert_eq!(
+        agent.run(order(task(1, 3), 0, now), now),
+        not_started(task(1, 3), Declined::Full)
+    );
+    let fenced = Known::Ended(Verdict::NotStarted(Declined::Fenced));
+    agent.collect(SubmissionKey([2; 16]), now);
+    assert_eq!(
+        agent.query(task(2, 0), OWN, now),
+        fenced,
+        "the submission is fenced"
+    );
+}
+
+/// Guards against tasks that wait at a busy agent after their deadline, and a shrinking upstream: fewer slots than
+/// running tasks used to fail an assertion.
+#[test]
+fn queued_tasks_expire_while_all_slots_are_busy() {
+    let mut agent = new_agent(2, LedgerLimits::default());
+    let now = Timestamp::ZERO;
+    (0..3).for_each(|i| drop(agent.run(order(task(1, i), 0, now), now)));
+    agent.set_slots(1);
+    assert_eq!(agent.tick(now + Duration::from_millis(9_999)), []);
+    let late = agent.tick(now + Duration::from_secs(10));
+    assert_eq!(late, not_started(task(1, 2), Declined::Deadline));
+    assert_eq!(agent.finish(task(1, 0), TaskResult::Failed, now).len(), 1);
+}
+
+/// Runs a flood of kind 0, with long tasks, beside a light load of kind 1. Returns the longest wait of kind 1.
+fn wait_in_flood(rng: &mut SmallRng, urgency: u32, reserve: u32) -> Duration {
+    let mut agent = new_agent(8, LedgerLimits::default());
+    agent.set_share(KindId(0), KindShare { weight: 1, urgency });
+    agent.set_share(
+        KindId(1),
+        KindShare {
+            weight: 1,
+            urgency: 5,
+        },
+    );
+    agent.set_reserve(reserve);
+    let mut seen: BTreeMap<TaskId, Timestamp> = BTreeMap::new();
+    let mut ends: BTreeSet<(Timestamp, TaskId)> = BTreeSet::new();
+    let mut longest = Duration::ZERO;
+    let mut now = Timestamp::ZERO;
+    for index in 0..20_000 {
+        now = now + Duration::from_millis(1);
+        let mut actions = Vec::new();
+        let is_light = index % 400 == 0;
+        if is_light || agent.queued() < 50 {
+            let task = task(u8::from(is_light), index);
+            seen.insert(task, now);
+            actions.extend(agent.run(order(task, u16::from(is_light), now), now));
+        }
+        while let Some(&(end, task)) = ends.first()
+            && end <= now
+        {
+            ends.pop_first();
+            actions.extend(agent.finish(task, TaskResult::Failed, now));
+        }
+        for action in actions {
+            let Action::Call(started) = action else {
+                continue;
+            };
+            let is_light = started.key == task(1, 0).key;
+            let run = if is_light {
+                100
+            } else {
+                rng.random_range(1_000..5_000)
+            };
+            ends.insert((now + Duration::from_millis(run), started));
+            let sent = seen.remove(&started).expect("a task starts once");
+            if is_light {
+                longest = longest.max(now.since(sent));
+            }
+        }
+    }
+    let is_light = |(task, _): &(&TaskId, &Timestamp)| task.key == SubmissionKey([1; 16]);
+    let waits = seen
+        .iter()
+        .filter(is_light)
+        .map(|(_, sent)| now.since(*sent));
+    waits.fold(longest, Duration::max)
+}
+
+/// Guards against floods that take every slot: without a reserve, a task of another kind waits for the next slot,
+/// and with one it starts at once.
+#[test]
+fn a_flood_leaves_slots_to_other_kinds() {
+    for_seeds(|rng| {
+        for urgency in [0, 9] {
+            let wait = wait_in_flood(rng, urgency, 0);
+            assert!(
+                wait < Duration::from_secs(5),
+                "{wait:?} is longer than the longest task"
+            );
+            assert_eq!(wait_in_flood(rng, urgency, 1), Duration::ZERO);
+        }
+    });
+}
--- a/crates/figdeal-core/tests/scheduling/main.rs
+++ b/crates/figdeal-core/tests/scheduling/main.rs
@@ -2,6 +2,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 
+mod agent;
 mod runtime;
 mod share;
 
