--- a/crates/figdeal-agent/src/announcer.rs
+++ b/crates/figdeal-agent/src/announcer.rs
@@ -101,7 +101,9 @@
         match site {
             Ok(site) => {
                 *known = found.number;
-                let _ = self.events.send(Event::Config(found.number, Box::new(site)));
+                let _ = self
+                    .events
+                    .send(Event::Config(found.number, Box::new(site)));
             }
             Err(e) => log::error!("E214 version {} is unusable here: {e}", found.number),
         }
--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -9,7 +9,7 @@
     id::{Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
     share::KindShare,
-    time::Timestamp,
+    time::{Timestamp, UnixMillis},
 };
 use figdeal_wire::message::{
     CollectReply, LoadReport, QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
@@ -114,7 +114,8 @@
     presence: watch::Sender<Presence>,
     runtime: &Handle,
 ) -> io::Result<()> {
-    let core = AgentCore::new(incarnation, options.ledger);
+    let mut core = AgentCore::new(incarnation, options.ledger);
+    core.set_clock(UnixMillis::now(), Timestamp::ZERO);
     let expire_after = options.expire_after;
     let runtime = runtime.clone();
     thread::Builder::new()
@@ -253,6 +254,11 @@
             };
             self.core.set_share(id, share);
         }
+        for (name, team) in &site.teams {
+            let id = TeamId(self.teams.intern(name));
+            self.core.set_team_weight(id, team.weight);
+        }
+        self.core.set_reserve(site.limits.reserve);
         self.expire_after = site.time_outs.expire_after;
         self.version = version;
         log::info!("E212 version {version} is in force");
@@ -274,6 +280,7 @@
             deadline,
             incarnation: request.incarnation,
             entry: request.entry,
+            sent_ms: request.sent,
         };
         self.waiters.entry(request.task).or_default().push(reply);
         self.orders.entry(request.task).or_insert(Order {
@@ -288,8 +295,8 @@
     fn query(&mut self, request: QueryRequest, reply: oneshot::Sender<TaskReply>, now: Timestamp) {
         match self.core.query(request.task, request.incarnation, now) {
             Known::Pending => self.waiters.entry(request.task).or_default().push(reply),
-            Known::Ended(Verdict::NotStarted(Declined::Incarnation)) => {
-                let word = TaskWord::OtherIncarnation;
+            Known::Unproven => {
+                let word = TaskWord::Unproven;
                 let load = self.load(now);
                 let _ = reply.send(TaskReply {
                     task: request.task,
@@ -310,32 +317,26 @@
         reply: oneshot::Sender<CollectReply>,
         now: Timestamp,
     ) {
+        let collected = self.core.collect(key, now);
+        self.perform(collected.actions, now);
         self.collecting.push(Collecting { key, reply });
-        let queued: Vec<TaskId> = self
-            .orders
-            .keys()
-            .filter(|t| t.key == key)
-            .copied()
-            .collect();
-        for task in queued {
-            let actions = self.core.cancel(task, now);
-            self.perform(actions, now);
-        }
         self.answer_collects(now);
     }
 
-    fn answer_collects(&mut self, _now: Timestamp) {
+    fn answer_collects(&mut self, now: Timestamp) {
         let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.collecting)
             .into_iter()
             .partition(|c| self.core.running(c.key).is_empty());
         self.collecting = waiting;
         for collecting in ready {
-            let held = self.core.held(collecting.key);
-            let results = held
+            let collected = self.core.collect(collecting.key, now);
+            let results = collected
+                .ended
                 .into_iter()
-                .map(|(index, result)| (index, word(result)))
-                .collect();
-            let _ = collecting.reply.send(CollectReply { results });
+                .map(|(task, verdict)| (task.index, word(verdict).0));
+            let _ = collecting.reply.send(CollectReply {
+                results: results.collect(),
+            });
         }
     }
 
@@ -378,19 +379,12 @@
     }
 
     fn reply(&self, task: TaskId, verdict: Verdict, now: Timestamp) -> TaskReply {
-        let load = self.load(now);
-        let (word, run) = match verdict {
-            Verdict::Ran { result, run } => (word(result), run),
-            Verdict::ResultDropped => (TaskWord::Unknown, Duration::ZERO),
-            Verdict::NotStarted(declined) => {
-                (TaskWord::NotStarted(reason(declined)), Duration::ZERO)
-            }
-        };
+        let (word, run) = word(verdict);
         TaskReply {
             task,
             word,
             run: run.as_micros() as u64,
-            load,
+            load: self.load(now),
         }
     }
 
@@ -410,11 +404,22 @@
     }
 }
 
-fn word(result: TaskResult) -> TaskWord {
-    match result {
-        TaskResult::Done(bytes) => TaskWord::Done(bytes),
-        TaskResult::Failed => TaskWord::Failed,
-        TaskResult::Unknown => TaskWord::Unknown,
+fn word(verdict: Verdict) -> (TaskWord, Duration) {
+    match verdict {
+        Verdict::Ran {
+            result: TaskResult::Done(bytes),
+            run,
+        } => (TaskWord::Done(bytes), run),
+        Verdict::Ran {
+            result: TaskResult::Failed,
+            run,
+        } => (TaskWord::Failed, run),
+        Verdict::Ran {
+            result: TaskResult::Unknown,
+            run,
+        } => (TaskWord::Unknown, run),
+        Verdict::ResultDropped => (TaskWord::Unknown, Duration::ZERO),
+        Verdict::NotStarted(declined) => (TaskWord::NotStarted(reason(declined)), Duration::ZERO),
     }
 }
 
@@ -426,5 +431,6 @@
         Declined::Fenced => Reason::Fenced,
         Declined::Deadline => Reason::Deadline,
         Declined::Cancelled => Reason::Cancelled,
+        Declined::Stale => Reason::Stale,
     }
 }
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -473,7 +473,7 @@
                 run: Duration::ZERO,
             },
             TaskWord::NotStarted(reason) => Verdict::NotStarted(declined(reason)),
-            TaskWord::OtherIncarnation => {
+            TaskWord::Unproven => {
                 return self.core.incarnation_gone(agent, task, now);
             }
         };
@@ -681,6 +681,7 @@
         Reason::Fenced => Declined::Fenced,
         Reason::Deadline => Declined::Deadline,
         Reason::Cancelled => Declined::Cancelled,
+        Reason::Stale => Declined::Stale,
     }
 }
 
