Refuse jobs that cannot end in time and spare claims during floods

A job was admitted whenever the queue had room. It is now also refused when the queue of a kind is full or a lower estimate of its completion is later than its deadline. Each refusal leaves a record at the members for an hour: at 2,300 refusals a second the tables would fill in about 10 minutes (an estimate of the claims work). From half of the records on, such submissions are turned away without a claim. The table of jobs forgets finished jobs instead of turning new ones away.

--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -18,12 +18,13 @@
     fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load},
     id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
-    outcome::{Outcome, Refusal, TaskState},
+    outcome::{Outcome, TaskState},
     runtime::RunTimes,
     share::{FairQueue, KindShare},
     time::{Timestamp, UnixMillis},
 };
 
+mod admit;
 mod answer;
 mod collect;
 mod job;
@@ -38,7 +39,8 @@
 pub struct EntryLimits {
     /// Largest number of queued tasks.
     pub queued: usize,
-    /// Largest number of jobs in the table, finished ones included.
+    /// Largest number of jobs in the table. Finished ones make room for new ones; who asks for them later is told that
+    /// they are no longer remembered.
     pub jobs: usize,
     /// Largest sum of the bytes of held answers.
     pub bytes: usize,
@@ -56,7 +58,7 @@
     fn default() -> EntryLimits {
         EntryLimits {
             queued: 20_000,
-            jobs: 200_000,
+            jobs: 50_000,
             bytes: 32 << 20,
             retention: Duration::from_secs(3600),
             grace: Duration::from_millis(500),
@@ -228,6 +230,9 @@
     unplaced: VecDeque<(Timestamp, TaskId)>,
     finished: VecDeque<(Timestamp, JobKey)>,
     quotas: HashMap<TeamId, u32>,
+    bounds: HashMap<KindId, usize>,
+    weights: HashMap<KindId, u32>,
+    is_scarce: bool,
     in_progress: HashMap<TeamId, u32>,
     bytes: usize,
     counts: Counts,
@@ -249,6 +254,9 @@
             unplaced: VecDeque::new(),
             finished: VecDeque::new(),
             quotas: HashMap::new(),
+            bounds: HashMap::new(),
+            weights: HashMap::new(),
+            is_scarce: false,
             in_progress: HashMap::new(),
             bytes: 0,
             counts: Counts::default(),
@@ -264,6 +272,7 @@
 
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
+        self.weights.insert(kind, share.weight);
         self.queue.set_share(kind, share);
     }
 
@@ -286,7 +295,8 @@
             }
             return self.wait_for(key, waiter, wait);
         }
-        if self.jobs.len() >= self.limits.jobs {
+        self.make_room();
+        if self.turns_away(&submission) {
             return self.answer(waiter, Answer::Undecided);
         }
         let claim = Action::Claim {
@@ -443,7 +453,8 @@
                 Verdict::Ran { result, run } => {
                     let kind = self.jobs[key].tasks[index].spec.kind;
                     if !run.is_zero() {
-                        self.times.record(kind, run);
+                        let declared = self.jobs[key].tasks[index].spec.declared;
+                        self.times.record_declared(kind, declared, run);
                     }
                     let progress = match result {
                         TaskResult::Done(bytes) => Progress::Done(bytes),
@@ -530,28 +541,6 @@
         self.counts
     }
 
-    fn admit(&mut self, key: JobKey, now: Timestamp) {
-        let job = &self.jobs[key];
-        let count = job.tasks.len();
-        let team = job.team;
-        let used = self.in_progress.get(&team).copied().unwrap_or(0);
-        let quota = self.quotas.get(&team).copied().unwrap_or(u32::MAX);
-        if job.is_cancelled {
-            return self.finish_with(key, Arc::new(Outcome::Cancelled(not_started(count))), now);
-        }
-        if self.queue.len() + count > self.limits.queued {
-            return self.refuse(key, Refusal::QueueFull, now);
-        }
-        if used.saturating_add(count as u32) > quota {
-            return self.refuse(key, Refusal::QuotaExceeded, now);
-        }
-        *self.in_progress.entry(team).or_default() += count as u32;
-        self.deadlines.insert((job.deadline, key));
-        self.jobs[key].phase = Phase::Active;
-        self.enqueue_all(key, now);
-        self.dispatch(now);
-    }
-
     /// Queues the longest tasks first, because a job waits for its last task.
     fn enqueue_all(&mut self, key: JobKey, now: Timestamp) {
         let job = &self.jobs[key];
--- a/crates/figdeal-core/src/entry/answer.rs
+++ b/crates/figdeal-core/src/entry/answer.rs
@@ -113,20 +113,36 @@
     }
 
     pub(super) fn expire_finished(&mut self, now: Timestamp) {
-        while let Some(&(at, key)) = self.finished.front() {
+        while let Some(&(at, _)) = self.finished.front() {
             if now.since(at) < self.limits.retention {
                 return;
             }
-            self.finished.pop_front();
-            if let Some(job) = self.jobs.remove(key) {
-                self.keys.remove(&job.key);
-                if let Phase::Finished(outcome) = &job.phase {
-                    self.bytes -= outcome_bytes(outcome);
-                }
-            }
+            self.forget_oldest();
         }
     }
 
+    /// Forgets finished jobs while the table is full.
+    pub(super) fn make_room(&mut self) {
+        while self.jobs.len() >= self.limits.jobs && !self.finished.is_empty() {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((_, key)) = self.finished.pop_front() else {
+            return;
+        };
+        let job = self
+            .jobs
+            .remove(key)
+            .expect("a finished job is in the table");
+        self.keys.remove(&job.key);
+        let Phase::Finished(outcome) = &job.phase else {
+            unreachable!("the job is finished")
+        };
+        self.bytes -= outcome_bytes(outcome);
+    }
+
     /// Drops the results of the oldest complete answers; whoever asks for them later learns that the job ran.
     fn bound_answers(&mut self) {
         let mut oldest = 0;
--- a/crates/figdeal/src/entry/claims.rs
+++ b/crates/figdeal/src/entry/claims.rs
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct ClaimDriver {
     me: Owner,
+    max_records: usize,
     claims: Claims,
     outbox: BTreeMap<EntryId, Vec<Ask>>,
     digests: HashMap<SubmissionKey, Digest>,
@@ -48,6 +49,7 @@
         let clock = SteadyClock::new(UnixMillis::now(), Timestamp::ZERO);
         ClaimDriver {
             me,
+            max_records: options.rules.claims.max_records,
             claims: Claims::new(me, epochs, clock, options.rules.claims),
             outbox: BTreeMap::new(),
             digests: HashMap::new(),
@@ -59,6 +61,12 @@
         now >= self.claims.ready_at()
     }
 
+    /// Whether half of the records are in use. Refusals then stop using them, so that a flood of one kind does not
+    /// take the claims of the others.
+    pub(crate) fn is_scarce(&self) -> bool {
+        self.claims.room() < self.max_records / 2
+    }
+
     pub(crate) fn next_wake(&self) -> Option<Timestamp> {
         self.claims.next_wake()
     }
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -197,6 +197,7 @@
     fn tick(&mut self) {
         let now = self.now();
         self.apply_rules();
+        self.core.set_scarce(self.claims.is_scarce());
         self.core.tick(now);
         let decided = self.claims.tick(now);
         self.take_decisions(decided, now);
@@ -233,6 +234,7 @@
         for (name, rule) in &rules.kinds {
             let kind = KindId(self.kinds.intern(name));
             self.core.set_share(kind, rule.share);
+            self.core.set_queue_bound(kind, rule.queue_bound);
         }
         for (name, rule) in &rules.teams {
             let team = TeamId(self.teams.intern(name));
--- a/crates/figdeal/src/rules.rs
+++ b/crates/figdeal/src/rules.rs
@@ -13,6 +13,8 @@
     pub share: KindShare,
     /// Deadline of tasks that state none.
     pub deadline: Duration,
+    /// Largest number of its queued tasks at an entry.
+    pub queue_bound: usize,
 }
 
 /// Rules of one team.
@@ -79,6 +81,7 @@
                 KindRule {
                     share,
                     deadline: kind.deadline,
+                    queue_bound: kind.queue_bound as usize,
                 },
             )
         });
@@ -127,8 +130,14 @@
     /// Adds a kind.
     pub fn with_kind(mut self, name: &str, weight: u32, urgency: u32, deadline: Duration) -> Rules {
         let share = KindShare { weight, urgency };
-        self.kinds
-            .insert(name.to_owned(), KindRule { share, deadline });
+        self.kinds.insert(
+            name.to_owned(),
+            KindRule {
+                share,
+                deadline,
+                queue_bound: usize::MAX,
+            },
+        );
         self
     }
 
