Place tasks by expected start and eject outliers

Placement scanned the fleet, sent up to eight tasks beyond the window to an agent's queue, and still chose an incarnation that had been replaced. Nothing was ejected: an upstream that failed everything looked idle.

Agents with room are now ordered by the expected start for each kind and size class. Among agents with free slots two are compared, and the ties differ between entries. Room is counted for each kind over all entries, so that queues at the agents stay within the window. settle() records results; an agent whose failures exceed those of the same kinds elsewhere is ejected within max_ejected and gets single probes with a back-off up to 60 s. status() lists the state. A late announcement of an old incarnation is stale only while the newer one is live, because it may be the newer one that is dead.

--- a/crates/figdeal-core/src/fleet.rs
+++ b/crates/figdeal-core/src/fleet.rs
@@ -1,7 +1,12 @@
 //! An entry's view of the fleet: announcements, load, placement and ejection.
+//!
+//! With `n` agents and `k` kinds, a placement takes `O(k log n)`: one search in the order of the kind, and one
+//! update of the chosen agent in the order of each kind. An announcement, a report and a result take the same.
+//! Only the evidence for an ejection needs a pass over the fleet, at most four times a second for each kind in a
+//! large fleet.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -9,9 +14,25 @@
 
 use crate::{
     id::{Incarnation, KindId},
+    runtime::RunTimes,
     time::Timestamp,
 };
 
+mod eject;
+mod index;
+mod status;
+
+use eject::{Evidence, Record};
+use index::{KindIndex, Score, size_class};
+
+pub use eject::{Health, Sample};
+pub use status::{AgentStatus, KindResults, State};
+
+/// Replaced incarnations of an upstream that are remembered to recognise their late announcements.
+const PAST_INCARNATIONS: usize = 8;
+/// Time after its last announcement at which an agent without outstanding tasks is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
 new_key_type! {
     /// An agent in the fleet view of one entry. A restarted agent gets a new key.
     pub struct AgentKey;
@@ -79,8 +100,16 @@
     /// The last reported load.
     pub load: Load,
     seen: Timestamp,
-    sent: u32,
+    reported: Timestamp,
+    /// Tasks sent since the last report.
+    sent: BTreeMap<KindId, u32>,
     outstanding: BTreeMap<KindId, u32>,
+    record: Record,
+    /// Place among the agents that look alike, redrawn at each placement.
+    turn: u64,
+    /// Whether the agent is live, not draining and not replaced.
+    is_member: bool,
+    is_replaced: bool,
 }
 
 impl Agent {
@@ -93,13 +122,78 @@
         size <= self.info.size && (self.info.kinds.is_empty() || self.info.kinds.contains(&kind))
     }
 
+    fn sent(&self) -> u32 {
+        self.sent.values().sum()
+    }
+
+    /// Free slots. A report may have been made before the last tasks arrived, so that the outstanding tasks of
+    /// this entry bound what it says.
     fn free(&self) -> u32 {
-        self.load.free.saturating_sub(self.sent)
+        let unsent = self.load.free.saturating_sub(self.sent());
+        unsent.min(self.info.slots.saturating_sub(self.outstanding()))
     }
 
     fn queued(&self) -> u32 {
         let reported: u32 = self.load.queued.iter().map(|(_, n)| n).sum();
-        reported + self.sent.saturating_sub(self.load.free)
+        reported + self.sent().saturating_sub(self.load.free)
+    }
+
+    fn queued_kind(&self, kind: KindId) -> u32 {
+        let reported = self.load.queued.iter().find(|(k, _)| *k == kind);
+        reported.map_or(0, |(_, n)| *n)
+    }
+
+    /// Whether one more task of the kind keeps the agent's queue short. Tasks that queue at an agent keep their
+    /// place there, so that a job with less remaining work that arrives later would wait behind them. A free
+    /// slot counts only as far as it is not taken by what was sent, and not by tasks that queue in spite of it,
+    /// which an agent with a reserve does not start.
+    fn has_room(&self, kind: KindId, window: u32) -> bool {
+        let outstanding = self.outstanding.get(&kind).copied().unwrap_or(0);
+        let sent = self.sent.get(&kind).copied().unwrap_or(0);
+        let others = self.outstanding() - sent.min(outstanding);
+        let free = self.load.free.saturating_sub(self.sent() - sent);
+        let free = free.min(self.info.slots.saturating_sub(others));
+        outstanding < self.info.slots + window && self.queued_kind(kind) + sent < free + window
+    }
+
+    /// When a task of the kind is expected to start, zero for now. The agent takes queued kinds in turn, so that
+    /// each other kind has at most as many tasks before this one as its own kind, and one more.
+    fn expected_start(&self, kind: KindId, runs: &RunTimes) -> u64 {
+        let own = self.queued_kind(kind);
+        if self.free() > 0 && own == 0 {
+            return 0;
+        }
+        let mut ahead = Duration::ZERO;
+        for &(other, queued) in &self.load.queued {
+            let count = if other == kind {
+                queued
+            } else {
+                queued.min(own + 1)
+            };
+            ahead += runs.estimate(other, None) * count;
+        }
+        let unseen = self.sent().saturating_sub(self.load.free);
+        ahead += runs.estimate(kind, None) * unseen;
+        let start = self.reported + self.load.wait + ahead / self.info.slots.max(1);
+        start.as_micros().max(1)
+    }
+
+    fn take_outstanding(&mut self, kind: KindId) {
+        let count = self
+            .outstanding
+            .get_mut(&kind)
+            .expect("the kind has outstanding tasks");
+        assert!(*count > 0, "resolved more tasks than were sent");
+        *count -= 1;
+        if *count == 0 {
+            self.outstanding.remove(&kind);
+        }
+    }
+
+    fn take_load(&mut self, load: Load, now: Timestamp) {
+        self.load = load;
+        self.reported = now;
+        self.sent.clear();
     }
 }
 
@@ -117,123 +211,243 @@
         /// The incarnation that is gone.
         old: AgentKey,
     },
-    /// The announcement is from an incarnation that was replaced.
+    /// The announcement is from an incarnation that was replaced by one that is live.
     Stale,
 }
 
+/// The current incarnation of an upstream and those that it replaced.
+#[derive(Debug)]
+struct Named {
+    key: AgentKey,
+    past: VecDeque<Incarnation>,
+}
+
 /// The fleet as one entry sees it.
+///
+/// ```
+/// use figdeal_core::{
+///     fleet::{AgentInfo, Announced, Fleet, FleetLimits, Load, Sample},
+///     id::{Incarnation, KindId},
+///     time::Timestamp,
+/// };
+///
+/// let (now, kind) = (Timestamp::ZERO, KindId(0));
+/// let mut fleet = Fleet::with_seed(FleetLimits::default(), 1);
+/// let info = AgentInfo {
+///     name: "desk-1".to_owned(),
+///     address: "127.0.0.1:9000".to_owned(),
+///     incarnation: Incarnation(1),
+///     slots: 1,
+///     kinds: Vec::new(),
+///     size: 10,
+///     draining: false,
+/// };
+/// let load = Load { free: 1, ..Load::default() };
+/// assert!(matches!(fleet.announce(info, load, now), Announced::New(_)));
+/// assert!(fleet.place(kind, 11, now).is_none());
+/// let agent = fleet.place(kind, 10, now).unwrap();
+/// fleet.settle(agent, kind, Sample::Failure, now);
+/// ```
 #[derive(Debug)]
 pub struct Fleet {
     limits: FleetLimits,
     agents: SlotMap<AgentKey, Agent>,
-    names: HashMap<String, AgentKey>,
-    turn: usize,
+    names: HashMap<String, Named>,
+    /// Last announcements of the agents that have not expired.
+    seen: BTreeSet<(Timestamp, AgentKey)>,
+    /// For each kind that was placed, the agents with room.
+    index: BTreeMap<KindId, KindIndex>,
+    /// The ejected members and when their probes are due.
+    probes: BTreeSet<(Timestamp, AgentKey)>,
+    evidence: HashMap<KindId, Evidence>,
+    runs: RunTimes,
+    members: usize,
+    ejected: usize,
+    /// The latest time seen.
+    now: Timestamp,
+    random: u64,
+    placed: u64,
 }
 
 impl Fleet {
-    /// Creates an empty fleet view.
+    /// Creates an empty fleet view. Several entries should use [`Fleet::with_seed`] with different seeds.
     pub fn new(limits: FleetLimits) -> Fleet {
+        Fleet::with_seed(limits, 0)
+    }
+
+    /// Creates an empty fleet view. The seed decides between agents that look alike; entries with different seeds
+    /// do not all choose the same one.
+    pub fn with_seed(limits: FleetLimits, seed: u64) -> Fleet {
         Fleet {
             limits,
             agents: SlotMap::with_key(),
             names: HashMap::new(),
-            turn: 0,
+            seen: BTreeSet::new(),
+            index: BTreeMap::new(),
+            probes: BTreeSet::new(),
+            evidence: HashMap::new(),
+            runs: RunTimes::default(),
+            members: 0,
+            ejected: 0,
+            now: Timestamp::ZERO,
+            random: seed,
+            placed: 0,
         }
     }
 
+    /// Sets the limits.
+    pub fn set_limits(&mut self, limits: FleetLimits) {
+        self.limits = limits;
+        self.bound_ejected();
+        let keys: Vec<AgentKey> = self.agents.keys().collect();
+        keys.into_iter().for_each(|key| self.reindex(key));
+    }
+
     /// Takes an announcement.
     pub fn announce(&mut self, info: AgentInfo, load: Load, now: Timestamp) -> Announced {
-        let known = self.names.get(&info.name).copied();
-        if let Some(key) = known
-            && let Some(agent) = self.agents.get_mut(key)
-            && agent.info.incarnation == info.incarnation
-        {
-            agent.info = info;
-            agent.load = load;
-            agent.sent = 0;
-            agent.seen = now;
-            return Announced::Renewed(key);
+        self.advance(now);
+        let Some(named) = self.names.get_mut(&info.name) else {
+            let name = info.name.clone();
+            let key = self.insert(info, load);
+            self.names.insert(
+                name,
+                Named {
+                    key,
+                    past: VecDeque::new(),
+                },
+            );
+            return Announced::New(key);
+        };
+        let old = named.key;
+        if self.agents[old].info.incarnation == info.incarnation {
+            self.renew(old, info, load);
+            return Announced::Renewed(old);
         }
-        let name = info.name.clone();
-        let new = self.agents.insert(Agent {
-            info,
-            load,
-            seen: now,
-            sent: 0,
-            outstanding: BTreeMap::new(),
-        });
-        match self.names.insert(name, new) {
-            Some(old) => Announced::Replaced { new, old },
-            None => Announced::New(new),
+        // Incarnations have no order. If the late announcement of a dead one replaced the living one, the latter
+        // must get in again once the dead one has expired.
+        let is_live = self.now.since(self.agents[old].seen) < self.limits.expire_after;
+        if is_live && named.past.contains(&info.incarnation) {
+            return Announced::Stale;
+        }
+        named.past.retain(|past| *past != info.incarnation);
+        named.past.push_back(self.agents[old].info.incarnation);
+        if named.past.len() > PAST_INCARNATIONS {
+            named.past.pop_front();
         }
+        self.retire(old);
+        self.agents[old].is_replaced = true;
+        let name = info.name.clone();
+        let new = self.insert(info, load);
+        self.names.get_mut(&name).expect("the name is known").key = new;
+        Announced::Replaced { new, old }
     }
 
     /// Removes an agent, after its outstanding tasks were resolved.
     pub fn remove(&mut self, key: AgentKey) {
+        if !self.agents.contains_key(key) {
+            return;
+        }
+        self.retire(key);
         if let Some(agent) = self.agents.remove(key)
-            && self.names.get(&agent.info.name) == Some(&key)
+            && !agent.is_replaced
         {
             self.names.remove(&agent.info.name);
         }
     }
 
-    /// Takes the load that rode on a reply.
+    /// Takes the load that rode on a reply, as of the latest time that this view was given.
     pub fn report(&mut self, key: AgentKey, load: Load) {
+        let now = self.now;
         if let Some(agent) = self.agents.get_mut(key) {
-            agent.load = load;
-            agent.sent = 0;
+            agent.take_load(load, now);
+            self.reindex(key);
         }
     }
 
-    /// Whether any agent accepts the kind and size at all.
+    /// Drops expired agents from placement, and forgets those without outstanding tasks that expired long ago.
+    /// Returns the agents that expired since the last call of this or another command.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<AgentKey> {
+        let expired = self.advance(now);
+        let forgotten: Vec<AgentKey> = self
+            .agents
+            .iter()
+            .filter(|(_, a)| a.outstanding.is_empty() && self.now.since(a.seen) >= FORGET_AFTER)
+            .map(|(key, _)| key)
+            .collect();
+        forgotten.into_iter().for_each(|key| self.remove(key));
+        expired
+    }
+
+    /// Whether any agent accepts the kind and size at all. Takes a pass over the agents that do not.
     pub fn is_placeable(&self, kind: KindId, size: u32, now: Timestamp) -> bool {
-        self.live(now).any(|(_, a)| a.accepts(kind, size))
+        self.agents
+            .iter()
+            .any(|(key, a)| a.is_member && a.accepts(kind, size) && self.is_live(key, now))
     }
 
-    /// Whether some agent has a place for a task of the kind.
+    /// Whether some agent has a place for a task of the kind, whatever its size.
     pub fn has_room(&self, kind: KindId, now: Timestamp) -> bool {
-        self.live(now)
-            .any(|(_, a)| a.accepts(kind, 0) && self.room(a, kind))
+        self.has_room_for(kind, 0, now)
+    }
+
+    /// Whether [`Fleet::place`] finds an agent for a task of the kind and size.
+    pub fn has_room_for(&self, kind: KindId, size: u32, now: Timestamp) -> bool {
+        let now = self.now.max(now);
+        if self.due_probe(kind, size, now).is_some() {
+            return true;
+        }
+        let accept = |key| self.agents[key].accepts(kind, size) && self.is_live(key, now);
+        match self.index.get(&kind) {
+            Some(index) => index.best(size, accept)[0].is_some(),
+            None => self
+                .agents
+                .iter()
+                .any(|(key, a)| accept(key) && self.gets_work(a, kind)),
+        }
     }
 
     /// Chooses the agent where a task is expected to start soonest and counts the task as sent.
+    ///
+    /// Among the agents with free slots, two random ones are compared and the one with more free slots is taken.
+    /// Reports are a little old, and entries that all took the best agent would flood it.
     pub fn place(&mut self, kind: KindId, size: u32, now: Timestamp) -> Option<AgentKey> {
-        let count = self.agents.len().max(1);
-        self.turn = (self.turn + 1) % count;
-        let turn = self.turn;
-        let key = self
-            .live(now)
-            .enumerate()
-            .filter(|(_, (_, a))| a.accepts(kind, size) && self.room(a, kind))
-            .min_by_key(|(i, (_, a))| {
-                let spread = (i + turn) % count;
-                (
-                    a.queued() * 1000 / a.info.slots.max(1),
-                    u32::MAX - a.free(),
-                    spread,
-                )
-            })
-            .map(|(_, (key, _))| key)?;
+        self.advance(now);
+        let now = self.now;
+        self.add_index(kind);
+        let key = match self.due_probe(kind, size, now) {
+            Some(key) => {
+                self.start_probe(key);
+                key
+            }
+            None => {
+                let accept = |key| self.agents[key].accepts(kind, size) && self.is_live(key, now);
+                let [first, second] = self.index[&kind].best(size, accept);
+                let ((start, _), first) = first?;
+                match second {
+                    Some(((0, _), second))
+                        if start == 0 && self.agents[second].free() > self.agents[first].free() =>
+                    {
+                        second
+                    }
+                    _ => first,
+                }
+            }
+        };
+        let turn = self.next_turn();
         let agent = &mut self.agents[key];
-        agent.sent += 1;
+        agent.turn = turn;
+        *agent.sent.entry(kind).or_default() += 1;
         *agent.outstanding.entry(kind).or_default() += 1;
+        self.reindex(key);
         Some(key)
     }
 
-    /// Records that a task that was sent is resolved.
+    /// Records that a task that was sent is resolved, without evidence about the agent, see [`Fleet::settle`].
     ///
     /// # Panics
     /// Panics when the agent is known and has no outstanding task of the kind.
     pub fn resolve(&mut self, key: AgentKey, kind: KindId) {
-        let Some(agent) = self.agents.get_mut(key) else {
-            return;
-        };
-        let count = agent
-            .outstanding
-            .get_mut(&kind)
-            .expect("the kind has outstanding tasks");
-        assert!(*count > 0, "resolved more tasks than were sent");
-        *count -= 1;
+        self.settle(key, kind, Sample::Nothing, self.now);
     }
 
     /// Looks an agent up.
@@ -246,23 +460,139 @@
         self.agents.iter()
     }
 
-    /// Whether the agent announced itself recently.
+    /// Whether the agent announced itself recently and was not replaced.
     pub fn is_live(&self, key: AgentKey, now: Timestamp) -> bool {
+        let expire_after = self.limits.expire_after;
         self.agents
             .get(key)
-            .is_some_and(|a| now.since(a.seen) < self.limits.expire_after)
+            .is_some_and(|a| !a.is_replaced && now.since(a.seen) < expire_after)
     }
 
-    fn live(&self, now: Timestamp) -> impl Iterator<Item = (AgentKey, &Agent)> {
-        let expire_after = self.limits.expire_after;
+    /// Slots of the agents that get work, for estimates of the completion of a job.
+    pub fn slots(&self, now: Timestamp) -> u32 {
+        let gets_work = |a: &Agent| a.is_member && a.health() == Health::Healthy;
         self.agents
             .iter()
-            .filter(move |(_, a)| !a.info.draining && now.since(a.seen) < expire_after)
+            .filter(|(key, a)| gets_work(a) && self.is_live(*key, now))
+            .map(|(_, a)| a.info.slots)
+            .sum()
+    }
+
+    fn insert(&mut self, info: AgentInfo, load: Load) -> AgentKey {
+        let now = self.now;
+        let turn = self.next_turn();
+        let key = self.agents.insert(Agent {
+            info,
+            load: Load::default(),
+            seen: now,
+            reported: now,
+            sent: BTreeMap::new(),
+            outstanding: BTreeMap::new(),
+            record: Record::new(),
+            turn,
+            is_member: false,
+            is_replaced: false,
+        });
+        let info = self.agents[key].info.clone();
+        self.renew(key, info, load);
+        key
+    }
+
+    fn renew(&mut self, key: AgentKey, info: AgentInfo, load: Load) {
+        let now = self.now;
+        let agent = &mut self.agents[key];
+        self.seen.remove(&(agent.seen, key));
+        self.seen.insert((now, key));
+        let is_member = !info.draining;
+        agent.info = info;
+        agent.seen = now;
+        agent.take_load(load, now);
+        self.set_member(key, is_member);
+        self.reindex(key);
+    }
+
+    fn retire(&mut self, key: AgentKey) {
+        let seen = self.agents[key].seen;
+        self.seen.remove(&(seen, key));
+        self.set_member(key, false);
+        self.reindex(key);
+    }
+
+    /// Moves the time forward and retires the agents that expired meanwhile.
+    fn advance(&mut self, now: Timestamp) -> Vec<AgentKey> {
+        self.now = self.now.max(now);
+        let mut expired = Vec::new();
+        while let Some(&(seen, key)) = self.seen.first()
+            && self.now.since(seen) >= self.limits.expire_after
+        {
+            self.retire(key);
+            expired.push(key);
+        }
+        expired
+    }
+
+    fn gets_work(&self, agent: &Agent, kind: KindId) -> bool {
+        agent.is_member
+            && agent.health() == Health::Healthy
+            && agent.accepts(kind, 0)
+            && agent.has_room(kind, self.limits.window)
+    }
+
+    fn score(&mut self, key: AgentKey, kind: KindId) -> Option<Score> {
+        let agent = &self.agents[key];
+        if !self.gets_work(agent, kind) {
+            return None;
+        }
+        let (start, turn) = (agent.expected_start(kind, &self.runs), agent.turn);
+        let slots = agent.info.slots.max(1);
+        let spread = (self.runs.estimate(kind, None) / slots).as_micros() as u64;
+        let random = self.next_random();
+        let start = if start == 0 {
+            0
+        } else {
+            start + random % (spread + 1)
+        };
+        Some((start, turn))
+    }
+
+    fn reindex(&mut self, key: AgentKey) {
+        let kinds: Vec<KindId> = self.index.keys().copied().collect();
+        for kind in kinds {
+            self.reindex_kind(key, kind);
+        }
+    }
+
+    fn reindex_kind(&mut self, key: AgentKey, kind: KindId) {
+        let class = size_class(self.agents[key].info.size);
+        let score = self.score(key, kind);
+        let index = self.index.get_mut(&kind).expect("the kind has an index");
+        index.set(key, class, score);
+    }
+
+    fn add_index(&mut self, kind: KindId) {
+        if self.index.contains_key(&kind) {
+            return;
+        }
+        self.index.insert(kind, KindIndex::default());
+        let keys: Vec<AgentKey> = self.agents.keys().collect();
+        keys.into_iter()
+            .for_each(|key| self.reindex_kind(key, kind));
+    }
+
+    /// A place in the order of agents that look alike: after the agents that were not chosen for long, but random
+    /// among the others. A plain random number would choose the last chosen agents again and again, because those
+    /// that were passed over keep their high numbers.
+    fn next_turn(&mut self) -> u64 {
+        self.placed += 1;
+        self.placed + self.next_random() % (2 * self.agents.len() as u64 + 1)
     }
 
-    fn room(&self, agent: &Agent, kind: KindId) -> bool {
-        let sent = agent.outstanding.get(&kind).copied().unwrap_or(0);
-        sent < agent.info.slots + self.limits.window
-            && (agent.free() > 0 || agent.queued() < self.limits.window * 4)
+    /// The next number of the splitmix64 sequence, which only breaks ties.
+    fn next_random(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
     }
 }
--- /dev/null
+++ b/crates/figdeal-core/tests/scheduling/fleet.rs
@@ -0,0 +1,486 @@
+//! Tests of placement, membership and ejection.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use figdeal_core::{
+    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Health, Load, Sample, State},
+    id::{Incarnation, KindId},
+    time::Timestamp,
+};
+use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
+
+use crate::for_seeds;
+
+const KIND: KindId = KindId(0);
+const OTHER: KindId = KindId(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn info(name: usize, incarnation: u64) -> AgentInfo {
+    AgentInfo {
+        name: format!("desk-{name}"),
+        address: format!("127.0.0.1:{}", 9_000 + name),
+        incarnation: Incarnation(incarnation),
+        slots: 8,
+        kinds: Vec::new(),
+        size: 100,
+        draining: false,
+    }
+}
+
+fn free(free: u32) -> Load {
+    Load {
+        free,
+        ..Load::default()
+    }
+}
+
+fn announce_all(fleet: &mut Fleet, agents: usize, now: Timestamp) {
+    for agent in 0..agents {
+        fleet.announce(info(agent, 1), free(8), now);
+    }
+}
+
+fn new_fleet(agents: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::with_seed(FleetLimits::default(), seed);
+    announce_all(&mut fleet, agents, Timestamp::ZERO);
+    fleet
+}
+
+/// What a scan over all agents knows of one agent.
+struct Model {
+    info: AgentInfo,
+    load: Load,
+    seen: Timestamp,
+    sent: BTreeMap<KindId, u32>,
+    outstanding: BTreeMap<KindId, u32>,
+    is_replaced: bool,
+}
+
+impl Model {
+    fn accepts(&self, kind: KindId, size: u32, now: Timestamp) -> bool {
+        let is_live = !self.is_replaced && now.since(self.seen) < 3 * SECOND;
+        let is_kind = self.info.kinds.is_empty() || self.info.kinds.contains(&kind);
+        is_live && !self.info.draining && is_kind && size <= self.info.size
+    }
+
+    fn has_room(&self, kind: KindId) -> bool {
+        let of = |counts: &BTreeMap<KindId, u32>| counts.get(&kind).copied().unwrap_or(0);
+        let all = |counts: &BTreeMap<KindId, u32>| counts.values().sum::<u32>();
+        let queued: u32 = self
+            .load
+            .queued
+            .iter()
+            .filter(|q| q.0 == kind)
+            .map(|q| q.1)
+            .sum();
+        let (sent, outstanding) = (of(&self.sent), of(&self.outstanding));
+        let reported = self.load.free.saturating_sub(all(&self.sent) - sent);
+        let own = all(&self.outstanding) - sent.min(outstanding);
+        let free = reported.min(self.info.slots.saturating_sub(own));
+        outstanding < self.info.slots + 2 && queued + sent < free + 2
+    }
+
+    fn is_free(&self, kind: KindId) -> bool {
+        let (sent, outstanding): (u32, u32) =
+            (self.sent.values().sum(), self.outstanding.values().sum());
+        let is_queued = self.load.queued.iter().any(|q| q.0 == kind && q.1 > 0);
+        sent < self.load.free && outstanding < self.info.slots && !is_queued
+    }
+}
+
+fn random_load(rng: &mut SmallRng) -> Load {
+    let free = rng.random_range(0..9) / 2;
+    let queued = (0..4)
+        .map(|k| (KindId(k), rng.random_range(0..3)))
+        .collect();
+    let wait = if free == 0 {
+        rng.random_range(0..500)
+    } else {
+        0
+    };
+    Load {
+        free,
+        queued,
+        wait: Duration::from_millis(wait),
+    }
+}
+
+/// Guards against an order of agents that misses changes: every placement must match a scan, with announcements
+/// lost and repeated, late ones of old incarnations, leaves, restarts, ejections, cancellations and size limits.
+#[test]
+fn placement_agrees_with_a_scan() {
+    for_seeds(|rng| {
+        let mut fleet = Fleet::with_seed(FleetLimits::default(), rng.random());
+        let mut models: BTreeMap<AgentKey, Model> = BTreeMap::new();
+        let mut names = [1; 12];
+        let mut now = Timestamp::ZERO;
+        let (mut placed, mut ejections) = (0, 0);
+        for _ in 0..20_000 {
+            now = now + Duration::from_millis(rng.random_range(0..20));
+            let (kind, size) = (KindId(rng.random_range(0..4)), rng.random_range(0..130));
+            match rng.random_range(0..100) {
+                0..20 => {
+                    let name = rng.random_range(0..names.len());
+                    names[name] += u64::from(rng.random_bool(0.02));
+                    let is_late = rng.random_bool(0.02) && names[name] > 2;
+                    let mut info = info(name, names[name] - u64::from(is_late));
+                    info.size = [10, 64, 100, 120][name % 4];
+                    info.kinds = if name % 3 == 0 {
+                        vec![KIND, OTHER]
+                    } else {
+                        Vec::new()
+                    };
+                    info.draining = rng.random_bool(0.05);
+                    let load = random_load(rng);
+                    let model = Model {
+                        info: info.clone(),
+                        load: load.clone(),
+                        seen: now,
+                        sent: BTreeMap::new(),
+                        outstanding: BTreeMap::new(),
+                        is_replaced: false,
+                    };
+                    match fleet.announce(info, load, now) {
+                        Announced::New(key) => drop(models.insert(key, model)),
+                        Announced::Renewed(key) => {
+                            let outstanding =
+                                std::mem::take(&mut models.get_mut(&key).unwrap().outstanding);
+                            models.insert(
+                                key,
+                                Model {
+                                    outstanding,
+                                    ..model
+                                },
+                            );
+                        }
+                        Announced::Replaced { new, old } => {
+                            models.insert(new, model);
+                            models.get_mut(&old).unwrap().is_replaced = true;
+                        }
+                        Announced::Stale => {
+                            let (name, run) = (&model.info.name, model.info.incarnation);
+                            let is_current = |m: &&Model| !m.is_replaced && m.info.name == *name;
+                            let current = models.values().find(is_current).expect("one is current");
+                            assert!(
+                                current.info.incarnation != run
+                                    && now.since(current.seen) < 3 * SECOND
+                            );
+                        }
+                    }
+                }
+                20..65 => {
+                    let has_room = fleet.has_room_for(kind, size, now);
+                    let key = fleet.place(kind, size, now);
+                    assert_eq!(key.is_some(), has_room);
+                    let healthy = |k: &AgentKey| fleet.get(*k).unwrap().health() == Health::Healthy;
+                    let open: Vec<&AgentKey> = models
+                        .iter()
+                        .filter(|(_, m)| m.accepts(kind, size, now) && m.has_room(kind))
+                        .map(|(k, _)| k)
+                        .filter(|k| healthy(k))
+                        .collect();
+                    let Some(key) = key else {
+                        assert!(open.is_empty(), "a scan finds room");
+                        continue;
+                    };
+                    placed += 1;
+                    let is_free = open.iter().any(|k| models[k].is_free(kind));
+                    let model = &models[&key];
+                    assert!(model.accepts(kind, size, now));
+                    if healthy(&key) {
+                        assert!(model.has_room(kind));
+                        assert!(
+                            model.is_free(kind) || !is_free,
+                            "a free slot was passed over"
+                        );
+                    } else {
+                        assert!(model.outstanding.is_empty(), "a probe is the only task");
+                    }
+                    let model = models.get_mut(&key).unwrap();
+                    *model.sent.entry(kind).or_default() += 1;
+                    *model.outstanding.entry(kind).or_default() += 1;
+                }
+                65..95 => {
+                    let busy: Vec<(AgentKey, KindId)> = models
+                        .iter()
+                        .flat_map(|(k, m)| m.outstanding.keys().map(|kind| (*k, *kind)))
+                        .collect();
+                    let Some(&(key, kind)) = busy.choose(rng) else {
+                        continue;
+                    };
+                    let model = models.get_mut(&key).unwrap();
+                    let count = model.outstanding.get_mut(&kind).unwrap();
+                    *count -= 1;
+                    if *count == 0 {
+                        model.outstanding.remove(&kind);
+                    }
+                    let is_bad = model.info.name.ends_with('1')
+                        && (now.as_micros() / 30_000_000).is_multiple_of(2);
+                    let before = fleet.ejected();
+                    match rng.random_range(0..10) {
+                        0 => fleet.resolve(key, kind),
+                        _ if is_bad => fleet.settle(key, kind, Sample::Failure, now),
+                        _ => fleet.settle(key, kind, Sample::Success(SECOND / 4), now),
+                    }
+                    ejections += usize::from(fleet.ejected() > before);
+                    if rng.random_bool(0.8) {
+                        model.load = random_load(rng);
+                        model.sent.clear();
+                        fleet.report(key, model.load.clone());
+                    }
+                }
+                95 => {
+                    let idle = |m: &&AgentKey| models[m].outstanding.is_empty();
+                    let gone: Vec<AgentKey> = models.keys().filter(idle).copied().collect();
+                    if let Some(key) = gone.choose(rng).copied() {
+                        fleet.remove(key);
+                        models.remove(&key);
+                    }
+                }
+                _ => drop(fleet.tick(now)),
+            }
+            let members = models.values().filter(|m| m.accepts(KIND, 0, now)).count();
+            fleet.tick(now);
+            assert!(
+                fleet.ejected() <= members * 30 / 100,
+                "{} of {members}",
+                fleet.ejected()
+            );
+            let accepts = models.values().any(|m| m.accepts(kind, size, now));
+            assert_eq!(fleet.is_placeable(kind, size, now), accepts);
+            assert_eq!(fleet.status(now).len(), models.len());
+        }
+        assert!(
+            placed > 2_000 && ejections > 0,
+            "{placed} placements, {ejections} ejections"
+        );
+    });
+}
+
+/// Guards against entries that all choose the same agent between two reports: no agent may get more than it keeps
+/// as a short queue while others have free slots.
+#[test]
+fn entries_spread_between_reports() {
+    for_seeds(|rng| {
+        let mut sent: BTreeMap<String, u32> = BTreeMap::new();
+        for _ in 0..3 {
+            let mut entry = new_fleet(10, rng.random());
+            for _ in 0..20 {
+                let key = entry.place(KIND, 1, Timestamp::ZERO).unwrap();
+                *sent
+                    .entry(entry.get(key).unwrap().info.name.clone())
+                    .or_default() += 1;
+            }
+        }
+        assert!(
+            sent.values().all(|n| *n <= 10),
+            "{sent:?}: 60 tasks for 80 slots"
+        );
+    });
+}
+
+/// Guards against deep queues at the agents: with every slot taken, an entry sends the window and no more.
+#[test]
+fn a_busy_fleet_gets_short_queues() {
+    let (mut fleet, now) = (new_fleet(4, 1), Timestamp::ZERO);
+    let placed = (0..1_000)
+        .filter(|_| fleet.place(KIND, 1, now).is_some())
+        .count();
+    assert_eq!(placed, 4 * (8 + 2));
+    assert!(
+        !fleet.has_room(KIND, now) && fleet.has_room(OTHER, now),
+        "kinds queue on their own"
+    );
+}
+
+/// Guards against reserved slots that count as free for a kind that the agent does not start on them.
+#[test]
+fn tasks_that_queue_beside_free_slots_are_bounded() {
+    let (mut fleet, now) = (new_fleet(1, 1), Timestamp::ZERO);
+    let load = Load {
+        free: 2,
+        queued: vec![(KIND, 4)],
+        wait: Duration::ZERO,
+    };
+    fleet.announce(info(0, 1), load, now);
+    assert!(!fleet.has_room(KIND, now) && fleet.has_room(OTHER, now));
+}
+
+/// Runs each placed task to its end at once; `fails` decides by name and kind.
+fn run(fleet: &mut Fleet, kind: KindId, now: Timestamp, fails: impl Fn(&str, KindId) -> bool) {
+    if let Some(key) = fleet.place(kind, 1, now) {
+        let is_failed = fails(&fleet.get(key).unwrap().info.name, kind);
+        let sample = if is_failed {
+            Sample::Failure
+        } else {
+            Sample::Success(SECOND / 10)
+        };
+        fleet.settle(key, kind, sample, now);
+        fleet.report(key, free(8));
+    }
+}
+
+/// Runs a fleet that announces itself each second; returns the ejections of each agent.
+fn run_for(
+    fleet: &mut Fleet,
+    rng: &mut SmallRng,
+    seconds: std::ops::Range<u64>,
+    fails: impl Fn(&str, KindId) -> bool,
+) -> BTreeMap<String, u32> {
+    let mut ejections: BTreeMap<String, u32> = BTreeMap::new();
+    let agents = fleet.iter().count();
+    for tick in seconds.start * 100..seconds.end * 100 {
+        let now = Timestamp::from_micros(tick * 10_000);
+        if tick % 100 == 0 {
+            announce_all(fleet, agents, now);
+        }
+        let health =
+            |fleet: &Fleet| -> Vec<Health> { fleet.iter().map(|(_, a)| a.health()).collect() };
+        let before = health(fleet);
+        (0..3).for_each(|_| run(fleet, KindId(rng.random_range(0..3)), now, &fails));
+        for ((_, agent), before) in fleet.iter().zip(before) {
+            let is_ejected = matches!(agent.health(), Health::Ejected { .. });
+            if is_ejected && !matches!(before, Health::Ejected { .. }) {
+                *ejections.entry(agent.info.name.clone()).or_default() += 1;
+            }
+        }
+    }
+    ejections
+}
+
+/// Guards against healthy agents that are ejected for a kind that fails, or fails often, everywhere.
+#[test]
+fn a_kind_that_fails_everywhere_ejects_nobody() {
+    for_seeds(|rng| {
+        let mut fleet = new_fleet(10, rng.random());
+        let seed: u64 = rng.random();
+        let healthy = run_for(&mut fleet, rng, 0..30, |_, _| false);
+        let failing = run_for(&mut fleet, rng, 30..90, |_, kind| kind == OTHER);
+        let flaky = std::cell::Cell::new(seed);
+        let often = run_for(&mut fleet, rng, 90..300, |_, _| {
+            flaky.set(
+                flaky
+                    .get()
+                    .wrapping_mul(6_364_136_223_846_793_005)
+                    .wrapping_add(1),
+            );
+            (flaky.get() >> 33) % 10 < 3
+        });
+        assert_eq!((healthy.len(), failing.len(), often.len()), (0, 0, 0));
+    });
+}
+
+/// Guards against an upstream that fails at once, looks idle and attracts all work, alone or with two others, with
+/// all kinds or one; and against one that never gets work again after its repair.
+#[test]
+fn failing_agents_are_ejected_and_recover() {
+    for_seeds(|rng| {
+        let all = |name: &str, _| ["desk-1", "desk-2", "desk-3"].contains(&name);
+        let one = |name: &str, kind| name == "desk-1" && kind == OTHER;
+        for (fails, bad) in [(&all as &dyn Fn(&str, KindId) -> bool, 3), (&one, 1)] {
+            let mut fleet = new_fleet(10, rng.random());
+            run_for(&mut fleet, rng, 0..10, |_, _| false);
+            let ejections = run_for(&mut fleet, rng, 10..200, fails);
+            assert_eq!(ejections.len(), bad, "{ejections:?}");
+            run_for(&mut fleet, rng, 200..300, |_, _| false);
+            assert_eq!(
+                fleet.ejected(),
+                0,
+                "repaired agents get work after the longest back-off"
+            );
+        }
+    });
+}
+
+/// Guards against a back-off that does not double or exceeds 60 s, and probes that are lost or come in numbers.
+#[test]
+fn back_off_doubles_up_to_a_minute() {
+    for_seeds(|rng| {
+        let mut fleet = new_fleet(10, rng.random());
+        let fails = |name: &str, _: KindId| name == "desk-1";
+        run_for(&mut fleet, rng, 0..10, fails);
+        let key = fleet
+            .iter()
+            .find(|(_, a)| a.info.name == "desk-1")
+            .unwrap()
+            .0;
+        let mut now = Timestamp::from_micros(10_000_000);
+        let mut until = |fleet: &mut Fleet, sample| {
+            let Health::Ejected { until } = fleet.get(key).unwrap().health() else {
+                panic!("the agent is ejected");
+            };
+            while now < until {
+                now = until.min(now + SECOND);
+                announce_all(fleet, 10, now);
+            }
+            assert_eq!(fleet.place(KIND, 1, until), Some(key), "the probe is due");
+            assert_ne!(
+                fleet.place(KIND, 1, until),
+                Some(key),
+                "one probe at a time"
+            );
+            let probing = fleet
+                .status(until)
+                .iter()
+                .any(|s| s.key == key && s.state == State::Probing);
+            assert!(probing, "the status names the probe");
+            fleet.settle(key, KIND, sample, until);
+            match fleet.get(key).unwrap().health() {
+                Health::Ejected { until: next } => next.since(until),
+                _ => Duration::ZERO,
+            }
+        };
+        let mut last = until(&mut fleet, Sample::Nothing);
+        for _ in 0..8 {
+            let next = until(&mut fleet, Sample::Failure);
+            assert_eq!(next, (last * 2).min(60 * SECOND));
+            last = next;
+        }
+        assert_eq!(
+            until(&mut fleet, Sample::Nothing),
+            60 * SECOND,
+            "no evidence"
+        );
+        assert_eq!(until(&mut fleet, Sample::Success(SECOND)), Duration::ZERO);
+    });
+}
+
+/// Guards against work for agents that expired, left or were replaced, and leaves that a late announcement of
+/// the old incarnation undoes.
+#[test]
+fn leaving_agents_get_no_work() {
+    let (mut fleet, now) = (new_fleet(1, 1), Timestamp::ZERO);
+    let key = fleet.iter().next().unwrap().0;
+    let last = now + (3 * SECOND - Duration::from_micros(1));
+    assert!(fleet.has_room(KIND, last) && !fleet.has_room(KIND, now + 3 * SECOND));
+    assert_eq!(fleet.place(KIND, 1, now + 3 * SECOND), None);
+    let later = now + 4 * SECOND;
+    assert_eq!(
+        fleet.announce(info(0, 1), free(8), later),
+        Announced::Renewed(key)
+    );
+    let Announced::Replaced { new, old } = fleet.announce(info(0, 2), free(8), later) else {
+        panic!("a new incarnation replaces the old one");
+    };
+    assert_eq!((old, fleet.place(KIND, 1, later)), (key, Some(new)));
+    assert_eq!(fleet.announce(info(0, 1), free(8), later), Announced::Stale);
+    let leave = AgentInfo {
+        draining: true,
+        ..info(0, 2)
+    };
+    fleet.announce(leave, free(8), later);
+    assert_eq!(
+        (
+            fleet.place(KIND, 1, later),
+            fleet.is_placeable(KIND, 1, later)
+        ),
+        (None, false)
+    );
+    fleet.resolve(new, KIND);
+    fleet.tick(later + Duration::from_secs(700));
+    assert_eq!(
+        fleet.iter().count(),
+        0,
+        "agents that are gone are forgotten"
+    );
+}
--- a/crates/figdeal-core/tests/scheduling/main.rs
+++ b/crates/figdeal-core/tests/scheduling/main.rs
@@ -3,6 +3,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 mod agent;
+mod fleet;
 mod runtime;
 mod share;
 
