Finish replacements on busy replicas and widen the tests

The step now queues behind clients and has its own time limit.

Table entries that the receiver holds are left out of a sent state, as files are. The history in the state is bounded to 32 entries, since the archive has the older ones.

The random run now crashes inside a start as well, checks that a shown version is held by a majority, and checks the first answer as long as the bounded table must hold it.

--- a/crates/figdeal-control/src/node.rs
+++ b/crates/figdeal-control/src/node.rs
@@ -19,7 +19,7 @@
 /// Time between background reads; a change must be in force within 2 s.
 pub const SYNC_EVERY: Duration = Duration::from_millis(500);
 /// First wait before an unfinished replacement is finished in the background.
-pub const MIN_FINISH: Duration = Duration::from_secs(2);
+pub const MIN_FINISH: Duration = Duration::from_secs(1);
 /// Largest such wait, reached while the joining replica does not answer.
 pub const MAX_FINISH: Duration = Duration::from_secs(60);
 
@@ -54,7 +54,7 @@
     acceptor: Acceptor,
     proposer: Proposer,
     store: Store<D>,
-    verifier: Box<dyn Verifier>,
+    verifier: Box<dyn Verifier + Send>,
     /// Newest state that is known to be accepted by a quorum.
     chosen: Option<Proposal>,
     latest: Option<Version>,
@@ -75,7 +75,7 @@
     pub fn open(
         disk: D,
         fresh: ReplicaId,
-        verifier: Box<dyn Verifier>,
+        verifier: Box<dyn Verifier + Send>,
         now: Timestamp,
     ) -> Result<Node<D>> {
         let (store, loaded) = Store::open(disk, fresh)?;
@@ -203,10 +203,9 @@
     pub fn tick(&mut self, clock: Clock) -> Result<Vec<Action>> {
         // Each due time moves on even if nothing is submitted, so that `next_wake` is never in the past.
         if self.finish_at.is_some_and(|at| at <= clock.now) {
-            if self.proposer.is_idle() {
-                self.finish_wait = MAX_FINISH.min(2 * self.finish_wait);
-                self.proposer.submit(None, Request::Finish, clock.now);
-            }
+            // It queues behind clients, because a busy replica would otherwise never finish the replacement.
+            self.proposer.submit(None, Request::Finish, clock.now);
+            self.finish_wait = MAX_FINISH.min(2 * self.finish_wait);
             self.finish_at = Some(clock.now + self.finish_wait);
         }
         if self.next_sync <= clock.now {
--- a/crates/figdeal-control/src/pack.rs
+++ b/crates/figdeal-control/src/pack.rs
@@ -1,18 +1,24 @@
-//! Compact form of a state: files that the receiver holds already are named by their digest only.
+//! Compact form of a state: what the receiver holds already is left out.
+
+use std::collections::{HashMap, VecDeque};
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    state::RegisterState,
+    state::{Accepted, Answered, RegisterState},
     types::{Bundle, Digest, File},
 };
 
-/// A state whose files are replaced by [`PackedFile`]s.
+/// A state without what its base has: files are named by their digest, and tables hold only their new entries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PackedState {
-    /// The state without any file.
+    /// The state without files, answered requests and history.
     state: RegisterState,
+    /// Whether a base is needed.
+    has_base: bool,
+    requests: PackedTable<Answered>,
+    history: PackedTable<Accepted>,
     /// Files in force.
     files: Vec<PackedFile>,
     /// Files of the pending proposal.
@@ -28,6 +34,32 @@
     Known(String, Digest),
 }
 
+/// The entries of a base from `skip` on, followed by the new ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PackedTable<T> {
+    skip: usize,
+    added: VecDeque<T>,
+}
+
+impl<T: Clone + PartialEq> PackedTable<T> {
+    fn new(mut entries: VecDeque<T>, base: &VecDeque<T>) -> PackedTable<T> {
+        let is_kept = |skip: &usize| {
+            let kept = base.len() - skip;
+            kept <= entries.len() && base.range(*skip..).eq(entries.range(..kept))
+        };
+        let skip = (0..=base.len()).find(is_kept).expect("an empty rest fits");
+        PackedTable {
+            skip,
+            added: entries.split_off(base.len() - skip),
+        }
+    }
+
+    fn unpack(self, base: &VecDeque<T>) -> VecDeque<T> {
+        let kept = base.iter().skip(self.skip).cloned();
+        kept.chain(self.added).collect()
+    }
+}
+
 /// Why a state cannot be restored.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum UnpackError {
@@ -38,6 +70,8 @@
         /// Digest of its content.
         digest: Digest,
     },
+    /// the state that the sender assumed is not held
+    NoBase,
     /// a member set is empty
     NoMembers,
 }
@@ -54,8 +88,12 @@
             Some(pending) => pack(std::mem::take(&mut pending.bundle), &mut known),
             None => Vec::new(),
         };
+        let (requests, history) = tables(base);
         PackedState {
+            requests: PackedTable::new(std::mem::take(&mut bare.requests), requests),
+            history: PackedTable::new(std::mem::take(&mut bare.history), history),
             state: bare,
+            has_base: base.is_some(),
             files,
             pending,
         }
@@ -67,12 +105,18 @@
     /// Names the first file that neither the packed state nor `base` holds; refuses an empty member set, which every
     /// vote would satisfy.
     pub fn unpack(self, base: Option<&RegisterState>) -> Result<RegisterState, UnpackError> {
+        if self.has_base && base.is_none() {
+            return Err(UnpackError::NoBase);
+        }
         let mut known = base.map(contents).unwrap_or_default();
         let mut state = self.state;
         let sets = &state.members.sets;
         if sets.is_empty() || sets.iter().any(Vec::is_empty) {
             return Err(UnpackError::NoMembers);
         }
+        let (requests, history) = tables(base);
+        state.requests = self.requests.unpack(requests);
+        state.history = self.history.unpack(history);
         state.bundle = unpack(self.files, &mut known)?;
         let pending = unpack(self.pending, &mut known)?;
         if let Some(place) = &mut state.pending {
@@ -82,7 +126,16 @@
     }
 }
 
-type Known = std::collections::HashMap<Digest, Vec<u8>>;
+type Known = HashMap<Digest, Vec<u8>>;
+
+/// The tables of a base, empty without one.
+fn tables(base: Option<&RegisterState>) -> (&VecDeque<Answered>, &VecDeque<Accepted>) {
+    static NONE: (VecDeque<Answered>, VecDeque<Accepted>) = (VecDeque::new(), VecDeque::new());
+    match base {
+        Some(base) => (&base.requests, &base.history),
+        None => (&NONE.0, &NONE.1),
+    }
+}
 
 fn contents(state: &RegisterState) -> Known {
     let pending = state.pending.iter().flat_map(|p| &p.bundle.files);
--- a/crates/figdeal-control/src/proposer.rs
+++ b/crates/figdeal-control/src/proposer.rs
@@ -24,6 +24,8 @@
 pub const PHASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a client learns that the outcome is unknown.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a background request once it runs; clients wait behind it.
+pub const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(1);
 /// First back-off after a lost race; it doubles up to [`MAX_BACKOFF`].
 pub const MIN_BACKOFF: Duration = Duration::from_millis(10);
 /// Largest back-off between attempts.
@@ -183,14 +185,10 @@
             self.steps.extend(client.map(reply));
             return;
         }
-        let limit = match request {
-            Request::Command(_) | Request::Read => REQUEST_TIMEOUT,
-            Request::Sync | Request::Finish => 2 * PHASE_TIMEOUT,
-        };
         self.queue.push_back(Job {
             client,
             request,
-            deadline: now + limit,
+            deadline: now + REQUEST_TIMEOUT,
             attempts: 0,
             confirmed: None,
         });
@@ -222,9 +220,12 @@
             self.end_phase(local, now);
         }
         while self.job.is_none() {
-            let Some(job) = self.queue.pop_front() else {
+            let Some(mut job) = self.queue.pop_front() else {
                 return;
             };
+            if job.client.is_none() {
+                job.deadline = now + BACKGROUND_TIMEOUT;
+            }
             let reads = matches!(job.request, Request::Read | Request::Sync);
             self.job = Some(job);
             if reads {
--- a/crates/figdeal-control/src/state.rs
+++ b/crates/figdeal-control/src/state.rs
@@ -16,8 +16,8 @@
 /// number, proposal or epoch that it applies to.
 pub const MAX_REQUESTS: usize = 128;
 
-/// Entries of the history inside the state.
-pub const MAX_HISTORY: usize = 128;
+/// Entries of the history inside the state; older ones are in the archive of each replica.
+pub const MAX_HISTORY: usize = 32;
 
 /// Member sets that may be in force together while replacements are unfinished.
 pub const MAX_SETS: usize = 4;
--- /dev/null
+++ b/crates/figdeal-control/tests/files.rs
@@ -0,0 +1,281 @@
+//! State files and message sequences with arbitrary input.
+
+#[path = "sim/disk.rs"]
+mod disk;
+#[path = "sim/keys.rs"]
+mod keys;
+
+use bolero::check;
+use disk::MemDisk;
+use figdeal_control::{
+    acceptor::{Acceptor, Record},
+    command::Answer,
+    disk::{Disk, Folder},
+    message::{Envelope, Message},
+    node::Node,
+    pack::PackedState,
+    sign::Ed25519,
+    state::{Answered, RegisterState},
+    store::{Error, Store, Version, frame, init, unframe},
+    types::{Ballot, Bundle, PublicKey, ReplicaId, RequestId, Signature},
+};
+use figdeal_core::time::{Timestamp, UnixMillis};
+use keys::{Fake, key, member};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn founded(id: u64) -> MemDisk {
+    let (mut store, _) = Store::open(MemDisk::default(), ReplicaId(id)).unwrap();
+    init(&mut store, [key(0), key(1)], vec![member(id, 0)]).unwrap();
+    store.into_disk()
+}
+
+fn version(number: u64) -> Version {
+    Version {
+        number,
+        digest: Default::default(),
+        bundle: Bundle::new([("a", "b")]),
+        signers: [key(0), key(1)],
+        time: UnixMillis(0),
+    }
+}
+
+/// Guards against a panic, or an accepted record, on a damaged file.
+#[test]
+fn damaged_records_are_refused() {
+    let good = frame(&version(3));
+    check!()
+        .with_type::<(Vec<u8>, usize, u8)>()
+        .for_each(|(bytes, at, flip)| {
+            assert!(unframe::<Version>(bytes).is_err());
+            let _ = postcard::from_bytes::<Envelope>(bytes);
+            let _ = postcard::from_bytes::<PackedState>(bytes).map(|p| p.unpack(None));
+            let mut damaged = good.clone();
+            damaged[at % good.len()] ^= flip;
+            assert_eq!(unframe::<Version>(&damaged).is_ok(), *flip == 0);
+            assert!(unframe::<Version>(&good[..at % good.len()]).is_err());
+        });
+}
+
+/// Guards against a fall-back to an older or empty state: each damaged or missing file stops the replica by name.
+#[test]
+fn a_damaged_folder_stops_the_replica() {
+    let mut store = Store::open(founded(1), ReplicaId(9)).unwrap().0;
+    store.archive(&version(1)).unwrap();
+    let disk = store.into_disk();
+    let mut rng = SmallRng::seed_from_u64(6);
+    for name in disk.list().unwrap() {
+        let mut bytes = disk.read(&name).unwrap();
+        *bytes.last_mut().unwrap() ^= 1;
+        let mut damaged = disk.crash(&mut rng);
+        damaged.write(&name, &bytes).unwrap();
+        match Store::open(damaged, ReplicaId(9)) {
+            Err(Error::Corrupt { file, .. }) => assert_eq!(file, name),
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+    for name in ["identity", "promise", "accepted"] {
+        let mut partial = disk.crash(&mut rng);
+        partial.remove(name).unwrap();
+        match Store::open(partial, ReplicaId(9)) {
+            Err(Error::Missing(file)) => assert_eq!(file, name),
+            other => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
+/// Guards against a second founding, and against one under an identity that is not listed.
+#[test]
+fn only_a_listed_empty_folder_is_founded() {
+    let owners = [key(0), key(1)];
+    let (mut store, _) = Store::open(MemDisk::default(), ReplicaId(2)).unwrap();
+    let result = init(&mut store, owners, vec![member(1, 0)]);
+    assert!(matches!(result, Err(Error::NotListed(ReplicaId(2)))));
+    let result = init(&mut store, [key(0), key(0)], vec![member(2, 0)]);
+    assert!(matches!(result, Err(Error::Founding(_))));
+    init(&mut store, owners, vec![member(2, 0)]).unwrap();
+    let result = init(&mut store, owners, vec![member(2, 0)]);
+    assert!(matches!(result, Err(Error::Founded)));
+}
+
+/// Guards against a half-founded folder: after a crash at any operation of the founding, the folder is either
+/// empty and can be founded, or is a member.
+#[test]
+fn founding_survives_a_crash_at_each_operation() {
+    let mut rng = SmallRng::seed_from_u64(4);
+    for crash_after in (0..30).flat_map(|n| [n; 20]) {
+        let disk = MemDisk::default();
+        disk.crash_after(crash_after);
+        let owners = [key(0), key(1)];
+        let founded = match Store::open(disk.clone(), ReplicaId(1)) {
+            Ok((mut store, _)) => init(&mut store, owners, vec![member(1, 0)]).is_ok(),
+            Err(_) => false,
+        };
+        let (mut store, again) = Store::open(disk.crash(&mut rng), ReplicaId(1)).unwrap();
+        assert!(again.accepted.is_some() || !founded);
+        if again.accepted.is_none() {
+            init(&mut store, [key(0), key(1)], vec![member(1, 0)]).unwrap();
+        }
+    }
+}
+
+/// State whose content depends on the ballot only, as in a correct register.
+fn state_of(ballot: Ballot) -> RegisterState {
+    let mut state = RegisterState::new([key(0), key(1)], vec![member(1, 0), member(2, 1)]);
+    state.bundle = Bundle::new([("a", format!("{ballot:?}"))]);
+    state
+}
+
+/// Guards against a promise or a vote that goes back, and against a reply that is not backed by a record.
+#[test]
+fn acceptor_votes_only_go_up() {
+    check!()
+        .with_type::<Vec<(u8, u8, bool)>>()
+        .for_each(|input| {
+            let mut acceptor = Acceptor::new(ReplicaId(1), Ballot::default(), None);
+            let (mut promised, mut accepted) = (Ballot::default(), None);
+            for (round, replica, is_prepare) in input {
+                let ballot = Ballot {
+                    round: u64::from(round % 8) + 1,
+                    replica: u64::from(replica % 2),
+                    run: 0,
+                };
+                let outcome = if *is_prepare {
+                    acceptor.prepare(ballot, Ballot::default())
+                } else {
+                    acceptor.accept(ballot, None, PackedState::new(&state_of(ballot), None))
+                };
+                let expected = match (is_prepare, accepted) {
+                    (true, None) => None,
+                    (false, Some(held)) if held == ballot && promised == ballot => None,
+                    _ if ballot < promised => None,
+                    (true, _) if ballot == promised => None,
+                    (true, _) => Some(Record::Promise(ballot)),
+                    (false, _) => {
+                        accepted = Some(ballot);
+                        acceptor.accepted().cloned().map(Record::Accepted)
+                    }
+                };
+                if accepted.is_some() {
+                    promised = promised.max(ballot);
+                }
+                assert_eq!(outcome.persist, expected);
+                assert_eq!(acceptor.promised(), promised);
+                assert_eq!(acceptor.accepted().map(|a| a.ballot), accepted);
+                if let Some(Message::Accepted { ballot: b }) = outcome.reply {
+                    assert_eq!(Some(b), accepted);
+                }
+            }
+        });
+}
+
+/// Guards against packed states that lose, reorder or mix up files or table entries.
+#[test]
+fn packed_states_restore_exactly() {
+    check!()
+        .with_type::<(Vec<u8>, Vec<u8>)>()
+        .for_each(|(old, new)| {
+            let state = |contents: &[u8]| {
+                let files = contents.iter().zip(0..);
+                let files = files.map(|(c, i)| (format!("f{i}"), vec![*c; 40]));
+                let mut state = state_of(Ballot::default());
+                state.bundle = Bundle::new(files);
+                let answered = |c: &u8| Answered {
+                    request: RequestId((*c % 4).into()),
+                    command: Default::default(),
+                    answer: Answer::Replaced { epoch: 0 },
+                };
+                state.requests = contents.iter().map(answered).collect();
+                state
+            };
+            let next = [&old[old.len().min(1)..], new].concat();
+            let old = state(old);
+            for new in [state(new), state(&next)] {
+                let packed = PackedState::new(&new, Some(&old));
+                assert!(packed.clone().unpack(None).is_err());
+                assert_eq!(packed.unpack(Some(&old)).unwrap(), new);
+                let whole = PackedState::new(&new, None);
+                assert_eq!(whole.unpack(None).unwrap(), new);
+            }
+        });
+}
+
+/// Guards against a vote of a replica with an empty folder, and of one that has taken over another's address.
+#[test]
+fn an_empty_folder_does_not_vote() {
+    let open = || {
+        let now = Timestamp::ZERO;
+        Node::open(MemDisk::default(), ReplicaId(5), Box::new(Fake), now).unwrap()
+    };
+    let clock = figdeal_control::proposer::Clock {
+        now: Timestamp::ZERO,
+        wall: UnixMillis(0),
+    };
+    let ballot = Ballot {
+        round: 1,
+        replica: 1,
+        run: 1,
+    };
+    let accept = |state: &RegisterState| Message::Accept {
+        ballot,
+        base: None,
+        state: Box::new(PackedState::new(state, None)),
+    };
+    let (stranger, mut joined) = (state_of(ballot), state_of(ballot));
+    joined.members.sets[0].push(member(5, 0));
+    let cases = [
+        (
+            5,
+            Message::Prepare {
+                ballot,
+                have: ballot,
+            },
+            0,
+        ),
+        (5, accept(&stranger), 0),
+        (1, accept(&joined), 0),
+        (5, accept(&joined), 1),
+    ];
+    for (to, message, replies) in cases {
+        let envelope = Envelope {
+            from: ReplicaId(1),
+            reply_to: "0".to_owned(),
+            to: ReplicaId(to),
+            register: figdeal_control::acceptor::RegisterId(1),
+            message,
+        };
+        assert_eq!(open().receive(envelope, clock).unwrap().len(), replies);
+    }
+}
+
+/// Guards against a signature check that passes for another key, message or length.
+#[test]
+fn ed25519_accepts_only_the_exact_signature() {
+    use ed25519_dalek::{Signer, SigningKey};
+    use figdeal_control::sign::Verifier;
+
+    let secret = SigningKey::from_bytes(&[7; 32]);
+    let public = PublicKey(secret.verifying_key().to_bytes());
+    let bytes = secret.sign(b"message").to_bytes().to_vec();
+    let verifier = Ed25519::new(Bundle::check_shape);
+    assert!(verifier.verify(&public, b"message", &Signature(bytes.clone())));
+    assert!(!verifier.verify(&public, b"massage", &Signature(bytes.clone())));
+    assert!(!verifier.verify(&key(1), b"message", &Signature(bytes.clone())));
+    assert!(!verifier.verify(&public, b"message", &Signature(bytes[..63].to_vec())));
+}
+
+/// Guards against two processes on one folder, and against leftovers of a torn write.
+#[test]
+fn a_folder_is_locked_and_cleaned() {
+    let root = tempfile::tempdir().unwrap();
+    let path = root.path().join("control");
+    let folder = Folder::open(&path).unwrap();
+    assert!(Folder::open(&path).is_err());
+    let (mut store, first) = Store::open(folder, ReplicaId(1)).unwrap();
+    init(&mut store, [key(0), key(1)], vec![member(1, 0)]).unwrap();
+    drop(store);
+    std::fs::write(path.join("accepted.tmp"), b"torn").unwrap();
+    let (_, second) = Store::open(Folder::open(&path).unwrap(), ReplicaId(2)).unwrap();
+    assert_eq!((second.id, second.run), (first.id, first.run + 1));
+    assert!(second.accepted.is_some());
+    assert!(!path.join("accepted.tmp").exists());
+}
--- a/crates/figdeal-control/tests/sim/disk.rs
+++ b/crates/figdeal-control/tests/sim/disk.rs
@@ -1,6 +1,6 @@
 //! Folder in memory that loses unsynced work in a crash.
 
-use std::{collections::BTreeMap, io};
+use std::{cell::RefCell, collections::BTreeMap, io, rc::Rc};
 
 use figdeal_control::disk::Disk;
 use rand::{Rng, rngs::SmallRng};
@@ -18,53 +18,37 @@
     Remove(String),
 }
 
-/// The folder; changes to it since the last sync may be lost, one by one.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct MemDisk {
+struct Inner {
     contents: Vec<Content>,
     names: BTreeMap<String, usize>,
     durable: BTreeMap<String, usize>,
+    /// Changes to the folder since its last sync.
     unsynced: Vec<Change>,
-    /// Operations until the crash.
-    pub crash_after: Option<u32>,
+    crash_after: Option<u32>,
 }
 
-impl MemDisk {
-    fn step(&mut self) -> io::Result<()> {
-        if let Some(left) = &mut self.crash_after {
-            if *left == 0 {
-                return Err(io::Error::other("crash"));
-            }
-            *left -= 1;
-        }
-        Ok(())
-    }
-
-    fn apply(names: &mut BTreeMap<String, usize>, change: &Change) {
-        match change {
-            Change::Set(name, id) => drop(names.insert(name.clone(), *id)),
-            Change::Rename(from, to, id) => {
-                names.remove(from);
-                names.insert(to.clone(), *id);
-            }
-            Change::Remove(name) => drop(names.remove(name)),
-        }
-    }
+/// Handle of a folder, which remains usable after the store that owns another handle has failed.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct MemDisk(Rc<RefCell<Inner>>);
 
-    fn change(&mut self, change: Change) {
-        MemDisk::apply(&mut self.names, &change);
-        self.unsynced.push(change);
+impl MemDisk {
+    /// Fails every operation after the next `operations`.
+    pub(crate) fn crash_after(&self, operations: u32) {
+        self.0.borrow_mut().crash_after = Some(operations);
     }
 
-    /// What a power failure leaves: a subset of the unsynced changes, and torn contents.
-    pub(crate) fn crash(mut self, rng: &mut SmallRng) -> MemDisk {
-        let mut names = self.durable;
-        for change in &self.unsynced {
+    /// An independent folder: what a power failure leaves of this one. Each unsynced change of the folder is kept
+    /// or lost, and unsynced contents are torn.
+    pub(crate) fn crash(&self, rng: &mut SmallRng) -> MemDisk {
+        let mut inner = self.0.borrow().clone();
+        let mut names = inner.durable;
+        for change in &inner.unsynced {
             if rng.random_bool(0.5) {
-                MemDisk::apply(&mut names, change);
+                change.apply(&mut names);
             }
         }
-        for content in &mut self.contents {
+        for content in &mut inner.contents {
             if !content.synced {
                 content
                     .bytes
@@ -77,72 +61,115 @@
         }
         let contents = names
             .values()
-            .map(|id| self.contents[*id].clone())
+            .map(|id| inner.contents[*id].clone())
             .collect();
         let names: BTreeMap<_, _> = names.into_keys().zip(0..).collect();
-        MemDisk {
+        MemDisk(Rc::new(RefCell::new(Inner {
             contents,
             durable: names.clone(),
             names,
             unsynced: Vec::new(),
             crash_after: None,
+        })))
+    }
+}
+
+impl Change {
+    fn apply(&self, names: &mut BTreeMap<String, usize>) {
+        match self {
+            Change::Set(name, id) => drop(names.insert(name.clone(), *id)),
+            Change::Rename(from, to, id) => {
+                names.remove(from);
+                names.insert(to.clone(), *id);
+            }
+            Change::Remove(name) => drop(names.remove(name)),
         }
     }
 }
 
+impl Inner {
+    fn step(&mut self) -> io::Result<()> {
+        match &mut self.crash_after {
+            Some(0) => return Err(io::Error::other("crash")),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        Ok(())
+    }
+
+    fn change(&mut self, change: Change) {
+        change.apply(&mut self.names);
+        self.unsynced.push(change);
+    }
+
+    /// Drops contents that no name refers to any more, to bound memory.
+    fn compact(&mut self) {
+        if self.contents.len() <= 4 * self.names.len() + 16 || self.durable != self.names {
+            return;
+        }
+        let ids = self.names.values();
+        self.contents = ids.map(|id| self.contents[*id].clone()).collect();
+        let names: Vec<String> = self.names.keys().cloned().collect();
+        self.names = names.into_iter().zip(0..).collect();
+        self.durable = self.names.clone();
+    }
+}
+
 impl Disk for MemDisk {
     fn list(&self) -> io::Result<Vec<String>> {
-        Ok(self.names.keys().cloned().collect())
+        Ok(self.0.borrow().names.keys().cloned().collect())
     }
 
     fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
-        Ok(self.contents[*id].bytes.clone())
+        let inner = self.0.borrow();
+        let id = inner.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        Ok(inner.contents[*id].bytes.clone())
     }
 
     fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.contents.push(Content {
+        let mut inner = self.0.borrow_mut();
+        inner.contents.push(Content {
             bytes: bytes.to_vec(),
             synced: false,
         });
-        self.change(Change::Set(name.to_owned(), self.contents.len() - 1));
-        self.step()
+        let id = inner.contents.len() - 1;
+        inner.change(Change::Set(name.to_owned(), id));
+        inner.step()
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.step()?;
-        let id = *self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
-        self.contents[id].synced = true;
+        let mut inner = self.0.borrow_mut();
+        inner.step()?;
+        let id = *inner.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        inner.contents[id].synced = true;
         Ok(())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        self.step()?;
-        let id = *self.names.get(from).ok_or(io::ErrorKind::NotFound)?;
-        self.change(Change::Rename(from.to_owned(), to.to_owned(), id));
+        let mut inner = self.0.borrow_mut();
+        inner.step()?;
+        let id = *inner.names.get(from).ok_or(io::ErrorKind::NotFound)?;
+        inner.change(Change::Rename(from.to_owned(), to.to_owned(), id));
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.step()?;
-        self.change(Change::Remove(name.to_owned()));
+        let mut inner = self.0.borrow_mut();
+        inner.step()?;
+        inner.change(Change::Remove(name.to_owned()));
         Ok(())
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
-        self.step()?;
-        for change in std::mem::take(&mut self.unsynced) {
-            MemDisk::apply(&mut self.durable, &change);
-        }
-        // Contents that no name refers to any more are dropped to bound memory.
-        let ids: Vec<usize> = self.names.values().copied().collect();
-        if self.contents.len() > 4 * ids.len() + 16 && self.durable == self.names {
-            let kept = ids.iter().map(|id| self.contents[*id].clone()).collect();
-            self.contents = kept;
-            let names: Vec<String> = self.names.keys().cloned().collect();
-            self.names = names.into_iter().zip(0..).collect();
-            self.durable = self.names.clone();
+        let mut inner = self.0.borrow_mut();
+        inner.step()?;
+        let Inner {
+            durable, unsynced, ..
+        } = &mut *inner;
+        for change in unsynced.drain(..) {
+            change.apply(durable);
         }
+        inner.compact();
         Ok(())
     }
 }
--- a/crates/figdeal-control/tests/sim/world.rs
+++ b/crates/figdeal-control/tests/sim/world.rs
@@ -14,7 +14,7 @@
     node::{Action, Node},
     proposer::{ClientId, Clock, Reply},
     sign::{change_digest, reject_message, replace_message, signed_message},
-    state::{MAX_HISTORY, Member, RegisterState},
+    state::{MAX_HISTORY, MAX_REQUESTS, Member, RegisterState},
     types::{Ballot, Bundle, Digest, PublicKey, ReplicaId, RequestId, Signature},
 };
 use figdeal_core::time::{Timestamp, UnixMillis};
@@ -89,6 +89,9 @@
     asked: BTreeMap<u64, Asked>,
     recent: VecDeque<Command>,
     answers: BTreeMap<RequestId, Answer>,
+    /// Commands so far, and the position of each among them.
+    requests: usize,
+    issued: BTreeMap<RequestId, usize>,
     view: Arc<RegisterState>,
     founders: (Vec<Member>, [PublicKey; 2]),
     /// Member whose folder is lost, with the highest epoch that any replica knew then.
@@ -98,6 +101,8 @@
     signed: BTreeSet<(PublicKey, Digest)>,
     proposed: BTreeMap<Digest, Option<[PublicKey; 2]>>,
     held: BTreeMap<Ballot, BTreeSet<ReplicaId>>,
+    /// Replicas that held a version as the one in force.
+    holders: BTreeMap<Digest, BTreeSet<ReplicaId>>,
     content: BTreeMap<u64, Digest>,
     owners: BTreeMap<u64, [PublicKey; 2]>,
     pub counts: Counts,
@@ -120,6 +125,8 @@
             asked: BTreeMap::new(),
             recent: VecDeque::new(),
             answers: BTreeMap::new(),
+            requests: 0,
+            issued: BTreeMap::new(),
             view: Arc::new(RegisterState::new(owners, members.clone())),
             founders: (members, owners),
             lost: None,
@@ -127,6 +134,7 @@
             signed: BTreeSet::new(),
             proposed: BTreeMap::new(),
             held: BTreeMap::new(),
+            holders: BTreeMap::new(),
             content: BTreeMap::new(),
             owners: BTreeMap::from([(1, owners)]),
             counts: Counts::default(),
@@ -230,7 +238,7 @@
             self.next_act = self.now + Duration::from_micros(pause);
             self.act();
         } else if self.slots[slot].node.is_none() {
-            self.restart(slot);
+            self.restart(slot, None);
         } else {
             self.call(slot, |node, clock| node.tick(clock));
             if let Some(node) = &self.slots[slot].node {
@@ -292,14 +300,27 @@
         self.slots[slot].up_at = self.now + down;
     }
 
-    fn restart(&mut self, slot: usize) {
+    fn restart(&mut self, slot: usize, crash_after: Option<u32>) {
         let disk = self.slots[slot].disk.take().unwrap();
+        if let Some(operations) = crash_after {
+            disk.crash_after(operations);
+        }
         let id = ReplicaId(self.slots[slot].id);
-        let node = Node::open(disk, id, Box::new(Fake), self.now)
-            .unwrap_or_else(|e| panic!("replica {id} must start after a crash: {e}"));
-        assert_eq!(node.id(), id, "the identity must survive a crash");
-        self.slots[slot].node = Some(node);
-        self.observe(slot);
+        match Node::open(disk.clone(), id, Box::new(Fake), self.now) {
+            Ok(node) => {
+                assert_eq!(node.id(), id, "the identity must survive a crash");
+                self.slots[slot].node = Some(node);
+                self.observe(slot);
+            }
+            Err(e) => {
+                assert!(
+                    crash_after.is_some(),
+                    "replica {id} must start after a crash: {e}"
+                );
+                self.counts.torn += 1;
+                self.slots[slot].disk = Some(disk.crash(&mut self.rng));
+            }
+        }
     }
 
     fn fault(&mut self) {
@@ -309,23 +330,16 @@
         match self.rng.random_range(0..10) {
             0 | 1 => self.crash(slot),
             2..=6 => {
-                let left = self.rng.random_range(0..12);
-                if let Some(node) = self.slots[slot].node.take() {
-                    // The crash comes at one of the next write boundaries.
-                    let mut disk = node.into_disk().crash(&mut self.rng);
-                    disk.crash_after = Some(left);
-                    let id = ReplicaId(self.slots[slot].id);
-                    match Node::open(disk.clone(), id, Box::new(Fake), self.now) {
-                        Ok(node) => {
-                            self.slots[slot].node = Some(node);
-                            self.observe(slot);
-                        }
-                        Err(_) => {
-                            disk.crash_after = None;
-                            self.slots[slot].disk = Some(disk);
-                            self.slots[slot].up_at = self.now;
-                        }
-                    }
+                // The crash comes at one of the next write boundaries, also within the start.
+                let left = self.rng.random_range(0..16);
+                if self.slots[slot].node.is_none() {
+                    return;
+                }
+                if self.rng.random_bool(0.5) {
+                    self.crash(slot);
+                    self.restart(slot, Some(left));
+                } else if let Some(node) = &self.slots[slot].node {
+                    node.store().disk().crash_after(left);
                 }
             }
             7 => {
@@ -462,7 +476,7 @@
             ("site.toml", text.as_str()),
         ]);
         let number = self.view.number + 1;
-        let rotates = self.rng.random_bool(0.05);
+        let rotates = self.rng.random_bool(0.1);
         let new_keys = rotates.then(|| [key(self.sequence), key(self.sequence + 1)]);
         let message = signed_message(number, &bundle, &new_keys);
         let digest = Digest::of(&message);
@@ -512,6 +526,8 @@
             request: RequestId(self.fresh().into()),
             action,
         };
+        self.requests += 1;
+        self.issued.insert(command.request, self.requests);
         self.recent.push_back(command.clone());
         if self.recent.len() > 30 {
             self.recent.pop_front();
@@ -582,7 +598,11 @@
             .answers
             .entry(command.request)
             .or_insert(answer.clone());
-        assert_eq!(*first, answer, "a resend must get the first answer");
+        // Each later command takes one place of the bounded table at most.
+        let later = self.requests - self.issued[&command.request];
+        if later < MAX_REQUESTS {
+            assert_eq!(*first, answer, "a resend must get the first answer");
+        }
         match answer {
             Answer::Accepted { number, digest } => self.on_version(number, digest),
             Answer::Replaced { .. } if self.replacing.as_ref() == Some(&command) => self.repaired(),
@@ -607,8 +627,11 @@
     fn observe(&mut self, slot: usize) {
         let node = self.slots[slot].node.as_ref().unwrap();
         let id = node.id();
-        if let Some(Proposal { ballot, .. }) = node.acceptor().accepted() {
+        if let Some(Proposal { ballot, state }) = node.acceptor().accepted() {
             self.held.entry(*ballot).or_default().insert(id);
+            if let Some(accepted) = state.accepted() {
+                self.holders.entry(accepted.digest).or_default().insert(id);
+            }
         }
         while self.held.len() > 2_000 {
             self.held.pop_first();
@@ -642,6 +665,11 @@
             return;
         };
         let (number, digest) = (version.number, version.digest);
+        // A replica that crashed right after it had archived a version shows it for the first time now.
+        let holders = self.holders.get(&digest).map_or(0, BTreeSet::len);
+        if node.chosen().is_none() && holders > self.founders.0.len() / 2 {
+            self.on_version(number, digest);
+        }
         assert!(number >= self.slots[slot].polled, "a poll must not go down");
         assert_eq!(
             self.content.get(&number),
