Serve the register over TCP

The control role needs a transport. The change adds the tarpc service for peers, commands, reads and polls with postcard frames, and a driver in which one thread owns the node. A poll waits up to 8 s for a newer version. Messages for a peer that does not answer are dropped, because they are out of date once it returns.

--- /dev/null
+++ b/crates/figdeal-control/src/driver.rs
@@ -0,0 +1,361 @@
+//! TCP driver: one thread owns the node, tarpc connections carry its messages.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, mpsc as std_mpsc},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use figdeal_core::time::{Timestamp, UnixMillis};
+use futures::StreamExt;
+use log::{info, warn};
+use tarpc::{
+    client, context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep_until, timeout},
+};
+
+use crate::{
+    codec::Postcard,
+    command::Command,
+    disk::Disk,
+    message::Envelope,
+    node::{Action, Node, Result},
+    proposer::{ClientId, Clock, Reply},
+    store::{Error, Version},
+};
+
+/// Time that a poll waits for a newer version; it is below tarpc's default deadline of 10 s.
+pub const POLL_WAIT: Duration = Duration::from_secs(8);
+/// Requests and messages that wait for the control thread.
+pub const MAX_INPUTS: usize = 256;
+/// Messages that wait for one peer; further ones are dropped, which the agreement tolerates.
+pub const MAX_OUTPUTS: usize = 64;
+/// Connections that are served at once; entries and peers hold one each.
+pub const MAX_CONNECTIONS: usize = 256;
+/// Requests of one connection that are in progress at once.
+const MAX_REQUESTS: usize = 64;
+/// Time for a connection, and for the delivery of one message.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Requests between control replicas, and of entries and operators to a control replica.
+#[tarpc::service]
+pub trait ControlRpc {
+    /// Delivers a message of another replica.
+    async fn peer(envelope: Envelope);
+    /// Runs a command.
+    async fn command(command: Command) -> Reply;
+    /// Reads the current state through a quorum.
+    async fn read() -> Reply;
+    /// Waits up to [`POLL_WAIT`] for an accepted version newer than `have`.
+    async fn poll(have: u64) -> Option<Version>;
+}
+
+enum Input {
+    Peer(Envelope),
+    Command(Command, oneshot::Sender<Reply>),
+    Read(oneshot::Sender<Reply>),
+}
+
+/// A running replica. Dropping it stops the replica after its current write.
+#[derive(Debug)]
+pub struct Control {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    inputs: Option<mpsc::Sender<Input>>,
+    thread: Option<JoinHandle<Result<()>>>,
+    listener: tokio::task::AbortHandle,
+}
+
+impl Control {
+    /// Whether the control thread still runs; it ends by itself only after a storage error.
+    pub fn is_running(&self) -> bool {
+        self.thread.as_ref().is_some_and(|t| !t.is_finished())
+    }
+
+    /// Stops after the current write and returns the error that had stopped the replica before, if any.
+    ///
+    /// # Errors
+    /// The error of the storage.
+    pub fn stop(mut self) -> Result<()> {
+        self.end()
+    }
+
+    fn end(&mut self) -> Result<()> {
+        self.listener.abort();
+        self.inputs = None;
+        match self.thread.take().map(JoinHandle::join) {
+            None => Ok(()),
+            Some(Ok(result)) => result,
+            Some(Err(panic)) => std::panic::resume_unwind(panic),
+        }
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        if let Err(e) = self.end() {
+            warn!("the control replica had stopped: {e}");
+        }
+    }
+}
+
+/// Serves `node` on `listen`. Runs inside a tokio runtime; the node gets a thread of its own, because it waits for
+/// synced writes.
+///
+/// # Errors
+/// The error of binding the address or of starting the thread.
+pub async fn serve<D>(node: Node<D>, listen: SocketAddr) -> io::Result<Control>
+where
+    D: Disk + Send + 'static,
+{
+    let incoming = tcp::listen(listen, Postcard::default).await?;
+    let address = incoming.local_addr();
+    let (inputs, receiver) = mpsc::channel(MAX_INPUTS);
+    let (versions, watched) = watch::channel(node.poll(0).cloned().map(Arc::new));
+    let peers = Peers {
+        runtime: tokio::runtime::Handle::current(),
+        senders: HashMap::new(),
+    };
+    let owner = Owner {
+        node,
+        start: Instant::now(),
+        versions,
+        peers,
+        clients: HashMap::new(),
+        next_client: 0,
+    };
+    let thread = spawn_owner(owner, receiver)?;
+    let server = Server {
+        inputs: inputs.downgrade(),
+        versions: watched,
+    };
+    let accept = incoming
+        .filter_map(|c| async { c.ok() })
+        .map(move |transport| {
+            let channel = BaseChannel::with_defaults(transport);
+            let requests = channel.execute(server.clone().serve());
+            requests.for_each_concurrent(MAX_REQUESTS, |request| request)
+        })
+        .for_each_concurrent(MAX_CONNECTIONS, |connection| connection);
+    let listener = tokio::spawn(accept).abort_handle();
+    info!("control replica listens on {address}");
+    Ok(Control {
+        address,
+        inputs: Some(inputs),
+        thread: Some(thread),
+        listener,
+    })
+}
+
+/// Connects to a control replica.
+///
+/// # Errors
+/// The error of the connection, or a time-out after 1 s.
+pub async fn connect(address: SocketAddr) -> io::Result<ControlRpcClient> {
+    let transport = timeout(PEER_TIMEOUT, tcp::connect(address, Postcard::default)).await??;
+    Ok(ControlRpcClient::new(client::Config::default(), transport).spawn())
+}
+
+#[derive(Clone)]
+struct Server {
+    /// Weak, so that open connections do not keep the control thread running.
+    inputs: mpsc::WeakSender<Input>,
+    versions: watch::Receiver<Option<Arc<Version>>>,
+}
+
+impl Server {
+    async fn ask(self, input: impl FnOnce(oneshot::Sender<Reply>) -> Input) -> Reply {
+        let (sender, receiver) = oneshot::channel();
+        let Some(inputs) = self.inputs.upgrade() else {
+            return Reply::Unavailable;
+        };
+        if inputs.try_send(input(sender)).is_err() {
+            return Reply::Busy;
+        }
+        drop(inputs);
+        receiver.await.unwrap_or(Reply::Unavailable)
+    }
+}
+
+impl ControlRpc for Server {
+    async fn peer(self, _: context::Context, envelope: Envelope) {
+        if let Some(inputs) = self.inputs.upgrade()
+            && inputs.try_send(Input::Peer(envelope)).is_err()
+        {
+            warn!("a message of a peer was dropped because too many wait");
+        }
+    }
+
+    async fn command(self, _: context::Context, command: Command) -> Reply {
+        self.ask(|sender| Input::Command(command, sender)).await
+    }
+
+    async fn read(self, _: context::Context) -> Reply {
+        self.ask(Input::Read).await
+    }
+
+    async fn poll(mut self, _: context::Context, have: u64) -> Option<Version> {
+        let is_newer = |v: &Option<Arc<Version>>| v.as_ref().is_some_and(|v| v.number > have);
+        let newer = timeout(POLL_WAIT, self.versions.wait_for(is_newer)).await;
+        let version = newer.ok()?.ok()?.clone()?;
+        Some(Version::clone(&version))
+    }
+}
+
+fn spawn_owner<D>(
+    owner: Owner<D>,
+    inputs: mpsc::Receiver<Input>,
+) -> io::Result<JoinHandle<Result<()>>>
+where
+    D: Disk + Send + 'static,
+{
+    let (ready, started) = std_mpsc::channel();
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_time()
+                .build();
+            let (runtime, result) = match runtime {
+                Ok(runtime) => (Some(runtime), Ok(())),
+                Err(e) => (None, Err(e)),
+            };
+            let _ = ready.send(result);
+            match runtime {
+                Some(runtime) => runtime.block_on(owner.run(inputs)),
+                None => Err(Error::Stopped),
+            }
+        })?;
+    started.recv().map_err(io::Error::other)??;
+    Ok(thread)
+}
+
+/// State of the control thread.
+struct Owner<D> {
+    node: Node<D>,
+    start: Instant,
+    versions: watch::Sender<Option<Arc<Version>>>,
+    peers: Peers,
+    clients: HashMap<ClientId, oneshot::Sender<Reply>>,
+    next_client: u64,
+}
+
+impl<D: Disk> Owner<D> {
+    async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Result<()> {
+        loop {
+            let wake = self.node.next_wake().since(Timestamp::ZERO);
+            let input = tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => Some(input),
+                    None => return Ok(()),
+                },
+                () = sleep_until(self.start + wake) => None,
+            };
+            let actions = self.step(input).inspect_err(|e| {
+                warn!("the control replica stops: {e}");
+            })?;
+            self.publish();
+            for action in actions {
+                self.take(action);
+            }
+        }
+    }
+
+    fn step(&mut self, input: Option<Input>) -> Result<Vec<Action>> {
+        let clock = Clock {
+            now: Timestamp::ZERO + self.start.elapsed(),
+            wall: UnixMillis::now(),
+        };
+        match input {
+            None => self.node.tick(clock),
+            Some(Input::Peer(envelope)) => self.node.receive(envelope, clock),
+            Some(Input::Command(command, sender)) => {
+                let client = self.client(sender);
+                self.node.command(client, command, clock)
+            }
+            Some(Input::Read(sender)) => {
+                let client = self.client(sender);
+                self.node.read(client, clock)
+            }
+        }
+    }
+
+    fn client(&mut self, sender: oneshot::Sender<Reply>) -> ClientId {
+        self.next_client += 1;
+        let client = ClientId(self.next_client);
+        self.clients.insert(client, sender);
+        client
+    }
+
+    fn publish(&mut self) {
+        let shown = self.versions.borrow().as_ref().map_or(0, |v| v.number);
+        if let Some(newer) = self.node.poll(shown) {
+            self.versions.send_replace(Some(Arc::new(newer.clone())));
+        }
+    }
+
+    fn take(&mut self, action: Action) {
+        match action {
+            Action::Send { address, envelope } => self.peers.send(address, envelope),
+            Action::Reply { client, reply } => {
+                // The client may have gone.
+                if let Some(sender) = self.clients.remove(&client) {
+                    let _ = sender.send(reply);
+                }
+            }
+        }
+    }
+}
+
+/// One task for each peer address keeps a connection and sends in order.
+struct Peers {
+    runtime: tokio::runtime::Handle,
+    senders: HashMap<String, mpsc::Sender<Envelope>>,
+}
+
+impl Peers {
+    fn send(&mut self, address: String, envelope: Envelope) {
+        let start = |address: &String| {
+            let (sender, receiver) = mpsc::channel(MAX_OUTPUTS);
+            match address.parse() {
+                Ok(peer) => drop(self.runtime.spawn(deliver(peer, receiver))),
+                Err(e) => warn!("the address {address:?} of a replica is invalid: {e}"),
+            }
+            sender
+        };
+        if !self.senders.contains_key(&address) {
+            let sender = start(&address);
+            self.senders.insert(address.clone(), sender);
+        }
+        // A full queue drops the message; the proposer tries again.
+        let _ = self.senders[&address].try_send(envelope);
+    }
+}
+
+async fn deliver(peer: SocketAddr, mut envelopes: mpsc::Receiver<Envelope>) {
+    let mut connection = None;
+    while let Some(envelope) = envelopes.recv().await {
+        let rpc = match connection.take() {
+            Some(rpc) => Ok(rpc),
+            None => connect(peer).await,
+        };
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + PEER_TIMEOUT;
+        if let Ok(rpc) = rpc
+            && rpc.peer(context, envelope).await.is_ok()
+        {
+            connection = Some(rpc);
+            continue;
+        }
+        // What waited for a peer that does not answer is out of date.
+        while envelopes.try_recv().is_ok() {}
+    }
+}
--- a/crates/figdeal-control/src/lib.rs
+++ b/crates/figdeal-control/src/lib.rs
@@ -1,12 +1,38 @@
 //! Replicated register that holds the configuration, and its storage.
 //!
 //! The decisions ([`apply`], [`acceptor`], [`proposer`]) take messages and time as input and return actions.
-//! [`node`] joins them with the [`store`] for one replica.
+//! [`node`] joins them with the [`store`] for one replica, and [`driver`] serves it over TCP.
+//!
+//! ```
+//! use figdeal_control::{
+//!     disk::Folder, node::{Action, Node}, proposer::{ClientId, Clock, Reply}, sign::Ed25519, state::Member,
+//!     types::{Bundle, PublicKey, ReplicaId},
+//! };
+//! use figdeal_core::time::{Timestamp, UnixMillis};
+//!
+//! let root = tempfile::tempdir().unwrap();
+//! let folder = Folder::open(root.path()).unwrap();
+//! let verifier = Box::new(Ed25519::new(Bundle::check_shape));
+//! let mut node = Node::open(folder, ReplicaId::random(), verifier, Timestamp::ZERO).unwrap();
+//! assert!(!node.is_member());
+//!
+//! let member = Member { id: node.id(), address: "127.0.0.1:7001".to_owned() };
+//! node.init([PublicKey([1; 32]), PublicKey([2; 32])], vec![member]).unwrap();
+//! let clock = Clock { now: Timestamp::ZERO, wall: UnixMillis::now() };
+//! let actions = node.read(ClientId(1), clock).unwrap();
+//! let [Action::Reply { reply: Reply::Current(state), .. }] = &actions[..] else {
+//!     panic!("one replica is its own majority");
+//! };
+//! assert_eq!(state.number, 0);
+//! assert_eq!(node.poll(0), None);
+//! ```
 
 pub mod acceptor;
 pub mod apply;
+pub mod codec;
 pub mod command;
 pub mod disk;
+pub mod driver;
 pub mod message;
 pub mod node;
 pub mod pack;
--- a/crates/figdeal-control/src/proposer.rs
+++ b/crates/figdeal-control/src/proposer.rs
@@ -8,6 +8,7 @@
 
 use figdeal_core::time::{Timestamp, UnixMillis};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     acceptor::Proposal,
@@ -60,12 +61,12 @@
 }
 
 /// What a client gets.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// Answer to a command; its effect is accepted by a quorum.
     Answer(Answer),
     /// State that was current at some time between the request and the reply.
-    Current(Arc<RegisterState>),
+    Current(Box<RegisterState>),
     /// No quorum answered in time. A command may have taken effect; ask again with the same request id.
     Unavailable,
     /// Too many requests wait; nothing was done.
@@ -349,7 +350,7 @@
         }
         let proposal = best.clone();
         self.disputed = None;
-        let reply = Reply::Current(proposal.state.clone());
+        let reply = current_reply(&proposal.state);
         self.steps.push(Step::Chosen {
             proposal,
             tell: false,
@@ -483,8 +484,8 @@
                 let finishes = matches!(answer, Answer::Replaced { .. });
                 (Arc::new(next), Reply::Answer(answer), finishes)
             }
-            Request::Read | Request::Sync => (state.clone(), Reply::Current(state.clone()), false),
-            Request::Finish => (state.clone(), Reply::Current(state.clone()), true),
+            Request::Read | Request::Sync => (state.clone(), current_reply(state), false),
+            Request::Finish => (state.clone(), current_reply(state), true),
         };
         if finishes && next.members.is_joint() {
             self.replace_step(best, votes, next, reply, clock.now);
@@ -620,6 +621,10 @@
     }
 }
 
+fn current_reply(state: &RegisterState) -> Reply {
+    Reply::Current(Box::new(state.clone()))
+}
+
 /// Whether a quorum holds exactly `best`.
 fn agrees(best: &Proposal, votes: &BTreeMap<ReplicaId, Ballot>) -> bool {
     let same = votes.iter().filter(|(_, ballot)| **ballot == best.ballot);
--- a/crates/figdeal-control/tests/sim/world.rs
+++ b/crates/figdeal-control/tests/sim/world.rs
@@ -3,7 +3,6 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
-    sync::Arc,
     time::Duration,
 };
 
@@ -92,7 +91,7 @@
     /// Commands so far, and the position of each among them.
     requests: usize,
     issued: BTreeMap<RequestId, usize>,
-    view: Arc<RegisterState>,
+    view: RegisterState,
     founders: (Vec<Member>, [PublicKey; 2]),
     /// Member whose folder is lost, with the highest epoch that any replica knew then.
     lost: Option<(u64, u64)>,
@@ -127,7 +126,7 @@
             answers: BTreeMap::new(),
             requests: 0,
             issued: BTreeMap::new(),
-            view: Arc::new(RegisterState::new(owners, members.clone())),
+            view: RegisterState::new(owners, members.clone()),
             founders: (members, owners),
             lost: None,
             replacing: None,
@@ -570,7 +569,7 @@
                     "a current state must not be old"
                 );
                 if state.number >= self.view.number {
-                    self.view = state;
+                    self.view = *state;
                 }
                 let members = &self.view.members;
                 let is_gone = |id| !members.is_joint() && !members.contains(ReplicaId(id));
--- /dev/null
+++ b/crates/figdeal-control/tests/tcp.rs
@@ -0,0 +1,124 @@
+//! Three replicas over TCP on loopback, with real files.
+
+use std::{net::SocketAddr, path::Path};
+
+use ed25519_dalek::{Signer, SigningKey};
+use figdeal_control::{
+    command::{Action, Answer, Command},
+    disk::Folder,
+    driver::{Control, connect, serve},
+    node::Node,
+    proposer::Reply,
+    sign::{Ed25519, replace_message, signed_message},
+    state::Member,
+    types::{Bundle, Digest, PublicKey, ReplicaId, RequestId, Signature},
+};
+use figdeal_core::time::Timestamp;
+use tarpc::context;
+
+fn open(path: &Path, id: u64) -> Node<Folder> {
+    let folder = Folder::open(path).unwrap();
+    let verifier = Box::new(Ed25519::new(Bundle::check_shape));
+    Node::open(folder, ReplicaId(id), verifier, Timestamp::ZERO).unwrap()
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+async fn ask(address: SocketAddr, request: u128, action: Action) -> Answer {
+    let command = Command {
+        request: RequestId(request),
+        action,
+    };
+    // The same request id makes the retries harmless.
+    for _ in 0..20 {
+        let rpc = connect(address).await.unwrap();
+        let reply = rpc.command(context::current(), command.clone()).await;
+        if let Ok(Reply::Answer(answer)) = reply {
+            return answer;
+        }
+    }
+    panic!("no answer to request {request}");
+}
+
+/// Guards against a change that does not reach pollers, and against a replica that cannot be restarted or replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_reaches_pollers_through_restart_and_replacement() {
+    let root = tempfile::tempdir().unwrap();
+    let secrets = [1, 2].map(|n| SigningKey::from_bytes(&[n; 32]));
+    let owners = secrets
+        .each_ref()
+        .map(|s| PublicKey(s.verifying_key().to_bytes()));
+    let sign = |i: usize, message: &[u8]| Signature(secrets[i].sign(message).to_bytes().to_vec());
+    let addresses = [(); 4].map(|()| free_address());
+    let path = |i: usize| root.path().join(i.to_string());
+    let member = |i: usize| Member {
+        id: ReplicaId(i as u64),
+        address: addresses[i].to_string(),
+    };
+    let members: Vec<_> = (0..3).map(member).collect();
+    let mut controls: Vec<Control> = Vec::new();
+    for (i, address) in addresses.iter().enumerate() {
+        let mut node = open(&path(i), i as u64);
+        if i < 3 {
+            node.init(owners, members.clone()).unwrap();
+        }
+        controls.push(serve(node, *address).await.unwrap());
+    }
+
+    let poller = connect(addresses[2]).await.unwrap();
+    let poll = tokio::spawn(async move { poller.poll(context::current(), 0).await });
+    let bundle = Bundle::new([("base.toml", "a = 1")]);
+    let message = signed_message(1, &bundle, &None);
+    let propose = Action::Propose {
+        number: 1,
+        bundle: bundle.clone(),
+        author: owners[0],
+        new_keys: None,
+        signature: Some(sign(0, &message)),
+    };
+    let answer = ask(addresses[0], 1, propose).await;
+    assert!(matches!(answer, Answer::Pending { .. }), "{answer:?}");
+    let digest = Digest::of(&message);
+    let second = Action::Sign {
+        number: 1,
+        digest,
+        signer: owners[1],
+        signature: sign(1, &message),
+    };
+    let answer = ask(addresses[1], 2, second).await;
+    assert_eq!(answer, Answer::Accepted { number: 1, digest });
+    let version = poll
+        .await
+        .unwrap()
+        .unwrap()
+        .expect("the poll gets the version");
+    assert_eq!((version.number, version.bundle), (1, bundle));
+
+    // Replica 1 stops for good; the empty replica 3 takes its place.
+    controls.remove(1).stop().unwrap();
+    let signature = sign(0, &replace_message(0, ReplicaId(1), &member(3)));
+    let replace = Action::Replace {
+        epoch: 0,
+        old: ReplicaId(1),
+        new: member(3),
+        signer: owners[0],
+        signature,
+    };
+    let answer = ask(addresses[2], 3, replace).await;
+    assert_eq!(answer, Answer::Replaced { epoch: 1 });
+
+    // Replica 2 is lost right after; replicas 0 and 3 are the majority. Replica 0 restarts from its folder.
+    controls.remove(1).stop().unwrap();
+    controls.remove(0).stop().unwrap();
+    let _restarted = serve(open(&path(0), 9), addresses[0]).await.unwrap();
+    let rpc = connect(addresses[3]).await.unwrap();
+    let reply = rpc.read(context::current()).await.unwrap();
+    let Reply::Current(state) = reply else {
+        panic!("unexpected {reply:?}");
+    };
+    assert_eq!((state.number, state.members.epoch), (1, 2));
+    assert!(!state.members.contains(ReplicaId(1)));
+}
