--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -74,6 +74,12 @@
         self
     }
 
+    /// Sets the data centre, which is the site in the configuration.
+    pub fn with_data_centre(mut self, name: impl Into<String>) -> Options {
+        self.data_centre = name.into();
+        self
+    }
+
     /// Sets the addresses of the entries.
     pub fn with_entries(mut self, entries: Vec<String>) -> Options {
         self.entries = entries;
--- a/crates/figdeal-agent/src/cli.rs
+++ b/crates/figdeal-agent/src/cli.rs
@@ -28,6 +28,16 @@
     settings: PathBuf,
 }
 
+/// Starts the log; `RUST_LOG` replaces the default `level`.
+pub fn init_log(level: &str) {
+    let mut builder = env_logger::Builder::new();
+    // tarpc logs each call at the level info.
+    builder
+        .parse_filters(level)
+        .filter_module("tarpc", log::LevelFilter::Warn);
+    builder.parse_default_env().init();
+}
+
 /// Runs the agent until SIGTERM or SIGINT, then finishes what runs.
 ///
 /// # Errors
--- a/crates/figdeal-agent/src/main.rs
+++ b/crates/figdeal-agent/src/main.rs
@@ -6,7 +6,7 @@
 use figdeal_agent::cli::{Cli, run};
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    figdeal_agent::cli::init_log("info");
     match run(&Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/figdeal-config/src/keys.rs
+++ b/crates/figdeal-config/src/keys.rs
@@ -152,6 +152,11 @@
 pub struct PublicKey([u8; 32]);
 
 impl PublicKey {
+    /// The 32 bytes of the key.
+    pub fn to_bytes(self) -> [u8; 32] {
+        self.0
+    }
+
     /// Verifies a signature. Weak keys and non-canonical signatures are refused.
     ///
     /// # Errors
@@ -197,6 +202,16 @@
     s: [u8; 32],
 }
 
+impl Signature {
+    /// The 64 bytes of the signature.
+    pub fn to_bytes(self) -> [u8; 64] {
+        let mut bytes = [0; 64];
+        bytes[..32].copy_from_slice(&self.r);
+        bytes[32..].copy_from_slice(&self.s);
+        bytes
+    }
+}
+
 struct Hex<'a>(&'a [u8; 32]);
 
 impl fmt::Display for Hex<'_> {
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -4,6 +4,8 @@
 
 use clap::{Parser, Subcommand};
 
+pub use figdeal_agent::cli::init_log;
+
 use crate::command;
 
 /// Result of a command.
@@ -25,6 +27,10 @@
     Entry(command::entry::Args),
     /// Runs a stand-in upstream beside an agent, for trials
     StandIn(command::stand_in::Args),
+    /// Founds, shows and replaces control replicas
+    Control(command::control::Args),
+    /// Proposes, signs and shows changes of the configuration
+    Config(command::config::Args),
     /// Checks a configuration without a running process
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
@@ -40,6 +46,8 @@
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
         Command::StandIn(args) => command::stand_in::run(&args),
+        Command::Control(args) => command::control::run(&args),
+        Command::Config(args) => command::config::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
     }
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -1,6 +1,8 @@
 //! The commands of `figdeal`, one module each.
 
 pub mod check;
+pub mod config;
+pub mod control;
 pub mod demo;
 pub mod entry;
 pub mod keys;
--- a/crates/figdeal/src/command/demo.rs
+++ b/crates/figdeal/src/command/demo.rs
@@ -9,8 +9,14 @@
 
 use clap::Args as ClapArgs;
 use figdeal_agent::agent::{Agent, Options as AgentOptions, Serving as AgentServing};
+use figdeal_config::Bundle;
+use figdeal_control::driver::Control;
 use figdeal_core::{id::EntryId, time::UnixMillis};
 use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+mod signed;
 
 use crate::{
     cli::Result,
@@ -19,6 +25,48 @@
     stand_in::{self, StandIn},
 };
 
+/// The sample deployment of Kuorotee Oy.
+const KUOROTEE: [(&str, &str); 5] = [
+    (
+        "base.toml",
+        include_str!("../../../../examples/kuorotee/base.toml"),
+    ),
+    (
+        "sites/hervanta.toml",
+        include_str!("../../../../examples/kuorotee/sites/hervanta.toml"),
+    ),
+    (
+        "sites/kaleva.toml",
+        include_str!("../../../../examples/kuorotee/sites/kaleva.toml"),
+    ),
+    (
+        "sites/lielahti.toml",
+        include_str!("../../../../examples/kuorotee/sites/lielahti.toml"),
+    ),
+    (
+        "sites/tesoma.toml",
+        include_str!("../../../../examples/kuorotee/sites/tesoma.toml"),
+    ),
+];
+/// The sample deployment of Botella Viajera S.A.
+const BOTELLA_VIAJERA: [(&str, &str); 4] = [
+    (
+        "base.toml",
+        include_str!("../../../../examples/botella-viajera/base.toml"),
+    ),
+    (
+        "sites/montezuma.toml",
+        include_str!("../../../../examples/botella-viajera/sites/montezuma.toml"),
+    ),
+    (
+        "sites/nosara.toml",
+        include_str!("../../../../examples/botella-viajera/sites/nosara.toml"),
+    ),
+    (
+        "sites/tamarindo.toml",
+        include_str!("../../../../examples/botella-viajera/sites/tamarindo.toml"),
+    ),
+];
 /// Slots of each stand-in upstream, as in both sample deployments.
 const SLOTS: u32 = 8;
 /// All clocks of the demo are one clock; a small bound makes the entry ready soon.
@@ -35,6 +83,8 @@
 }
 
 struct Fleet {
+    control: Control,
+    _folder: TempDir,
     entry: Entry<Serving>,
     agents: Vec<Agent<AgentServing>>,
     upstreams: Vec<StandIn>,
@@ -49,13 +99,13 @@
         .enable_all()
         .build()?;
     let mut problems = 0;
-    for (deployment, rules, jobs) in deployments() {
+    for deployment in deployments()? {
         println!(
-            "== {deployment}: {} upstreams with {SLOTS} slots",
-            args.agents
+            "== {}: {} upstreams with {SLOTS} slots",
+            deployment.name, args.agents
         );
-        let fleet = start(args.agents, rules, runtime.handle())?;
-        problems += submit_all(&fleet, jobs)?;
+        let fleet = start(args.agents, &deployment, &runtime)?;
+        problems += submit_all(&fleet, deployment.jobs)?;
         problems += check_journals(&fleet);
         stop(fleet)?;
     }
@@ -71,22 +121,31 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn start(count: u16, mut rules: Rules, runtime: &tokio::runtime::Handle) -> Result<Fleet> {
+fn start(count: u16, deployment: &Deployment, runtime: &Runtime) -> Result<Fleet> {
+    let folder = tempfile::tempdir()?;
+    let control = runtime.block_on(signed::start(folder.path(), any_port(), &deployment.bundle))?;
+    let mut rules = Rules::default();
     rules.claims.max_skew = DEMO_SKEW;
-    let options = EntryOptions::new(EntryId(0), any_port(), any_port()).with_rules(rules);
-    let entry = Entry::start(options, runtime)?;
+    let data = Some(folder.path().to_owned());
+    let options = EntryOptions::new(EntryId(0), any_port(), any_port())
+        .with_rules(rules)
+        .with_control(vec![control.address], deployment.site, data);
+    let entry = Entry::start(options, runtime.handle())?;
     let mut agents = Vec::new();
     let mut upstreams = Vec::new();
     for i in 0..count {
         let options = AgentOptions::new(format!("upstream-{i}"), any_port(), any_port())
+            .with_data_centre(deployment.site)
             .with_entries(vec![entry.listen.to_string()]);
-        let agent = Agent::start(options, runtime)?;
-        let upstream = StandIn::start(any_port(), agent.http, SLOTS, None, runtime)?;
+        let agent = Agent::start(options, runtime.handle())?;
+        let upstream = StandIn::start(any_port(), agent.http, SLOTS, None, runtime.handle())?;
         agents.push(agent);
         upstreams.push(upstream);
     }
     wait_for_agents(entry.http, usize::from(count))?;
     Ok(Fleet {
+        control,
+        _folder: folder,
         entry,
         agents,
         upstreams,
@@ -119,6 +178,7 @@
         agent.drain().finish(Duration::from_secs(5))?;
     }
     fleet.upstreams.iter().for_each(StandIn::stop);
+    fleet.control.stop()?;
     Ok(())
 }
 
@@ -156,30 +216,25 @@
     }
 }
 
-fn deployments() -> Vec<(&'static str, Rules, Vec<Job>)> {
-    let second = Duration::from_secs(1);
-    let kuorotee = Rules::default()
-        .with_kind("swap-check", 4, 3, second * 2)
-        .with_kind("reminder", 2, 2, second * 5)
-        .with_kind("rota-build", 1, 1, second * 30)
-        .with_team("kaleva-parish", 2_000)
-        .with_team("tesoma-choir", 2_000);
-    let botella = Rules::default()
-        .with_kind("quote-check", 4, 3, second * 2)
-        .with_kind("seal-order", 2, 2, second * 5)
-        .with_kind("tide-slot", 1, 1, second * 10)
-        .with_team("storefront", 2_000)
-        .with_team("hotel-chain", 4_000);
+struct Deployment {
+    name: &'static str,
+    site: &'static str,
+    bundle: Bundle,
+    jobs: Vec<Job>,
+}
+
+fn deployments() -> Result<Vec<Deployment>> {
     let rota = (0..120).map(|i| 50 + (i * 37) % 250);
     let quotes = (0..60).map(|i| 50 + (i * 13) % 100);
-    vec![
-        (
-            "Kuorotee",
-            kuorotee,
-            vec![
+    Ok(vec![
+        Deployment {
+            name: "Kuorotee",
+            site: "hervanta",
+            bundle: Bundle::new(files(&KUOROTEE))?,
+            jobs: vec![
                 Job::new(
                     "rota builds for a term",
-                    "kaleva-parish",
+                    "parishes",
                     "rota-build",
                     rota,
                     30_000,
@@ -187,7 +242,7 @@
                 ),
                 Job::new(
                     "swap checks",
-                    "tesoma-choir",
+                    "choirs",
                     "swap-check",
                     [60, 80, 120],
                     2_000,
@@ -195,7 +250,7 @@
                 ),
                 Job::new(
                     "reminders for tonight",
-                    "kaleva-parish",
+                    "parishes",
                     "reminder",
                     [50; 20],
                     5_000,
@@ -203,7 +258,7 @@
                 ),
                 Job::new(
                     "rota too large",
-                    "kaleva-parish",
+                    "parishes",
                     "rota-build",
                     [50],
                     30_000,
@@ -211,11 +266,12 @@
                 )
                 .with_size(stand_in::SIZE + 1),
             ],
-        ),
-        (
-            "Botella Viajera",
-            botella,
-            vec![
+        },
+        Deployment {
+            name: "Botella Viajera",
+            site: "tamarindo",
+            bundle: Bundle::new(files(&BOTELLA_VIAJERA))?,
+            jobs: vec![
                 Job::new(
                     "hotel quotes",
                     "hotel-chain",
@@ -226,7 +282,7 @@
                 ),
                 Job::new(
                     "seal order",
-                    "storefront",
+                    "storefronts",
                     "seal-order",
                     [300],
                     5_000,
@@ -234,7 +290,7 @@
                 ),
                 Job::new(
                     "tide slots",
-                    "storefront",
+                    "storefronts",
                     "tide-slot",
                     [100, 150],
                     10_000,
@@ -242,15 +298,21 @@
                 ),
                 Job::new(
                     "unknown kind",
-                    "storefront",
+                    "storefronts",
                     "glass-blowing",
                     [100],
                     1_000,
                     "invalid",
                 ),
             ],
-        ),
-    ]
+        },
+    ])
+}
+
+fn files(list: &[(&str, &str)]) -> Vec<(String, Vec<u8>)> {
+    list.iter()
+        .map(|(name, text)| ((*name).to_owned(), text.as_bytes().to_vec()))
+        .collect()
 }
 
 fn submit_all(fleet: &Fleet, jobs: Vec<Job>) -> Result<usize> {
--- /dev/null
+++ b/crates/figdeal/src/command/demo/signed.rs
@@ -0,0 +1,67 @@
+//! The control role of the demo: one replica and both co-owners in one process.
+
+use std::{net::SocketAddr, path::Path};
+
+use figdeal_config::{Bundle, keys::PrivateKey};
+use figdeal_control::{
+    command::{Action, Answer, Command},
+    driver::{Control, serve},
+    sign::signed_message,
+    state::Member,
+    types::RequestId,
+};
+
+use crate::{
+    cli::Result,
+    command::control::LIMIT,
+    register::{Client, open, public_key, sign, to_register},
+};
+
+/// A control replica whose register holds a configuration that both owners signed.
+///
+/// # Errors
+/// Fails when the replica cannot be started or the register refuses the change.
+pub(super) async fn start(folder: &Path, listen: SocketAddr, bundle: &Bundle) -> Result<Control> {
+    let owners = [PrivateKey::generate()?, PrivateKey::generate()?];
+    let keys = [0, 1].map(|i| public_key(&owners[i].public()));
+    // The address in the member list is not used: a single replica sends nothing to others.
+    let mut node = open(folder)?;
+    let member = Member {
+        id: node.id(),
+        address: listen.to_string(),
+    };
+    node.init(keys, vec![member])?;
+    let control = serve(node, listen).await?;
+    let client = Client::new(vec![control.address], LIMIT);
+    let bundle = to_register(bundle);
+    let message = signed_message(1, &bundle, &None);
+    let propose = Action::Propose {
+        number: 1,
+        bundle,
+        author: keys[0],
+        new_keys: None,
+        signature: Some(sign(&owners[0], &message)),
+    };
+    let answer = client.command(command(propose)).await?;
+    let Answer::Pending { number, digest, .. } = answer else {
+        return Err(format!("step propose: unexpected answer {answer:?}").into());
+    };
+    let signature = sign(&owners[1], &message);
+    let second = Action::Sign {
+        number,
+        digest,
+        signer: keys[1],
+        signature,
+    };
+    match client.command(command(second)).await? {
+        Answer::Accepted { .. } => Ok(control),
+        answer => Err(format!("step sign: unexpected answer {answer:?}").into()),
+    }
+}
+
+fn command(action: Action) -> Command {
+    Command {
+        request: RequestId(rand::random()),
+        action,
+    }
+}
--- a/crates/figdeal/src/command/entry.rs
+++ b/crates/figdeal/src/command/entry.rs
@@ -4,15 +4,20 @@
 
 use clap::Args as ClapArgs;
 use figdeal_config::Bundle;
+use figdeal_control::driver::{Control, serve};
 use figdeal_core::id::EntryId;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
 
+use tokio::runtime::Runtime;
+
 use crate::{
     cli::Result,
+    command::control::data_folder,
     entry::{Entry, Options},
+    register,
     rules::Rules,
     settings::Settings,
 };
@@ -42,6 +47,7 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
+    let control = start_control(&settings, &runtime)?;
     let entry = Entry::start(options(&settings, args)?, runtime.handle())?;
     log::info!(
         "E330 entry {} serves HTTP on {} and processes on {}",
@@ -54,9 +60,29 @@
     log::info!("E331 entry {} stops", settings.id);
     let limit = entry.rules().stop_limit;
     entry.drain().finish(NOTICE, limit)?;
+    if let Some(control) = control {
+        control.stop()?;
+    }
     Ok(ExitCode::SUCCESS)
 }
 
+/// Starts the control role where the settings switch it on. Its storage errors end the role, not the entry.
+fn start_control(settings: &Settings, runtime: &Runtime) -> Result<Option<Control>> {
+    if !settings.control.on {
+        return Ok(None);
+    }
+    let node = register::open(&data_folder(settings)?)?;
+    if !node.is_member() {
+        log::warn!(
+            "E333 replica {} is not a member of a register yet",
+            node.id()
+        );
+    }
+    Ok(Some(
+        runtime.block_on(serve(node, settings.control.listen))?,
+    ))
+}
+
 fn options(settings: &Settings, args: &Args) -> Result<Options> {
     let id = EntryId(settings.id);
     let peers = settings
@@ -67,6 +93,14 @@
         .collect();
     let mut options =
         Options::new(id, settings.http_listen, settings.peer_listen).with_peers(peers);
+    let control = match settings.control.on {
+        true => settings.control.members.clone(),
+        false => settings.control_vms.clone(),
+    };
+    if args.unsigned_config.is_none() {
+        let folder = settings.data_folder.clone();
+        options = options.with_control(control, &settings.data_centre, folder);
+    }
     if let Some(folder) = &args.unsigned_config {
         log::warn!("E332 running on a configuration that nobody signed");
         let site = Bundle::read(folder)?.effective(&settings.data_centre)?;
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -63,7 +63,7 @@
     /// The other entries.
     pub peers: Vec<(EntryId, String)>,
     /// Addresses of the control VMs. Where there are some, the entry is not ready before it has an accepted version.
-    pub control: Vec<String>,
+    pub control: Vec<SocketAddr>,
     /// Data centre, which is the site in the configuration.
     pub site: String,
     /// Folder for the last accepted version.
@@ -96,7 +96,7 @@
     /// Takes the configuration of `site` from the control VMs and keeps it in `folder`.
     pub fn with_control(
         mut self,
-        control: Vec<String>,
+        control: Vec<SocketAddr>,
         site: impl Into<String>,
         folder: Option<PathBuf>,
     ) -> Options {
@@ -205,6 +205,7 @@
             Arc::clone(&shared),
         )
         .map_err(|e| Error::Config(Box::new(e)))?;
+        let spread = Arc::new(spread);
         let (events, inbox) = mpsc::channel();
         let stop = CancellationToken::new();
         control::spawn(
@@ -216,6 +217,9 @@
             runtime,
         )
         .map_err(|e| Error::Thread("control", e))?;
+        if !options.control.is_empty() {
+            runtime.spawn(spread::poll(spread, options.control.clone(), stop.clone()));
+        }
         let http_limits = crate::http::Limits {
             connections: MAX_CONNECTIONS,
             body: options.rules.max_body,
--- a/crates/figdeal/src/entry/spread.rs
+++ b/crates/figdeal/src/entry/spread.rs
@@ -2,27 +2,39 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use displaydoc::Display;
-use figdeal_config::Bundle;
 use figdeal_control::{
     disk::{Disk, Folder},
+    driver::{POLL_WAIT, connect},
     store::{Version, frame, unframe},
 };
 use figdeal_core::time::UnixMillis;
+use figdeal_wire::count::{self, Class};
+use tarpc::context;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use super::Shared;
-use crate::rules::Rules;
+use crate::{register::to_config, rules::Rules};
 
 /// File with the last accepted version.
 const FILE: &str = "accepted";
 /// Name under which the file is written before it replaces the old one.
 const TEMPORARY: &str = "accepted.new";
 
+/// Time beyond the wait of a poll after which the replica counts as silent.
+const POLL_MARGIN: Duration = Duration::from_secs(2);
+/// Pause before the next replica is polled.
+const REPLICA_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a version that could not be taken.
+const RETRY_PAUSE: Duration = Duration::from_secs(5);
+
 /// Result of taking a version.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
@@ -154,6 +166,60 @@
     }
 }
 
+/// Polls the control replicas until `stop` is cancelled. A replica holds a poll until it has a newer version, so that an
+/// idle entry costs one request and one reply in some seconds.
+pub(crate) async fn poll(spread: Arc<Spread>, replicas: Vec<SocketAddr>, stop: CancellationToken) {
+    let mut turn: usize = rand::random_range(0..replicas.len());
+    loop {
+        let replica = replicas[turn % replicas.len()];
+        let followed = tokio::select! {
+            () = stop.cancelled() => return,
+            followed = follow(&spread, replica) => followed,
+        };
+        log::info!("E342 control replica {replica}: {followed}");
+        turn += 1;
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(REPLICA_PAUSE) => {}
+        }
+    }
+}
+
+/// Polls one replica as long as it answers; returns why it stopped.
+async fn follow(spread: &Arc<Spread>, replica: SocketAddr) -> String {
+    let rpc = match connect(replica).await {
+        Ok(rpc) => rpc,
+        Err(e) => return format!("step connect failed: {e}"),
+    };
+    loop {
+        let mut context = context::current();
+        context.deadline = Instant::now() + POLL_WAIT + POLL_MARGIN;
+        count::record(Class::Heartbeat);
+        let answer =
+            match timeout(POLL_WAIT + POLL_MARGIN, rpc.poll(context, spread.number())).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(e)) => return format!("step poll failed: {e}"),
+                Err(_) => return "step poll failed: no reply in time".to_owned(),
+            };
+        count::record(Class::Heartbeat);
+        let Some(version) = answer else {
+            spread.confirm();
+            continue;
+        };
+        let taker = Arc::clone(spread);
+        // Writing to disk takes milliseconds, which the network threads do not have.
+        let taken = tokio::task::spawn_blocking(move || taker.offer(version)).await;
+        match taken {
+            Ok(Ok(_)) => spread.confirm(),
+            Ok(Err(e)) => {
+                log::error!("E343 {e}");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            Err(e) => return format!("step install failed: {e}"),
+        }
+    }
+}
+
 /// Time since a version was last confirmed as the newest one.
 pub(crate) fn age(in_force: &InForce) -> Duration {
     let now = UnixMillis::now();
@@ -172,20 +238,10 @@
 }
 
 fn rules(version: &Version, site: &str) -> Result<Rules> {
-    let bundle = bundle(version).map_err(|p| Error::Site(version.number, site.to_owned(), p))?;
+    let bundle =
+        to_config(&version.bundle).map_err(|p| Error::Site(version.number, site.to_owned(), p))?;
     let config = bundle
         .effective(site)
         .map_err(|p| Error::Site(version.number, site.to_owned(), p))?;
     Ok(Rules::new(version.number, &config))
 }
-
-fn bundle(version: &Version) -> figdeal_config::Result<Bundle> {
-    Bundle::new(
-        version
-            .bundle
-            .files
-            .iter()
-            .map(|f| (f.name.clone(), f.bytes.clone()))
-            .collect(),
-    )
-}
--- a/crates/figdeal/src/main.rs
+++ b/crates/figdeal/src/main.rs
@@ -6,7 +6,7 @@
 use figdeal::cli::{Cli, run};
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    figdeal::cli::init_log("warn");
     match run(Cli::parse()) {
         Ok(code) => code,
         Err(e) => {
