Queue nothing behind an entry's own tasks

In a trial with three entries, ten agents and one kind, jobs with little remaining work waited behind tasks of the same entry that were already bound to an agent. The window is needed only for slots that other entries free: an entry that holds all slots of an agent gets a reply for each freed one.

An entry whose tasks hold all slots of an agent now sends no more there. The test of short queues is replaced, because it expected the window on top of the entry's own slots; the new one bounds both cases exactly. Queued tasks do not count as holders, so that a reserved slot stays open to other kinds.

--- a/crates/figdeal-core/src/fleet.rs
+++ b/crates/figdeal-core/src/fleet.rs
@@ -126,11 +126,17 @@
         self.sent.values().sum()
     }
 
-    /// Free slots. A report may have been made before the last tasks arrived, so that the outstanding tasks of
-    /// this entry bound what it says.
+    /// Tasks of this entry that hold a slot or are under way, even if all queued tasks are its own.
+    fn held(&self) -> u32 {
+        let queued: u32 = self.load.queued.iter().map(|(_, n)| n).sum();
+        self.outstanding().saturating_sub(queued)
+    }
+
+    /// Free slots. A report may have been made before the last tasks arrived, so that the tasks of this entry
+    /// bound what it says.
     fn free(&self) -> u32 {
         let unsent = self.load.free.saturating_sub(self.sent());
-        unsent.min(self.info.slots.saturating_sub(self.outstanding()))
+        unsent.min(self.info.slots.saturating_sub(self.held()))
     }
 
     fn queued(&self) -> u32 {
@@ -147,12 +153,21 @@
     /// place there, so that a job with less remaining work that arrives later would wait behind them. A free
     /// slot counts only as far as it is not taken by what was sent, and not by tasks that queue in spite of it,
     /// which an agent with a reserve does not start.
+    ///
+    /// An entry whose own tasks hold all slots of an agent queues nothing there: each freed slot brings it a reply
+    /// anyway, at the cost of one round trip. An entry that holds fewer needs the queue to get its share of the
+    /// slots that other entries free.
     fn has_room(&self, kind: KindId, window: u32) -> bool {
         let outstanding = self.outstanding.get(&kind).copied().unwrap_or(0);
         let sent = self.sent.get(&kind).copied().unwrap_or(0);
-        let others = self.outstanding() - sent.min(outstanding);
+        let others = self.held().saturating_sub(sent);
         let free = self.load.free.saturating_sub(self.sent() - sent);
         let free = free.min(self.info.slots.saturating_sub(others));
+        let window = if self.held() < self.info.slots {
+            window
+        } else {
+            0
+        };
         outstanding < self.info.slots + window && self.queued_kind(kind) + sent < free + window
     }
 
--- a/crates/figdeal-core/tests/scheduling/fleet.rs
+++ b/crates/figdeal-core/tests/scheduling/fleet.rs
@@ -63,28 +63,34 @@
         is_live && !self.info.draining && is_kind && size <= self.info.size
     }
 
+    fn held(&self) -> u32 {
+        let outstanding: u32 = self.outstanding.values().sum();
+        outstanding.saturating_sub(self.load.queued.iter().map(|q| q.1).sum())
+    }
+
     fn has_room(&self, kind: KindId) -> bool {
         let of = |counts: &BTreeMap<KindId, u32>| counts.get(&kind).copied().unwrap_or(0);
-        let all = |counts: &BTreeMap<KindId, u32>| counts.values().sum::<u32>();
-        let queued: u32 = self
+        let (sent, outstanding) = (of(&self.sent), of(&self.outstanding));
+        let others = self.sent.values().sum::<u32>() - sent;
+        let reported = self.load.free.saturating_sub(others);
+        let unheld = self
+            .info
+            .slots
+            .saturating_sub(self.held().saturating_sub(sent));
+        let window = if self.held() < self.info.slots { 2 } else { 0 };
+        let queued = self
             .load
             .queued
             .iter()
-            .filter(|q| q.0 == kind)
-            .map(|q| q.1)
-            .sum();
-        let (sent, outstanding) = (of(&self.sent), of(&self.outstanding));
-        let reported = self.load.free.saturating_sub(all(&self.sent) - sent);
-        let own = all(&self.outstanding) - sent.min(outstanding);
-        let free = reported.min(self.info.slots.saturating_sub(own));
-        outstanding < self.info.slots + 2 && queued + sent < free + 2
+            .find(|q| q.0 == kind)
+            .map_or(0, |q| q.1);
+        outstanding < self.info.slots + window && queued + sent < reported.min(unheld) + window
     }
 
     fn is_free(&self, kind: KindId) -> bool {
-        let (sent, outstanding): (u32, u32) =
-            (self.sent.values().sum(), self.outstanding.values().sum());
         let is_queued = self.load.queued.iter().any(|q| q.0 == kind && q.1 > 0);
-        sent < self.load.free && outstanding < self.info.slots && !is_queued
+        let sent: u32 = self.sent.values().sum();
+        sent < self.load.free && self.held() < self.info.slots && !is_queued
     }
 }
 
@@ -279,16 +285,30 @@
     });
 }
 
-/// Guards against deep queues at the agents: with every slot taken, an entry sends the window and no more.
+/// Guards against deep queues at the agents: an entry that holds all slots queues nothing behind its own tasks, and
+/// one that holds none queues the window and no more.
 #[test]
 fn a_busy_fleet_gets_short_queues() {
-    let (mut fleet, now) = (new_fleet(4, 1), Timestamp::ZERO);
-    let placed = (0..1_000)
-        .filter(|_| fleet.place(KIND, 1, now).is_some())
-        .count();
-    assert_eq!(placed, 4 * (8 + 2));
-    assert!(
-        !fleet.has_room(KIND, now) && fleet.has_room(OTHER, now),
+    let now = Timestamp::ZERO;
+    let mut fleet = new_fleet(4, 1);
+    let mut placed = |kind| {
+        (0..1_000)
+            .filter(|_| fleet.place(kind, 1, now).is_some())
+            .count()
+    };
+    assert_eq!((placed(KIND), placed(OTHER)), (4 * 8, 0));
+    let mut fleet = new_fleet(4, 2);
+    for agent in 0..4 {
+        fleet.announce(info(agent, 1), free(0), now);
+    }
+    let mut placed = |kind| {
+        (0..1_000)
+            .filter(|_| fleet.place(kind, 1, now).is_some())
+            .count()
+    };
+    assert_eq!(
+        (placed(KIND), placed(OTHER)),
+        (4 * 2, 4 * 2),
         "kinds queue on their own"
     );
 }
@@ -306,6 +326,22 @@
     assert!(!fleet.has_room(KIND, now) && fleet.has_room(OTHER, now));
 }
 
+/// Guards against a reserved slot that an entry cannot use, because its own tasks of the kind that is over its share
+/// queue beside it.
+#[test]
+fn a_reserved_slot_is_open_to_other_kinds() {
+    let (mut fleet, now) = (new_fleet(1, 1), Timestamp::ZERO);
+    let placed: Vec<AgentKey> = (0..8).map_while(|_| fleet.place(KIND, 1, now)).collect();
+    let load = Load {
+        free: 1,
+        queued: vec![(KIND, 1)],
+        wait: Duration::ZERO,
+    };
+    fleet.report(placed[7], load);
+    assert_eq!(fleet.place(OTHER, 1, now), Some(placed[0]));
+    assert_eq!(fleet.status(now)[0].free, 0);
+}
+
 /// Runs each placed task to its end at once; `fails` decides by name and kind.
 fn run(fleet: &mut Fleet, kind: KindId, now: Timestamp, fails: impl Fn(&str, KindId) -> bool) {
     if let Some(key) = fleet.place(kind, 1, now) {
