Bound the loads and run times that other processes report

A report with an implausible number of slots or queued tasks, or a run time of centuries, overflowed the sums behind a placement. bolero found both.

Slots, queue lengths, the number of kinds, the wait and measured run times are now cut to bounds when they are taken.

--- a/crates/figdeal-core/src/fleet.rs
+++ b/crates/figdeal-core/src/fleet.rs
@@ -33,6 +33,13 @@
 /// Time after its last announcement at which an agent without outstanding tasks is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// Largest number of slots, and of queued tasks of a kind, that an agent may report.
+const MAX_COUNT: u32 = 65_536;
+/// Largest number of kinds with queued tasks in a report.
+const MAX_KINDS: usize = 1_024;
+/// Longest time until the next free slot that is believed.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
 new_key_type! {
     /// An agent in the fleet view of one entry. A restarted agent gets a new key.
     pub struct AgentKey;
@@ -205,7 +212,14 @@
         }
     }
 
-    fn take_load(&mut self, load: Load, now: Timestamp) {
+    /// Takes a load as far as it is plausible: it comes from another process, and its sums must not overflow.
+    fn take_load(&mut self, mut load: Load, now: Timestamp) {
+        load.free = load.free.min(self.info.slots);
+        load.wait = load.wait.min(MAX_WAIT);
+        load.queued.truncate(MAX_KINDS);
+        load.queued
+            .iter_mut()
+            .for_each(|(_, n)| *n = (*n).min(MAX_COUNT));
         self.load = load;
         self.reported = now;
         self.sent.clear();
@@ -520,6 +534,7 @@
         self.seen.insert((now, key));
         let is_member = !info.draining;
         agent.info = info;
+        agent.info.slots = agent.info.slots.min(MAX_COUNT);
         agent.seen = now;
         agent.take_load(load, now);
         self.set_member(key, is_member);
--- a/crates/figdeal-core/src/runtime.rs
+++ b/crates/figdeal-core/src/runtime.rs
@@ -19,6 +19,8 @@
 const DEFAULT_RUN: Duration = Duration::from_millis(300);
 /// Bound on how far a declared run time may pull the estimate.
 const MAX_DECLARED: Duration = Duration::from_secs(60);
+/// Longest measured run time; a bound keeps sums of estimates from overflowing.
+const MAX_RUN: Duration = Duration::from_secs(3_600);
 /// Shortest declared run time that is taken at its word, so that ratios to it stay finite.
 const MIN_DECLARED: Duration = Duration::from_micros(100);
 
@@ -127,7 +129,7 @@
 
     /// Records the measured run time of one task for which the caller declared a run time.
     pub fn record_declared(&mut self, kind: KindId, declared: Option<Duration>, run: Duration) {
-        let sample = run.as_secs_f64();
+        let sample = run.min(MAX_RUN).as_secs_f64();
         let is_first = !self.kinds.contains_key(&kind);
         let learned = self.kinds.entry(kind).or_insert_with(|| Learned {
             run: Average::new(sample),
--- a/crates/figdeal-core/tests/scheduling/fleet.rs
+++ b/crates/figdeal-core/tests/scheduling/fleet.rs
@@ -520,3 +520,46 @@
         "agents that are gone are forgotten"
     );
 }
+
+/// Guards against overflows and panics for any announcement and load, which come from other processes.
+#[test]
+fn takes_any_load() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u32, u32, u32, Vec<(u8, u32)>, Duration)>>()
+        .for_each(|reports| {
+            let (mut fleet, mut now) =
+                (Fleet::with_seed(FleetLimits::default(), 1), Timestamp::ZERO);
+            for (name, slots, size, free, queued, wait) in reports {
+                let queued = queued
+                    .iter()
+                    .map(|&(k, n)| (KindId(u16::from(k % 4)), n))
+                    .collect();
+                let load = Load {
+                    free: *free,
+                    queued,
+                    wait: *wait,
+                };
+                let info = AgentInfo {
+                    slots: *slots,
+                    size: *size,
+                    ..info(usize::from(name % 4), 1)
+                };
+                fleet.announce(info, load.clone(), now);
+                let kind = KindId(u16::from(name % 3));
+                let has_room = fleet.has_room_for(kind, size / 2, now);
+                let placed = fleet.place(kind, size / 2, now);
+                assert_eq!(placed.is_some(), has_room);
+                if let Some(key) = placed {
+                    fleet.report(key, load);
+                    let run = if name % 2 == 0 {
+                        Sample::Success(*wait)
+                    } else {
+                        Sample::Failure
+                    };
+                    fleet.settle(key, kind, run, now);
+                }
+                fleet.slots(now);
+                now = now + Duration::from_millis(u64::from(*name));
+            }
+        });
+}
--- a/crates/figdeal-core/tests/scheduling/runtime.rs
+++ b/crates/figdeal-core/tests/scheduling/runtime.rs
@@ -124,3 +124,33 @@
         None
     );
 }
+
+/// Guards against panics, endless loops and times that are no times, for any measured and declared run times and
+/// any backlog.
+#[test]
+fn takes_any_times() {
+    bolero::check!()
+        .with_type::<(
+            Vec<(u8, Duration, Option<Duration>)>,
+            Vec<(u8, u32, u32, u32)>,
+            u32,
+        )>()
+        .for_each(|(runs, backlog, slots)| {
+            let mut times = RunTimes::default();
+            for &(kind, run, declared) in runs {
+                times.record_declared(KindId(u16::from(kind)), declared, run);
+                times.estimate(KindId(u16::from(kind)), declared);
+            }
+            let backlog = backlog
+                .iter()
+                .map(|&(kind, weight, queued, active)| KindBacklog {
+                    kind: KindId(u16::from(kind)),
+                    weight,
+                    queued: queued as usize,
+                    active,
+                });
+            let job: Vec<_> = runs.iter().map(|r| (KindId(u16::from(r.0)), r.2)).collect();
+            let end = times.completion(&job, &backlog.collect::<Vec<_>>(), *slots);
+            assert_eq!(end.is_some(), *slots > 0);
+        });
+}
