Send whole states only to members that are behind

A member that had not promised yet when the quorum was reached got the whole state, which was usually one of the two peers. It now gets the short form, and reads the state if it cannot restore it. Members of an unfinished replacement still get the whole state, because a joining replica is silent until it holds one.

--- a/crates/figdeal-control/src/proposer.rs
+++ b/crates/figdeal-control/src/proposer.rs
@@ -542,7 +542,12 @@
         let short = Box::new(PackedState::new(&state, Some(&best.state)));
         let whole = Box::new(PackedState::new(&state, None));
         for member in members {
-            let has_base = votes.get(&member.id) == Some(&best.ballot);
+            // A member that has not promised yet most likely holds what the others hold. If it does not, it drops
+            // the message and catches up by a read. A joining one cannot, as it stays silent until it is founded.
+            let has_base = match votes.get(&member.id) {
+                Some(held) => *held == best.ballot,
+                None => !state.members.is_joint() && read.contains(member.id),
+            };
             let message = Message::Accept {
                 ballot,
                 base: has_base.then_some(best.ballot),
