Close control connections that went silent

A connection without a request for 30 s is closed; peers send every 500 ms and entries poll at least every 8 s.

--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -10,7 +10,7 @@
 };
 
 use figdeal_core::time::{Timestamp, UnixMillis};
-use futures::StreamExt;
+use futures::{StreamExt, stream};
 use log::{info, warn};
 use tarpc::{
     client, context,
@@ -42,6 +42,9 @@
 pub const MAX_CONNECTIONS: usize = 256;
 /// Requests of one connection that are in progress at once.
 const MAX_REQUESTS: usize = 64;
+/// Time after which a connection without a request is closed. Peers send every 500 ms and entries poll at least every
+/// [`POLL_WAIT`], so only connections that went silent are closed; they would use up [`MAX_CONNECTIONS`].
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for a connection, and for the delivery of one message.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -141,7 +144,11 @@
         .filter_map(|c| async { c.ok() })
         .map(move |transport| {
             let channel = BaseChannel::with_defaults(transport);
-            let requests = channel.execute(server.clone().serve());
+            let requests = Box::pin(channel.execute(server.clone().serve()));
+            let requests = stream::unfold(requests, |mut requests| async {
+                let next = timeout(IDLE_TIMEOUT, requests.next()).await;
+                next.ok().flatten().map(|request| (request, requests))
+            });
             requests.for_each_concurrent(MAX_REQUESTS, |request| request)
         })
         .for_each_concurrent(MAX_CONNECTIONS, |connection| connection);
--- a/crates/figdeal-control/tests/tcp.rs
+++ b/crates/figdeal-control/tests/tcp.rs
@@ -6,7 +6,7 @@
 use figdeal_control::{
     command::{Action, Answer, Command},
     disk::Folder,
-    driver::{Control, connect, serve},
+    driver::{Control, IDLE_TIMEOUT, connect, serve},
     node::Node,
     proposer::Reply,
     sign::{Ed25519, replace_message, signed_message},
@@ -15,6 +15,7 @@
 };
 use figdeal_core::time::Timestamp;
 use tarpc::context;
+use tokio::{io::AsyncReadExt, net::TcpStream, time::Instant};
 
 fn open(path: &Path, id: u64) -> Node<Folder> {
     let folder = Folder::open(path).unwrap();
@@ -122,3 +123,15 @@
     assert_eq!((state.number, state.members.epoch), (1, 2));
     assert!(!state.members.contains(ReplicaId(1)));
 }
+
+/// Guards against silent connections that use up the bound on connections.
+#[tokio::test(start_paused = true)]
+async fn a_silent_connection_is_closed() {
+    let root = tempfile::tempdir().unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let control = serve(open(root.path(), 1), any).await.unwrap();
+    let mut silent = TcpStream::connect(control.address).await.unwrap();
+    let start = Instant::now();
+    assert_eq!(silent.read(&mut [0]).await.unwrap(), 0);
+    assert!(start.elapsed() >= IDLE_TIMEOUT);
+}
