Name the field in type errors of a job

A job with a wrong type or an unknown field was refused with the field `body` and serde's line and column, which does not tell a caller which of up to 390 tasks is wrong.

A body that does not parse is now parsed again with serde_path_to_error, which gives paths such as tasks[3].deadline_ms. Good bodies are parsed once, so they pay nothing.

--- a/crates/figdeal/src/submission.rs
+++ b/crates/figdeal/src/submission.rs
@@ -91,8 +91,7 @@
         let text = std::str::from_utf8(body).map_err(|e| {
             Invalid::new("body", format!("not UTF-8 after byte {}", e.valid_up_to()))
         })?;
-        let job: JobRequest =
-            serde_json::from_str(text).map_err(|e| Invalid::new("body", e.to_string()))?;
+        let job: JobRequest = serde_json::from_str(text).map_err(|e| locate(text, &e))?;
         job.check(rules)?;
         Ok(job)
     }
@@ -145,6 +144,17 @@
     }
 }
 
+/// Parses a wrong body again to find the field that is wrong; a right body is parsed once, without this cost.
+fn locate(text: &str, error: &serde_json::Error) -> Invalid {
+    let problem = error.to_string();
+    let mut json = serde_json::Deserializer::from_str(text);
+    let field = match serde_path_to_error::deserialize::<_, JobRequest>(&mut json) {
+        Err(e) if e.path().iter().len() > 0 => e.path().to_string(),
+        _ => "body".to_owned(),
+    };
+    Invalid::new(field, problem)
+}
+
 impl TaskRequest {
     fn check(&self, index: usize, rules: &Rules) -> Result<()> {
         let field = |name: &str| format!("tasks[{index}].{name}");
