Leave resubmittable out of fetched answers

A fetch does not know which tasks the caller declared idempotent, and answered resubmittable=false for all of them, which contradicts the answer that the submitter got. The field is now present only where the entry knows it.

--- a/crates/figdeal/src/entry/answer.rs
+++ b/crates/figdeal/src/entry/answer.rs
@@ -9,7 +9,8 @@
 
 use crate::http::Reply;
 
-/// Renders an answer. `idempotent` tells for each task whether it may be submitted again; it may be empty.
+/// Renders an answer. `idempotent` tells for each task whether it may be submitted again; it is empty for a
+/// fetch, which does not know the content of the job.
 pub(crate) fn render(answer: &Answer, idempotent: &[bool]) -> Reply {
     match answer {
         Answer::Final(outcome) => render_outcome(outcome, idempotent),
@@ -64,13 +65,12 @@
 }
 
 fn render_states(states: &[TaskState], idempotent: &[bool]) -> Vec<Value> {
-    let is_idempotent = |i: usize| idempotent.get(i).copied().unwrap_or(false);
     states
         .iter()
         .enumerate()
-        .map(|(i, state)| match state {
-            TaskState::MayHaveRun => {
-                json!({ "index": i, "state": state, "resubmittable": is_idempotent(i) })
+        .map(|(i, state)| match (state, idempotent.get(i)) {
+            (TaskState::MayHaveRun, Some(is_idempotent)) => {
+                json!({ "index": i, "state": state, "resubmittable": is_idempotent })
             }
             _ => json!({ "index": i, "state": state }),
         })
