--- a/crates/figdeal/src/command/entry.rs
+++ b/crates/figdeal/src/command/entry.rs
@@ -31,7 +31,7 @@
     unsigned_config: Option<PathBuf>,
 }
 
-/// Runs the entry until SIGTERM or SIGINT, then finishes what is in progress.
+/// Runs the entry until SIGTERM, SIGINT or a drain request, then finishes what is in progress.
 ///
 /// # Errors
 /// Fails on wrong settings, when an address cannot be listened on, and when work is still in progress after the stop
@@ -50,6 +50,12 @@
         entry.listen
     );
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let handle = signals.handle();
+    let drain = entry.drain_request();
+    runtime.spawn(async move {
+        drain.cancelled().await;
+        handle.close();
+    });
     signals.forever().next();
     log::info!("E331 entry {} stops", settings.id);
     let limit = entry.rules().stop_limit;
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -97,6 +97,8 @@
     pub(crate) rules: RwLock<Arc<Rules>>,
     pub(crate) is_ready: AtomicBool,
     pub(crate) is_draining: AtomicBool,
+    /// Cancelled when an operator asked the entry to finish.
+    pub(crate) drain: CancellationToken,
 }
 
 impl Shared {
@@ -148,6 +150,7 @@
             rules: RwLock::new(Arc::new(options.rules.clone())),
             is_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            drain: CancellationToken::new(),
         });
         let (events, inbox) = mpsc::channel();
         let stop = CancellationToken::new();
@@ -194,6 +197,11 @@
         })
     }
 
+    /// Cancelled when an operator asked the entry over HTTP to finish; the owner of the entry then drains it.
+    pub fn drain_request(&self) -> CancellationToken {
+        self.shared.drain.clone()
+    }
+
     /// Tells the balancer to send nothing more; what is in progress goes on.
     pub fn drain(self) -> Entry<Draining> {
         self.shared.is_draining.store(true, Ordering::Relaxed);
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     http::{BodyError, Call, Reply},
-    submission::{Invalid, JobRequest, check_name, submission_key},
+    submission::{self, Invalid, JobRequest, check_name, submission_key},
 };
 
 /// Serves the requests of callers, the balancer and operators.
@@ -29,28 +29,20 @@
     pub(crate) async fn handle(self, call: Call) -> Reply {
         let path = call.path.clone();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
-        match (call.method.clone(), parts.as_slice()) {
+        let Some(allowed) = methods(&parts) else {
+            return Reply::json(404, &json!({ "error": format!("no such path: {path}") }));
+        };
+        // A balancer may check with HEAD; hyper leaves the body of the answer out.
+        let method = match call.method.clone() {
+            Method::HEAD => Method::GET,
+            method => method,
+        };
+        match (method, parts.as_slice()) {
             (Method::POST, ["v1", "jobs"]) => self.submit(call).await,
-            (Method::GET, ["v1", "jobs", team, id]) => match key(team, id) {
-                Ok(key) => {
-                    let wait = call.has("wait=true");
-                    self.ask(&[], |responder| Event::Fetch {
-                        key,
-                        wait,
-                        responder,
-                    })
-                    .await
-                }
-                Err(invalid) => refusal(400, &invalid),
-            },
-            (Method::DELETE, ["v1", "jobs", team, id]) => match key(team, id) {
-                Ok(key) => {
-                    self.ask(&[], |responder| Event::Cancel { key, responder })
-                        .await
-                }
-                Err(invalid) => refusal(400, &invalid),
-            },
+            (Method::GET, ["v1", "jobs", team, id]) => self.fetch(&call, team, id).await,
+            (Method::DELETE, ["v1", "jobs", team, id]) => self.cancel(&call, team, id).await,
             (Method::GET, ["v1", "status" | "queue"]) => self.status().await,
+            (Method::POST, ["v1", "drain"]) => self.drain(&call),
             (Method::GET, ["healthz"]) => Reply::json(200, &json!({ "healthy": true })),
             (Method::GET, ["readyz"]) => {
                 let is_draining = self.shared.is_draining.load(Ordering::Relaxed);
@@ -60,12 +52,46 @@
                     &json!({ "ready": is_ready }),
                 )
             }
-            _ => Reply::json(404, &json!({ "error": format!("no such path: {path}") })),
+            (method, _) => {
+                let error = format!("{method} is not allowed on {path}, use {allowed}");
+                Reply {
+                    allow: allowed,
+                    ..Reply::json(405, &json!({ "error": error }))
+                }
+            }
+        }
+    }
+
+    async fn fetch(&self, call: &Call, team: &str, id: &str) -> Reply {
+        let request = key(team, id).and_then(|key| Ok((key, wait(call, false)?)));
+        let (key, wait) = match request {
+            Ok(request) => request,
+            Err(invalid) => return refusal(400, &invalid),
+        };
+        self.ask(&[], |responder| Event::Fetch {
+            key,
+            wait,
+            responder,
+        })
+        .await
+    }
+
+    async fn cancel(&self, call: &Call, team: &str, id: &str) -> Reply {
+        let request = key(team, id).and_then(|key| check_options(call, &[]).map(|()| key));
+        match request {
+            Ok(key) => {
+                self.ask(&[], |responder| Event::Cancel { key, responder })
+                    .await
+            }
+            Err(invalid) => refusal(400, &invalid),
         }
     }
 
     async fn submit(self, call: Call) -> Reply {
-        let wait = !call.has("wait=false");
+        let wait = match wait(&call, true) {
+            Ok(wait) => wait,
+            Err(invalid) => return refusal(400, &invalid),
+        };
         let job = match self.read_job(&call) {
             Ok(job) => job,
             Err((status, invalid)) => return refusal(status, &invalid),
@@ -108,6 +134,22 @@
         }
     }
 
+    /// Callers reach the same listener, so only a client on the entry's own machine may end the entry.
+    fn drain(&self, call: &Call) -> Reply {
+        if !call.peer.ip().to_canonical().is_loopback() {
+            let error = format!(
+                "drain is served to loopback only, not to {}",
+                call.peer.ip()
+            );
+            return Reply::json(403, &json!({ "error": error }));
+        }
+        if !self.shared.is_draining.swap(true, Ordering::Relaxed) {
+            log::info!("E333 drain requested by {}", call.peer);
+        }
+        self.shared.drain.cancel();
+        Reply::json(202, &json!({ "draining": true }))
+    }
+
     async fn status(&self) -> Reply {
         let (sender, answer) = oneshot::channel();
         let _ = self.events.send(Event::Status(Box::new(move |status| {
@@ -120,6 +162,36 @@
     }
 }
 
+/// The methods of a path, or `None` for an unknown path.
+fn methods(parts: &[&str]) -> Option<&'static str> {
+    match parts {
+        ["v1", "jobs" | "drain"] => Some("POST"),
+        ["v1", "jobs", _, _] => Some("GET, DELETE"),
+        ["v1", "status" | "queue"] | ["healthz" | "readyz"] => Some("GET"),
+        _ => None,
+    }
+}
+
+fn check_options(call: &Call, known: &[&str]) -> submission::Result<()> {
+    match call.options().find(|(name, _)| !known.contains(name)) {
+        Some((name, _)) => Err(Invalid::new("query", format!("unknown option {name:?}"))),
+        None => Ok(()),
+    }
+}
+
+fn wait(call: &Call, default: bool) -> submission::Result<bool> {
+    check_options(call, &["wait"])?;
+    match call.options().last() {
+        None => Ok(default),
+        Some((_, "true")) => Ok(true),
+        Some((_, "false")) => Ok(false),
+        Some((_, other)) => Err(Invalid::new(
+            "wait",
+            format!("{other:?} is neither true nor false"),
+        )),
+    }
+}
+
 fn stopped() -> Reply {
     render(&Answer::Undecided, &[])
 }
--- a/crates/figdeal/src/http.rs
+++ b/crates/figdeal/src/http.rs
@@ -1,12 +1,18 @@
 //! A small HTTP/1 server on hyper with time limits for slow clients.
 
-use std::{convert::Infallible, future::Future, net::TcpListener, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::{Bytes, Incoming},
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    body::{Body, Bytes, Incoming},
+    header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -21,6 +27,9 @@
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 /// Time in which a client has to send the body of a request.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// How much of a body beyond the limit is read and discarded, as a multiple of the limit. A connection that is closed
+/// while its client still sends is reset, and the client may lose the answer that names the limit.
+const DISCARDED: u64 = 4;
 /// Pause after a failed accept, which happens when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -35,6 +44,7 @@
 /// A request whose body was read.
 #[derive(Debug)]
 pub(crate) struct Call {
+    pub(crate) peer: SocketAddr,
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) query: String,
@@ -43,9 +53,10 @@
 }
 
 impl Call {
-    /// Whether the query has the option, written as `name=value`.
-    pub(crate) fn has(&self, option: &str) -> bool {
-        self.query.split('&').any(|q| q == option)
+    /// The names and values of the query, as they were sent.
+    pub(crate) fn options(&self) -> impl Iterator<Item = (&str, &str)> {
+        let options = self.query.split('&').filter(|option| !option.is_empty());
+        options.map(|option| option.split_once('=').unwrap_or((option, "")))
     }
 }
 
@@ -55,6 +66,7 @@
     pub(crate) status: u16,
     pub(crate) media: &'static str,
     pub(crate) retry_after: Option<u64>,
+    pub(crate) allow: &'static str,
     pub(crate) body: Vec<u8>,
 }
 
@@ -64,6 +76,7 @@
             status,
             media,
             retry_after: None,
+            allow: "",
             body: body.into(),
         }
     }
@@ -105,10 +118,10 @@
                 listener.accept().await,
             )
         };
-        let (permit, stream) = tokio::select! {
+        let (permit, stream, peer) = tokio::select! {
             () = stop.cancelled() => break,
             (permit, accepted) = accept => match accepted {
-                Ok((stream, _)) => (permit, stream),
+                Ok((stream, peer)) => (permit, stream, peer),
                 Err(e) => {
                     log::warn!("E311 cannot accept a connection: {e}");
                     sleep(ACCEPT_PAUSE).await;
@@ -121,7 +134,8 @@
         let closing = stop.clone();
         connections.spawn(async move {
             let _permit = permit;
-            let service = service_fn(move |request| answer(request, limits.body, handler.clone()));
+            let service =
+                service_fn(move |request| answer(request, peer, limits.body, handler.clone()));
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_LIMIT)
@@ -146,6 +160,7 @@
 
 async fn answer<H, F>(
     request: Request<Incoming>,
+    peer: SocketAddr,
     limit: usize,
     handler: H,
 ) -> Result<Response<Full<Bytes>>, Infallible>
@@ -154,13 +169,11 @@
     F: Future<Output = Reply>,
 {
     let (head, body) = request.into_parts();
-    let body = match timeout(BODY_LIMIT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) => Err(BodyError::Truncated),
-        Err(_) => Err(BodyError::TooSlow),
-    };
+    let body = timeout(BODY_LIMIT, read_body(body, limit))
+        .await
+        .unwrap_or(Err(BodyError::TooSlow));
     let call = Call {
+        peer,
         method: head.method,
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
@@ -179,5 +192,37 @@
             .headers_mut()
             .insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if !reply.allow.is_empty() {
+        response
+            .headers_mut()
+            .insert(ALLOW, HeaderValue::from_static(reply.allow));
+    }
     Ok(response)
 }
+
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    let most = limit as u64 * DISCARDED;
+    if body.size_hint().lower() > most {
+        return Err(BodyError::TooLong);
+    }
+    let mut kept = Vec::new();
+    let mut seen = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() else {
+            continue;
+        };
+        seen += data.len() as u64;
+        if seen > most {
+            return Err(BodyError::TooLong);
+        }
+        if seen > limit as u64 {
+            kept = Vec::new();
+        } else {
+            kept.extend_from_slice(&data);
+        }
+    }
+    if seen > limit as u64 {
+        return Err(BodyError::TooLong);
+    }
+    Ok(Bytes::from(kept))
+}
