--- a/crates/figdeal/tests/job_request.rs
+++ b/crates/figdeal/tests/job_request.rs
@@ -1,6 +1,11 @@
 //! Random bodies for the parser of jobs.
 
+use bolero::generator::produce;
 use figdeal::{rules::Rules, submission::JobRequest};
+use figdeal_testing::for_each;
+
+/// Number of values for each test.
+const VALUES: usize = 20_000;
 
 /// Guards against a panic in the parser, an error without a field, and a job that changes when it is written and read
 /// again, which would change its digest.
@@ -8,8 +13,8 @@
 fn any_body_is_parsed_or_refused() {
     let rules = Rules::default();
     let start = br#"{"id":"a","team":"b","created_ms":1,"tasks":[{"kind":"c""#;
-    bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
-        for body in [bytes.clone(), [start.as_slice(), bytes, b"}]}"].concat()] {
+    for_each(VALUES, produce::<Vec<u8>>(), |bytes| {
+        for body in [bytes.clone(), [start.as_slice(), &bytes, b"}]}"].concat()] {
             match JobRequest::parse(&body, &rules) {
                 Ok(job) => {
                     let again = serde_json::to_vec(&job).unwrap();
@@ -27,9 +32,10 @@
 fn numbers_at_the_edges_are_checked() {
     let rules = Rules::default();
     type Edges = (u64, Option<u64>, u32, Option<u64>);
-    bolero::check!()
-        .with_type::<Edges>()
-        .for_each(|&(created, deadline, size, run)| {
+    for_each(
+        VALUES,
+        produce::<Edges>(),
+        |(created, deadline, size, run)| {
             let body = serde_json::json!({ "id": "a", "team": "b", "created_ms": created, "tasks": [
                 { "kind": "c", "deadline_ms": deadline, "size": size, "run_ms": run }
             ]});
@@ -39,5 +45,6 @@
                 && run.is_none_or(|r| r <= max);
             let parsed = JobRequest::parse(body.to_string().as_bytes(), &rules);
             assert_eq!(parsed.is_ok(), is_good, "{body}");
-        });
+        },
+    );
 }
