Let the settings choose the log level and quiet the libraries

log_level of an entry's settings had no effect, because the program's filter stopped at warn. With a filter of info, as in the agent, tarpc logs two lines for each message between processes. Own events now pass the filter at every level, and the settings choose the level; libraries log from warn on.

Ran: entry, agent and stand-in with log_level info: E210, E202, E330, E333 and E331 appear, and no line of tarpc, which logged each announcement before.

--- a/crates/figdeal-agent/src/main.rs
+++ b/crates/figdeal-agent/src/main.rs
@@ -5,8 +5,12 @@
 use clap::Parser;
 use figdeal_agent::cli::{Cli, run};
 
+/// Own events pass whatever their level, which the settings choose; libraries log each message between processes at
+/// `info`, so they pass from `warn` on.
+const FILTER: &str = "warn,figdeal=trace";
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
     match run(&Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/figdeal/src/main.rs
+++ b/crates/figdeal/src/main.rs
@@ -5,8 +5,13 @@
 use clap::Parser;
 use figdeal::cli::{Cli, run};
 
+/// Own events pass whatever their level, which the settings choose; libraries log each message between processes at
+/// `info`, so they pass from `warn` on.
+const FILTER: &str = "warn,figdeal=trace";
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
+    log::set_max_level(log::LevelFilter::Warn);
     match run(Cli::parse()) {
         Ok(code) => code,
         Err(e) => {
