--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -15,15 +15,16 @@
 };
 use crate::{
     agent::{Declined, Verdict},
-    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load},
+    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load, Sample},
     id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
-    outcome::{Outcome, Refusal, TaskState},
+    outcome::{Outcome, TaskState},
     runtime::RunTimes,
     share::{FairQueue, KindShare},
     time::{Timestamp, UnixMillis},
 };
 
+mod admit;
 mod answer;
 mod collect;
 mod job;
@@ -38,7 +39,8 @@
 pub struct EntryLimits {
     /// Largest number of queued tasks.
     pub queued: usize,
-    /// Largest number of jobs in the table, finished ones included.
+    /// Largest number of jobs in the table. Finished ones make room for new ones; who asks for them later is told that
+    /// they are no longer remembered.
     pub jobs: usize,
     /// Largest sum of the bytes of held answers.
     pub bytes: usize,
@@ -56,7 +58,7 @@
     fn default() -> EntryLimits {
         EntryLimits {
             queued: 20_000,
-            jobs: 200_000,
+            jobs: 50_000,
             bytes: 32 << 20,
             retention: Duration::from_secs(3600),
             grace: Duration::from_millis(500),
@@ -228,6 +230,9 @@
     unplaced: VecDeque<(Timestamp, TaskId)>,
     finished: VecDeque<(Timestamp, JobKey)>,
     quotas: HashMap<TeamId, u32>,
+    bounds: HashMap<KindId, usize>,
+    weights: HashMap<KindId, u32>,
+    is_scarce: bool,
     in_progress: HashMap<TeamId, u32>,
     bytes: usize,
     counts: Counts,
@@ -236,9 +241,11 @@
 
 impl EntryCore {
     /// Creates an entry without agents and jobs.
-    pub fn new(limits: EntryLimits) -> EntryCore {
+    ///
+    /// Entries need different seeds, so that they do not all choose the same one of agents that look alike.
+    pub fn new(limits: EntryLimits, seed: u64) -> EntryCore {
         EntryCore {
-            fleet: Fleet::new(limits.fleet),
+            fleet: Fleet::with_seed(limits.fleet, seed),
             limits,
             jobs: SlotMap::with_key(),
             keys: HashMap::new(),
@@ -249,6 +256,9 @@
             unplaced: VecDeque::new(),
             finished: VecDeque::new(),
             quotas: HashMap::new(),
+            bounds: HashMap::new(),
+            weights: HashMap::new(),
+            is_scarce: false,
             in_progress: HashMap::new(),
             bytes: 0,
             counts: Counts::default(),
@@ -264,6 +274,7 @@
 
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
+        self.weights.insert(kind, share.weight);
         self.queue.set_share(kind, share);
     }
 
@@ -286,7 +297,8 @@
             }
             return self.wait_for(key, waiter, wait);
         }
-        if self.jobs.len() >= self.limits.jobs {
+        self.make_room();
+        if self.turns_away(&submission, now) {
             return self.answer(waiter, Answer::Undecided);
         }
         let claim = Action::Claim {
@@ -438,12 +450,13 @@
             self.fleet.report(agent, load);
         }
         if let Some((key, index)) = self.find_sent(agent, task) {
-            self.release(key, index, agent);
+            let kind = self.jobs[key].tasks[index].spec.kind;
+            self.release(key, index, agent, sample(&verdict), now);
             match verdict {
                 Verdict::Ran { result, run } => {
-                    let kind = self.jobs[key].tasks[index].spec.kind;
                     if !run.is_zero() {
-                        self.times.record(kind, run);
+                        let declared = self.jobs[key].tasks[index].spec.declared;
+                        self.times.record_declared(kind, declared, run);
                     }
                     let progress = match result {
                         TaskResult::Done(bytes) => Progress::Done(bytes),
@@ -471,7 +484,7 @@
     /// Takes the word of another incarnation of an agent that it knows nothing of a task.
     pub fn incarnation_gone(&mut self, agent: AgentKey, task: TaskId, now: Timestamp) {
         if let Some((key, index)) = self.find_sent(agent, task) {
-            self.release(key, index, agent);
+            self.release(key, index, agent, Sample::Nothing, now);
             self.resolve(key, index, Progress::Ended(TaskState::MayHaveRun), now);
         }
     }
@@ -485,6 +498,7 @@
             self.deadlines.pop_first();
             self.pass_deadline(key, now);
         }
+        self.fleet.tick(now);
         self.refuse_unplaced(now);
         self.expire_finished(now);
         self.dispatch(now);
@@ -530,28 +544,6 @@
         self.counts
     }
 
-    fn admit(&mut self, key: JobKey, now: Timestamp) {
-        let job = &self.jobs[key];
-        let count = job.tasks.len();
-        let team = job.team;
-        let used = self.in_progress.get(&team).copied().unwrap_or(0);
-        let quota = self.quotas.get(&team).copied().unwrap_or(u32::MAX);
-        if job.is_cancelled {
-            return self.finish_with(key, Arc::new(Outcome::Cancelled(not_started(count))), now);
-        }
-        if self.queue.len() + count > self.limits.queued {
-            return self.refuse(key, Refusal::QueueFull, now);
-        }
-        if used.saturating_add(count as u32) > quota {
-            return self.refuse(key, Refusal::QuotaExceeded, now);
-        }
-        *self.in_progress.entry(team).or_default() += count as u32;
-        self.deadlines.insert((job.deadline, key));
-        self.jobs[key].phase = Phase::Active;
-        self.enqueue_all(key, now);
-        self.dispatch(now);
-    }
-
     /// Queues the longest tasks first, because a job waits for its last task.
     fn enqueue_all(&mut self, key: JobKey, now: Timestamp) {
         let job = &self.jobs[key];
@@ -647,7 +639,14 @@
         (*progress == Progress::Sent(agent)).then_some((key, index))
     }
 
-    fn release(&mut self, key: JobKey, index: usize, agent: AgentKey) {
+    fn release(
+        &mut self,
+        key: JobKey,
+        index: usize,
+        agent: AgentKey,
+        sample: Sample,
+        now: Timestamp,
+    ) {
         let job = &self.jobs[key];
         let kind = job.tasks[index].spec.kind;
         let id = TaskId {
@@ -655,7 +654,7 @@
             index: index as u16,
         };
         self.queue.finish(kind, job.team);
-        self.fleet.resolve(agent, kind);
+        self.fleet.settle(agent, kind, sample, now);
         if let Some(tasks) = self.sent.get_mut(&agent) {
             tasks.remove(&id);
         }
@@ -737,7 +736,7 @@
             })
             .collect();
         for (index, agent) in sent {
-            self.release(key, index, agent);
+            self.release(key, index, agent, Sample::Nothing, now);
             self.resolve(key, index, Progress::Ended(TaskState::MayHaveRun), now);
         }
     }
@@ -780,6 +779,17 @@
     }
 }
 
+fn sample(verdict: &Verdict) -> Sample {
+    match verdict {
+        Verdict::Ran {
+            result: TaskResult::Done(_),
+            run,
+        } => Sample::Success(*run),
+        Verdict::Ran { .. } => Sample::Failure,
+        Verdict::ResultDropped | Verdict::NotStarted(_) => Sample::Nothing,
+    }
+}
+
 fn not_started(count: usize) -> Vec<TaskState> {
     vec![TaskState::NotStarted; count]
 }
