--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -4,8 +4,6 @@
 
 use clap::{Parser, Subcommand};
 
-pub use figdeal_agent::cli::init_log;
-
 use crate::command;
 
 /// Result of a command.
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -128,6 +128,8 @@
     pub(crate) is_configured: AtomicBool,
     pub(crate) is_claimable: AtomicBool,
     pub(crate) is_draining: AtomicBool,
+    /// Cancelled when an operator asked the entry to finish.
+    pub(crate) drain: CancellationToken,
 }
 
 impl Shared {
@@ -198,6 +200,7 @@
             is_configured: AtomicBool::new(options.control.is_empty()),
             is_claimable: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            drain: CancellationToken::new(),
         });
         let spread = Spread::open(
             &options.site,
@@ -255,6 +258,11 @@
         })
     }
 
+    /// Cancelled when an operator asked the entry over HTTP to finish; the owner of the entry then drains it.
+    pub fn drain_request(&self) -> CancellationToken {
+        self.shared.drain.clone()
+    }
+
     /// Tells the balancer to send nothing more; what is in progress goes on.
     pub fn drain(self) -> Entry<Draining> {
         self.shared.is_draining.store(true, Ordering::Relaxed);
