--- a/crates/figdeal-control/src/lib.rs
+++ b/crates/figdeal-control/src/lib.rs
@@ -29,7 +29,6 @@
 
 pub mod acceptor;
 pub mod apply;
-pub mod codec;
 pub mod command;
 pub mod disk;
 pub mod driver;
--- a/crates/figdeal-wire/src/codec.rs
+++ b/crates/figdeal-wire/src/codec.rs
@@ -1,6 +1,6 @@
 //! Postcard frames over TCP.
 
-use std::{io, marker::PhantomData, pin::Pin};
+use std::{io, pin::Pin};
 
 use serde::{Serialize, de::DeserializeOwned};
 use tarpc::{
@@ -17,39 +17,27 @@
 const MAX_FRAME: usize = 32 << 20;
 
 /// Encodes and decodes frames with postcard.
-#[derive(Debug)]
-pub struct Postcard<In, Out> {
-    marker: PhantomData<fn(In) -> Out>,
-}
-
-impl<In, Out> Default for Postcard<In, Out> {
-    fn default() -> Self {
-        Postcard {
-            marker: PhantomData,
-        }
-    }
-}
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Postcard;
 
-impl<In: DeserializeOwned, Out> Deserializer<In> for Postcard<In, Out> {
+impl<T: DeserializeOwned> Deserializer<T> for Postcard {
     type Error = io::Error;
 
-    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> io::Result<In> {
-        postcard::from_bytes(src).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> io::Result<T> {
+        postcard::from_bytes(src).map_err(invalid)
     }
 }
 
-impl<In, Out: Serialize> Serializer<Out> for Postcard<In, Out> {
+impl<T: Serialize> Serializer<T> for Postcard {
     type Error = io::Error;
 
-    fn serialize(self: Pin<&mut Self>, item: &Out) -> io::Result<Bytes> {
-        postcard::to_stdvec(item)
-            .map(Bytes::from)
-            .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))
+    fn serialize(self: Pin<&mut Self>, item: &T) -> io::Result<Bytes> {
+        postcard::to_stdvec(item).map(Bytes::from).map_err(invalid)
     }
 }
 
 /// A tarpc transport over one TCP connection.
-pub type TcpTransport<In, Out> = Transport<TcpStream, In, Out, Postcard<In, Out>>;
+pub type TcpTransport<In, Out> = Transport<TcpStream, In, Out, Postcard>;
 
 /// Makes a transport of an open connection. Nagle's algorithm is off, since messages are small and urgent.
 pub fn transport<In, Out>(stream: TcpStream) -> TcpTransport<In, Out>
@@ -62,5 +50,9 @@
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME)
         .new_codec();
-    tarpc::serde_transport::new(Framed::new(stream, codec), Postcard::default())
+    tarpc::serde_transport::new(Framed::new(stream, codec), Postcard)
+}
+
+fn invalid(e: postcard::Error) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, e)
 }
--- a/crates/figdeal/src/command/entry.rs
+++ b/crates/figdeal/src/command/entry.rs
@@ -80,7 +80,7 @@
     let node = register::open(&data_folder(settings)?)?;
     if !node.is_member() {
         log::warn!(
-            "E333 replica {} is not a member of a register yet",
+            "E337 replica {} is not a member of a register yet",
             node.id()
         );
     }
