Render metrics at the agent

GET /metrics of the agent shows slots, busy slots, queued tasks, start marks, held bytes, draining, version and ended tasks. The recorder is shared by agents and entries of one process and has no listener of its own.

--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -8,7 +8,7 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
-use crate::{announcer, control, control::Event, http, server, upstream};
+use crate::{announcer, control, control::Event, http, metrics, server, upstream};
 
 /// Result of starting or stopping an agent.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -109,6 +109,7 @@
     /// Fails when an address cannot be listened on or a thread cannot be started.
     pub fn start(options: Options, runtime: &Handle) -> Result<Agent<Serving>> {
         let incarnation = Incarnation(rand::random());
+        metrics::recorder();
         let listen_error = |e| Error::Listen(options.listen.to_string(), e);
         let listener = std::net::TcpListener::bind(options.listen).map_err(listen_error)?;
         listener.set_nonblocking(true).map_err(listen_error)?;
--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -14,6 +14,7 @@
 use figdeal_wire::message::{
     CollectReply, LoadReport, QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
 };
+use metrics::{counter, gauge};
 use tokio::{
     runtime::Handle,
     sync::{oneshot, watch},
@@ -71,6 +72,8 @@
     Config(u64, Box<SiteConfig>),
     Stop,
     NotifyIdle(mpsc::Sender<()>),
+    /// Sets the gauges, which are read when the metrics are rendered.
+    Gauges(mpsc::Sender<()>),
     Kill,
 }
 
@@ -173,6 +176,7 @@
             }
             Event::Collect(key, reply) => self.collect(key, reply, now),
             Event::Finished(task, result) => {
+                count_end(&result);
                 let actions = self.core.finish(task, result, now);
                 self.perform(actions, now);
                 self.answer_collects(now);
@@ -185,6 +189,10 @@
                 self.leave(now);
             }
             Event::NotifyIdle(sender) => self.idle.push(sender),
+            Event::Gauges(done) => {
+                self.set_gauges();
+                let _ = done.send(());
+            }
             Event::Kill => {}
         }
     }
@@ -388,6 +396,18 @@
         }
     }
 
+    fn set_gauges(&self) {
+        let slots = self.upstream.as_ref().map_or(0, |u| u.slots);
+        let (marks, bytes) = self.core.held();
+        gauge!("figdeal_agent_slots").set(f64::from(slots));
+        gauge!("figdeal_agent_busy_slots").set(f64::from(self.core.busy()));
+        gauge!("figdeal_agent_queued_tasks").set(self.core.queued() as f64);
+        gauge!("figdeal_agent_marks").set(marks as f64);
+        gauge!("figdeal_agent_held_bytes").set(bytes as f64);
+        gauge!("figdeal_agent_draining").set(f64::from(u8::from(self.core.is_draining())));
+        gauge!("figdeal_agent_config_version").set(self.version as f64);
+    }
+
     fn load(&self, now: Timestamp) -> LoadReport {
         let Load {
             free, queued, wait, ..
@@ -434,3 +454,12 @@
         Declined::Stale => Reason::Stale,
     }
 }
+
+fn count_end(result: &TaskResult) {
+    let state = match result {
+        TaskResult::Done(_) => "done",
+        TaskResult::Failed => "failed",
+        TaskResult::Unknown => "may_have_run",
+    };
+    counter!("figdeal_agent_tasks_total", "state" => state).increment(1);
+}
--- a/crates/figdeal-agent/src/http.rs
+++ b/crates/figdeal-agent/src/http.rs
@@ -4,7 +4,10 @@
 
 use tiny_http::{Method, Request, Response, Server};
 
-use crate::control::{Event, Upstream};
+use crate::{
+    control::{Event, Upstream},
+    metrics,
+};
 
 /// Largest body of an announcement in bytes.
 const MAX_BODY: usize = 64 << 10;
@@ -38,6 +41,12 @@
             (200, "{}".to_owned())
         }
         (Method::Get, "/healthz") => (200, "ok\n".to_owned()),
+        (Method::Get, "/metrics") => {
+            let (sender, done) = mpsc::channel();
+            events.send(Event::Gauges(sender)).ok()?;
+            done.recv().ok()?;
+            (200, metrics::recorder().render())
+        }
         _ => (
             404,
             serde_json::json!({ "error": "no such path" }).to_string(),
--- a/crates/figdeal-agent/src/lib.rs
+++ b/crates/figdeal-agent/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 mod control;
 mod http;
+pub mod metrics;
 mod server;
 pub mod settings;
 mod upstream;
--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -387,6 +387,11 @@
         self.draining
     }
 
+    /// Number of start marks and fences, and bytes of held results.
+    pub fn held(&self) -> (usize, usize) {
+        (self.ledger.len(), self.ledger.bytes())
+    }
+
     /// The load as it rides on replies.
     pub fn load(&self, now: Timestamp) -> Load {
         let free = self.slots.saturating_sub(self.busy());
