Report service-level burn and render metrics at the entry

The entry core hands out the jobs that it owned and that ended (Ended). The control thread takes them into the metrics and into the report, which counts ends for each objective in two rings of time buckets (10 s and 5 min), so its memory depends on the number of objectives only. GET /report is one HTML page with an SVG plot, ?format=json the data; GET /metrics renders the recorder. The status shows the state of each agent (live, ejected, probing, draining, expired).

--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -210,6 +210,19 @@
     pub cancelled: u64,
 }
 
+/// A job that this entry owned and that has its final outcome.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    /// The team that submitted it.
+    pub team: TeamId,
+    /// The outcome.
+    pub outcome: Arc<Outcome>,
+    /// Time from the arrival to the outcome.
+    pub response: Duration,
+    /// Kind and deadline of each task, in order.
+    pub tasks: Vec<(KindId, Duration)>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct TaskRef {
     job: JobKey,
@@ -237,6 +250,7 @@
     bytes: usize,
     counts: Counts,
     actions: Vec<Action>,
+    ended: Vec<Ended>,
 }
 
 impl EntryCore {
@@ -263,6 +277,7 @@
             bytes: 0,
             counts: Counts::default(),
             actions: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -288,6 +303,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the jobs that this entry owned and that ended since the last call.
+    pub fn take_ended(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Takes a submission. The waiter gets the final answer, or [`Answer::Running`] at once without `wait`.
     pub fn submit(&mut self, submission: Submission, waiter: WaiterId, wait: bool, now: Timestamp) {
         assert!(!submission.tasks.is_empty(), "a submission has tasks");
--- a/crates/figdeal-core/src/entry/answer.rs
+++ b/crates/figdeal-core/src/entry/answer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Action, Answer, EntryCore, MIN_RETRY,
+    Action, Answer, Ended, EntryCore, MIN_RETRY,
     job::{JobKey, Phase, Progress, WaiterId},
 };
 use crate::{
@@ -92,8 +92,20 @@
             !matches!(job.phase, Phase::Finished(_)),
             "a job is answered once"
         );
+        let is_own = matches!(job.phase, Phase::Claiming | Phase::Active);
         job.phase = Phase::Finished(Arc::clone(&outcome));
-        job.tasks = Vec::new();
+        let tasks = std::mem::take(&mut job.tasks);
+        if is_own {
+            self.ended.push(Ended {
+                team: job.team,
+                outcome: Arc::clone(&outcome),
+                response: now.since(job.arrived),
+                tasks: tasks
+                    .iter()
+                    .map(|t| (t.spec.kind, t.spec.deadline))
+                    .collect(),
+            });
+        }
         let deadline = job.deadline;
         let waiters = std::mem::take(&mut job.waiters);
         self.deadlines.remove(&(deadline, key));
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -194,6 +194,7 @@
         http: SocketAddr,
     ) -> Result<Entry<Serving>> {
         let incarnation = Incarnation(rand::random());
+        figdeal_agent::metrics::recorder();
         let shared = Arc::new(Shared {
             rules: RwLock::new(Arc::new(options.rules.clone())),
             in_force: RwLock::new(None),
--- a/crates/figdeal/src/entry/answer.rs
+++ b/crates/figdeal/src/entry/answer.rs
@@ -12,6 +12,19 @@
 /// Renders an answer. `idempotent` tells for each task whether it may be submitted again; it is empty for a
 /// fetch, which does not know the content of the job.
 pub(crate) fn render(answer: &Answer, idempotent: &[bool]) -> Reply {
+    let name = match answer {
+        Answer::Final(outcome) => outcome.name(),
+        Answer::Running => "running",
+        Answer::Conflict => "conflict",
+        Answer::Expired => "expired",
+        Answer::Unknown => "unknown",
+        Answer::Undecided => "undecided",
+        Answer::Future => "invalid",
+    };
+    render_answer(answer, idempotent).with_outcome(name)
+}
+
+fn render_answer(answer: &Answer, idempotent: &[bool]) -> Reply {
     match answer {
         Answer::Final(outcome) => render_outcome(outcome, idempotent),
         Answer::Running => Reply::json(202, &json!({ "outcome": "running" })),
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -31,8 +31,14 @@
 use serde_json::{Value, json};
 use tokio::{runtime::Handle, sync::oneshot, time::Instant};
 
+mod observe;
+
 use super::{Options, Shared, claims::ClaimDriver, peers::Peers, spread};
-use crate::{rules::Rules, submission::JobRequest};
+use crate::{
+    report::{Report, View},
+    rules::Rules,
+    submission::JobRequest,
+};
 
 /// Largest number of events that are handled before a tick.
 const MAX_BATCH: usize = 256;
@@ -71,6 +77,9 @@
         responder: Responder,
     },
     Status(Box<dyn FnOnce(Value) + Send>),
+    Report(Box<dyn FnOnce(View) + Send>),
+    /// Sets the gauges, which are read when the metrics are rendered.
+    Gauges(oneshot::Sender<()>),
     Announce(Announcement, oneshot::Sender<AnnounceReply>),
     ClaimRequest(ClaimRequest, oneshot::Sender<ClaimReply>),
     ClaimReply {
@@ -124,6 +133,7 @@
     responders: HashMap<WaiterId, Responder>,
     next_waiter: u64,
     idle: Vec<mpsc::Sender<()>>,
+    report: Report,
     entries: u32,
     applied: Option<Arc<Rules>>,
 }
@@ -159,6 +169,7 @@
                 responders: HashMap::new(),
                 next_waiter: 0,
                 idle: Vec::new(),
+                report: Report::default(),
                 entries: options.peers.len() as u32 + 1,
                 applied: None,
             };
@@ -206,6 +217,7 @@
         if self.claims.is_ready(now) {
             self.shared.is_claimable.store(true, Ordering::Relaxed);
         }
+        self.observe_ended(now);
         self.drop_channels();
         self.notify_idle();
     }
@@ -220,6 +232,7 @@
 
     fn take_decisions(&mut self, decided: Vec<(SubmissionKey, Claimed)>, now: Timestamp) {
         for (key, claimed) in decided {
+            observe::count_claim(claimed);
             self.core.claimed(key, claimed, now);
         }
     }
@@ -249,6 +262,8 @@
             let team = TeamId(self.teams.intern(name));
             self.core.set_quota(team, rule.max_tasks.div_ceil(entries));
         }
+        self.report
+            .set_objectives(&rules.objectives, &mut self.kinds, &mut self.teams);
         self.applied = Some(rules);
     }
 
@@ -297,6 +312,11 @@
                 self.core.cancel(key, waiter, now);
             }
             Event::Status(responder) => responder(self.status(now)),
+            Event::Report(responder) => responder(self.report.view(now)),
+            Event::Gauges(done) => {
+                self.set_gauges(now);
+                let _ = done.send(());
+            }
             Event::Announce(announcement, reply) => {
                 self.announce(announcement, now);
                 let _ = reply.send(AnnounceReply {
@@ -642,18 +662,9 @@
         let agents: Vec<Value> = self
             .core
             .fleet()
+            .status(now)
             .iter()
-            .map(|(key, agent)| {
-                json!({
-                    "name": agent.info.name,
-                    "address": agent.info.address,
-                    "slots": agent.info.slots,
-                    "free": agent.load.free,
-                    "outstanding": agent.outstanding(),
-                    "draining": agent.info.draining,
-                    "live": self.core.fleet().is_live(key, now),
-                })
-            })
+            .map(observe::describe)
             .collect();
         let queue: serde_json::Map<String, Value> = self
             .shared
--- /dev/null
+++ b/crates/figdeal/src/entry/control/observe.rs
@@ -0,0 +1,134 @@
+//! Metrics and the report of what the control thread decided.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use figdeal_core::{
+    entry::{Claimed, Ended},
+    fleet::{AgentStatus, State},
+    id::KindId,
+    outcome::Outcome,
+    time::Timestamp,
+};
+use metrics::{counter, gauge, histogram};
+use serde_json::{Value, json};
+
+use super::{super::spread, Control};
+use crate::report::End;
+
+/// All states of an agent, so that a gauge goes back to zero.
+const STATES: [&str; 6] = [
+    "live", "ejected", "probing", "draining", "expired", "replaced",
+];
+
+impl Control {
+    /// Takes the jobs that ended into the metrics and the report.
+    pub(super) fn observe_ended(&mut self, now: Timestamp) {
+        for ended in self.core.take_ended() {
+            counter!("figdeal_jobs_total", "outcome" => ended.outcome.name()).increment(1);
+            self.count_tasks(&ended);
+            self.report.record(&ended, now);
+        }
+    }
+
+    fn count_tasks(&self, ended: &Ended) {
+        let ends = End::of(ended);
+        let state = |i: usize| -> &'static str {
+            let end = ends.as_ref().map(|ends| ends[i]);
+            end.map_or("cancelled", End::name)
+        };
+        // Jobs have many tasks of few kinds; a counter is looked up once for each kind and state.
+        let mut counts: BTreeMap<(KindId, &str), u64> = BTreeMap::new();
+        for (i, (kind, _)) in ended.tasks.iter().enumerate() {
+            *counts.entry((*kind, state(i))).or_default() += 1;
+        }
+        let kinds: BTreeSet<KindId> = counts.keys().map(|(kind, _)| *kind).collect();
+        for ((kind, state), count) in counts {
+            let name = self.kinds.name(kind.0).to_owned();
+            counter!("figdeal_tasks_total", "kind" => name, "state" => state).increment(count);
+        }
+        if !matches!(*ended.outcome, Outcome::Complete(_)) {
+            return;
+        }
+        for kind in kinds {
+            let name = self.kinds.name(kind.0).to_owned();
+            histogram!("figdeal_response_seconds", "kind" => name).record(ended.response);
+        }
+    }
+
+    /// Sets what is read at the time of a scrape.
+    pub(super) fn set_gauges(&self, now: Timestamp) {
+        let rules = self.shared.rules();
+        for name in rules.kinds.keys() {
+            let queued = self
+                .kinds
+                .get(name)
+                .map_or(0, |id| self.core.queued(KindId(id)));
+            gauge!("figdeal_queued_tasks", "kind" => name.clone()).set(queued as f64);
+        }
+        let agents = self.core.fleet().status(now);
+        let live: Vec<&AgentStatus> = agents.iter().filter(|a| state(a) == "live").collect();
+        let sum =
+            |count: fn(&AgentStatus) -> u32| f64::from(live.iter().map(|a| count(a)).sum::<u32>());
+        gauge!("figdeal_slots").set(sum(|a| a.slots));
+        gauge!("figdeal_free_slots").set(sum(|a| a.free));
+        for name in STATES {
+            let count = agents.iter().filter(|a| state(a) == name).count();
+            gauge!("figdeal_agents", "state" => name).set(count as f64);
+        }
+        gauge!("figdeal_open_jobs").set(self.core.open_jobs() as f64);
+        gauge!("figdeal_ready").set(f64::from(u8::from(self.shared.is_ready())));
+        gauge!("figdeal_config_version").set(rules.version as f64);
+        if let Some(in_force) = self.shared.in_force() {
+            gauge!("figdeal_config_age_seconds").set(spread::age(&in_force).as_secs_f64());
+        }
+        let counts = self.core.counts();
+        counter!("figdeal_sent_tasks_total").absolute(counts.sent);
+        counter!("figdeal_replaced_tasks_total").absolute(counts.replaced);
+    }
+}
+
+/// Counts the decision of a claim.
+pub(super) fn count_claim(claimed: Claimed) {
+    let decision = match claimed {
+        Claimed::Owner => "owner",
+        Claimed::OwnedBy(..) => "other_entry",
+        Claimed::Collector => "collector",
+        Claimed::Conflict => "conflict",
+        Claimed::Expired => "expired",
+        Claimed::Undecided => "undecided",
+        Claimed::Future => "invalid",
+    };
+    counter!("figdeal_claims_total", "decision" => decision).increment(1);
+}
+
+/// An agent in the status.
+pub(super) fn describe(agent: &AgentStatus) -> Value {
+    let probe = match agent.state {
+        State::Ejected { probe_in } => Some(probe_in.as_millis() as u64),
+        _ => None,
+    };
+    json!({
+        "name": agent.name,
+        "address": agent.address,
+        "state": state(agent),
+        "live": !matches!(agent.state, State::Expired | State::Replaced),
+        "draining": agent.state == State::Draining,
+        "probe_in_ms": probe,
+        "age_ms": agent.age.as_millis() as u64,
+        "slots": agent.slots,
+        "free": agent.free,
+        "queued": agent.queued,
+        "outstanding": agent.outstanding,
+    })
+}
+
+fn state(agent: &AgentStatus) -> &'static str {
+    match agent.state {
+        State::Live => "live",
+        State::Ejected { .. } => "ejected",
+        State::Probing => "probing",
+        State::Draining => "draining",
+        State::Expired => "expired",
+        State::Replaced => "replaced",
+    }
+}
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering, mpsc::Sender};
 
+use figdeal_agent::metrics;
 use figdeal_core::{entry::Answer, id::SubmissionKey};
 use hyper::Method;
 use serde_json::json;
@@ -14,6 +15,7 @@
 };
 use crate::{
     http::{BodyError, Call, Reply},
+    report,
     submission::{self, Invalid, JobRequest, check_name, submission_key},
 };
 
@@ -37,11 +39,28 @@
             Method::HEAD => Method::GET,
             method => method,
         };
-        match (method, parts.as_slice()) {
+        let is_caller = matches!(parts.as_slice(), ["v1", "jobs", ..]);
+        let reply = self.route(method, &parts, allowed, call).await;
+        if is_caller && !reply.outcome.is_empty() {
+            ::metrics::counter!("figdeal_answers_total", "outcome" => reply.outcome).increment(1);
+        }
+        reply
+    }
+
+    async fn route(
+        self,
+        method: Method,
+        parts: &[&str],
+        allowed: &'static str,
+        call: Call,
+    ) -> Reply {
+        match (method, parts) {
             (Method::POST, ["v1", "jobs"]) => self.submit(call).await,
             (Method::GET, ["v1", "jobs", team, id]) => self.fetch(&call, team, id).await,
             (Method::DELETE, ["v1", "jobs", team, id]) => self.cancel(&call, team, id).await,
             (Method::GET, ["v1", "status" | "queue"]) => self.status().await,
+            (Method::GET, ["report"]) => self.report(&call).await,
+            (Method::GET, ["metrics"]) => self.metrics().await,
             (Method::POST, ["v1", "drain"]) => self.drain(&call),
             (Method::GET, ["healthz"]) => Reply::json(200, &json!({ "healthy": true })),
             (Method::GET, ["readyz"]) => {
@@ -52,7 +71,7 @@
                 )
             }
             (method, _) => {
-                let error = format!("{method} is not allowed on {path}, use {allowed}");
+                let error = format!("{method} is not allowed on {}, use {allowed}", call.path);
                 Reply {
                     allow: allowed,
                     ..Reply::json(405, &json!({ "error": error }))
@@ -152,6 +171,40 @@
         Reply::json(202, &json!({ "draining": true }))
     }
 
+    async fn report(&self, call: &Call) -> Reply {
+        let format = check_options(call, &["format"]).map(|()| call.options().last());
+        let is_json = match format {
+            Ok(None | Some((_, "html"))) => false,
+            Ok(Some((_, "json"))) => true,
+            Ok(Some((_, other))) => {
+                let problem = format!("{other:?} is neither html nor json");
+                return refusal(400, &Invalid::new("format", problem));
+            }
+            Err(invalid) => return refusal(400, &invalid),
+        };
+        let (sender, view) = oneshot::channel();
+        let _ = self.events.send(Event::Report(Box::new(move |view| {
+            let _ = sender.send(view);
+        })));
+        match view.await {
+            Ok(view) if is_json => Reply::json(200, &json!(view)),
+            Ok(view) => {
+                let page = report::render_html(&view, "figdeal: service-level burn");
+                Reply::new(200, "text/html; charset=utf-8", page)
+            }
+            Err(_) => stopped(),
+        }
+    }
+
+    async fn metrics(&self) -> Reply {
+        let (sender, done) = oneshot::channel();
+        let _ = self.events.send(Event::Gauges(sender));
+        match done.await {
+            Ok(()) => Reply::new(200, metrics::MEDIA, metrics::recorder().render()),
+            Err(_) => stopped(),
+        }
+    }
+
     async fn status(&self) -> Reply {
         let (sender, answer) = oneshot::channel();
         let _ = self.events.send(Event::Status(Box::new(move |status| {
@@ -169,7 +222,7 @@
     match parts {
         ["v1", "jobs" | "drain"] => Some("POST"),
         ["v1", "jobs", _, _] => Some("GET, DELETE"),
-        ["v1", "status" | "queue"] | ["healthz" | "readyz"] => Some("GET"),
+        ["v1", "status" | "queue"] | ["healthz" | "readyz" | "report" | "metrics"] => Some("GET"),
         _ => None,
     }
 }
@@ -200,7 +253,7 @@
 
 fn refusal(status: u16, invalid: &Invalid) -> Reply {
     let body = json!({ "outcome": "invalid", "field": invalid.field, "error": invalid.problem });
-    Reply::json(status, &body)
+    Reply::json(status, &body).with_outcome("invalid")
 }
 
 fn key(team: &str, id: &str) -> Result<SubmissionKey, Invalid> {
--- a/crates/figdeal/src/http.rs
+++ b/crates/figdeal/src/http.rs
@@ -67,6 +67,8 @@
     pub(crate) media: &'static str,
     pub(crate) retry_after: Option<u64>,
     pub(crate) allow: &'static str,
+    /// The outcome for the metrics, empty where the reply has none.
+    pub(crate) outcome: &'static str,
     pub(crate) body: Vec<u8>,
 }
 
@@ -77,10 +79,15 @@
             media,
             retry_after: None,
             allow: "",
+            outcome: "",
             body: body.into(),
         }
     }
 
+    pub(crate) fn with_outcome(self, outcome: &'static str) -> Reply {
+        Reply { outcome, ..self }
+    }
+
     pub(crate) fn json(status: u16, body: &serde_json::Value) -> Reply {
         Reply::new(status, "application/json", body.to_string())
     }
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod entry;
 mod http;
+pub mod report;
 pub mod rules;
 pub mod settings;
 pub mod stand_in;
--- /dev/null
+++ b/crates/figdeal/src/report/ring.rs
@@ -0,0 +1,58 @@
+//! Counts in a ring of time buckets.
+
+use std::time::Duration;
+
+use figdeal_core::time::Timestamp;
+
+use super::view::Counts;
+
+/// The last `N` buckets, the current one included.
+#[derive(Debug)]
+pub(super) struct Ring<const N: usize> {
+    step: u64,
+    /// Number of the current bucket since the start of the clock.
+    current: u64,
+    buckets: Box<[Counts; N]>,
+}
+
+impl<const N: usize> Ring<N> {
+    pub(super) fn new(step: Duration) -> Ring<N> {
+        Ring {
+            step: step.as_micros() as u64,
+            current: 0,
+            buckets: Box::new([Counts::default(); N]),
+        }
+    }
+
+    /// The bucket of `now`. A time before the current bucket counts into the current one.
+    pub(super) fn at(&mut self, now: Timestamp) -> &mut Counts {
+        self.advance(now);
+        &mut self.buckets[(self.current % N as u64) as usize]
+    }
+
+    /// Sum of the current bucket and those before it, `count` in total.
+    pub(super) fn sum(&mut self, now: Timestamp, count: usize) -> Counts {
+        let mut sum = Counts::default();
+        for bucket in self.iter(now).skip(N - count) {
+            sum.merge(bucket);
+        }
+        sum
+    }
+
+    /// The buckets, oldest first.
+    pub(super) fn iter(&mut self, now: Timestamp) -> impl Iterator<Item = &Counts> {
+        self.advance(now);
+        let oldest = ((self.current + 1) % N as u64) as usize;
+        let (newer, older) = self.buckets.split_at(oldest);
+        older.iter().chain(newer)
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        let number = now.as_micros() / self.step;
+        let passed = number.saturating_sub(self.current).min(N as u64);
+        for i in 0..passed {
+            self.buckets[((number - i) % N as u64) as usize] = Counts::default();
+        }
+        self.current = self.current.max(number);
+    }
+}
--- a/crates/figdeal/src/rules.rs
+++ b/crates/figdeal/src/rules.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use figdeal_config::SiteConfig;
+use figdeal_config::{SiteConfig, section::Objective};
 use figdeal_core::{claim::ClaimLimits, entry::EntryLimits, fleet::FleetLimits, share::KindShare};
 use figdeal_wire::channel;
 
@@ -33,6 +33,8 @@
     pub kinds: BTreeMap<String, KindRule>,
     /// Known teams.
     pub teams: BTreeMap<String, TeamRule>,
+    /// Service-level objectives by kind, and by team where the objective is for one team only.
+    pub objectives: BTreeMap<(String, Option<String>), Objective>,
     /// Largest number of tasks in a job.
     pub max_tasks: usize,
     /// Largest body in bytes.
@@ -55,6 +57,7 @@
             version: 0,
             kinds: BTreeMap::new(),
             teams: BTreeMap::new(),
+            objectives: BTreeMap::new(),
             max_tasks: 390,
             max_body: 4 << 20,
             max_deadline: Duration::from_secs(600),
@@ -97,6 +100,7 @@
             version,
             kinds: kinds.collect(),
             teams: teams.collect(),
+            objectives: site.objectives.clone(),
             max_tasks: limits.job_tasks as usize,
             max_body: limits.body_size as usize,
             stop_limit: times.stop_limit,
@@ -141,6 +145,13 @@
         self
     }
 
+    /// Adds an objective, for one team or for all.
+    pub fn with_objective(mut self, kind: &str, team: Option<&str>, objective: Objective) -> Rules {
+        let name = (kind.to_owned(), team.map(str::to_owned));
+        self.objectives.insert(name, objective);
+        self
+    }
+
     /// Adds a team.
     pub fn with_team(mut self, name: &str, max_tasks: u32) -> Rules {
         self.teams.insert(name.to_owned(), TeamRule { max_tasks });
--- a/crates/figdeal/tests/http.rs
+++ b/crates/figdeal/tests/http.rs
@@ -8,6 +8,7 @@
 };
 
 use figdeal::stand_in::Behaviour;
+use figdeal_config::{Share, section::Objective};
 use figdeal_core::time::UnixMillis;
 use serde_json::{Value, json};
 
@@ -376,6 +377,42 @@
     assert_eq!(answer.outcome(), (200, "complete".to_owned()));
 }
 
+/// Guards against jobs that are missing from the report or the metrics, or counted twice when submitted again.
+#[test]
+fn report_and_metrics_count_each_job_once() {
+    let objective = Objective {
+        in_time: Share(990_000),
+        latency: Duration::from_secs(20),
+    };
+    let fleet = Fleet::with_rules(1, rules().with_objective("reminder", None, objective));
+    let done = job("counted", &[0, 0]);
+    for _ in 0..3 {
+        assert_eq!(fleet.submit(&done).status, 200);
+    }
+    fleet.set_behaviour(Behaviour::FailAll);
+    assert_eq!(fleet.submit(&job("counted-too", &[0])).status, 500);
+    let report = fleet.get("/report?format=json").json();
+    let window = &report["objectives"][0]["windows"][0];
+    assert_eq!(
+        (&window["tasks"], &window["failed"]),
+        (&json!(3), &json!(1)),
+        "{report}"
+    );
+    let page = fleet.get("/report");
+    assert!(page.head.contains("content-type: text/html") && page.text.contains("<svg"));
+    assert_eq!(
+        fleet.get("/report?format=pdf").field("field"),
+        (400, "format".to_owned())
+    );
+    let metrics = fleet.get("/metrics").text;
+    for line in [
+        "figdeal_tasks_total{kind=\"reminder\",state=\"in_time\"}",
+        "figdeal_jobs_total{outcome=\"complete\"}",
+    ] {
+        assert!(metrics.contains(line), "{metrics}");
+    }
+}
+
 /// Guards against two jobs for one id that is submitted on many connections at once.
 #[test]
 fn the_same_job_runs_once_for_all_its_callers() {
