Number the events of the control role

The log lines of figdeal-control had no numbers, and E333 had two meanings; the test of the catalogue failed on both.

--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -11,7 +11,6 @@
 
 use figdeal_core::time::{Timestamp, UnixMillis};
 use futures::{StreamExt, stream};
-use log::{info, warn};
 use tarpc::{
     client, context,
     serde_transport::tcp,
@@ -105,7 +104,7 @@
 impl Drop for Control {
     fn drop(&mut self) {
         if let Err(e) = self.end() {
-            warn!("the control replica had stopped: {e}");
+            log::warn!("E401 the control replica had stopped: {e}");
         }
     }
 }
@@ -153,7 +152,7 @@
         })
         .for_each_concurrent(MAX_CONNECTIONS, |connection| connection);
     let listener = tokio::spawn(accept).abort_handle();
-    info!("control replica listens on {address}");
+    log::info!("E402 control replica listens on {address}");
     Ok(Control {
         address,
         inputs: Some(inputs),
@@ -197,7 +196,7 @@
         if let Some(inputs) = self.inputs.upgrade()
             && inputs.try_send(Input::Peer(envelope)).is_err()
         {
-            warn!("a message of a peer was dropped because too many wait");
+            log::warn!("E403 a message of a peer was dropped because too many wait");
         }
     }
 
@@ -267,7 +266,7 @@
                 () = sleep_until(self.start + wake) => None,
             };
             let actions = self.step(input).inspect_err(|e| {
-                warn!("the control replica stops: {e}");
+                log::warn!("E404 the control replica stops: {e}");
             })?;
             self.publish();
             for action in actions {
@@ -334,7 +333,7 @@
             let (sender, receiver) = mpsc::channel(MAX_OUTPUTS);
             match address.parse() {
                 Ok(peer) => drop(self.runtime.spawn(deliver(peer, receiver))),
-                Err(e) => warn!("the address {address:?} of a replica is invalid: {e}"),
+                Err(e) => log::warn!("E405 the address {address:?} of a replica is invalid: {e}"),
             }
             sender
         };
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -165,7 +165,7 @@
             return Reply::json(403, &json!({ "error": error }));
         }
         if !self.shared.is_draining.swap(true, Ordering::Relaxed) {
-            log::info!("E333 drain requested by {}", call.peer);
+            log::info!("E334 drain requested by {}", call.peer);
         }
         self.shared.drain.cancel();
         Reply::json(202, &json!({ "draining": true }))
