Add the operator's commands, completions and man pages

The completions and man pages of both programs are generated from the clap types and committed below extra/; a test compares them, and an ignored test writes them again.

--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -33,6 +33,22 @@
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
     Keys(command::keys::KeysArgs),
+    /// Shows fleet, slots, queues and versions as the entries see them
+    Status(command::status::Args),
+    /// Shows the service-level burn, summed over the entries
+    Report(command::report::Args),
+    /// Submits a job and prints its progress and its answer
+    Submit(command::job::SubmitArgs),
+    /// Fetches the answer to a job
+    Fetch(command::job::FetchArgs),
+    /// Cancels a job
+    Cancel(command::job::CancelArgs),
+    /// Lets one entry finish what is in progress and exit
+    Drain(command::drain::Args),
+    /// Prints the completions for a shell
+    Completions(command::generate::CompletionArgs),
+    /// Writes the man pages into a folder
+    Man(command::generate::ManArgs),
 }
 
 /// Runs a command.
@@ -40,6 +56,7 @@
 /// # Errors
 /// Fails when the command could not do its work; the error names the step and the peer.
 pub fn run(cli: Cli) -> Result<ExitCode> {
+    let (out, progress) = (&mut std::io::stdout(), &mut std::io::stderr());
     match cli.command {
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
@@ -48,6 +65,16 @@
         Command::Config(args) => command::config::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
+        Command::Status(args) => command::status::write(&args, out).map(ExitCode::from),
+        Command::Report(args) => command::report::write(&args, out, progress).map(ExitCode::from),
+        Command::Submit(args) => command::job::submit(&args, out, progress).map(ExitCode::from),
+        Command::Fetch(args) => command::job::fetch(&args, out, progress).map(ExitCode::from),
+        Command::Cancel(args) => command::job::cancel(&args, out).map(ExitCode::from),
+        Command::Drain(args) => command::drain::write(&args, out).map(ExitCode::from),
+        Command::Completions(args) => {
+            command::generate::completions(&args, out).map(ExitCode::from)
+        }
+        Command::Man(args) => command::generate::man(&args).map(ExitCode::from),
     }
 }
 
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -1,9 +1,15 @@
 //! The commands of `figdeal`, one module each.
 
 pub mod check;
+pub mod client;
 pub mod config;
 pub mod control;
 pub mod demo;
+pub mod drain;
 pub mod entry;
+pub mod generate;
+pub mod job;
 pub mod keys;
+pub mod report;
 pub mod stand_in;
+pub mod status;
--- /dev/null
+++ b/crates/figdeal/src/command/client.rs
@@ -0,0 +1,131 @@
+//! Calls of the entries' HTTP interface by the operator's commands.
+
+use std::{net::SocketAddr, time::Duration};
+
+use clap::Args as ClapArgs;
+use displaydoc::Display;
+use serde_json::Value;
+
+/// Longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER: u64 = 256 << 20;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call gave no answer.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// step {0}, entry {1}: {2}
+    Call(&'static str, SocketAddr, Box<ureq::Error>),
+    /// step {0}, entry {1}: the answer is no JSON: {2}
+    Answer(&'static str, SocketAddr, serde_json::Error),
+    /// step {0}, entry {1}: status {2}: {3}
+    Status(&'static str, SocketAddr, u16, String),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Whether the entry may still answer, only not in time.
+    pub(crate) fn is_time_out(&self) -> bool {
+        matches!(self, Error::Call(_, _, e) if matches!(**e, ureq::Error::Timeout(_)))
+    }
+}
+
+/// The entries that a command talks to.
+#[derive(Debug, Clone, ClapArgs)]
+pub struct Entries {
+    /// HTTP address of an entry; may be repeated
+    #[arg(
+        long = "entry",
+        value_name = "ADDR",
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7400"
+    )]
+    pub entries: Vec<SocketAddr>,
+}
+
+/// An answer of an entry.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) json: Value,
+}
+
+impl Answer {
+    pub(crate) fn outcome(&self) -> &str {
+        self.json["outcome"].as_str().unwrap_or("")
+    }
+
+    /// The error that the entry stated, with the field where it named one.
+    pub(crate) fn problem(&self) -> String {
+        let error = self.json["error"].as_str().unwrap_or("no reason given");
+        match self.json["field"].as_str() {
+            Some(field) => format!("{field}: {error}"),
+            None => error.to_owned(),
+        }
+    }
+}
+
+/// Calls one entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Client {
+    pub(crate) entry: SocketAddr,
+    http: ureq::Agent,
+}
+
+impl Client {
+    /// A client whose calls end after `limit`.
+    pub(crate) fn new(entry: SocketAddr, limit: Duration) -> Client {
+        let http = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(CONNECT_LIMIT))
+            .timeout_global(Some(limit))
+            .build()
+            .into();
+        Client { entry, http }
+    }
+
+    pub(crate) fn get(&self, step: &'static str, path: &str) -> Result<Answer> {
+        self.read(step, self.http.get(self.url(path)).call())
+    }
+
+    pub(crate) fn delete(&self, step: &'static str, path: &str) -> Result<Answer> {
+        self.read(step, self.http.delete(self.url(path)).call())
+    }
+
+    pub(crate) fn post(&self, step: &'static str, path: &str, body: &str) -> Result<Answer> {
+        self.read(step, self.http.post(self.url(path)).send(body))
+    }
+
+    /// The body of an answer with status 200.
+    pub(crate) fn fetch_json(&self, step: &'static str, path: &str) -> Result<Value> {
+        let answer = self.get(step, path)?;
+        match answer.status {
+            200 => Ok(answer.json),
+            status => Err(Error::Status(step, self.entry, status, answer.problem())),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.entry)
+    }
+
+    fn read(
+        &self,
+        step: &'static str,
+        response: std::result::Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    ) -> Result<Answer> {
+        let error = |e| Error::Call(step, self.entry, Box::new(e));
+        let mut response = response.map_err(error)?;
+        let body = response.body_mut().with_config().limit(MAX_ANSWER);
+        let text = body.read_to_string().map_err(error)?;
+        let json = serde_json::from_str(&text).map_err(|e| Error::Answer(step, self.entry, e))?;
+        Ok(Answer {
+            status: response.status().as_u16(),
+            json,
+        })
+    }
+}
--- /dev/null
+++ b/crates/figdeal/src/command/drain.rs
@@ -0,0 +1,70 @@
+//! `figdeal drain`: lets one entry finish and exit.
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use clap::Args as ClapArgs;
+use serde_json::json;
+
+use super::client::{Client, Error};
+use crate::cli;
+
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Time between two looks at an entry that drains.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Options of a drain.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    /// HTTP address of the entry on this machine; it accepts a drain from loopback only
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:7400")]
+    entry: SocketAddr,
+    /// Longest wait in seconds until the entry has exited
+    #[arg(long, value_name = "SECONDS", default_value_t = 90)]
+    limit: u64,
+    /// Exits as soon as the entry has accepted the drain
+    #[arg(long)]
+    no_wait: bool,
+    /// Prints JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Tells the entry to drain and waits until it no longer answers. The code is 0 when it has exited.
+///
+/// # Errors
+/// Fails when the entry refuses the drain, or still answers after the limit.
+pub fn write(args: &Args, out: &mut dyn Write) -> cli::Result<u8> {
+    let client = Client::new(args.entry, LIMIT);
+    let answer = client.post("drain", "/v1/drain", "")?;
+    if answer.status != 202 {
+        return Err(Error::Status("drain", args.entry, answer.status, answer.problem()).into());
+    }
+    if !args.no_wait {
+        wait(&client, Duration::from_secs(args.limit))?;
+    }
+    let state = if args.no_wait { "draining" } else { "stopped" };
+    if args.json {
+        writeln!(out, "{}", json!({ "entry": args.entry, "state": state }))?;
+    } else {
+        writeln!(out, "entry {} {state}", args.entry)?;
+    }
+    Ok(0)
+}
+
+fn wait(client: &Client, limit: Duration) -> cli::Result<()> {
+    let start = Instant::now();
+    while client.get("wait", "/healthz").is_ok() {
+        if start.elapsed() >= limit {
+            let entry = client.entry;
+            return Err(format!("step wait, entry {entry}: still answers after {limit:?}").into());
+        }
+        thread::sleep(PAUSE);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/figdeal/src/command/job.rs
@@ -0,0 +1,278 @@
+//! `figdeal submit`, `fetch` and `cancel`: one job as a caller would send it.
+
+use std::{
+    fs,
+    io::{self, Read, Write},
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+use clap::Args as ClapArgs;
+use figdeal_core::time::UnixMillis;
+use serde_json::{Value, json};
+
+use super::client::{Answer, Client, Entries, Result};
+use crate::{cli, submission::check_name};
+
+/// Longest wait for one answer while a job runs; then the progress is printed and the job fetched again.
+const STEP: Duration = Duration::from_secs(2);
+/// Longest wait for an answer that needs no task to run.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Pause before an entry is asked again that could not answer.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Exit codes by outcome; 1 is a step that failed, and 2 a wrong command line.
+const CODES: [(&str, u8); 10] = [
+    ("complete", 0),
+    ("failed", 3),
+    ("not_run", 4),
+    ("cancelled", 5),
+    ("undecided", 6),
+    ("conflict", 7),
+    ("expired", 8),
+    ("unknown", 9),
+    ("invalid", 10),
+    ("running", 11),
+];
+
+/// Help on the exit codes.
+pub const CODES_HELP: &str = "Exit codes: 0 complete, 1 a step failed, 2 wrong command line, 3 failed, 4 not_run, \
+    5 cancelled, 6 undecided, 7 conflict, 8 expired, 9 unknown, 10 invalid, 11 running";
+
+/// Options of a submission.
+#[derive(Debug, ClapArgs)]
+#[command(after_help = CODES_HELP)]
+pub struct SubmitArgs {
+    /// File with the job as JSON, or - for the standard input; `created_ms` is filled in where it is absent
+    file: PathBuf,
+    #[command(flatten)]
+    entries: Entries,
+    /// Longest wait for the answer in seconds
+    #[arg(long, value_name = "SECONDS", default_value_t = 660)]
+    limit: u64,
+    /// Exits as soon as the job is taken
+    #[arg(long)]
+    no_wait: bool,
+    /// Prints the answer of the entry as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Options of a fetch.
+#[derive(Debug, ClapArgs)]
+#[command(after_help = CODES_HELP)]
+pub struct FetchArgs {
+    /// Team of the job
+    team: String,
+    /// Id of the job
+    id: String,
+    #[command(flatten)]
+    entries: Entries,
+    /// Waits for the final answer
+    #[arg(long)]
+    wait: bool,
+    /// Prints the answer of the entry as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Options of a cancellation.
+#[derive(Debug, ClapArgs)]
+#[command(after_help = "Exit codes: 0 cancelled, 12 already complete, the others as for submit")]
+pub struct CancelArgs {
+    /// Team of the job
+    team: String,
+    /// Id of the job
+    id: String,
+    #[command(flatten)]
+    entries: Entries,
+    /// Prints the answer of the entry as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Submits a job, prints progress to `progress` and the answer to `out`, and returns the exit code.
+///
+/// # Errors
+/// Fails when the job cannot be read or no entry answers within the limit.
+pub fn submit(args: &SubmitArgs, out: &mut dyn Write, progress: &mut dyn Write) -> cli::Result<u8> {
+    let job = read_job(args, progress)?;
+    let name = |field: &str| job[field].as_str().unwrap_or("").to_owned();
+    let (team, id, body) = (name("team"), name("id"), job.to_string());
+    let start = Instant::now();
+    let limit = Duration::from_secs(args.limit);
+    let mut turn = 0;
+    loop {
+        let entry = args.entries.entries[turn % args.entries.entries.len()];
+        let answer = Client::new(entry, LIMIT).post("submit", "/v1/jobs?wait=false", &body);
+        let answer = match answer {
+            Ok(answer) if answer.outcome() == "running" && !args.no_wait => {
+                writeln!(progress, "job {team}/{id} taken by entry {entry}")?;
+                follow(
+                    entry,
+                    &format!("/v1/jobs/{team}/{id}?wait=true"),
+                    start,
+                    limit,
+                    progress,
+                )
+            }
+            answer => answer,
+        };
+        // The same id and content may be sent again to any entry; a task still starts at most once.
+        let problem = match answer {
+            Ok(answer) if answer.outcome() == "undecided" => answer.problem(),
+            Ok(answer) => return print(&answer, args.json, out),
+            Err(e) => e.to_string(),
+        };
+        if start.elapsed() >= limit {
+            return Err(
+                format!("{problem}; gave up after {limit:?}, submit the same file again").into(),
+            );
+        }
+        writeln!(progress, "{problem}; trying again with the same id")?;
+        thread::sleep(PAUSE);
+        turn += 1;
+    }
+}
+
+/// Fetches the answer to a job and returns the exit code.
+///
+/// # Errors
+/// Fails when no entry answers.
+pub fn fetch(args: &FetchArgs, out: &mut dyn Write, progress: &mut dyn Write) -> cli::Result<u8> {
+    let path = path(&args.team, &args.id)?;
+    let answer = first(&args.entries, |entry| match args.wait {
+        true => follow(
+            entry,
+            &format!("{path}?wait=true"),
+            Instant::now(),
+            Duration::MAX,
+            progress,
+        ),
+        false => Client::new(entry, LIMIT).get("fetch", &path),
+    })?;
+    print(&answer, args.json, out)
+}
+
+/// Cancels a job and returns the exit code.
+///
+/// # Errors
+/// Fails when no entry answers.
+pub fn cancel(args: &CancelArgs, out: &mut dyn Write) -> cli::Result<u8> {
+    let path = path(&args.team, &args.id)?;
+    // The answer comes when each running task has ended.
+    let limit = Duration::from_secs(660);
+    let answer = first(&args.entries, |entry| {
+        Client::new(entry, limit).delete("cancel", &path)
+    })?;
+    let code = print(&answer, args.json, out)?;
+    Ok(match answer.outcome() {
+        "cancelled" => 0,
+        "complete" => 12,
+        _ => code,
+    })
+}
+
+fn read_job(args: &SubmitArgs, progress: &mut dyn Write) -> cli::Result<Value> {
+    let name = args.file.display();
+    let text = match args.file.to_str() {
+        Some("-") => {
+            let mut text = String::new();
+            io::stdin().read_to_string(&mut text).map(|_| text)
+        }
+        _ => fs::read_to_string(&args.file),
+    };
+    let text = text.map_err(|e| format!("step read, file {name}: {e}"))?;
+    let mut job: Value =
+        serde_json::from_str(&text).map_err(|e| format!("step read, file {name}: {e}"))?;
+    let Some(fields) = job.as_object_mut() else {
+        return Err(format!("step read, file {name}: a job is a JSON object").into());
+    };
+    if !fields.contains_key("created_ms") {
+        let now = UnixMillis::now().0;
+        fields.insert("created_ms".to_owned(), json!(now));
+        writeln!(
+            progress,
+            "created_ms is {now}; add it to the file to submit the same job again"
+        )?;
+    }
+    Ok(job)
+}
+
+fn path(team: &str, id: &str) -> cli::Result<String> {
+    check_name("team", team)?;
+    check_name("id", id)?;
+    Ok(format!("/v1/jobs/{team}/{id}"))
+}
+
+/// The answer of the first entry that gives one.
+fn first(
+    entries: &Entries,
+    mut call: impl FnMut(std::net::SocketAddr) -> Result<Answer>,
+) -> cli::Result<Answer> {
+    let mut problems = Vec::new();
+    for &entry in &entries.entries {
+        match call(entry) {
+            Ok(answer) => return Ok(answer),
+            Err(e) => problems.push(e.to_string()),
+        }
+    }
+    Err(problems.join("; ").into())
+}
+
+/// Fetches until the answer is final, and prints the progress between two attempts.
+fn follow(
+    entry: std::net::SocketAddr,
+    path: &str,
+    start: Instant,
+    limit: Duration,
+    progress: &mut dyn Write,
+) -> Result<Answer> {
+    let client = Client::new(entry, STEP);
+    loop {
+        match client.get("fetch", path) {
+            Err(e) if e.is_time_out() && start.elapsed() < limit => {
+                // A lost progress line is no reason to lose the answer.
+                let _ = writeln!(
+                    progress,
+                    "running for {:.0} s",
+                    start.elapsed().as_secs_f64()
+                );
+            }
+            answer => return answer,
+        }
+    }
+}
+
+fn print(answer: &Answer, is_json: bool, out: &mut dyn Write) -> cli::Result<u8> {
+    let code = CODES.iter().find(|(name, _)| *name == answer.outcome());
+    let Some((outcome, code)) = code else {
+        return Err(format!("status {}: {}", answer.status, answer.problem()).into());
+    };
+    if is_json {
+        writeln!(out, "{}", answer.json)?;
+        return Ok(*code);
+    }
+    let detail = match *outcome {
+        "not_run" => format!(
+            ": {}, come back with a new id after {} ms",
+            answer.json["reason"].as_str().unwrap_or("no reason"),
+            answer.json["retry_after_ms"]
+        ),
+        "complete" | "running" | "failed" | "cancelled" | "unknown" => String::new(),
+        _ => format!(": {}", answer.problem()),
+    };
+    writeln!(out, "{outcome}{detail}")?;
+    for result in answer.json["results"].as_array().into_iter().flatten() {
+        match result.as_str() {
+            Some(text) => writeln!(out, "{text}")?,
+            None => writeln!(out, "{result}")?,
+        }
+    }
+    for task in answer.json["tasks"].as_array().into_iter().flatten() {
+        let state = task["state"].as_str().unwrap_or("");
+        writeln!(out, "task {}: {state}", task["index"])?;
+    }
+    Ok(*code)
+}
--- /dev/null
+++ b/crates/figdeal/src/command/report.rs
@@ -0,0 +1,55 @@
+//! `figdeal report`: service-level burn of one or more entries.
+
+use std::{io::Write, time::Duration};
+
+use clap::Args as ClapArgs;
+
+use super::client::{Client, Entries, Error};
+use crate::{
+    cli,
+    report::{View, render_text},
+};
+
+/// Longest wait for an entry.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Options of the report.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    #[command(flatten)]
+    entries: Entries,
+    /// Prints JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Prints the sum over the entries. The code is 1 when an entry does not answer; the others are still printed.
+///
+/// # Errors
+/// Fails when no entry answers.
+pub fn write(args: &Args, out: &mut dyn Write, problems: &mut dyn Write) -> cli::Result<u8> {
+    let mut sum: Option<View> = None;
+    let mut missing = Vec::new();
+    for &entry in &args.entries.entries {
+        let json = Client::new(entry, LIMIT).fetch_json("report", "/report?format=json");
+        let view = json.and_then(|json| {
+            serde_json::from_value::<View>(json).map_err(|e| Error::Answer("report", entry, e))
+        });
+        match (view, &mut sum) {
+            (Ok(view), Some(sum)) => sum.merge(view),
+            (Ok(view), None) => sum = Some(view),
+            (Err(e), _) => missing.push(e.to_string()),
+        }
+    }
+    let Some(sum) = sum else {
+        return Err(missing.join("; ").into());
+    };
+    for problem in &missing {
+        writeln!(problems, "{problem}; the report lacks this entry")?;
+    }
+    match args.json {
+        true => writeln!(out, "{}", serde_json::to_string(&sum)?)?,
+        false => write!(out, "{}", render_text(&sum))?,
+    }
+    Ok(u8::from(!missing.is_empty()))
+}
--- a/crates/figdeal/src/report.rs
+++ b/crates/figdeal/src/report.rs
@@ -23,6 +23,8 @@
     view::{Counts, Line, View, Window},
 };
 
+pub(crate) use self::text::table;
+
 mod html;
 mod ring;
 mod text;
--- a/crates/figdeal/tests/http.rs
+++ b/crates/figdeal/tests/http.rs
@@ -8,10 +8,11 @@
 };
 
 use figdeal::stand_in::Behaviour;
-use figdeal_config::{Share, section::Objective};
 use figdeal_core::time::UnixMillis;
 use serde_json::{Value, json};
 
+#[path = "http/commands.rs"]
+mod commands;
 #[path = "http/fleet.rs"]
 mod fleet;
 
@@ -380,11 +381,7 @@
 /// Guards against jobs that are missing from the report or the metrics, or counted twice when submitted again.
 #[test]
 fn report_and_metrics_count_each_job_once() {
-    let objective = Objective {
-        in_time: Share(990_000),
-        latency: Duration::from_secs(20),
-    };
-    let fleet = Fleet::with_rules(1, rules().with_objective("reminder", None, objective));
+    let fleet = Fleet::start(1);
     let done = job("counted", &[0, 0]);
     for _ in 0..3 {
         assert_eq!(fleet.submit(&done).status, 200);
--- a/crates/figdeal/tests/http/fleet.rs
+++ b/crates/figdeal/tests/http/fleet.rs
@@ -13,6 +13,7 @@
     stand_in::{Behaviour, StandIn},
 };
 use figdeal_agent::agent::{self, Agent};
+use figdeal_config::{Share, section::Objective};
 use figdeal_core::{id::EntryId, time::UnixMillis};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
@@ -97,6 +98,12 @@
         fleet
     }
 
+    /// Finishes and stops the entry.
+    pub(crate) fn stop(self) {
+        let limit = Duration::from_secs(30);
+        self.entry.drain().finish(Duration::ZERO, limit).unwrap();
+    }
+
     pub(crate) fn wait_until(&self, is_met: impl Fn(&Fleet) -> bool) {
         while !is_met(self) {
             thread::sleep(PAUSE);
@@ -155,9 +162,14 @@
 }
 
 pub(crate) fn rules() -> Rules {
+    let objective = Objective {
+        in_time: Share(990_000),
+        latency: Duration::from_secs(20),
+    };
     let mut rules = Rules::default()
         .with_kind("reminder", 1, 1, Duration::from_secs(30))
-        .with_team("choir", 1_000);
+        .with_team("choir", 1_000)
+        .with_objective("reminder", None, objective);
     rules.max_body = MAX_BODY;
     rules.max_tasks = MAX_TASKS;
     rules
--- /dev/null
+++ b/extra/completions/figdeal.fish
@@ -0,0 +1,180 @@
+# Print an optspec for argparse to handle cmd's options that are independent of any subcommand.
+function __fish_figdeal_global_optspecs
+    string join \n h/help V/version
+end
+
+function __fish_figdeal_needs_command
+    # Figure out if the current invocation already has a command.
+    set -l cmd (commandline -opc)
+    set -e cmd[1]
+    argparse -s (__fish_figdeal_global_optspecs) -- $cmd 2>/dev/null
+    or return
+    if set -q argv[1]
+        # Also print the command, so this can be used to figure out what it is.
+        echo $argv[1]
+        return 1
+    end
+    return 0
+end
+
+function __fish_figdeal_using_subcommand
+    set -l cmd (__fish_figdeal_needs_command)
+    test -z "$cmd"
+    and return 1
+    contains -- $cmd[1] $argv
+end
+
+complete -c figdeal -n "__fish_figdeal_needs_command" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_needs_command" -s V -l version -d 'Print version'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "demo" -d 'Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "entry" -d 'Runs an entry process until SIGTERM'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "stand-in" -d 'Runs a stand-in upstream beside an agent, for trials'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "control" -d 'Founds, shows and replaces control replicas'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "config" -d 'Proposes, signs and shows changes of the configuration'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "check" -d 'Checks a configuration without a running process'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "keys" -d 'Makes and shows the keys of the co-owners'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "status" -d 'Shows fleet, slots, queues and versions as the entries see them'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "report" -d 'Shows the service-level burn, summed over the entries'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "submit" -d 'Submits a job and prints its progress and its answer'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "fetch" -d 'Fetches the answer to a job'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "cancel" -d 'Cancels a job'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "drain" -d 'Lets one entry finish what is in progress and exit'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "completions" -d 'Prints the completions for a shell'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "man" -d 'Writes the man pages into a folder'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand demo" -l agents -d 'Number of agents with one stand-in upstream each' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand demo" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand entry" -l settings -d 'File with the settings of the process' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand entry" -l unsigned-config -d 'Folder with a configuration that nobody signed; for trials on one machine only' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand entry" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l listen -d 'Address on which it takes calls' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l agent -d 'HTTP address of its agent' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l slots -d 'Tasks that it runs at the same time' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l journal -d 'File to which each start of a task is appended' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l fail -d 'Fail every task at once'
+complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "id" -d 'Prints the identity of the replica in the data folder, and makes one in an empty folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "init" -d 'Founds the register; run it once on each founding VM, with the same owners and members'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "status" -d 'Shows the members and the number in force, read through a majority'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "replace" -d 'Replaces a member that is lost'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from id" -l settings -d 'Settings of the process' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from id" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from init" -l settings -d 'Settings of the process' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from init" -l owner -d 'Public keys of the two co-owners' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from init" -l member -d 'All founding members as ID@IP:PORT' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from init" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from status" -l control -d 'Addresses of control replicas' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from status" -l json -d 'Print JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from status" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from replace" -l control -d 'Addresses of control replicas' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from replace" -l key -d 'Private key of a co-owner' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from replace" -l old -d 'Identity of the lost member' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from replace" -l new -d 'The new member as ID@IP:PORT' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from replace" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from help" -f -a "id" -d 'Prints the identity of the replica in the data folder, and makes one in an empty folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from help" -f -a "init" -d 'Founds the register; run it once on each founding VM, with the same owners and members'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from help" -f -a "status" -d 'Shows the members and the number in force, read through a majority'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from help" -f -a "replace" -d 'Replaces a member that is lost'
+complete -c figdeal -n "__fish_figdeal_using_subcommand control; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -l control -d 'Addresses of control replicas' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -l json -d 'Print JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "propose" -d 'Proposes the configuration of a folder and signs it'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "sign" -d 'Signs the pending proposal; with the second signature it is in force'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "reject" -d 'Rejects the pending proposal'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "show" -d 'Shows the configuration in force, or the pending one'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "history" -d 'Lists the accepted changes'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "diff" -d 'Compares the configuration in force with the pending one, or with a folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and not __fish_seen_subcommand_from propose sign reject show history diff help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from propose" -l key -d 'Private key of the proposing co-owner' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from propose" -l number -d 'Number that the change gets; the one after the number in force where it is absent' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from propose" -l new-owner -d 'Public keys that replace both owner keys' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from propose" -l request -d 'Request id of an earlier attempt whose answer was lost' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from propose" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from sign" -l key -d 'Private key of the signing co-owner' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from sign" -l digest -d 'Digest that the owner reviewed, or at least its first 8 digits' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from sign" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from reject" -l key -d 'Private key of the rejecting co-owner' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from reject" -l digest -d 'Digest of the proposal, or at least its first 8 digits' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from reject" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from show" -l site -d 'Show what this site gets, with the origin of each value' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from show" -l pending -d 'Show the pending proposal'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from show" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from history" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from diff" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "propose" -d 'Proposes the configuration of a folder and signs it'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "sign" -d 'Signs the pending proposal; with the second signature it is in force'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "reject" -d 'Rejects the pending proposal'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "show" -d 'Shows the configuration in force, or the pending one'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "history" -d 'Lists the accepted changes'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "diff" -d 'Compares the configuration in force with the pending one, or with a folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand config; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand check" -l site -d 'Print the configuration that this site would get, with the origin of each value' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand check" -l json -d 'Print JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand check" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and not __fish_seen_subcommand_from new show help" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and not __fish_seen_subcommand_from new show help" -f -a "new" -d 'Create a private key in a new file and print the public key'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and not __fish_seen_subcommand_from new show help" -f -a "show" -d 'Print the public key of a private key'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and not __fish_seen_subcommand_from new show help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from new" -l out -d 'File to create, readable by its owner only' -r -F
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from new" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from show" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from help" -f -a "new" -d 'Create a private key in a new file and print the public key'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from help" -f -a "show" -d 'Print the public key of a private key'
+complete -c figdeal -n "__fish_figdeal_using_subcommand keys; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand status" -l entry -d 'HTTP address of an entry; may be repeated' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand status" -l json -d 'Prints JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand status" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand report" -l entry -d 'HTTP address of an entry; may be repeated' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand report" -l json -d 'Prints JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand report" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand submit" -l entry -d 'HTTP address of an entry; may be repeated' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand submit" -l limit -d 'Longest wait for the answer in seconds' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand submit" -l no-wait -d 'Exits as soon as the job is taken'
+complete -c figdeal -n "__fish_figdeal_using_subcommand submit" -l json -d 'Prints the answer of the entry as JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand submit" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand fetch" -l entry -d 'HTTP address of an entry; may be repeated' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand fetch" -l wait -d 'Waits for the final answer'
+complete -c figdeal -n "__fish_figdeal_using_subcommand fetch" -l json -d 'Prints the answer of the entry as JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand fetch" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand cancel" -l entry -d 'HTTP address of an entry; may be repeated' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand cancel" -l json -d 'Prints the answer of the entry as JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand cancel" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand drain" -l entry -d 'HTTP address of the entry on this machine; it accepts a drain from loopback only' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand drain" -l limit -d 'Longest wait in seconds until the entry has exited' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand drain" -l no-wait -d 'Exits as soon as the entry has accepted the drain'
+complete -c figdeal -n "__fish_figdeal_using_subcommand drain" -l json -d 'Prints JSON'
+complete -c figdeal -n "__fish_figdeal_using_subcommand drain" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand completions" -l agent -d 'Completions of figdeal-agent instead of figdeal'
+complete -c figdeal -n "__fish_figdeal_using_subcommand completions" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand man" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "demo" -d 'Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "entry" -d 'Runs an entry process until SIGTERM'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "stand-in" -d 'Runs a stand-in upstream beside an agent, for trials'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "control" -d 'Founds, shows and replaces control replicas'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "config" -d 'Proposes, signs and shows changes of the configuration'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "check" -d 'Checks a configuration without a running process'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "keys" -d 'Makes and shows the keys of the co-owners'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "status" -d 'Shows fleet, slots, queues and versions as the entries see them'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "report" -d 'Shows the service-level burn, summed over the entries'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "submit" -d 'Submits a job and prints its progress and its answer'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "fetch" -d 'Fetches the answer to a job'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "cancel" -d 'Cancels a job'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "drain" -d 'Lets one entry finish what is in progress and exit'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "completions" -d 'Prints the completions for a shell'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "man" -d 'Writes the man pages into a folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "id" -d 'Prints the identity of the replica in the data folder, and makes one in an empty folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "init" -d 'Founds the register; run it once on each founding VM, with the same owners and members'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "status" -d 'Shows the members and the number in force, read through a majority'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "replace" -d 'Replaces a member that is lost'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "propose" -d 'Proposes the configuration of a folder and signs it'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "sign" -d 'Signs the pending proposal; with the second signature it is in force'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "reject" -d 'Rejects the pending proposal'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "show" -d 'Shows the configuration in force, or the pending one'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "history" -d 'Lists the accepted changes'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from config" -f -a "diff" -d 'Compares the configuration in force with the pending one, or with a folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from keys" -f -a "new" -d 'Create a private key in a new file and print the public key'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from keys" -f -a "show" -d 'Print the public key of a private key'
