Add the bench against the ideal and a naive baseline

The targets of the design (1.3) had no measurement. `figdeal bench` starts the real entries and agents over loopback with stand-in upstreams, submits seeded Poisson arrivals over HTTP, and compares the response times with an omniscient scheduler and with round robin into FIFO queues. It also measures messages, floods of the least and of the most urgent kind, throughput with CPU by part, and memory, and marks each target as met or missed.

--- /dev/null
+++ b/crates/figdeal/src/bench/flood.rs
@@ -0,0 +1,237 @@
+//! What other work keeps while one kind offers ten times the capacity of the fleet.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use super::{
+    Result,
+    client::{Client, Reply},
+    cluster::{Cluster, Shape},
+    naive,
+    plan::Plan,
+    report::{Report, at_least, at_most},
+    response::{describe_cpu, outcomes},
+    summary::{Sorted, round},
+    usage::{load_average, spent},
+    workload::{self, Job, KINDS},
+};
+
+/// Offered work of the flood divided by the capacity.
+const FLOOD_LOAD: f64 = 10.0;
+/// Targets of the design (1.3): part of the completions that is kept, and the growth of the p99 response time.
+const KEPT_TARGET: f64 = 0.95;
+const GROWTH_TARGET: f64 = 2.0;
+/// Time between the start of a run and the first possible arrival.
+const LEAD: Duration = Duration::from_millis(200);
+/// An answer that is later than this after its deadline counts as lost.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// One run, with the base jobs only or with a flood of one kind.
+#[derive(Debug, Clone)]
+struct Run {
+    jobs: Arc<Vec<Job>>,
+    replies: Vec<Reply>,
+    double_starts: u64,
+    cpu: Value,
+    load_average: Option<f64>,
+}
+
+/// Measures a flood of the least and of the most urgent kind, with all entries and with one.
+///
+/// # Errors
+/// Fails when a cluster cannot be started.
+pub fn measure(plan: &Plan, report: &mut Report) -> Result<()> {
+    let mut counts = vec![plan.entries, 1];
+    counts.dedup();
+    let floods = [None, Some(KINDS.len() - 1), Some(0)];
+    let mut bases = Vec::new();
+    for flood in floods {
+        for (n, run) in run_all(plan, &counts, flood)?.into_iter().enumerate() {
+            let Some(kind) = flood else {
+                bases.push(run);
+                continue;
+            };
+            let figures = compare(plan, counts[n], kind, &bases[n], &run);
+            report.emit("flood", &figures);
+            let naive = compare_naive(plan, kind, &bases[n].jobs, &run.jobs);
+            if n == 0 {
+                report.emit("flood-naive", &naive);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Runs the same offer with each number of entries; at the same time in a quick run.
+fn run_all(plan: &Plan, counts: &[u16], flood: Option<usize>) -> Result<Vec<Run>> {
+    if !plan.is_quick {
+        return counts.iter().map(|&n| run(plan, n, flood)).collect();
+    }
+    thread::scope(|scope| {
+        let spawn = |&n: &u16| scope.spawn(move || run(plan, n, flood).map_err(|e| e.to_string()));
+        let threads: Vec<_> = counts.iter().map(spawn).collect();
+        let join = |t: thread::ScopedJoinHandle<'_, std::result::Result<Run, String>>| {
+            let run = t.join().map_err(|_| "step flood: a run panicked")?;
+            Ok(run?)
+        };
+        threads.into_iter().map(join).collect()
+    })
+}
+
+fn run(plan: &Plan, entries: u16, flood: Option<usize>) -> Result<Run> {
+    let window = plan.flood_window;
+    let offer = plan.offer(window, entries);
+    let mut jobs = workload::draw(&offer, plan.seed);
+    if let Some(kind) = flood {
+        let mut flood_offer = offer;
+        flood_offer.load = FLOOD_LOAD;
+        flood_offer.flood = Some(kind);
+        // The flood goes on until the last measured job has its answer, or would have missed its deadline.
+        flood_offer.window = window + tail(plan);
+        jobs = workload::merge(jobs, workload::draw(&flood_offer, plan.seed + 1));
+    }
+    let jobs = Arc::new(jobs);
+    let client = Client::new()?;
+    let cluster = Cluster::start(Shape {
+        entries,
+        upstreams: plan.upstreams,
+        slots: plan.slots,
+    })?;
+    let cpu = cluster.threads.cpu()?;
+    let start = Instant::now() + LEAD;
+    let pending = client.submit_all(&jobs, &cluster.addresses(), "flood", start);
+    let until = start + window + tail(plan) + PATIENCE;
+    let replies = client.collect(pending, |i| !jobs[i].is_flood, until);
+    // Runs at the same time share the process, so their CPU times cannot be told apart.
+    let cpu = match plan.is_quick {
+        true => Value::Null,
+        false => describe_cpu(&spent(&cpu, &cluster.threads.cpu()?)),
+    };
+    let (_, double_starts) = cluster.starts();
+    cluster.stop();
+    client.stop();
+    Ok(Run {
+        jobs,
+        replies,
+        double_starts,
+        cpu,
+        load_average: load_average(),
+    })
+}
+
+/// Time after the window in which answers are awaited; a quick run gives late jobs up.
+fn tail(plan: &Plan) -> Duration {
+    let deadline = KINDS.iter().map(|k| k.deadline).max().unwrap_or_default();
+    if plan.is_quick {
+        plan.flood_window
+    } else {
+        deadline
+    }
+}
+
+/// Completions before the deadline, and their response times, of the base jobs of a kind.
+fn in_time(jobs: &[Job], replies: &[Reply], kind: usize) -> Sorted {
+    let times = jobs
+        .iter()
+        .zip(replies)
+        .filter(|(j, _)| j.kind == kind && !j.is_flood)
+        .filter(|(j, r)| r.is_complete(j.tasks.len()) && r.response <= KINDS[kind].deadline)
+        .map(|(_, r)| r.response);
+    Sorted::from_times(times)
+}
+
+fn compare(plan: &Plan, entries: u16, flood: usize, base: &Run, run: &Run) -> Value {
+    let mut figures = json!({
+        "sizes": plan.describe(),
+        "entries": entries,
+        "window_s": plan.flood_window.as_secs_f64(),
+        "flood_kind": KINDS[flood].name,
+        "flood_load": FLOOD_LOAD,
+    });
+    let mut targets = Vec::new();
+    for (k, kind) in KINDS.iter().enumerate() {
+        let before = in_time(&base.jobs, &base.replies, k);
+        let after = in_time(&run.jobs, &run.replies, k);
+        let offered = base.jobs.iter().filter(|j| j.kind == k).count();
+        let ours = run.jobs.iter().zip(&run.replies);
+        let ours = ours.filter(|(j, _)| j.kind == k && !j.is_flood);
+        let (kept, growth) = change(&before, &after);
+        figures["kinds"][kind.name] = json!({
+            "jobs": offered,
+            "without_flood_ms": before.describe(),
+            "with_flood_ms": after.describe(),
+            "kept": kept.map(round),
+            "p99_growth": growth.map(round),
+            "outcomes": outcomes(ours.map(|(_, r)| r)),
+        });
+        if k != flood {
+            let title = |what: &str| {
+                format!(
+                    "{} under {} flood, {entries} entries: {what}",
+                    kind.name, KINDS[flood].name
+                )
+            };
+            targets.push(at_least(&title("kept"), KEPT_TARGET, kept));
+            targets.push(at_most(&title("p99 growth"), GROWTH_TARGET, growth));
+        }
+    }
+    let flooding = run
+        .jobs
+        .iter()
+        .zip(&run.replies)
+        .filter(|(j, _)| j.is_flood);
+    figures["flood_outcomes"] = outcomes(flooding.map(|(_, r)| r));
+    let lags = run
+        .jobs
+        .iter()
+        .zip(&run.replies)
+        .filter(|(j, _)| !j.is_flood);
+    figures["client_lag_ms"] = Sorted::from_times(lags.map(|(_, r)| r.lag)).describe();
+    figures["double_starts"] = json!(base.double_starts + run.double_starts);
+    figures["cpu_s"] = run.cpu.clone();
+    figures["load_average"] = json!([base.load_average, run.load_average]);
+    figures["targets"] = json!(targets);
+    figures
+}
+
+/// The part of the completions that is kept and the factor by which p99 grows.
+fn change(before: &Sorted, after: &Sorted) -> (Option<f64>, Option<f64>) {
+    let kept = (!before.is_empty()).then(|| after.len() as f64 / before.len() as f64);
+    let growth = before.percentile(99.0).zip(after.percentile(99.0));
+    (kept, growth.map(|(b, a)| a / b))
+}
+
+fn compare_naive(plan: &Plan, flood: usize, base: &[Job], flooded: &[Job]) -> Value {
+    let in_time = |jobs: &[Job], kind: usize| {
+        let times = naive::schedule(jobs, plan.upstreams, plan.slots);
+        let times = jobs
+            .iter()
+            .zip(times)
+            .filter(|(j, t)| j.kind == kind && !j.is_flood && *t <= KINDS[kind].deadline)
+            .map(|(_, t)| t);
+        Sorted::from_times(times.collect::<Vec<_>>())
+    };
+    let mut figures = json!({ "sizes": plan.describe(), "flood_kind": KINDS[flood].name });
+    let mut targets = Vec::new();
+    for (k, kind) in KINDS.iter().enumerate() {
+        let (before, after) = (in_time(base, k), in_time(flooded, k));
+        let (kept, growth) = change(&before, &after);
+        figures["kinds"][kind.name] = json!({
+            "without_flood_ms": before.describe(), "with_flood_ms": after.describe(),
+            "kept": kept.map(round), "p99_growth": growth.map(round),
+        });
+        if k != flood {
+            let title =
+                |what: &str| format!("{} under {} flood: {what}", kind.name, KINDS[flood].name);
+            targets.push(at_least(&title("kept"), KEPT_TARGET, kept));
+            targets.push(at_most(&title("p99 growth"), GROWTH_TARGET, growth));
+        }
+    }
+    figures["baseline"] = json!(targets);
+    figures
+}
--- /dev/null
+++ b/crates/figdeal/src/bench/response.rs
@@ -0,0 +1,239 @@
+//! Response times against the ideal, and the messages behind them.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use figdeal_wire::count::{CLASSES, Class, total};
+use serde_json::{Map, Value, json};
+
+use super::{
+    Result,
+    client::{Client, Reply},
+    cluster::{Cluster, Shape},
+    ideal, naive,
+    plan::Plan,
+    report::{Report, at_most},
+    summary::{Sorted, round},
+    usage::{Cpu, load_average, spent},
+    workload::{self, Job, KINDS},
+};
+
+/// Time between the start of a run and the first possible arrival.
+const LEAD: Duration = Duration::from_millis(200);
+/// Targets of the design (1.3): ratio to the ideal at p50 and p99.
+const RATIO_TARGETS: (f64, f64) = (1.05, 1.5);
+/// Target of the design (1.3): wasted messages for each task started.
+const WASTE_TARGET: f64 = 0.1;
+
+/// Messages by class.
+pub type Messages = BTreeMap<&'static str, u64>;
+
+/// Messages of this process so far.
+pub fn messages() -> Messages {
+    CLASSES.iter().map(|&c| (c.name(), total(c))).collect()
+}
+
+/// Messages between two readings.
+pub fn messages_since(before: &Messages) -> Messages {
+    let now = messages();
+    now.iter()
+        .map(|(&name, &n)| (name, n - before.get(name).copied().unwrap_or(0)))
+        .collect()
+}
+
+/// Measures response times and wasted messages under load, then the messages when idle.
+///
+/// # Errors
+/// Fails when the cluster cannot be started.
+pub fn measure(plan: &Plan, report: &mut Report) -> Result<()> {
+    let shape = Shape {
+        entries: plan.entries,
+        upstreams: plan.upstreams,
+        slots: plan.slots,
+    };
+    let jobs = Arc::new(workload::draw(
+        &plan.offer(plan.window, plan.entries),
+        plan.seed,
+    ));
+    let client = Client::new()?;
+    let cluster = Cluster::start(shape)?;
+    let load_before = load_average();
+    let (sent, cpu) = (messages(), cluster.threads.cpu()?);
+    let start = Instant::now() + LEAD;
+    let pending = client.submit_all(&jobs, &cluster.addresses(), "response", start);
+    let until = start + plan.window + KINDS[2].deadline;
+    let replies = client.collect(pending, |_| true, until);
+    let elapsed = start.elapsed();
+    let cpu = spent(&cpu, &cluster.threads.cpu()?);
+    let sent = messages_since(&sent);
+    let (started, doubled) = cluster.starts();
+
+    let ideal = ideal::schedule(&jobs, plan.all_slots());
+    let naive = naive::schedule(&jobs, plan.upstreams, plan.slots);
+    let mut figures = ratios(&jobs, &replies, &ideal);
+    figures["sizes"] = plan.describe();
+    figures["window_s"] = json!(plan.window.as_secs_f64());
+    figures["workload"] = workload::describe();
+    figures["offered_load"] = json!(round(offered(&jobs, plan)));
+    figures["double_starts"] = json!(doubled);
+    figures["cpu_s"] = describe_cpu(&cpu);
+    figures["load_average"] = json!([load_before, load_average()]);
+    report.emit("response", &figures);
+
+    let complete = vec![true; jobs.len()];
+    let mut figures = ratio_figures(&jobs, &naive, &ideal, &complete);
+    figures["sizes"] = plan.describe();
+    let targets = figures.as_object_mut().and_then(|f| f.remove("targets"));
+    figures["baseline"] = json!(targets);
+    report.emit("response-naive", &figures);
+
+    let figures = waste(&sent, started, jobs.len(), elapsed, plan);
+    report.emit("messages", &figures);
+    measure_idle(plan, report);
+    cluster.stop();
+    client.stop();
+    Ok(())
+}
+
+/// Offered work divided by what the slots can do in the window, as drawn.
+pub fn offered(jobs: &[Job], plan: &Plan) -> f64 {
+    let work: Duration = jobs.iter().map(Job::work).sum();
+    work.as_secs_f64() / (plan.window.as_secs_f64() * f64::from(plan.all_slots()))
+}
+
+/// CPU seconds by part.
+pub fn describe_cpu(cpu: &Cpu) -> Value {
+    let parts: Map<String, Value> = cpu
+        .iter()
+        .map(|(part, time)| (part.name().to_owned(), json!(round(time.as_secs_f64()))))
+        .collect();
+    Value::Object(parts)
+}
+
+/// Numbers of jobs by outcome.
+pub fn outcomes<'a>(replies: impl IntoIterator<Item = &'a Reply>) -> Value {
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for reply in replies {
+        let name = match &reply.reason {
+            Some(reason) => format!("{}: {reason}", reply.outcome),
+            None => reply.outcome.clone(),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    json!(counts)
+}
+
+fn ratios(jobs: &[Job], replies: &[Reply], ideal: &[Duration]) -> Value {
+    let times: Vec<Duration> = replies.iter().map(|r| r.response).collect();
+    let complete: Vec<bool> = jobs
+        .iter()
+        .zip(replies)
+        .map(|(job, reply)| reply.is_complete(job.tasks.len()))
+        .collect();
+    let mut figures = ratio_figures(jobs, &times, ideal, &complete);
+    figures["outcomes"] = outcomes(replies);
+    let lags = Sorted::from_times(replies.iter().map(|r| r.lag));
+    figures["client_lag_ms"] = lags.describe();
+    figures
+}
+
+/// Ratio of each complete job to the ideal. A job without a complete answer counts as infinitely late.
+fn ratio_figures(jobs: &[Job], times: &[Duration], ideal: &[Duration], complete: &[bool]) -> Value {
+    let ratio = |i: usize| match complete[i] {
+        true => times[i].as_secs_f64() / ideal[i].as_secs_f64(),
+        false => f64::INFINITY,
+    };
+    let select = |is_in: &dyn Fn(usize) -> bool| {
+        let picked: Vec<usize> = (0..jobs.len()).filter(|&i| is_in(i)).collect();
+        let ratios = Sorted::new(picked.iter().map(|&i| ratio(i)).collect());
+        let done = picked.iter().filter(|&&i| complete[i]);
+        let measured = Sorted::from_times(done.map(|&i| times[i]));
+        let best = Sorted::from_times(picked.iter().map(|&i| ideal[i]));
+        (ratios, measured, best)
+    };
+    let describe = |is_in: &dyn Fn(usize) -> bool| {
+        let (ratios, measured, best) = select(is_in);
+        json!({
+            "ratio": ratios.describe(), "response_ms": measured.describe(),
+            "ideal_ms": best.describe(),
+        })
+    };
+    let (all, _, _) = select(&|_| true);
+    let mut figures = describe(&|_| true);
+    figures["tasks"] = json!(jobs.iter().map(|j| j.tasks.len()).sum::<usize>());
+    for (k, kind) in KINDS.iter().enumerate() {
+        figures["by_kind"][kind.name] = describe(&|i| jobs[i].kind == k);
+    }
+    for (_, low, high) in workload::SIZES {
+        let range = usize::from(low)..=usize::from(high);
+        let is_in = move |i: usize| range.contains(&jobs[i].tasks.len());
+        figures["by_size"][format!("{low}-{high}")] = describe(&is_in);
+    }
+    figures["targets"] = json!([
+        at_most(
+            "response / ideal, p50",
+            RATIO_TARGETS.0,
+            all.percentile(50.0)
+        ),
+        at_most(
+            "response / ideal, p99",
+            RATIO_TARGETS.1,
+            all.percentile(99.0)
+        ),
+    ]);
+    figures
+}
+
+fn waste(sent: &Messages, started: u64, jobs: usize, elapsed: Duration, plan: &Plan) -> Value {
+    let tasks = started.max(1) as f64;
+    let count = |class: Class| sent.get(class.name()).copied().unwrap_or(0) as f64;
+    let carried = count(Class::Work) + count(Class::Result) - 2.0 * started as f64;
+    let other = count(Class::Claim) + count(Class::Heartbeat) + count(Class::Recovery);
+    let by_class: Map<String, Value> = sent
+        .iter()
+        .map(|(&name, &n)| (name.to_owned(), json!(round(n as f64 / tasks))))
+        .collect();
+    let all = (carried + other) / tasks;
+    let heartbeats = count(Class::Heartbeat) / tasks;
+    json!({
+        "sizes": plan.describe(),
+        "tasks_started": started,
+        "jobs": jobs,
+        "elapsed_s": round(elapsed.as_secs_f64()),
+        "messages": sent,
+        "per_task": by_class,
+        "wasted_per_task": round(all),
+        "wasted_per_task_without_heartbeats": round(all - heartbeats),
+        "heartbeats_per_s": round(count(Class::Heartbeat) / elapsed.as_secs_f64()),
+        "targets": [at_most("wasted messages for each task", WASTE_TARGET, Some(all))],
+    })
+}
+
+fn measure_idle(plan: &Plan, report: &mut Report) {
+    let before = messages();
+    let start = Instant::now();
+    thread::sleep(plan.idle_window);
+    let seconds = start.elapsed().as_secs_f64();
+    let sent = messages_since(&before);
+    let rates: Map<String, Value> = sent
+        .iter()
+        .map(|(&name, &n)| (name.to_owned(), json!(round(n as f64 / seconds))))
+        .collect();
+    let beats = Class::Heartbeat.name();
+    let others: u64 = sent
+        .iter()
+        .filter(|(n, _)| **n != beats)
+        .map(|(_, n)| n)
+        .sum();
+    let figures = json!({
+        "sizes": plan.describe(),
+        "window_s": round(seconds),
+        "per_s": rates,
+        "targets": [at_most("messages beyond heartbeats when idle", 0.0, Some(others as f64))],
+    });
+    report.emit("idle", &figures);
+}
--- /dev/null
+++ b/crates/figdeal/src/bench/sizes.rs
@@ -0,0 +1,161 @@
+//! Throughput, CPU and memory at three sizes each, from which slopes are computed.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use super::{
+    Result,
+    client::{Client, PAYLOAD},
+    cluster::{Cluster, Shape},
+    plan::Plan,
+    report::Report,
+    response::{describe_cpu, messages, messages_since},
+    summary::round,
+    usage::{load_average, memory_kib, spent},
+    workload::{Job, Task},
+};
+
+/// Tasks of a job in the throughput runs.
+const RUSH_SIZES: [usize; 3] = [1, 10, 100];
+/// Requests in progress in the throughput runs.
+const RUSH_WORKERS: usize = 48;
+/// Queued tasks of the memory runs.
+const QUEUED: [usize; 3] = [2_500, 5_000, 10_000];
+/// Tasks of a job of the memory runs.
+const LARGE_JOB: usize = 390;
+/// Run time of the tasks that hold the slots in the memory runs.
+const HOLD_MS: u32 = 30_000;
+/// Time for the queue to settle before memory is read.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Measures tasks per second and CPU seconds per task for jobs of near-zero run time.
+///
+/// # Errors
+/// Fails when a cluster cannot be started.
+pub fn measure_throughput(plan: &Plan, report: &mut Report) -> Result<()> {
+    for size in RUSH_SIZES {
+        let client = Client::new()?;
+        let cluster = Cluster::start(shape(plan))?;
+        let job = job(size, 0);
+        let (sent, cpu) = (messages(), cluster.threads.cpu()?);
+        let start = Instant::now();
+        let run = format!("rush-{size}");
+        let addresses = cluster.addresses();
+        let (complete, other) = client.rush(&job, &addresses, &run, RUSH_WORKERS, plan.rush_window);
+        let elapsed = start.elapsed().as_secs_f64();
+        let cpu = spent(&cpu, &cluster.threads.cpu()?);
+        let sent = messages_since(&sent);
+        let tasks = complete * size as u64;
+        let per_task = |seconds: f64| round(seconds * 1e6 / tasks.max(1) as f64);
+        let mut micros = json!({});
+        for (part, time) in &cpu {
+            micros[part.name()] = json!(per_task(time.as_secs_f64()));
+        }
+        let figures = json!({
+            "sizes": plan.describe(),
+            "job_tasks": size,
+            "requests_in_progress": RUSH_WORKERS,
+            "run_ms": 0,
+            "elapsed_s": round(elapsed),
+            "jobs": { "complete": complete, "other": other },
+            "tasks_per_s": round(tasks as f64 / elapsed),
+            "jobs_per_s": round(complete as f64 / elapsed),
+            "cpu_us_per_task": micros,
+            "cpu_s": describe_cpu(&cpu),
+            "messages": sent,
+            "double_starts": cluster.starts().1,
+            "load_average": load_average(),
+        });
+        report.emit("throughput", &figures);
+        cluster.stop();
+        client.stop();
+    }
+    Ok(())
+}
+
+/// Measures the memory of this process with queued tasks in large jobs. It runs first, in growing sizes, because the
+/// peak of the process never goes down.
+///
+/// # Errors
+/// Fails when a cluster cannot be started or does not take the jobs.
+pub fn measure_memory(plan: &Plan, report: &mut Report) -> Result<()> {
+    for count in QUEUED {
+        let client = Client::new()?;
+        let cluster = Cluster::start(shape(plan))?;
+        let base = (memory_kib("VmHWM")?, memory_kib("VmRSS")?);
+        let filling = usize::try_from(plan.all_slots()).unwrap_or(0) * 2;
+        let mut left = count + filling;
+        let mut jobs = 0;
+        while left > 0 {
+            let size = left.min(LARGE_JOB);
+            let addresses = cluster.addresses();
+            let entry = addresses[jobs % addresses.len()];
+            let reply =
+                client.submit_only(&job(size, HOLD_MS), entry, &format!("m-{count}-{jobs}"));
+            if reply.outcome != "running" {
+                let text = format!(
+                    "step queue, entry {entry}: {} {:?}",
+                    reply.outcome, reply.reason
+                );
+                return Err(text.into());
+            }
+            left -= size;
+            jobs += 1;
+        }
+        thread::sleep(SETTLE);
+        let figures = memory_figures(plan, &cluster, count, jobs, base)?;
+        report.emit("memory", &figures);
+        cluster.stop();
+        client.stop();
+    }
+    Ok(())
+}
+
+fn memory_figures(
+    plan: &Plan,
+    cluster: &Cluster,
+    count: usize,
+    jobs: usize,
+    base: (u64, u64),
+) -> Result<Value> {
+    let (peak, now) = (memory_kib("VmHWM")?, memory_kib("VmRSS")?);
+    Ok(json!({
+        "sizes": plan.describe(),
+        "submitted_beyond_slots": count,
+        "queued_at_entries": cluster.queued()?,
+        "jobs": jobs,
+        "job_tasks": LARGE_JOB,
+        "payload_bytes": PAYLOAD,
+        "before_kib": { "VmHWM": base.0, "VmRSS": base.1 },
+        "after_kib": { "VmHWM": peak, "VmRSS": now },
+        "rss_growth_bytes_per_task":
+            round(now.saturating_sub(base.1) as f64 * 1024.0 / count as f64),
+        "note": "the whole process: entries, agents, stand-ins and client",
+    }))
+}
+
+fn shape(plan: &Plan) -> Shape {
+    Shape {
+        entries: plan.entries,
+        upstreams: plan.upstreams,
+        slots: plan.slots,
+    }
+}
+
+fn job(size: usize, run_ms: u32) -> Job {
+    let task = Task {
+        run_ms,
+        declared_ms: None,
+    };
+    Job {
+        at: Duration::ZERO,
+        kind: 1,
+        is_flood: false,
+        entry: 0,
+        tasks: vec![task; size],
+    }
+}
--- /dev/null
+++ b/crates/figdeal/src/bench/workload.rs
@@ -0,0 +1,260 @@
+//! The arrivals of a measure: seeded, Poisson, with stated distributions of sizes and run times.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+
+/// A kind of task of the bench.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    /// Its name.
+    pub name: &'static str,
+    /// Its share; the offered load of a kind is proportional to it, too.
+    pub weight: u32,
+    /// Its urgency.
+    pub urgency: u32,
+    /// Deadline of its jobs.
+    pub deadline: Duration,
+}
+
+/// The kinds, most urgent first. Weights and urgencies are those of the sample deployments in the demo.
+pub const KINDS: [Kind; 3] = [
+    kind("urgent", 4, 3, 10),
+    kind("normal", 2, 2, 20),
+    kind("bulk", 1, 1, 40),
+];
+
+const fn kind(name: &'static str, weight: u32, urgency: u32, deadline_s: u64) -> Kind {
+    Kind {
+        name,
+        weight,
+        urgency,
+        deadline: Duration::from_secs(deadline_s),
+    }
+}
+
+/// Ranges of job sizes with their probability in percent; uniform inside a range.
+pub const SIZES: [(u32, u16, u16); 5] = [
+    (60, 1, 1),
+    (25, 2, 10),
+    (10, 11, 50),
+    (4, 51, 150),
+    (1, 151, 390),
+];
+/// Run times of most tasks in milliseconds, log-uniform.
+pub const SHORT_MS: (f64, f64) = (50.0, 1_000.0);
+/// Run times of a few tasks in milliseconds, uniform.
+pub const LONG_MS: (u32, u32) = (2_000, 4_000);
+/// Probability of a long task in percent.
+pub const LONG_PERCENT: u32 = 2;
+
+/// What callers declare about run times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Declared {
+    /// Nothing.
+    None,
+    /// The true run time times a factor, log-uniform between a half and two.
+    Rough,
+    /// The true run time.
+    Exact,
+}
+
+impl Declared {
+    /// The name in the output.
+    pub fn name(self) -> &'static str {
+        match self {
+            Declared::None => "none",
+            Declared::Rough => "rough",
+            Declared::Exact => "exact",
+        }
+    }
+}
+
+/// One task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Task {
+    /// True run time in milliseconds.
+    pub run_ms: u32,
+    /// What the caller declares.
+    pub declared_ms: Option<u32>,
+}
+
+/// One job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// Arrival after the start of the window.
+    pub at: Duration,
+    /// Position in [`KINDS`].
+    pub kind: usize,
+    /// Whether the job belongs to the flood.
+    pub is_flood: bool,
+    /// Position of the entry that the balancer picks.
+    pub entry: usize,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+}
+
+impl Job {
+    /// Sum of the true run times.
+    pub fn work(&self) -> Duration {
+        Duration::from_millis(self.tasks.iter().map(|t| u64::from(t.run_ms)).sum())
+    }
+}
+
+/// What a stream of arrivals offers.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer {
+    /// Offered work divided by the capacity of the slots.
+    pub load: f64,
+    /// Slots of the whole fleet.
+    pub slots: u32,
+    /// Length of the window.
+    pub window: Duration,
+    /// Number of entries.
+    pub entries: usize,
+    /// What callers declare.
+    pub declared: Declared,
+    /// The only kind, for a flood.
+    pub flood: Option<usize>,
+}
+
+/// Mean number of tasks of a job.
+pub fn mean_size() -> f64 {
+    SIZES
+        .iter()
+        .map(|&(percent, low, high)| {
+            f64::from(percent) / 100.0 * (f64::from(low) + f64::from(high)) / 2.0
+        })
+        .sum()
+}
+
+/// Mean run time of a task in milliseconds.
+pub fn mean_run_ms() -> f64 {
+    let (low, high) = SHORT_MS;
+    let short = (high - low) / (high / low).ln();
+    let long = f64::from(LONG_MS.0 + LONG_MS.1) / 2.0;
+    let part = f64::from(LONG_PERCENT) / 100.0;
+    (1.0 - part) * short + part * long
+}
+
+/// Draws the jobs of a window, in the order of their arrival.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use figdeal::bench::workload::{Declared, Offer, draw};
+///
+/// let offer = Offer {
+///     load: 0.7,
+///     slots: 80,
+///     window: Duration::from_secs(10),
+///     entries: 3,
+///     declared: Declared::None,
+///     flood: None,
+/// };
+/// assert_eq!(draw(&offer, 1), draw(&offer, 1));
+/// ```
+pub fn draw(offer: &Offer, seed: u64) -> Vec<Job> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let rate = offer.load * f64::from(offer.slots) / (mean_size() * mean_run_ms() / 1_000.0);
+    let mut at = 0.0;
+    let mut jobs = Vec::new();
+    loop {
+        // 1 - random() lies in (0, 1], so the logarithm is finite.
+        at -= (1.0 - rng.random::<f64>()).ln() / rate;
+        if at >= offer.window.as_secs_f64() {
+            return jobs;
+        }
+        let kind = offer.flood.unwrap_or_else(|| draw_kind(&mut rng));
+        let size = draw_size(&mut rng);
+        let tasks = (0..size)
+            .map(|_| draw_task(&mut rng, offer.declared))
+            .collect();
+        jobs.push(Job {
+            at: Duration::from_secs_f64(at),
+            kind,
+            is_flood: offer.flood.is_some(),
+            entry: rng.random_range(0..offer.entries),
+            tasks,
+        });
+    }
+}
+
+/// Merges two streams in the order of arrival.
+pub fn merge(mut jobs: Vec<Job>, more: Vec<Job>) -> Vec<Job> {
+    jobs.extend(more);
+    jobs.sort_by_key(|j| j.at);
+    jobs
+}
+
+/// The distributions, for the output.
+pub fn describe() -> Value {
+    let sizes: Vec<Value> = SIZES
+        .iter()
+        .map(|&(percent, low, high)| json!({ "percent": percent, "low": low, "high": high }))
+        .collect();
+    let kinds: Vec<Value> = KINDS
+        .iter()
+        .map(|k| {
+            json!({
+                "name": k.name, "weight": k.weight, "urgency": k.urgency,
+                "deadline_ms": k.deadline.as_millis() as u64,
+            })
+        })
+        .collect();
+    json!({
+        "arrivals": "Poisson, open loop; the kind of a job is drawn in proportion to the weights",
+        "job_sizes": { "uniform_in_ranges": sizes, "mean": mean_size() },
+        "run_ms": {
+            "log_uniform": [SHORT_MS.0, SHORT_MS.1],
+            "long_uniform": [LONG_MS.0, LONG_MS.1],
+            "long_percent": LONG_PERCENT,
+            "mean": mean_run_ms(),
+        },
+        "kinds": kinds,
+    })
+}
+
+fn draw_kind(rng: &mut StdRng) -> usize {
+    let total: u32 = KINDS.iter().map(|k| k.weight).sum();
+    let mut left = rng.random_range(0..total);
+    for (i, kind) in KINDS.iter().enumerate() {
+        if left < kind.weight {
+            return i;
+        }
+        left -= kind.weight;
+    }
+    unreachable!("the weights sum up to the total")
+}
+
+fn draw_size(rng: &mut StdRng) -> u16 {
+    let mut left = rng.random_range(0..100);
+    for (percent, low, high) in SIZES {
+        if left < percent {
+            return rng.random_range(low..=high);
+        }
+        left -= percent;
+    }
+    unreachable!("the percentages sum up to 100")
+}
+
+fn draw_task(rng: &mut StdRng, declared: Declared) -> Task {
+    let run_ms = if rng.random_range(0..100) < LONG_PERCENT {
+        rng.random_range(LONG_MS.0..=LONG_MS.1)
+    } else {
+        let (low, high) = SHORT_MS;
+        (low * (high / low).powf(rng.random::<f64>())).round() as u32
+    };
+    // Drawn in any case, so that the arrivals do not depend on what is declared.
+    let factor = 2.0_f64.powf(rng.random_range(-1.0..1.0));
+    let declared_ms = match declared {
+        Declared::None => None,
+        Declared::Rough => Some((f64::from(run_ms) * factor).round() as u32),
+        Declared::Exact => Some(run_ms),
+    };
+    Task {
+        run_ms,
+        declared_ms,
+    }
+}
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -25,6 +25,8 @@
     Entry(command::entry::Args),
     /// Runs a stand-in upstream beside an agent, for trials
     StandIn(command::stand_in::Args),
+    /// Measures the real code over loopback against the targets of the design
+    Bench(command::bench::Args),
     /// Checks a configuration without a running process
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
@@ -40,6 +42,7 @@
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
         Command::StandIn(args) => command::stand_in::run(&args),
+        Command::Bench(args) => command::bench::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
     }
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -1,5 +1,6 @@
 //! The commands of `figdeal`, one module each.
 
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod entry;
--- /dev/null
+++ b/crates/figdeal/src/command/bench.rs
@@ -0,0 +1,128 @@
+//! `figdeal bench`: measures the real code against the targets of the design.
+
+use std::{process::ExitCode, time::Duration};
+
+use clap::{Args as ClapArgs, ValueEnum};
+use serde_json::json;
+
+use crate::{
+    bench::{
+        flood, plan::Plan, report::Report, response, sizes, usage::load_average, workload::Declared,
+    },
+    cli::Result,
+};
+
+/// Lengths of the windows of a quick run: response times, flood, idle, throughput.
+const QUICK: [u64; 4] = [15, 4, 3, 1];
+/// Length of the response window without `--seconds`.
+const DEFAULT_SECONDS: u64 = 60;
+
+/// Options of the bench.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    /// Print one JSON object a line
+    #[arg(long)]
+    json: bool,
+    /// Shorter windows; less than a minute in total
+    #[arg(long)]
+    quick: bool,
+    /// Seed of the arrivals
+    #[arg(long, default_value_t = 20_261_204)]
+    seed: u64,
+    /// Number of entries
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..))]
+    entries: u16,
+    /// Number of upstreams
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u16).range(1..))]
+    upstreams: u16,
+    /// Slots of each upstream
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u32).range(1..))]
+    slots: u32,
+    /// Offered work divided by the capacity
+    #[arg(long, default_value_t = 0.7)]
+    load: f64,
+    /// Length of the window of each run under load
+    #[arg(long)]
+    seconds: Option<u64>,
+    /// Measure only this
+    #[arg(long, value_name = "NAME")]
+    only: Option<Measure>,
+    /// What callers declare about run times
+    #[arg(long, value_enum, default_value_t = Declared::Rough)]
+    declared: Declared,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Measure {
+    /// Response times, messages under load and when idle
+    Response,
+    /// What other work keeps during a flood
+    Flood,
+    /// Tasks per second and CPU for each task
+    Throughput,
+    /// Memory with queued tasks
+    Memory,
+}
+
+/// Measures and prints; missed targets are figures, not errors.
+///
+/// # Errors
+/// Fails when a part cannot be started.
+pub fn run(args: &Args) -> Result<ExitCode> {
+    let plan = plan(args);
+    let mut report = Report::new(args.json);
+    let profile = if cfg!(debug_assertions) {
+        "debug"
+    } else {
+        "release"
+    };
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    report.emit(
+        "start",
+        &json!({
+            "sizes": plan.describe(), "profile": profile, "cores": cores,
+            "load_average": load_average(),
+        }),
+    );
+    let is_picked = |measure| args.only.is_none_or(|only| only == measure);
+    if is_picked(Measure::Memory) {
+        sizes::measure_memory(&plan, &mut report)?;
+    }
+    if is_picked(Measure::Response) {
+        response::measure(&plan, &mut report)?;
+    }
+    if is_picked(Measure::Flood) {
+        flood::measure(&plan, &mut report)?;
+    }
+    if is_picked(Measure::Throughput) {
+        sizes::measure_throughput(&plan, &mut report)?;
+    }
+    report.finish();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn plan(args: &Args) -> Plan {
+    let [response, flood, idle, rush] = if args.quick {
+        QUICK
+    } else {
+        [DEFAULT_SECONDS, DEFAULT_SECONDS, 10, 5]
+    };
+    let second = Duration::from_secs(1);
+    let window = |default: u64| {
+        args.seconds
+            .map_or(second * default as u32, Duration::from_secs)
+    };
+    Plan {
+        seed: args.seed,
+        entries: args.entries,
+        upstreams: args.upstreams,
+        slots: args.slots,
+        load: args.load,
+        window: window(response),
+        flood_window: window(flood),
+        idle_window: second * idle as u32,
+        rush_window: second * rush as u32,
+        is_quick: args.quick,
+        declared: args.declared,
+    }
+}
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry process, the control role and the operator's command line of figdeal.
 
+pub mod bench;
 pub mod cli;
 pub mod command;
 pub mod entry;
