--- a/crates/figdeal-core/tests/claims_member.rs
+++ b/crates/figdeal-core/tests/claims_member.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use bolero::check;
+use bolero::generator::produce;
 use figdeal_core::{
     claim::{
-        Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision, Epochs,
-        Member, Owner, Reason, SteadyClock, Step, Verdict,
+        Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision,
+        EpochError, Epochs, Member, Owner, Reason, SteadyClock, Step, Verdict,
     },
     id::{Digest, EntryId, Incarnation, SubmissionKey},
     time::{Timestamp, UnixMillis},
@@ -83,48 +83,46 @@
 /// sequence of messages.
 #[test]
 fn member_answers_like_a_naive_map() {
-    check!()
-        .with_type::<Vec<(u8, u8, u8, u8)>>()
-        .for_each(|input| {
-            let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
-            let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
-            let (epochs, now) = (epochs(3), at(10_000));
-            let mut map = HashMap::new();
-            for &(key, from, step, round) in input {
-                let key = SubmissionKey([key % 4; 16]);
-                let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
-                let round = u32::from(round % 5);
-                let ask = Ask {
-                    claim: 0,
-                    key,
-                    digest: Digest([u8::from(step > 240); 16]),
-                    created: UnixMillis(WALL + 9_000),
-                    step: match step % 4 {
-                        0 => Step::Grant,
-                        1 => Step::Vote,
-                        2 => Step::Prepare { round },
-                        _ => Step::Accept {
-                            round,
-                            owner: process(u16::from(from / 16 % 3), 1),
-                        },
+    figdeal_testing::for_each(1_000, produce::<Vec<(u8, u8, u8, u8)>>(), |input| {
+        let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+        let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+        let (epochs, now) = (epochs(3), at(10_000));
+        let mut map = HashMap::new();
+        for &(key, from, step, round) in &input {
+            let key = SubmissionKey([key % 4; 16]);
+            let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
+            let round = u32::from(round % 5);
+            let ask = Ask {
+                claim: 0,
+                key,
+                digest: Digest([u8::from(step > 240); 16]),
+                created: UnixMillis(WALL + 9_000),
+                step: match step % 4 {
+                    0 => Step::Grant,
+                    1 => Step::Vote,
+                    2 => Step::Prepare { round },
+                    _ => Step::Accept {
+                        round,
+                        owner: process(u16::from(from / 16 % 3), 1),
                     },
-                };
-                let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
-                let valid = match ask.step {
-                    Step::Grant => first,
-                    Step::Vote => !first,
-                    _ => round > 0,
-                };
-                let expected = match valid {
-                    true => naive(&mut map, from, &ask),
-                    false => Verdict::Invalid,
-                };
-                assert_eq!(
-                    member.answer(&epochs, from, clock.read(now), &ask, now),
-                    expected
-                );
-            }
-        });
+                },
+            };
+            let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
+            let valid = match ask.step {
+                Step::Grant => first,
+                Step::Vote => !first,
+                _ => round > 0,
+            };
+            let expected = match valid {
+                true => naive(&mut map, from, &ask),
+                false => Verdict::Invalid,
+            };
+            assert_eq!(
+                member.answer(&epochs, from, clock.read(now), &ask, now),
+                expected
+            );
+        }
+    });
 }
 
 /// Guards against a decision that differs from what one map of first claimants says, over the whole retention.
@@ -220,7 +218,8 @@
     assert_eq!(claim(50, 3_615_000, 3_616_000), Decision::Owner);
 }
 
-/// Guards against a vote that is counted from another run of the member than the one that promised.
+/// Guards against a vote that is counted from another run of the member than the one that promised, or for another
+/// run of the claimant.
 #[test]
 fn vote_of_another_run_is_not_counted() {
     let key = SubmissionKey([1; 16]);
@@ -236,32 +235,84 @@
     let Action::Send { ask, .. } = sent[0] else {
         panic!("a prepare is sent")
     };
-    let mut reply = |member, run, verdict| {
+    let mut reply = |member, (run, to), verdict| {
         let (claim, round) = (ask.claim, ask.step.round());
         let answers = vec![Answer {
             claim,
             round,
             verdict,
         }];
-        let (from, to) = (Incarnation(run), Incarnation(1));
+        let (from, to) = (Incarnation(run), Incarnation(to));
         let actions = entry.on_reply(member, &ClaimReply { from, to, answers }, now);
         actions.len()
     };
     assert_eq!(
-        reply(second, 5, Verdict::Promised(None)),
+        reply(second, (5, 1), Verdict::Promised(None)),
         1,
         "an accept is sent"
     );
     assert_eq!(
-        reply(second, 6, Verdict::Voted),
+        reply(second, (5, 0), Verdict::Voted),
+        0,
+        "asked by the run before"
+    );
+    assert_eq!(
+        reply(second, (6, 1), Verdict::Voted),
         0,
         "not the run that promised"
     );
-    assert_eq!(reply(third, 7, Verdict::Voted), 0, "promised nothing");
+    assert_eq!(reply(third, (7, 1), Verdict::Voted), 0, "promised nothing");
     assert_eq!(
-        reply(second, 5, Verdict::Voted),
+        reply(second, (5, 1), Verdict::Voted),
         0,
         "has lost its memory since"
     );
     assert_eq!(entry.in_progress(), 1);
 }
+
+/// Guards against votes for a claimant whose clock, or whose submission, is further off than the horizon allows for.
+#[test]
+fn clock_further_off_than_the_bound_is_refused() {
+    let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+    let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+    let mut answer = |sent: u64, created: u64| {
+        let ask = Ask {
+            claim: 0,
+            key: SubmissionKey([1; 16]),
+            digest: DIGEST,
+            created: UnixMillis(WALL + created),
+            step: Step::Grant,
+        };
+        let sent = UnixMillis(WALL + sent);
+        member.answer(&epochs(1), process(1, 1), sent, &ask, at(10_000))
+    };
+    assert_eq!(answer(7_999, 9_000), Verdict::ClockDiffers);
+    assert_eq!(answer(12_001, 9_000), Verdict::ClockDiffers);
+    assert_eq!(answer(10_000, 12_001), Verdict::Future);
+    assert_eq!(answer(10_000, 4_000), Verdict::Abstained);
+    assert_eq!(answer(8_000, 12_000), Verdict::Voted);
+}
+
+/// Guards against members of a known submission that change with the list of entries.
+#[test]
+fn new_list_leaves_older_submissions_alone() {
+    let mut entry = claims(process(0, 1), 3, ClaimLimits::default());
+    let list: Vec<_> = (1..4).map(EntryId).collect();
+    let from = |millis| UnixMillis(WALL + millis);
+    let late = entry.add_epoch(from(14_000), list.clone(), at(10_000));
+    assert_eq!(late, Err(EpochError::Late(from(14_000))));
+    assert_eq!(
+        entry.add_epoch(from(14_001), list.clone(), at(10_000)),
+        Ok(())
+    );
+    let lists = vec![(from(0), vec![EntryId(0)]), (from(5), list)];
+    let epochs = Epochs::new(lists.clone()).unwrap();
+    let key = SubmissionKey([1; 16]);
+    assert_eq!(epochs.members(key, from(4)).as_slice(), [EntryId(0)]);
+    assert_eq!(epochs.members(key, from(5)).position(EntryId(0)), None);
+    let swapped = vec![lists[1].clone(), lists[0].clone()];
+    assert_eq!(
+        Epochs::new(swapped).unwrap_err(),
+        EpochError::Order(from(0))
+    );
+}
