Keep entries working when a deadline takes back the last open task

Taking back the last open task of a job finishes the job and drops its tasks; the loop over the tasks then indexed past the end and ended the control thread of the entry. A first tick later than the grace left queued tasks unresolved, so that the job was never answered. Both have a test that failed before.

--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -682,7 +682,10 @@
     fn stop_tasks(&mut self, key: JobKey, now: Timestamp) {
         let mut cancels: HashMap<AgentKey, Vec<TaskId>> = HashMap::new();
         for index in 0..self.jobs[key].tasks.len() {
-            let job = &self.jobs[key];
+            // The job ends with its last open task, which drops the tasks after it.
+            let Some(job) = self.jobs.get(key).filter(|j| j.is_active()) else {
+                break;
+            };
             let id = TaskId {
                 key: job.key,
                 index: index as u16,
@@ -721,15 +724,21 @@
         if now < job.deadline + self.limits.grace {
             let again = job.deadline + self.limits.grace;
             self.stop_tasks(key, now);
-            if self.jobs[key].is_active() {
+            if self.jobs.get(key).is_some_and(Job::is_active) {
                 self.deadlines.insert((again, key));
             }
             return;
         }
+        let is_unsent =
+            |t: &job::Task| matches!(t.progress, Progress::Queued(_) | Progress::Unplaced);
+        // A driver that was held up may call for the first time after the grace.
+        if job.tasks.iter().any(is_unsent) {
+            self.stop_tasks(key, now);
+        }
+        let job = self.jobs.get(key).filter(|j| j.is_active());
         let sent: Vec<(usize, AgentKey)> = job
-            .tasks
-            .iter()
-            .enumerate()
+            .into_iter()
+            .flat_map(|j| j.tasks.iter().enumerate())
             .filter_map(|(i, task)| match task.progress {
                 Progress::Sent(agent) => Some((i, agent)),
                 _ => None,
--- /dev/null
+++ b/crates/figdeal-core/tests/entry_deadline.rs
@@ -0,0 +1,112 @@
+//! Tests of what an entry does when the deadline of a job passes.
+
+use std::{sync::Arc, time::Duration};
+
+use figdeal_core::{
+    agent::Verdict,
+    entry::{Action, Answer, Claimed, EntryCore, EntryLimits, Submission, TaskSpec, WaiterId},
+    fleet::{AgentInfo, FleetLimits, Load},
+    id::{Digest, Incarnation, KindId, SubmissionKey, TeamId},
+    ledger::TaskResult,
+    outcome::{Outcome, TaskState},
+    time::{Timestamp, UnixMillis},
+};
+
+const KIND: KindId = KindId(0);
+const KEY: SubmissionKey = SubmissionKey([1; 16]);
+const DEADLINE: Duration = Duration::from_secs(1);
+
+fn task(declared_ms: u64) -> TaskSpec {
+    TaskSpec {
+        kind: KIND,
+        payload: Arc::from([]),
+        deadline: DEADLINE,
+        size: 1,
+        declared: Some(Duration::from_millis(declared_ms)),
+    }
+}
+
+fn one_slot() -> AgentInfo {
+    AgentInfo {
+        name: "desk-1".to_owned(),
+        address: "127.0.0.1:9000".to_owned(),
+        incarnation: Incarnation(1),
+        slots: 1,
+        kinds: Vec::new(),
+        size: 10,
+        draining: false,
+    }
+}
+
+/// A job of two tasks on one slot: the second, longer one ended, the first waits.
+fn half_done() -> EntryCore {
+    let limits = EntryLimits {
+        fleet: FleetLimits {
+            window: 0,
+            ..FleetLimits::default()
+        },
+        ..EntryLimits::default()
+    };
+    let mut entry = EntryCore::new(limits, 1);
+    let start = Timestamp::ZERO;
+    let free = Load {
+        free: 1,
+        ..Load::default()
+    };
+    let agent = entry.announce(one_slot(), free, start).unwrap();
+    let submission = Submission {
+        key: KEY,
+        digest: Digest([1; 16]),
+        created: UnixMillis(0),
+        team: TeamId(0),
+        tasks: vec![task(10), task(500)],
+    };
+    entry.submit(submission, WaiterId(1), true, start);
+    entry.claimed(KEY, Claimed::Owner, start);
+    let actions = entry.take_actions().into_iter();
+    let sent: Vec<_> = actions
+        .filter_map(|a| match a {
+            Action::Run(dispatch) => Some(dispatch.task),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent.len(), 1, "one slot takes one task");
+    assert_eq!(sent[0].index, 1, "the longest task goes first");
+    let run = Duration::from_millis(500);
+    let result = TaskResult::Done(Vec::new());
+    let verdict = Verdict::Ran { result, run };
+    entry.verdict(agent, sent[0], verdict, Some(Load::default()), start + run);
+    entry
+}
+
+fn answers(entry: &mut EntryCore) -> Vec<Answer> {
+    let actions = entry.take_actions().into_iter();
+    actions
+        .filter_map(|a| match a {
+            Action::Answer { answer, .. } => Some(answer),
+            _ => None,
+        })
+        .collect()
+}
+
+fn expected() -> [Answer; 1] {
+    let states = vec![TaskState::NotStarted, TaskState::Done];
+    [Answer::Final(Arc::new(Outcome::Failed(states)))]
+}
+
+/// Guards against an entry that stops working when the last open task of a job is taken back at the deadline and the
+/// job has finished tasks after it. A flood of jobs that missed their deadlines ended entries this way.
+#[test]
+fn the_deadline_passes_with_a_finished_task_after_the_last_open_one() {
+    let mut entry = half_done();
+    entry.tick(Timestamp::ZERO + DEADLINE);
+    assert_eq!(answers(&mut entry), expected());
+}
+
+/// Guards against jobs that are never answered because the driver was held up for longer than the grace.
+#[test]
+fn a_first_tick_after_the_grace_answers_the_job() {
+    let mut entry = half_done();
+    entry.tick(Timestamp::ZERO + DEADLINE * 5);
+    assert_eq!(answers(&mut entry), expected());
+}
