Add a load generator for running entries

`figdeal load` offers seeded Poisson arrivals over HTTP to one or more entries and prints response times by kind and outcome. The number of open jobs is bounded; jobs beyond it are skipped and counted. Not yet tried against separate processes.

--- a/crates/figdeal/src/bench/client.rs
+++ b/crates/figdeal/src/bench/client.rs
@@ -31,6 +31,9 @@
 /// Bytes of a task's payload, the run time included.
 pub const PAYLOAD: usize = 64;
 
+/// HTTP client with a connection pool.
+pub type Http = HyperClient<HttpConnector, Full<Bytes>>;
+
 /// What became of one job.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
@@ -57,7 +60,7 @@
 #[derive(Debug)]
 pub struct Client {
     runtime: Runtime,
-    http: HyperClient<HttpConnector, Full<Bytes>>,
+    http: Http,
 }
 
 /// Jobs that are being submitted, in their order.
@@ -77,10 +80,10 @@
             .thread_name("bench-client")
             .enable_all()
             .build()?;
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let http = HyperClient::builder(TokioExecutor::new()).build(connector);
-        Ok(Client { runtime, http })
+        Ok(Client {
+            runtime,
+            http: http(),
+        })
     }
 
     /// Submits each job at its arrival, counted from `start`, without waiting for earlier answers. `run` names the
@@ -185,6 +188,13 @@
     }
 }
 
+/// Creates an HTTP client.
+pub fn http() -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    HyperClient::builder(TokioExecutor::new()).build(connector)
+}
+
 fn body(id: &str, job: &Job) -> Bytes {
     let kind = &KINDS[job.kind];
     let tasks: Vec<Value> = job
@@ -208,8 +218,9 @@
     Bytes::from(body.to_string())
 }
 
-async fn submit(
-    http: &HyperClient<HttpConnector, Full<Bytes>>,
+/// Submits a job; `due` is its planned arrival.
+pub async fn submit(
+    http: &Http,
     entry: SocketAddr,
     query: &str,
     body: Bytes,
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -27,6 +27,8 @@
     StandIn(command::stand_in::Args),
     /// Measures the real code over loopback against the targets of the design
     Bench(command::bench::Args),
+    /// Offers jobs to running entries and counts the answers
+    Load(command::load::Args),
     /// Checks a configuration without a running process
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
@@ -43,6 +45,7 @@
         Command::Entry(args) => command::entry::run(&args),
         Command::StandIn(args) => command::stand_in::run(&args),
         Command::Bench(args) => command::bench::run(&args),
+        Command::Load(args) => command::load::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
     }
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -5,4 +5,5 @@
 pub mod demo;
 pub mod entry;
 pub mod keys;
+pub mod load;
 pub mod stand_in;
--- /dev/null
+++ b/crates/figdeal/src/command/load.rs
@@ -0,0 +1,304 @@
+//! `figdeal load`: offers jobs to running entries and counts what they answer.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use clap::Args as ClapArgs;
+use figdeal_core::time::UnixMillis;
+use hdrhistogram::Histogram;
+use hyper::body::Bytes;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use tokio::{
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, sleep_until},
+};
+
+use crate::{
+    bench::client::{Http, Reply, http, submit},
+    cli::Result,
+};
+
+/// Digits that the histograms keep.
+const DIGITS: u8 = 3;
+/// Largest response time in a histogram; longer ones count as this.
+const MAX_MILLIS: u64 = 3_600_000;
+/// Time between two progress lines.
+const PROGRESS_EVERY: Duration = Duration::from_secs(1);
+
+/// Options of the load generator.
+#[derive(Debug, ClapArgs)]
+pub struct Args {
+    /// HTTP address of an entry; several entries are picked at random
+    #[arg(long = "entry", value_name = "ADDR", required = true)]
+    entries: Vec<SocketAddr>,
+    /// Kind with its part of the jobs, such as `quote-check=3`; several are drawn by their parts
+    #[arg(long = "kind", value_name = "NAME[=PART]", required = true, value_parser = parse_part)]
+    kinds: Vec<Part>,
+    /// Team that submits
+    #[arg(long)]
+    team: String,
+    /// Jobs a second; the arrivals are a Poisson process
+    #[arg(long, default_value_t = 10.0, value_parser = parse_rate)]
+    rate: f64,
+    /// Tasks of a job, log-uniform
+    #[arg(long, value_name = "MIN..MAX", default_value = "1..20", value_parser = parse_range)]
+    size: Range,
+    /// Run times in milliseconds, log-uniform; a stand-in upstream takes them from the payload
+    #[arg(long, value_name = "MIN..MAX", default_value = "50..1000", value_parser = parse_range)]
+    run_ms: Range,
+    /// Deadline of the tasks; the deadline of the kind where it is absent
+    #[arg(long, value_name = "MS")]
+    deadline_ms: Option<u64>,
+    /// How long jobs are offered; answers are awaited after that
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Seed of arrivals, kinds, sizes and run times
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Largest number of jobs without an answer; jobs beyond it are skipped and counted
+    #[arg(long, default_value_t = 4_000)]
+    open: usize,
+    /// Print the summary as one JSON object a line
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Part {
+    kind: String,
+    part: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Range {
+    min: u32,
+    max: u32,
+}
+
+/// Counts of one kind and outcome.
+struct Line {
+    tasks: u64,
+    times: Histogram<u64>,
+}
+
+struct Totals {
+    lines: BTreeMap<(String, String), Line>,
+    offered: u64,
+    skipped: u64,
+    lag: Duration,
+}
+
+struct Done {
+    kind: String,
+    tasks: usize,
+    reply: Reply,
+}
+
+/// Offers jobs and prints a summary by kind and outcome.
+///
+/// # Errors
+/// Fails when the threads cannot be started.
+pub fn run(args: &Args) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let start = Instant::now();
+    let totals = runtime.block_on(offer(args));
+    summarise(args, &totals, start.elapsed());
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn offer(args: &Args) -> Totals {
+    let http = http();
+    let mut rng = StdRng::seed_from_u64(args.seed);
+    // Ids must differ between runs: an entry remembers outcomes for an hour.
+    let run = UnixMillis::now().0;
+    let start = Instant::now();
+    let end = start + Duration::from_secs(args.seconds);
+    let mut due = start + gap(&mut rng, args.rate);
+    let mut open = JoinSet::new();
+    let mut totals = Totals::new();
+    let mut progress = interval(PROGRESS_EVERY);
+    progress.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        if due >= end && open.is_empty() {
+            return totals;
+        }
+        tokio::select! {
+            Some(done) = open.join_next() => match done {
+                Ok(done) => totals.count(done),
+                Err(e) => log::error!("E330 a caller of the load generator panicked: {e}"),
+            },
+            () = sleep_until(due.into()), if due < end => {
+                totals.offered += 1;
+                let (kind, tasks, body) = draw(args, &mut rng, run, totals.offered);
+                let entry = args.entries[rng.random_range(0..args.entries.len())];
+                if open.len() < args.open {
+                    open.spawn(call(http.clone(), entry, kind, tasks, body, due));
+                } else {
+                    totals.skipped += 1;
+                }
+                due += gap(&mut rng, args.rate);
+            }
+            _ = progress.tick() => eprintln!(
+                "{:4} s: {} offered, {} open, {} skipped",
+                start.elapsed().as_secs(), totals.offered, open.len(), totals.skipped,
+            ),
+        }
+    }
+}
+
+async fn call(
+    http: Http,
+    entry: SocketAddr,
+    kind: String,
+    tasks: usize,
+    body: Bytes,
+    due: Instant,
+) -> Done {
+    let reply = submit(&http, entry, "wait=true", body, due).await;
+    Done { kind, tasks, reply }
+}
+
+fn draw(args: &Args, rng: &mut StdRng, run: u64, number: u64) -> (String, usize, Bytes) {
+    let total: u32 = args.kinds.iter().map(|k| k.part).sum();
+    let mut left = rng.random_range(0..total);
+    let kind = args.kinds.iter().find(|k| {
+        let is_picked = left < k.part;
+        left = left.saturating_sub(k.part);
+        is_picked
+    });
+    let kind = kind.expect("the parts sum up to the total").kind.clone();
+    let size = args.size.draw(rng);
+    let tasks: Vec<Value> = (0..size)
+        .map(|_| {
+            let run_ms = args.run_ms.draw(rng);
+            let mut task = json!({ "kind": kind, "payload": format!("{run_ms} {kind}") });
+            if let Some(ms) = args.deadline_ms {
+                task["deadline_ms"] = json!(ms);
+            }
+            task
+        })
+        .collect();
+    let body = json!({
+        "id": format!("load-{run}-{number}"), "team": args.team,
+        "created_ms": UnixMillis::now().0, "tasks": tasks,
+    });
+    (kind, tasks.len(), Bytes::from(body.to_string()))
+}
+
+fn gap(rng: &mut StdRng, rate: f64) -> Duration {
+    // 1 - random() lies in (0, 1], so the logarithm is finite.
+    Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / rate)
+}
+
+impl Totals {
+    fn new() -> Totals {
+        Totals {
+            lines: BTreeMap::new(),
+            offered: 0,
+            skipped: 0,
+            lag: Duration::ZERO,
+        }
+    }
+
+    fn count(&mut self, done: Done) {
+        self.lag = self.lag.max(done.reply.lag);
+        let key = (done.kind, done.reply.outcome);
+        let line = self.lines.entry(key).or_insert_with(Line::new);
+        line.tasks += done.tasks as u64;
+        line.times
+            .saturating_record(done.reply.response.as_millis() as u64);
+    }
+}
+
+impl Line {
+    fn new() -> Line {
+        let times = Histogram::new_with_max(MAX_MILLIS, DIGITS);
+        Line {
+            tasks: 0,
+            times: times.expect("the bounds of the histogram are valid"),
+        }
+    }
+}
+
+impl Range {
+    fn draw(self, rng: &mut StdRng) -> u32 {
+        let (min, max) = (f64::from(self.min), f64::from(self.max));
+        (min * (max / min).powf(rng.random::<f64>())).round() as u32
+    }
+}
+
+fn summarise(args: &Args, totals: &Totals, elapsed: Duration) {
+    if !args.json {
+        println!(
+            "kind                 outcome       jobs    tasks  p50 ms  p90 ms  p99 ms  max ms"
+        );
+    }
+    for ((kind, outcome), line) in &totals.lines {
+        let times = &line.times;
+        let at = |p| times.value_at_percentile(p);
+        if args.json {
+            let figures = json!({
+                "kind": kind, "outcome": outcome, "jobs": times.len(), "tasks": line.tasks,
+                "p50_ms": at(50.0), "p90_ms": at(90.0), "p99_ms": at(99.0), "max_ms": times.max(),
+            });
+            println!("{figures}");
+            continue;
+        }
+        println!(
+            "{kind:20} {outcome:10} {:7} {:8} {:7} {:7} {:7} {:7}",
+            times.len(),
+            line.tasks,
+            at(50.0),
+            at(90.0),
+            at(99.0),
+            times.max(),
+        );
+    }
+    let (offered, skipped) = (totals.offered, totals.skipped);
+    let lag = totals.lag.as_millis() as u64;
+    if args.json {
+        let figures = json!({
+            "offered": offered, "skipped": skipped, "seconds": elapsed.as_secs_f64(),
+            "max_lag_ms": lag, "seed": args.seed, "rate": args.rate,
+        });
+        println!("{figures}");
+        return;
+    }
+    println!(
+        "{offered} offered, {skipped} skipped, {:.1} s, largest delay of this generator {lag} ms",
+        elapsed.as_secs_f64()
+    );
+}
+
+fn parse_part(text: &str) -> std::result::Result<Part, String> {
+    let (kind, part) = text.split_once('=').unwrap_or((text, "1"));
+    match part.parse() {
+        Ok(part) if part > 0 && part <= 1_000 && !kind.is_empty() => Ok(Part {
+            kind: kind.to_owned(),
+            part,
+        }),
+        _ => Err("expected NAME or NAME=PART with a part from 1 to 1000".to_owned()),
+    }
+}
+
+fn parse_rate(text: &str) -> std::result::Result<f64, String> {
+    match text.parse() {
+        Ok(rate) if rate > 0.0 && rate <= 100_000.0 => Ok(rate),
+        _ => Err("expected jobs a second, more than 0 and at most 100000".to_owned()),
+    }
+}
+
+fn parse_range(text: &str) -> std::result::Result<Range, String> {
+    let (min, max) = text.split_once("..").unwrap_or((text, text));
+    match (min.parse(), max.parse()) {
+        (Ok(min), Ok(max)) if min > 0 && min <= max => Ok(Range { min, max }),
+        _ => Err("expected MIN..MAX with 0 < MIN <= MAX".to_owned()),
+    }
+}
