--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -29,6 +29,10 @@
     Bench(command::bench::Args),
     /// Offers jobs to running entries and counts the answers
     Load(command::load::Args),
+    /// Founds, shows and replaces control replicas
+    Control(command::control::Args),
+    /// Proposes, signs and shows changes of the configuration
+    Config(command::config::Args),
     /// Checks a configuration without a running process
     Check(command::check::CheckArgs),
     /// Makes and shows the keys of the co-owners
@@ -46,6 +50,8 @@
         Command::StandIn(args) => command::stand_in::run(&args),
         Command::Bench(args) => command::bench::run(&args),
         Command::Load(args) => command::load::run(&args),
+        Command::Control(args) => command::control::run(&args),
+        Command::Config(args) => command::config::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
         Command::Keys(args) => done(command::keys::run(&args)),
     }
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -2,6 +2,8 @@
 
 pub mod bench;
 pub mod check;
+pub mod config;
+pub mod control;
 pub mod demo;
 pub mod entry;
 pub mod keys;
