--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -1,5 +1,6 @@
 //! The commands of `figdeal`, one module each.
 
+pub mod bench;
 pub mod check;
 pub mod client;
 pub mod config;
@@ -10,6 +11,7 @@
 pub mod generate;
 pub mod job;
 pub mod keys;
+pub mod load;
 pub mod report;
 pub mod stand_in;
 pub mod status;
