Add fault runs with plain processes

Safety under faults was only tested inside single processes. The example `faults` starts three entries, ten agents and ten stand-in upstreams as processes on loopback, submits the sample kinds over HTTP, and compares every answer with the journals of the upstreams. Two scenarios: `kill` (SIGKILL and restart by a seeded schedule) and `resubmit` (the same submission through all entries at once).

--- /dev/null
+++ b/crates/figdeal/examples/faults.rs
@@ -0,0 +1,124 @@
+//! Runs figdeal as plain processes on loopback, injects faults, and compares the answers of the callers with the
+//! journals of the upstreams. See `docs/faults.md`.
+
+use std::{process::ExitCode, sync::Arc, thread, time::Duration};
+
+use clap::{Parser, ValueEnum};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+#[path = "faults/caller.rs"]
+mod caller;
+#[path = "faults/check.rs"]
+mod check;
+#[path = "faults/fleet.rs"]
+mod fleet;
+#[path = "faults/kill.rs"]
+mod kill;
+#[path = "faults/load.rs"]
+mod load;
+#[path = "faults/process.rs"]
+mod process;
+#[path = "faults/resubmit.rs"]
+mod resubmit;
+#[path = "faults/summary.rs"]
+mod summary;
+
+use fleet::{Fleet, Plan};
+use summary::Summary;
+
+/// Result of a step of the run.
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
+/// Injects faults into a running figdeal and counts what the upstreams saw
+#[derive(Debug, Parser)]
+#[command(name = "faults")]
+struct Args {
+    /// What to inject
+    scenario: Scenario,
+    /// Seed of the schedule and of the jobs
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of the load
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Submissions of the scenario `resubmit`
+    #[arg(long, default_value_t = 1_000)]
+    count: u64,
+    /// First of the ports to use; free ports are picked when it is absent
+    #[arg(long)]
+    base_port: Option<u16>,
+    /// Print the summary as JSON
+    #[arg(long)]
+    json: bool,
+    /// Keep the folder with settings, logs and journals
+    #[arg(long)]
+    keep: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Scenario {
+    /// SIGKILL and restart of entries, agents and upstreams under load
+    Kill,
+    /// The same submission through every entry at once
+    Resubmit,
+}
+
+impl Scenario {
+    fn plan(self) -> Plan {
+        Plan::default()
+    }
+
+    fn run(self, fleet: &Arc<Fleet>, args: &Args, summary: &mut Summary) -> Result<()> {
+        let span = Duration::from_secs(args.seconds);
+        match self {
+            Scenario::Kill => kill::run(fleet, args.seed, span, summary),
+            Scenario::Resubmit => resubmit::run(fleet, args.seed, args.count, summary),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match run(&args) {
+        Ok(summary) => {
+            summary.print(args.json);
+            summary.exit_code()
+        }
+        Err(e) => {
+            eprintln!("faults: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<Summary> {
+    let fleet = Fleet::start(args.scenario.plan(), args.base_port, args.keep)?;
+    stop_on_signal(&fleet)?;
+    let name = args
+        .scenario
+        .to_possible_value()
+        .expect("no value is skipped");
+    let mut summary = Summary::new(name.get_name(), args.seed);
+    let result = fleet
+        .wait_ready()
+        .and_then(|()| args.scenario.run(&fleet, args, &mut summary));
+    fleet.check_logs(&mut summary);
+    fleet.stop();
+    result?;
+    Ok(summary)
+}
+
+/// The processes of the run are stopped also when the run itself is told to stop.
+fn stop_on_signal(fleet: &Arc<Fleet>) -> Result<()> {
+    let fleet = Arc::clone(fleet);
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::spawn(move || {
+        signals.forever().next();
+        fleet.stop();
+        std::process::exit(130);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/figdeal/examples/faults/fleet.rs
@@ -0,0 +1,297 @@
+//! The processes of a run: entries, agents and upstreams with their settings, logs and journals.
+
+use std::{
+    collections::HashMap,
+    fmt::Write as _,
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::{Result, process::Process, summary::Summary};
+
+/// Entries of the reference load.
+pub(crate) const ENTRIES: usize = 3;
+/// Upstreams of the reference load, each with an agent.
+pub(crate) const UPSTREAMS: usize = 10;
+/// Slots of each upstream.
+pub(crate) const SLOTS: usize = 8;
+/// Time in which all entries are ready and know all agents.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Entries are ready twice this time after their start. It must exceed the delays of a busy machine, since claims state
+/// the sender's clock.
+const MAX_SKEW: &str = "500 ms";
+const POLL: Duration = Duration::from_millis(50);
+
+/// What differs between scenarios.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Plan {
+    /// Upstreams that fail every task at once.
+    pub(crate) failing: Vec<usize>,
+}
+
+/// Addresses of the processes.
+#[derive(Debug)]
+struct Ports {
+    entry_http: Vec<SocketAddr>,
+    entry_peer: Vec<SocketAddr>,
+    agent_http: Vec<SocketAddr>,
+    agent_peer: Vec<SocketAddr>,
+    upstream: Vec<SocketAddr>,
+}
+
+/// Number of starts of each task, by the hash of its submission and its index.
+pub(crate) type Journal = HashMap<(String, u16), u32>;
+
+/// All processes of a run.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) entries: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) upstreams: Vec<Process>,
+    folder: PathBuf,
+    ports: Ports,
+    _temporary: Option<TempDir>,
+}
+
+impl Fleet {
+    pub(crate) fn start(plan: Plan, base_port: Option<u16>, keep: bool) -> Result<Arc<Fleet>> {
+        let [figdeal, agent] = programs()?;
+        let temporary = tempfile::Builder::new()
+            .prefix("figdeal-faults-")
+            .tempdir()?;
+        let folder = temporary.path().to_owned();
+        let temporary = match keep {
+            true => {
+                let kept = temporary.keep();
+                eprintln!("faults: files are kept in {}", kept.display());
+                None
+            }
+            false => Some(temporary),
+        };
+        let ports = Ports::pick(base_port)?;
+        write_configuration(&folder)?;
+        let file = |name: &str| folder.join(name).display().to_string();
+        let mut entries = Vec::new();
+        let mut agents = Vec::new();
+        let mut upstreams = Vec::new();
+        for i in 0..ENTRIES {
+            let name = format!("entry-{i}");
+            fs::write(folder.join(format!("{name}.toml")), ports.entry_settings(i))?;
+            let args = vec![
+                "entry".to_owned(),
+                "--settings".to_owned(),
+                file(&format!("{name}.toml")),
+                "--unsigned-config".to_owned(),
+                file("config"),
+            ];
+            let log = folder.join(format!("{name}.log"));
+            entries.push(Process::new(name, figdeal.clone(), args, log));
+        }
+        for i in 0..UPSTREAMS {
+            let name = format!("agent-{i}");
+            fs::write(folder.join(format!("{name}.toml")), ports.agent_settings(i))?;
+            let args = vec!["--settings".to_owned(), file(&format!("{name}.toml"))];
+            let log = folder.join(format!("{name}.log"));
+            agents.push(Process::new(name, agent.clone(), args, log));
+
+            let name = format!("upstream-{i}");
+            let mut args = vec![
+                "stand-in".to_owned(),
+                "--listen".to_owned(),
+                ports.upstream[i].to_string(),
+                "--agent".to_owned(),
+                ports.agent_http[i].to_string(),
+                "--slots".to_owned(),
+                SLOTS.to_string(),
+                "--journal".to_owned(),
+                file(&format!("{name}.journal")),
+            ];
+            if plan.failing.contains(&i) {
+                args.push("--fail".to_owned());
+            }
+            let log = folder.join(format!("{name}.log"));
+            upstreams.push(Process::new(name, figdeal.clone(), args, log));
+        }
+        let fleet = Fleet {
+            entries,
+            agents,
+            upstreams,
+            folder,
+            ports,
+            _temporary: temporary,
+        };
+        for process in fleet.processes() {
+            process.start()?;
+        }
+        Ok(Arc::new(fleet))
+    }
+
+    /// Waits until every entry is ready and knows every agent.
+    pub(crate) fn wait_ready(&self) -> Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < READY_LIMIT {
+            if (0..ENTRIES).all(|i| self.is_ready(i) && self.live_agents(i) == UPSTREAMS) {
+                return Ok(());
+            }
+            thread::sleep(POLL);
+        }
+        Err(format!("step start: entries are not ready after {READY_LIMIT:?}").into())
+    }
+
+    /// URL of an entry's interface for callers.
+    pub(crate) fn url(&self, entry: usize, path: &str) -> String {
+        format!("http://{}{path}", self.ports.entry_http[entry])
+    }
+
+    pub(crate) fn is_ready(&self, entry: usize) -> bool {
+        get(&self.url(entry, "/readyz")).is_some_and(|(status, _)| status == 200)
+    }
+
+    fn live_agents(&self, entry: usize) -> usize {
+        let Some((200, status)) = get(&self.url(entry, "/v1/status")) else {
+            return 0;
+        };
+        let agents = status["agents"].as_array().map_or(&[][..], Vec::as_slice);
+        agents.iter().filter(|a| a["live"] == true).count()
+    }
+
+    /// Starts of all tasks at all upstreams.
+    pub(crate) fn journal(&self) -> Journal {
+        let mut journal = Journal::new();
+        for upstream in 0..UPSTREAMS {
+            for line in self.read_journal(upstream).lines() {
+                let Some((submission, index)) = line.split_once(' ') else {
+                    panic!("journal line {line:?} has no index");
+                };
+                let index = index.parse().expect("the index is a number");
+                *journal.entry((submission.to_owned(), index)).or_default() += 1;
+            }
+        }
+        journal
+    }
+
+    fn read_journal(&self, upstream: usize) -> String {
+        // An upstream that has started nothing has no journal.
+        fs::read_to_string(self.folder.join(format!("upstream-{upstream}.journal")))
+            .unwrap_or_default()
+    }
+
+    /// Panics of the processes are violations in every scenario.
+    pub(crate) fn check_logs(&self, summary: &mut Summary) {
+        for process in self.processes() {
+            let log = fs::read_to_string(&process.log).unwrap_or_default();
+            for line in log.lines().filter(|l| l.contains("panicked at")) {
+                summary.violation(format!("panic: {}: {line}", process.name));
+            }
+        }
+    }
+
+    pub(crate) fn stop(&self) {
+        self.processes().for_each(Process::kill);
+    }
+
+    fn processes(&self) -> impl Iterator<Item = &Process> {
+        let upstreams = self.upstreams.iter();
+        self.entries.iter().chain(&self.agents).chain(upstreams)
+    }
+}
+
+impl Ports {
+    fn pick(base: Option<u16>) -> Result<Ports> {
+        let count = 2 * ENTRIES + 3 * UPSTREAMS;
+        let listeners: Vec<TcpListener> = (0..count)
+            .map(|i| {
+                let port = base.map_or(0, |base| base + i as u16);
+                TcpListener::bind((Ipv4Addr::LOCALHOST, port))
+            })
+            .collect::<std::io::Result<_>>()?;
+        let mut free = listeners.iter().map(TcpListener::local_addr);
+        let mut take = |n: usize| free.by_ref().take(n).collect::<std::io::Result<Vec<_>>>();
+        Ok(Ports {
+            entry_http: take(ENTRIES)?,
+            entry_peer: take(ENTRIES)?,
+            agent_http: take(UPSTREAMS)?,
+            agent_peer: take(UPSTREAMS)?,
+            upstream: take(UPSTREAMS)?,
+        })
+    }
+
+    fn entry_settings(&self, index: usize) -> String {
+        let (http, peer) = (self.entry_http[index], self.entry_peer[index]);
+        let mut text = format!(
+            "id = {index}\ndata_centre = \"hervanta\"\nhttp_listen = \"{http}\"\npeer_listen = \"{peer}\"\n\
+             control_vms = [\"127.0.0.1:1\"]\nlog_level = \"info\"\n"
+        );
+        self.write_entries(&mut text);
+        text
+    }
+
+    fn agent_settings(&self, index: usize) -> String {
+        let (http, peer) = (self.agent_http[index], self.agent_peer[index]);
+        let mut text = format!(
+            "name = \"rota-desk-{index}\"\ndata_centre = \"hervanta\"\nhttp_listen = \"{http}\"\n\
+             peer_listen = \"{peer}\"\nlog_level = \"info\"\n"
+        );
+        self.write_entries(&mut text);
+        text
+    }
+
+    fn write_entries(&self, text: &mut String) {
+        for (id, address) in self.entry_peer.iter().enumerate() {
+            write!(text, "\n[[entries]]\nid = {id}\naddress = \"{address}\"\n")
+                .expect("a string takes all text");
+        }
+    }
+}
+
+/// The programs lie one folder above the examples in the target folder.
+fn programs() -> Result<[PathBuf; 2]> {
+    let example = std::env::current_exe()?;
+    let folder = example
+        .parent()
+        .and_then(Path::parent)
+        .ok_or("step find programs: the example is not in a target folder")?;
+    let programs = ["figdeal", "figdeal-agent"].map(|name| folder.join(name));
+    if let Some(missing) = programs.iter().find(|p| !p.is_file()) {
+        let missing = missing.display();
+        let build = "cargo build --release -p figdeal -p figdeal-agent";
+        return Err(
+            format!("step find programs: {missing} is missing; build it with `{build}`").into(),
+        );
+    }
+    Ok(programs)
+}
+
+/// Copies the sample configuration and shortens the time until an entry is ready.
+fn write_configuration(folder: &Path) -> Result<()> {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kuorotee");
+    let target = folder.join("config");
+    fs::create_dir_all(target.join("sites"))?;
+    let base = fs::read_to_string(source.join("base.toml"))?;
+    let limits = format!("[limits]\nmax_skew = \"{MAX_SKEW}\"");
+    let changed = base.replacen("[limits]", &limits, 1);
+    if changed == base {
+        return Err("step configuration: base.toml has no [limits]".into());
+    }
+    fs::write(target.join("base.toml"), changed)?;
+    for site in fs::read_dir(source.join("sites"))? {
+        let site = site?;
+        fs::copy(site.path(), target.join("sites").join(site.file_name()))?;
+    }
+    Ok(())
+}
+
+fn get(url: &str) -> Option<(u16, Value)> {
+    let agent = crate::caller::http_client(Duration::from_secs(2));
+    let mut response = agent.get(url).call().ok()?;
+    let status = response.status().as_u16();
+    let text = response.body_mut().read_to_string().ok()?;
+    Some((status, serde_json::from_str(&text).unwrap_or_default()))
+}
--- /dev/null
+++ b/crates/figdeal/examples/faults/kill.rs
@@ -0,0 +1,121 @@
+//! Scenario `kill`: processes are killed at random moments under load and started again.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{Result, check, fleet::Fleet, load::Load, process::Process, summary::Summary};
+
+/// Time between two kills.
+const KILL_MS: std::ops::Range<u64> = 300..1_500;
+/// Time until a killed process is started again.
+const DOWN_MS: std::ops::Range<u64> = 0..2_500;
+/// Time from the restart of an entry to the next kill of an entry; otherwise no majority could decide anything.
+const ENTRY_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Entry,
+    Agent,
+    Upstream,
+}
+
+#[derive(Debug)]
+struct Down {
+    role: Role,
+    index: usize,
+    until: Instant,
+}
+
+/// Kills and restarts by a seeded schedule.
+struct Killer<'a> {
+    fleet: &'a Fleet,
+    rng: SmallRng,
+    down: Vec<Down>,
+    entry_again: Instant,
+    kills: [u64; 3],
+}
+
+pub(crate) fn run(
+    fleet: &Arc<Fleet>,
+    seed: u64,
+    span: Duration,
+    summary: &mut Summary,
+) -> Result<()> {
+    let load = Load::start(fleet, seed);
+    let mut killer = Killer {
+        fleet,
+        rng: SmallRng::seed_from_u64(seed),
+        down: Vec::new(),
+        entry_again: Instant::now() + ENTRY_PAUSE,
+        kills: [0; 3],
+    };
+    let result = killer.run(span);
+    let records = load.finish()?;
+    result?;
+    for (role, kills) in ["entries", "agents", "upstreams"].iter().zip(killer.kills) {
+        summary.count(&format!("kills of {role}"), kills);
+    }
+    check::check(fleet, &records, summary);
+    Ok(())
+}
+
+impl Killer<'_> {
+    fn run(&mut self, span: Duration) -> Result<()> {
+        let start = Instant::now();
+        let mut next = start + Duration::from_secs(1);
+        while start.elapsed() < span {
+            let wake = self.down.iter().map(|d| d.until).chain([next]).min();
+            thread::sleep(wake.map_or(Duration::ZERO, |at| {
+                at.saturating_duration_since(Instant::now())
+            }));
+            self.restart(Instant::now())?;
+            if Instant::now() >= next {
+                self.kill();
+                next = Instant::now() + Duration::from_millis(self.rng.random_range(KILL_MS));
+            }
+        }
+        self.down.iter_mut().for_each(|d| d.until = start);
+        self.restart(Instant::now())
+    }
+
+    fn kill(&mut self) {
+        let role = [Role::Entry, Role::Agent, Role::Upstream][self.rng.random_range(0..3)];
+        let index = self.rng.random_range(0..self.group(role).len());
+        let span = Duration::from_millis(self.rng.random_range(DOWN_MS));
+        let now = Instant::now();
+        let is_down = |d: &Down| d.role == role && (role == Role::Entry || d.index == index);
+        if self.down.iter().any(is_down) || (role == Role::Entry && now < self.entry_again) {
+            return;
+        }
+        self.group(role)[index].kill();
+        self.kills[role as usize] += 1;
+        let until = now + span;
+        if role == Role::Entry {
+            self.entry_again = until + ENTRY_PAUSE;
+        }
+        self.down.push(Down { role, index, until });
+    }
+
+    fn restart(&mut self, now: Instant) -> Result<()> {
+        let (due, down) = std::mem::take(&mut self.down)
+            .into_iter()
+            .partition(|d| d.until <= now);
+        self.down = down;
+        let due: Vec<Down> = due;
+        due.iter()
+            .try_for_each(|d| self.group(d.role)[d.index].start())
+    }
+
+    fn group(&self, role: Role) -> &[Process] {
+        match role {
+            Role::Entry => &self.fleet.entries,
+            Role::Agent => &self.fleet.agents,
+            Role::Upstream => &self.fleet.upstreams,
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal/examples/faults/process.rs
@@ -0,0 +1,90 @@
+//! One process of the run.
+
+use std::{
+    fs::OpenOptions,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use crate::Result;
+
+/// Time in which a process that cannot listen has ended.
+const START_CHECK: Duration = Duration::from_millis(150);
+/// Attempts to start a process. A port may be taken by an outgoing connection for a moment.
+const START_ATTEMPTS: u32 = 20;
+
+/// A process that can be killed and started again with the same arguments.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) name: String,
+    pub(crate) log: PathBuf,
+    program: PathBuf,
+    args: Vec<String>,
+    child: Mutex<Option<Child>>,
+}
+
+impl Process {
+    pub(crate) fn new(name: String, program: PathBuf, args: Vec<String>, log: PathBuf) -> Process {
+        Process {
+            name,
+            log,
+            program,
+            args,
+            child: Mutex::new(None),
+        }
+    }
+
+    pub(crate) fn start(&self) -> Result<()> {
+        for _ in 0..START_ATTEMPTS {
+            let mut child = self.spawn()?;
+            thread::sleep(START_CHECK);
+            if child.try_wait()?.is_none() {
+                *self.lock() = Some(child);
+                return Ok(());
+            }
+        }
+        Err(format!(
+            "step start, {}: it ends at once, see {}",
+            self.name,
+            self.log.display()
+        )
+        .into())
+    }
+
+    fn spawn(&self) -> Result<Child> {
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(&self.args)
+            .env("RUST_LOG", "info")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("step start, {}: {e}", self.name))?;
+        Ok(child)
+    }
+
+    /// Sends SIGKILL. Does nothing when the process is not running.
+    pub(crate) fn kill(&self) {
+        if let Some(mut child) = self.lock().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
