--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -2,12 +2,14 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::mpsc, thread, time::Duration};
 
+use figdeal_config::SiteConfig;
 use figdeal_core::{
     agent::{Action, AgentCore, Declined, Known, TaskOrder, Verdict},
     fleet::Load,
     id::{Incarnation, KindId, Names, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
-    time::Timestamp,
+    share::KindShare,
+    time::{Timestamp, UnixMillis},
 };
 use figdeal_wire::message::{
     CollectReply, LoadReport, QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
@@ -66,7 +68,7 @@
     Finished(TaskId, TaskResult),
     Announce(Upstream),
     Leave,
-    Version(u64),
+    Config(u64, Box<SiteConfig>),
     Stop,
     NotifyIdle(mpsc::Sender<()>),
     Kill,
@@ -112,7 +114,8 @@
     presence: watch::Sender<Presence>,
     runtime: &Handle,
 ) -> io::Result<()> {
-    let core = AgentCore::new(incarnation, options.ledger);
+    let mut core = AgentCore::new(incarnation, options.ledger);
+    core.set_clock(UnixMillis::now(), Timestamp::ZERO);
     let expire_after = options.expire_after;
     let runtime = runtime.clone();
     thread::Builder::new()
@@ -176,7 +179,7 @@
             }
             Event::Announce(upstream) => self.announce(upstream, now),
             Event::Leave => self.leave(now),
-            Event::Version(version) => self.take_version(version, now),
+            Event::Config(version, site) => self.take_config(version, &site, now),
             Event::Stop => {
                 self.is_stopping = true;
                 self.leave(now);
@@ -238,12 +241,28 @@
         });
     }
 
-    /// Versions never go down: an entry that lags behind does not take the agent back.
-    fn take_version(&mut self, version: u64, now: Timestamp) {
-        if version > self.version {
-            self.version = version;
-            self.publish(now, self.core.is_draining());
+    /// Puts a newer version in force. An entry that lags behind does not take the agent back.
+    fn take_config(&mut self, version: u64, site: &SiteConfig, now: Timestamp) {
+        if version <= self.version {
+            return;
+        }
+        for (name, kind) in &site.kinds {
+            let id = KindId(self.names.intern(name));
+            let share = KindShare {
+                weight: kind.weight,
+                urgency: kind.urgency,
+            };
+            self.core.set_share(id, share);
         }
+        for (name, team) in &site.teams {
+            let id = TeamId(self.teams.intern(name));
+            self.core.set_team_weight(id, team.weight);
+        }
+        self.core.set_reserve(site.limits.reserve);
+        self.expire_after = site.time_outs.expire_after;
+        self.version = version;
+        log::info!("E212 version {version} is in force");
+        self.publish(now, self.core.is_draining());
     }
 
     fn take_order(
@@ -261,6 +280,7 @@
             deadline,
             incarnation: request.incarnation,
             entry: request.entry,
+            sent_ms: request.sent,
         };
         self.waiters.entry(request.task).or_default().push(reply);
         self.orders.entry(request.task).or_insert(Order {
@@ -275,8 +295,8 @@
     fn query(&mut self, request: QueryRequest, reply: oneshot::Sender<TaskReply>, now: Timestamp) {
         match self.core.query(request.task, request.incarnation, now) {
             Known::Pending => self.waiters.entry(request.task).or_default().push(reply),
-            Known::Ended(Verdict::NotStarted(Declined::Incarnation)) => {
-                let word = TaskWord::OtherIncarnation;
+            Known::Unproven => {
+                let word = TaskWord::Unproven;
                 let load = self.load(now);
                 let _ = reply.send(TaskReply {
                     task: request.task,
@@ -297,32 +317,26 @@
         reply: oneshot::Sender<CollectReply>,
         now: Timestamp,
     ) {
+        let collected = self.core.collect(key, now);
+        self.perform(collected.actions, now);
         self.collecting.push(Collecting { key, reply });
-        let queued: Vec<TaskId> = self
-            .orders
-            .keys()
-            .filter(|t| t.key == key)
-            .copied()
-            .collect();
-        for task in queued {
-            let actions = self.core.cancel(task, now);
-            self.perform(actions, now);
-        }
         self.answer_collects(now);
     }
 
-    fn answer_collects(&mut self, _now: Timestamp) {
+    fn answer_collects(&mut self, now: Timestamp) {
         let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.collecting)
             .into_iter()
             .partition(|c| self.core.running(c.key).is_empty());
         self.collecting = waiting;
         for collecting in ready {
-            let held = self.core.held(collecting.key);
-            let results = held
+            let collected = self.core.collect(collecting.key, now);
+            let results = collected
+                .ended
                 .into_iter()
-                .map(|(index, result)| (index, word(result)))
-                .collect();
-            let _ = collecting.reply.send(CollectReply { results });
+                .map(|(task, verdict)| (task.index, word(verdict).0));
+            let _ = collecting.reply.send(CollectReply {
+                results: results.collect(),
+            });
         }
     }
 
@@ -365,19 +379,12 @@
     }
 
     fn reply(&self, task: TaskId, verdict: Verdict, now: Timestamp) -> TaskReply {
-        let load = self.load(now);
-        let (word, run) = match verdict {
-            Verdict::Ran { result, run } => (word(result), run),
-            Verdict::ResultDropped => (TaskWord::Unknown, Duration::ZERO),
-            Verdict::NotStarted(declined) => {
-                (TaskWord::NotStarted(reason(declined)), Duration::ZERO)
-            }
-        };
+        let (word, run) = word(verdict);
         TaskReply {
             task,
             word,
             run: run.as_micros() as u64,
-            load,
+            load: self.load(now),
         }
     }
 
@@ -397,11 +404,22 @@
     }
 }
 
-fn word(result: TaskResult) -> TaskWord {
-    match result {
-        TaskResult::Done(bytes) => TaskWord::Done(bytes),
-        TaskResult::Failed => TaskWord::Failed,
-        TaskResult::Unknown => TaskWord::Unknown,
+fn word(verdict: Verdict) -> (TaskWord, Duration) {
+    match verdict {
+        Verdict::Ran {
+            result: TaskResult::Done(bytes),
+            run,
+        } => (TaskWord::Done(bytes), run),
+        Verdict::Ran {
+            result: TaskResult::Failed,
+            run,
+        } => (TaskWord::Failed, run),
+        Verdict::Ran {
+            result: TaskResult::Unknown,
+            run,
+        } => (TaskWord::Unknown, run),
+        Verdict::ResultDropped => (TaskWord::Unknown, Duration::ZERO),
+        Verdict::NotStarted(declined) => (TaskWord::NotStarted(reason(declined)), Duration::ZERO),
     }
 }
 
@@ -413,5 +431,6 @@
         Declined::Fenced => Reason::Fenced,
         Declined::Deadline => Reason::Deadline,
         Declined::Cancelled => Reason::Cancelled,
+        Declined::Stale => Reason::Stale,
     }
 }
--- a/crates/figdeal-core/tests/claims_member.rs
+++ b/crates/figdeal-core/tests/claims_member.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use bolero::check;
+use bolero::generator::produce;
 use figdeal_core::{
     claim::{
-        Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision, Epochs,
-        Member, Owner, Reason, SteadyClock, Step, Verdict,
+        Accepted, Action, Answer, Ask, Ballot, ClaimLimits, ClaimReply, Claims, Decision,
+        EpochError, Epochs, Member, Owner, Reason, SteadyClock, Step, Verdict,
     },
     id::{Digest, EntryId, Incarnation, SubmissionKey},
     time::{Timestamp, UnixMillis},
@@ -83,48 +83,46 @@
 /// sequence of messages.
 #[test]
 fn member_answers_like_a_naive_map() {
-    check!()
-        .with_type::<Vec<(u8, u8, u8, u8)>>()
-        .for_each(|input| {
-            let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
-            let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
-            let (epochs, now) = (epochs(3), at(10_000));
-            let mut map = HashMap::new();
-            for &(key, from, step, round) in input {
-                let key = SubmissionKey([key % 4; 16]);
-                let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
-                let round = u32::from(round % 5);
-                let ask = Ask {
-                    claim: 0,
-                    key,
-                    digest: Digest([u8::from(step > 240); 16]),
-                    created: UnixMillis(WALL + 9_000),
-                    step: match step % 4 {
-                        0 => Step::Grant,
-                        1 => Step::Vote,
-                        2 => Step::Prepare { round },
-                        _ => Step::Accept {
-                            round,
-                            owner: process(u16::from(from / 16 % 3), 1),
-                        },
+    figdeal_testing::for_each(1_000, produce::<Vec<(u8, u8, u8, u8)>>(), |input| {
+        let clock = SteadyClock::new(UnixMillis(WALL), Timestamp::ZERO);
+        let mut member = Member::new(EntryId(0), clock, ClaimLimits::default());
+        let (epochs, now) = (epochs(3), at(10_000));
+        let mut map = HashMap::new();
+        for &(key, from, step, round) in &input {
+            let key = SubmissionKey([key % 4; 16]);
+            let first = epochs.members(key, UnixMillis(WALL)).first() == Some(EntryId(0));
+            let round = u32::from(round % 5);
+            let ask = Ask {
+                claim: 0,
+                key,
+                digest: Digest([u8::from(step > 240); 16]),
+                created: UnixMillis(WALL + 9_000),
+                step: match step % 4 {
+                    0 => Step::Grant,
+                    1 => Step::Vote,
+                    2 => Step::Prepare { round },
+                    _ => Step::Accept {
+                        round,
+                        owner: process(u16::from(from / 16 % 3), 1),
                     },
-                };
-                let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
-                let valid = match ask.step {
-                    Step::Grant => first,
-                    Step::Vote => !first,
-                    _ => round > 0,
-                };
-                let expected = match valid {
-                    true => naive(&mut map, from, &ask),
-                    false => Verdict::Invalid,
-                };
-                assert_eq!(
-                    member.answer(&epochs, from, clock.read(now), &ask, now),
-                    expected
-                );
-            }
-        });
+                },
+            };
+            let from = process(u16::from(from % 3), u64::from(from / 8 % 2));
+            let valid = match ask.step {
+                Step::Grant => first,
+                Step::Vote => !first,
+                _ => round > 0,
+            };
+            let expected = match valid {
+                true => naive(&mut map, from, &ask),
+                false => Verdict::Invalid,
+            };
+            assert_eq!(
+                member.answer(&epochs, from, clock.read(now), &ask, now),
+                expected
+            );
+        }
+    });
 }
 
 /// Guards against a decision that differs from what one map of first claimants says, over the whole retention.
@@ -294,3 +292,27 @@
     assert_eq!(answer(10_000, 4_000), Verdict::Abstained);
     assert_eq!(answer(8_000, 12_000), Verdict::Voted);
 }
+
+/// Guards against members of a known submission that change with the list of entries.
+#[test]
+fn new_list_leaves_older_submissions_alone() {
+    let mut entry = claims(process(0, 1), 3, ClaimLimits::default());
+    let list: Vec<_> = (1..4).map(EntryId).collect();
+    let from = |millis| UnixMillis(WALL + millis);
+    let late = entry.add_epoch(from(14_000), list.clone(), at(10_000));
+    assert_eq!(late, Err(EpochError::Late(from(14_000))));
+    assert_eq!(
+        entry.add_epoch(from(14_001), list.clone(), at(10_000)),
+        Ok(())
+    );
+    let lists = vec![(from(0), vec![EntryId(0)]), (from(5), list)];
+    let epochs = Epochs::new(lists.clone()).unwrap();
+    let key = SubmissionKey([1; 16]);
+    assert_eq!(epochs.members(key, from(4)).as_slice(), [EntryId(0)]);
+    assert_eq!(epochs.members(key, from(5)).position(EntryId(0)), None);
+    let swapped = vec![lists[1].clone(), lists[0].clone()];
+    assert_eq!(
+        Epochs::new(swapped).unwrap_err(),
+        EpochError::Order(from(0))
+    );
+}
--- a/crates/figdeal-wire/src/message.rs
+++ b/crates/figdeal-wire/src/message.rs
@@ -94,8 +94,8 @@
     Unknown,
     /// The task was not started and never will be at this agent.
     NotStarted(Reason),
-    /// The agent that was asked is another incarnation and knows nothing.
-    OtherIncarnation,
+    /// The agent can prove nothing: it is another incarnation than the one that got the task, or its ledger is full.
+    Unproven,
 }
 
 /// Why an agent did not start a task.
@@ -113,6 +113,8 @@
     Deadline,
     /// The owner cancelled it.
     Cancelled,
+    /// The request was too old when it arrived.
+    Stale,
 }
 
 /// Reply to a run request or a query.
@@ -159,6 +161,15 @@
     pub owner: (EntryId, Incarnation),
 }
 
+/// The files of an accepted version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigFiles {
+    /// Number of the version.
+    pub number: u64,
+    /// Names and contents, in the order that was signed.
+    pub files: Vec<(String, serde_bytes::ByteBuf)>,
+}
+
 /// Asks an entry about a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerQuery {
