--- a/crates/figdeal-control/src/proposer.rs
+++ b/crates/figdeal-control/src/proposer.rs
@@ -8,6 +8,7 @@
 
 use figdeal_core::time::{Timestamp, UnixMillis};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     acceptor::Proposal,
@@ -24,6 +25,8 @@
 pub const PHASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a client learns that the outcome is unknown.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a background request once it runs; clients wait behind it.
+pub const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(1);
 /// First back-off after a lost race; it doubles up to [`MAX_BACKOFF`].
 pub const MIN_BACKOFF: Duration = Duration::from_millis(10);
 /// Largest back-off between attempts.
@@ -58,12 +61,12 @@
 }
 
 /// What a client gets.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// Answer to a command; its effect is accepted by a quorum.
     Answer(Answer),
     /// State that was current at some time between the request and the reply.
-    Current(Arc<RegisterState>),
+    Current(Box<RegisterState>),
     /// No quorum answered in time. A command may have taken effect; ask again with the same request id.
     Unavailable,
     /// Too many requests wait; nothing was done.
@@ -183,14 +186,10 @@
             self.steps.extend(client.map(reply));
             return;
         }
-        let limit = match request {
-            Request::Command(_) | Request::Read => REQUEST_TIMEOUT,
-            Request::Sync | Request::Finish => 2 * PHASE_TIMEOUT,
-        };
         self.queue.push_back(Job {
             client,
             request,
-            deadline: now + limit,
+            deadline: now + REQUEST_TIMEOUT,
             attempts: 0,
             confirmed: None,
         });
@@ -222,9 +221,12 @@
             self.end_phase(local, now);
         }
         while self.job.is_none() {
-            let Some(job) = self.queue.pop_front() else {
+            let Some(mut job) = self.queue.pop_front() else {
                 return;
             };
+            if job.client.is_none() {
+                job.deadline = now + BACKGROUND_TIMEOUT;
+            }
             let reads = matches!(job.request, Request::Read | Request::Sync);
             self.job = Some(job);
             if reads {
@@ -348,7 +350,7 @@
         }
         let proposal = best.clone();
         self.disputed = None;
-        let reply = Reply::Current(proposal.state.clone());
+        let reply = current_reply(&proposal.state);
         self.steps.push(Step::Chosen {
             proposal,
             tell: false,
@@ -482,8 +484,8 @@
                 let finishes = matches!(answer, Answer::Replaced { .. });
                 (Arc::new(next), Reply::Answer(answer), finishes)
             }
-            Request::Read | Request::Sync => (state.clone(), Reply::Current(state.clone()), false),
-            Request::Finish => (state.clone(), Reply::Current(state.clone()), true),
+            Request::Read | Request::Sync => (state.clone(), current_reply(state), false),
+            Request::Finish => (state.clone(), current_reply(state), true),
         };
         if finishes && next.members.is_joint() {
             self.replace_step(best, votes, next, reply, clock.now);
@@ -540,7 +542,12 @@
         let short = Box::new(PackedState::new(&state, Some(&best.state)));
         let whole = Box::new(PackedState::new(&state, None));
         for member in members {
-            let has_base = votes.get(&member.id) == Some(&best.ballot);
+            // A member that has not promised yet most likely holds what the others hold. If it does not, it drops
+            // the message and catches up by a read. A joining one cannot, as it stays silent until it is founded.
+            let has_base = match votes.get(&member.id) {
+                Some(held) => *held == best.ballot,
+                None => !state.members.is_joint() && read.contains(member.id),
+            };
             let message = Message::Accept {
                 ballot,
                 base: has_base.then_some(best.ballot),
@@ -619,6 +626,10 @@
     }
 }
 
+fn current_reply(state: &RegisterState) -> Reply {
+    Reply::Current(Box::new(state.clone()))
+}
+
 /// Whether a quorum holds exactly `best`.
 fn agrees(best: &Proposal, votes: &BTreeMap<ReplicaId, Ballot>) -> bool {
     let same = votes.iter().filter(|(_, ballot)| **ballot == best.ballot);
--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     agent::{Declined, Verdict},
-    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load},
+    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load, Sample},
     id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
     outcome::{Outcome, TaskState},
@@ -241,9 +241,11 @@
 
 impl EntryCore {
     /// Creates an entry without agents and jobs.
-    pub fn new(limits: EntryLimits) -> EntryCore {
+    ///
+    /// Entries need different seeds, so that they do not all choose the same one of agents that look alike.
+    pub fn new(limits: EntryLimits, seed: u64) -> EntryCore {
         EntryCore {
-            fleet: Fleet::new(limits.fleet),
+            fleet: Fleet::with_seed(limits.fleet, seed),
             limits,
             jobs: SlotMap::with_key(),
             keys: HashMap::new(),
@@ -296,7 +298,7 @@
             return self.wait_for(key, waiter, wait);
         }
         self.make_room();
-        if self.turns_away(&submission) {
+        if self.turns_away(&submission, now) {
             return self.answer(waiter, Answer::Undecided);
         }
         let claim = Action::Claim {
@@ -448,10 +450,10 @@
             self.fleet.report(agent, load);
         }
         if let Some((key, index)) = self.find_sent(agent, task) {
-            self.release(key, index, agent);
+            let kind = self.jobs[key].tasks[index].spec.kind;
+            self.release(key, index, agent, sample(&verdict), now);
             match verdict {
                 Verdict::Ran { result, run } => {
-                    let kind = self.jobs[key].tasks[index].spec.kind;
                     if !run.is_zero() {
                         let declared = self.jobs[key].tasks[index].spec.declared;
                         self.times.record_declared(kind, declared, run);
@@ -482,7 +484,7 @@
     /// Takes the word of another incarnation of an agent that it knows nothing of a task.
     pub fn incarnation_gone(&mut self, agent: AgentKey, task: TaskId, now: Timestamp) {
         if let Some((key, index)) = self.find_sent(agent, task) {
-            self.release(key, index, agent);
+            self.release(key, index, agent, Sample::Nothing, now);
             self.resolve(key, index, Progress::Ended(TaskState::MayHaveRun), now);
         }
     }
@@ -496,6 +498,7 @@
             self.deadlines.pop_first();
             self.pass_deadline(key, now);
         }
+        self.fleet.tick(now);
         self.refuse_unplaced(now);
         self.expire_finished(now);
         self.dispatch(now);
@@ -636,7 +639,14 @@
         (*progress == Progress::Sent(agent)).then_some((key, index))
     }
 
-    fn release(&mut self, key: JobKey, index: usize, agent: AgentKey) {
+    fn release(
+        &mut self,
+        key: JobKey,
+        index: usize,
+        agent: AgentKey,
+        sample: Sample,
+        now: Timestamp,
+    ) {
         let job = &self.jobs[key];
         let kind = job.tasks[index].spec.kind;
         let id = TaskId {
@@ -644,7 +654,7 @@
             index: index as u16,
         };
         self.queue.finish(kind, job.team);
-        self.fleet.resolve(agent, kind);
+        self.fleet.settle(agent, kind, sample, now);
         if let Some(tasks) = self.sent.get_mut(&agent) {
             tasks.remove(&id);
         }
@@ -726,7 +736,7 @@
             })
             .collect();
         for (index, agent) in sent {
-            self.release(key, index, agent);
+            self.release(key, index, agent, Sample::Nothing, now);
             self.resolve(key, index, Progress::Ended(TaskState::MayHaveRun), now);
         }
     }
@@ -769,6 +779,17 @@
     }
 }
 
+fn sample(verdict: &Verdict) -> Sample {
+    match verdict {
+        Verdict::Ran {
+            result: TaskResult::Done(_),
+            run,
+        } => Sample::Success(*run),
+        Verdict::Ran { .. } => Sample::Failure,
+        Verdict::ResultDropped | Verdict::NotStarted(_) => Sample::Nothing,
+    }
+}
+
 fn not_started(count: usize) -> Vec<TaskState> {
     vec![TaskState::NotStarted; count]
 }
--- a/crates/figdeal-core/src/entry/admit.rs
+++ b/crates/figdeal-core/src/entry/admit.rs
@@ -27,12 +27,12 @@
     }
 
     /// Whether a new submission is turned away before it is claimed.
-    pub(super) fn turns_away(&self, submission: &Submission) -> bool {
+    pub(super) fn turns_away(&self, submission: &Submission, now: Timestamp) -> bool {
         let is_full = self.jobs.len() >= self.limits.jobs;
         is_full
             || self.is_scarce
                 && self
-                    .refusal(submission.team, submission.tasks.iter())
+                    .refusal(submission.team, submission.tasks.iter(), now)
                     .is_some()
     }
 
@@ -43,7 +43,7 @@
             let outcome = Outcome::Cancelled(not_started(count));
             return self.finish_with(key, Arc::new(outcome), now);
         }
-        if let Some(reason) = self.refusal(team, job.tasks.iter().map(|t| &t.spec)) {
+        if let Some(reason) = self.refusal(team, job.tasks.iter().map(|t| &t.spec), now) {
             return self.refuse(key, reason, now);
         }
         *self.in_progress.entry(team).or_default() += count as u32;
@@ -57,6 +57,7 @@
         &self,
         team: TeamId,
         tasks: impl Iterator<Item = &'a TaskSpec> + Clone,
+        now: Timestamp,
     ) -> Option<Refusal> {
         let count = tasks.clone().count();
         let used = self.in_progress.get(&team).copied().unwrap_or(0);
@@ -68,7 +69,7 @@
             return Some(Refusal::QueueFull);
         }
         let longest = tasks.clone().map(|t| t.deadline).max().unwrap_or_default();
-        let is_late = self.completion(tasks).is_some_and(|end| end > longest);
+        let is_late = self.completion(tasks, now).is_some_and(|end| end > longest);
         is_late.then_some(Refusal::DeadlineUnreachable)
     }
 
@@ -82,8 +83,12 @@
     }
 
     /// A lower estimate of the time until the tasks are done, behind what this entry holds; `None` without agents.
-    fn completion<'a>(&self, tasks: impl Iterator<Item = &'a TaskSpec>) -> Option<Duration> {
-        let slots = self.fleet.iter().map(|(_, a)| a.info.slots).sum();
+    fn completion<'a>(
+        &self,
+        tasks: impl Iterator<Item = &'a TaskSpec>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let slots = self.fleet.slots(now);
         let backlog: Vec<KindBacklog> = self
             .queue
             .backlog()
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -145,7 +145,7 @@
             let _guard = runtime.enter();
             let mut control = Control {
                 id: options.id,
-                core: EntryCore::new(options.rules.entry),
+                core: EntryCore::new(options.rules.entry, incarnation.0),
                 claims: ClaimDriver::new(&options, incarnation),
                 start: Instant::now(),
                 kinds: Names::default(),
@@ -206,9 +206,18 @@
         if self.claims.is_ready(now) {
             self.shared.is_claimable.store(true, Ordering::Relaxed);
         }
+        self.drop_channels();
         self.notify_idle();
     }
 
+    /// Closes the connections to agents that the fleet view has forgotten.
+    fn drop_channels(&mut self) {
+        if self.agents.len() > self.core.fleet().iter().len() {
+            let fleet = self.core.fleet();
+            self.agents.retain(|key, _| fleet.get(*key).is_some());
+        }
+    }
+
     fn take_decisions(&mut self, decided: Vec<(SubmissionKey, Claimed)>, now: Timestamp) {
         for (key, claimed) in decided {
             self.core.claimed(key, claimed, now);
