Place unsent tasks elsewhere and answer every caller in time

The agent now fences the task, declines what is queued and waits for an announcement. - Nothing bounded a caller's wait for a claim, for another owner or for a collection. Each waiter is now told to ask again shortly after its deadline. A claim that is decided later starts nothing. - A cancellation was lost when it met a claim that another entry won, or an entry that does not own the job. It is passed to the owner, once. - A fetch took over from an owner after one broken connection, which would fence a living owner's tasks. It asks the owner first. A fetch that becomes the owner answers not_run, where it left expired behind. - An action for an agent that a later event of the same batch replaced stopped the control thread. Actions follow each event. - A collection waited 30 s or counted a broken connection as a loss. It waits as long as its job and asks again.

Ruled out: a second placement of a task whose reply was lost; the agent fences it at the query. Twelve regression tests drive the decisions.

--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -66,6 +66,8 @@
     Cancel(Vec<TaskId>),
     Collect(SubmissionKey, oneshot::Sender<CollectReply>),
     Finished(TaskId, TaskResult),
+    /// The upstream refused the connection for a task.
+    Unreached(TaskId),
     Announce(Upstream),
     Leave,
     Config(u64, Box<SiteConfig>),
@@ -177,6 +179,12 @@
                 self.perform(actions, now);
                 self.answer_collects(now);
             }
+            Event::Unreached(task) => {
+                let actions = self.core.unreached(task, now);
+                self.perform(actions, now);
+                self.publish(now, true);
+                self.answer_collects(now);
+            }
             Event::Announce(upstream) => self.announce(upstream, now),
             Event::Leave => self.leave(now),
             Event::Config(version, site) => self.take_config(version, &site, now),
--- a/crates/figdeal-agent/src/upstream.rs
+++ b/crates/figdeal-agent/src/upstream.rs
@@ -66,6 +66,7 @@
 fn client(connections: u32) -> ureq::Agent {
     ureq::Agent::config_builder()
         .http_status_as_error(false)
+        .proxy(None)
         .max_idle_connections(connections as usize)
         .max_idle_connections_per_host(connections as usize)
         .build()
@@ -86,15 +87,19 @@
         };
         let Ok(call) = call else { return };
         let task = call.task;
-        let result = perform(agent, call);
-        if events.send(Event::Finished(task, result)).is_err() {
+        let event = match perform(agent, call) {
+            Some(result) => Event::Finished(task, result),
+            None => Event::Unreached(task),
+        };
+        if events.send(event).is_err() {
             return;
         }
     }
 }
 
-/// A broken call may have reached the upstream, so only a status tells that the task ran or failed.
-fn perform(agent: &ureq::Agent, call: Call) -> TaskResult {
+/// A broken call may have reached the upstream, so only a status tells that the task ran or failed. Returns `None` when
+/// the upstream refused the connection, so that the task did not start.
+fn perform(agent: &ureq::Agent, call: Call) -> Option<TaskResult> {
     let url = format!("http://{}/run/{}", call.address, call.kind);
     let response = agent
         .post(&url)
@@ -110,21 +115,25 @@
         .send(&call.payload[..]);
     let mut response = match response {
         Ok(response) => response,
+        Err(ureq::Error::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            log::info!("E215 call of {} at {}: {e}", call.task, call.address);
+            return None;
+        }
         Err(e) => {
             log::debug!("E207 call of {} at {}: {e}", call.task, call.address);
-            return TaskResult::Unknown;
+            return Some(TaskResult::Unknown);
         }
     };
     if !response.status().is_success() {
-        return TaskResult::Failed;
+        return Some(TaskResult::Failed);
     }
-    match response
+    let body = response
         .body_mut()
         .with_config()
         .limit(MAX_RESULT)
-        .read_to_vec()
-    {
+        .read_to_vec();
+    Some(match body {
         Ok(bytes) => TaskResult::Done(bytes),
         Err(_) => TaskResult::Unknown,
-    }
+    })
 }
--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -270,6 +270,23 @@
         actions
     }
 
+    /// Takes a call that could not connect to the upstream: the task did not start and never will here. The agent
+    /// declines work until the upstream announces itself again.
+    ///
+    /// # Panics
+    /// Panics when the task is not running.
+    pub fn unreached(&mut self, task: TaskId, now: Timestamp) -> Vec<Action> {
+        let call = self
+            .running
+            .remove(&task)
+            .expect("a called task holds a slot");
+        self.queue.finish(call.kind, call.team);
+        self.ledger.withdraw(task, now);
+        let mut actions = vec![not_started(task, Declined::Draining)];
+        actions.extend(self.drain(now));
+        actions
+    }
+
     /// Answers what became of a task. An unknown task is fenced, so that a delayed request cannot start it.
     pub fn query(&mut self, task: TaskId, incarnation: Incarnation, now: Timestamp) -> Known {
         if incarnation != self.incarnation {
--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -18,7 +18,7 @@
     fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load, Sample},
     id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
-    outcome::{Outcome, TaskState},
+    outcome::{Outcome, Refusal, TaskState},
     runtime::RunTimes,
     share::{FairQueue, KindShare},
     time::{Timestamp, UnixMillis},
@@ -33,6 +33,8 @@
 const MAX_ATTEMPTS: u32 = 20;
 /// Callers get at least this as the time to come back.
 const MIN_RETRY: Duration = Duration::from_millis(500);
+/// Longest wait of a request that names no deadline, and of a collection that knows none.
+const FETCH_LIMIT: Duration = Duration::from_secs(30);
 
 /// Settings of an entry.
 #[derive(Debug, Clone, Copy)]
@@ -183,6 +185,15 @@
         agent: AgentKey,
         /// The submission.
         key: SubmissionKey,
+        /// How long its answer is awaited.
+        remaining: Duration,
+    },
+    /// Ask the owner to cancel a submission; its answer comes with [`Action::AwaitAnswer`].
+    CancelAtOwner {
+        /// The submission.
+        key: SubmissionKey,
+        /// The owner.
+        owner: EntryId,
     },
     /// Answer a caller.
     Answer {
@@ -227,6 +238,7 @@
     sent: HashMap<AgentKey, HashSet<TaskId>>,
     times: RunTimes,
     deadlines: BTreeSet<(Timestamp, JobKey)>,
+    patience: BTreeSet<(Timestamp, WaiterId, JobKey)>,
     unplaced: VecDeque<(Timestamp, TaskId)>,
     finished: VecDeque<(Timestamp, JobKey)>,
     quotas: HashMap<TeamId, u32>,
@@ -253,6 +265,7 @@
             sent: HashMap::new(),
             times: RunTimes::default(),
             deadlines: BTreeSet::new(),
+            patience: BTreeSet::new(),
             unplaced: VecDeque::new(),
             finished: VecDeque::new(),
             quotas: HashMap::new(),
@@ -288,14 +301,17 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Takes a submission. The waiter gets the final answer, or [`Answer::Running`] at once without `wait`.
+    /// Takes a submission. The waiter gets the final answer, or [`Answer::Running`] at once without `wait`. When nothing
+    /// is known shortly after the longest deadline of the tasks, it gets [`Answer::Undecided`].
     pub fn submit(&mut self, submission: Submission, waiter: WaiterId, wait: bool, now: Timestamp) {
-        assert!(!submission.tasks.is_empty(), "a submission has tasks");
+        let longest = submission.tasks.iter().map(|t| t.deadline).max();
+        let longest = longest.expect("a submission has tasks");
+        let until = wait.then(|| now + longest + self.limits.grace);
         if let Some(&key) = self.keys.get(&submission.key) {
             if self.jobs[key].digest != submission.digest {
                 return self.answer(waiter, Answer::Conflict);
             }
-            return self.wait_for(key, waiter, wait);
+            return self.wait_for(key, waiter, until);
         }
         self.make_room();
         if self.turns_away(&submission, now) {
@@ -311,23 +327,42 @@
         let key = self.jobs.insert(Job::new(submission, now));
         self.keys.insert(id, key);
         self.actions.push(claim);
-        self.wait_for(key, waiter, wait);
+        self.wait_for(key, waiter, until);
     }
 
     /// Answers with the outcome of a known submission, waiting for it if `wait` is set.
-    pub fn fetch(&mut self, id: SubmissionKey, waiter: WaiterId, wait: bool) {
+    pub fn fetch(&mut self, id: SubmissionKey, waiter: WaiterId, wait: bool, now: Timestamp) {
         match self.keys.get(&id) {
-            Some(&key) => self.wait_for(key, waiter, wait),
+            Some(&key) => {
+                let until = wait.then(|| self.fetch_until(key, now));
+                self.wait_for(key, waiter, until);
+            }
             None => self.answer(waiter, Answer::Unknown),
         }
     }
 
-    /// Cancels a known submission; the waiter gets the final outcome.
+    /// Cancels a known submission; the waiter gets the final outcome. An owner elsewhere is asked to cancel it.
     pub fn cancel(&mut self, id: SubmissionKey, waiter: WaiterId, now: Timestamp) {
-        let Some(&key) = self.keys.get(&id) else {
+        if let Some(&key) = self.keys.get(&id)
+            && let Phase::Remote { owner, .. } = self.jobs[key].phase
+        {
+            let until = self.fetch_until(key, now);
+            self.wait_for(key, waiter, Some(until));
+            self.actions.push(Action::CancelAtOwner { key: id, owner });
+            return;
+        }
+        self.cancel_owned(id, waiter, now);
+    }
+
+    /// Cancels a submission for another entry. One that is owned elsewhere is unknown, so that requests do not circle.
+    pub fn cancel_owned(&mut self, id: SubmissionKey, waiter: WaiterId, now: Timestamp) {
+        let known = self.keys.get(&id).copied();
+        let is_elsewhere = |key: &JobKey| matches!(self.jobs[*key].phase, Phase::Remote { .. });
+        let Some(key) = known.filter(|key| !is_elsewhere(key)) else {
             return self.answer(waiter, Answer::Unknown);
         };
-        self.wait_for(key, waiter, true);
+        let until = self.fetch_until(key, now);
+        self.wait_for(key, waiter, Some(until));
         let job = &mut self.jobs[key];
         if matches!(job.phase, Phase::Claiming | Phase::Active) {
             job.is_cancelled = true;
@@ -346,9 +381,9 @@
             return;
         }
         match claimed {
-            // A takeover for a fetch has no content that could be started.
+            // A takeover for a fetch has no content that could be started. Nobody else can start it from now on.
             Claimed::Owner if self.jobs[key].tasks.is_empty() => {
-                self.dismiss(key, Answer::Undecided);
+                self.refuse(key, Refusal::OwnerLost, now);
             }
             Claimed::Owner => self.admit(key, now),
             Claimed::OwnedBy(owner, incarnation) => {
@@ -358,6 +393,9 @@
                     owner,
                     incarnation,
                 });
+                if self.jobs[key].is_cancelled {
+                    self.actions.push(Action::CancelAtOwner { key: id, owner });
+                }
             }
             Claimed::Collector => self.start_collect(key, now),
             Claimed::Conflict => self.dismiss(key, Answer::Conflict),
@@ -392,10 +430,12 @@
         }
     }
 
-    /// Takes over a submission of a gone owner for a fetch, which brings no content.
+    /// Waits for a submission of an owner that did not answer a fetch, which brings no content. The owner is asked once
+    /// more before it is taken over, because one broken connection does not prove that it is gone.
     pub fn take_over(&mut self, orphan: Orphan, waiter: WaiterId, now: Timestamp) {
         if let Some(&key) = self.keys.get(&orphan.key) {
-            return self.wait_for(key, waiter, true);
+            let until = self.fetch_until(key, now);
+            return self.wait_for(key, waiter, Some(until));
         }
         let Orphan {
             key: id,
@@ -410,15 +450,18 @@
             team: TeamId(0),
             tasks: Vec::new(),
         };
-        let key = self.jobs.insert(Job::new(submission, now));
+        let mut job = Job::new(submission, now);
+        let (owner, incarnation) = owner;
+        job.phase = Phase::Remote { owner, incarnation };
+        let key = self.jobs.insert(job);
         self.keys.insert(id, key);
-        self.actions.push(Action::Claim {
+        self.actions.push(Action::AwaitAnswer {
             key: id,
-            digest,
-            created,
-            dead: Some(owner),
+            owner,
+            incarnation,
         });
-        self.wait_for(key, waiter, true);
+        let until = self.fetch_until(key, now);
+        self.wait_for(key, waiter, Some(until));
     }
 
     /// Takes an announcement of an agent and returns its key, or `None` for an incarnation that was replaced.
@@ -468,12 +511,28 @@
                 Verdict::ResultDropped => {
                     self.resolve(key, index, Progress::Ended(TaskState::MayHaveRun), now);
                 }
-                Verdict::NotStarted(declined) => self.place_again(key, index, declined, now),
+                Verdict::NotStarted(declined) => {
+                    if matches!(declined, Declined::Draining | Declined::Incarnation) {
+                        self.set_aside(agent, now);
+                    }
+                    self.place_again(key, index, declined, now);
+                }
             }
         }
         self.dispatch(now);
     }
 
+    /// Takes the failure to open a connection for a task: the agent did not get it. The task goes elsewhere, and so
+    /// does all new work until the agent announces itself again.
+    pub fn unsent(&mut self, agent: AgentKey, task: TaskId, now: Timestamp) {
+        self.set_aside(agent, now);
+        if let Some((key, index)) = self.find_sent(agent, task) {
+            self.release(key, index, agent, Sample::Nothing, now);
+            self.place_again(key, index, Declined::Draining, now);
+        }
+        self.dispatch(now);
+    }
+
     /// Takes the loss of the connection that carried a task: its agent is asked again on a new connection.
     pub fn connection_lost(&mut self, agent: AgentKey, task: TaskId) {
         if self.find_sent(agent, task).is_some() {
@@ -500,6 +559,7 @@
         }
         self.fleet.tick(now);
         self.refuse_unplaced(now);
+        self.expire_waiters(now);
         self.expire_finished(now);
         self.dispatch(now);
     }
@@ -508,7 +568,8 @@
     pub fn next_wake(&self) -> Option<Timestamp> {
         let deadline = self.deadlines.first().map(|&(at, _)| at);
         let unplaced = self.unplaced.front().map(|&(at, _)| at);
-        [deadline, unplaced].into_iter().flatten().min()
+        let waiter = self.patience.first().map(|&(until, ..)| until);
+        [deadline, unplaced, waiter].into_iter().flatten().min()
     }
 
     /// Whether the submission is in the table.
@@ -660,6 +721,17 @@
         }
     }
 
+    /// Gives an agent no new work until it announces itself again.
+    fn set_aside(&mut self, agent: AgentKey, now: Timestamp) {
+        let Some(known) = self.fleet.get(agent) else {
+            return;
+        };
+        let mut info = known.info.clone();
+        let load = known.load.clone();
+        info.draining = true;
+        self.fleet.announce(info, load, now);
+    }
+
     fn lose_agent(&mut self, agent: AgentKey, now: Timestamp) {
         let tasks = self.sent.remove(&agent).unwrap_or_default();
         for task in tasks {
--- a/crates/figdeal-core/src/entry/admit.rs
+++ b/crates/figdeal-core/src/entry/admit.rs
@@ -43,6 +43,9 @@
             let outcome = Outcome::Cancelled(not_started(count));
             return self.finish_with(key, Arc::new(outcome), now);
         }
+        if now >= job.deadline {
+            return self.refuse(key, Refusal::DeadlinePassed, now);
+        }
         if let Some(reason) = self.refusal(team, job.tasks.iter().map(|t| &t.spec), now) {
             return self.refuse(key, reason, now);
         }
--- a/crates/figdeal-core/src/entry/answer.rs
+++ b/crates/figdeal-core/src/entry/answer.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Action, Answer, EntryCore, MIN_RETRY,
-    job::{JobKey, Phase, Progress, WaiterId},
+    Action, Answer, EntryCore, FETCH_LIMIT, MIN_RETRY,
+    job::{JobKey, Phase, Progress, Waiter, WaiterId},
 };
 use crate::{
     outcome::{Outcome, Refusal, TaskState},
@@ -16,14 +16,42 @@
         self.actions.push(Action::Answer { waiter, answer });
     }
 
-    pub(super) fn wait_for(&mut self, key: JobKey, waiter: WaiterId, wait: bool) {
-        match &self.jobs[key].phase {
-            Phase::Finished(outcome) => {
-                let answer = Answer::Final(Arc::clone(outcome));
-                self.answer(waiter, answer);
+    /// Answers with a final outcome, else lets the waiter wait until `until` or answers that the job is running.
+    pub(super) fn wait_for(&mut self, key: JobKey, waiter: WaiterId, until: Option<Timestamp>) {
+        if let Phase::Finished(outcome) = &self.jobs[key].phase {
+            let answer = Answer::Final(Arc::clone(outcome));
+            return self.answer(waiter, answer);
+        }
+        let Some(until) = until else {
+            return self.answer(waiter, Answer::Running);
+        };
+        self.jobs[key].waiters.push(Waiter { id: waiter, until });
+        self.patience.insert((until, waiter, key));
+    }
+
+    /// How long a request waits that names no deadline of its own.
+    pub(super) fn fetch_until(&self, key: JobKey, now: Timestamp) -> Timestamp {
+        (self.jobs[key].deadline + self.limits.grace).max(now + FETCH_LIMIT)
+    }
+
+    /// Tells callers whose deadline passed to ask again. The jobs that they wait for are claimed by this entry, or
+    /// owned by another one that does not answer; an owner answers at the deadline itself.
+    pub(super) fn expire_waiters(&mut self, now: Timestamp) {
+        while let Some(&(until, waiter, key)) = self.patience.first() {
+            if until > now {
+                return;
             }
-            _ if wait => self.jobs[key].waiters.push(waiter),
-            _ => self.answer(waiter, Answer::Running),
+            self.patience.pop_first();
+            self.jobs[key].waiters.retain(|w| w.id != waiter);
+            self.answer(waiter, Answer::Undecided);
+        }
+    }
+
+    fn answer_waiters(&mut self, key: JobKey, waiters: Vec<Waiter>, answer: &Answer) {
+        for Waiter { id, until } in waiters {
+            let is_waiting = self.patience.remove(&(until, id, key));
+            assert!(is_waiting, "a waiter is answered once");
+            self.answer(id, answer.clone());
         }
     }
 
@@ -36,9 +64,7 @@
     pub(super) fn dismiss(&mut self, key: JobKey, answer: Answer) {
         let job = self.jobs.remove(key).expect("the job is in the table");
         self.keys.remove(&job.key);
-        for waiter in job.waiters {
-            self.answer(waiter, answer.clone());
-        }
+        self.answer_waiters(key, job.waiters, &answer);
     }
 
     /// Builds the answer of a job whose tasks are all resolved.
@@ -106,9 +132,7 @@
             Outcome::NotRun { .. } => self.counts.refused += 1,
             Outcome::Cancelled(_) => self.counts.cancelled += 1,
         }
-        for waiter in waiters {
-            self.answer(waiter, Answer::Final(Arc::clone(&outcome)));
-        }
+        self.answer_waiters(key, waiters, &Answer::Final(Arc::clone(&outcome)));
         self.bound_answers();
     }
 
--- a/crates/figdeal-core/src/entry/collect.rs
+++ b/crates/figdeal-core/src/entry/collect.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{
-    Action, EntryCore,
+    Action, EntryCore, FETCH_LIMIT,
     job::{Collection, JobKey, Phase},
 };
 use crate::{
@@ -27,7 +27,12 @@
         let count = usize::from(job.digest.tasks());
         let agents: Vec<AgentKey> = self.fleet.iter().map(|(k, _)| k).collect();
         let id = job.key;
-        job.deadline = job.deadline.max(now + self.limits.unplaceable_after);
+        // A fetch does not know how long the tasks may still run.
+        let least = match job.tasks.is_empty() {
+            true => FETCH_LIMIT,
+            false => self.limits.unplaceable_after,
+        };
+        job.deadline = job.deadline.max(now + least);
         job.phase = Phase::Collecting(Collection {
             results: vec![None; count],
             states: vec![TaskState::MayHaveRun; count],
@@ -35,9 +40,11 @@
         });
         let deadline = job.deadline;
         self.deadlines.insert((deadline, key));
-        let collects = agents
-            .iter()
-            .map(|&agent| Action::Collect { agent, key: id });
+        let collects = agents.iter().map(|&agent| Action::Collect {
+            agent,
+            key: id,
+            remaining: deadline.since(now),
+        });
         self.actions.extend(collects);
         if agents.is_empty() {
             self.finish_collect(key, now);
--- a/crates/figdeal-core/src/entry/job.rs
+++ b/crates/figdeal-core/src/entry/job.rs
@@ -18,9 +18,16 @@
 }
 
 /// A caller's request that waits for an answer; the driver assigns it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaiterId(pub u64);
 
+/// A request that waits, and when it is told to ask again at the latest.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Waiter {
+    pub(super) id: WaiterId,
+    pub(super) until: Timestamp,
+}
+
 /// A checked submission.
 #[derive(Debug, Clone)]
 pub struct Submission {
@@ -117,7 +124,7 @@
     pub(super) team: TeamId,
     pub(super) tasks: Vec<Task>,
     pub(super) phase: Phase,
-    pub(super) waiters: Vec<WaiterId>,
+    pub(super) waiters: Vec<Waiter>,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) unresolved: usize,
--- a/crates/figdeal-core/src/ledger.rs
+++ b/crates/figdeal-core/src/ledger.rs
@@ -200,6 +200,27 @@
         self.check();
     }
 
+    /// Fences a running task whose call never reached the upstream.
+    ///
+    /// # Panics
+    /// Panics when the task is not running.
+    pub fn withdraw(&mut self, task: TaskId, now: Timestamp) {
+        let now = self.advance(now);
+        let mark = self
+            .marks
+            .get_mut(&task)
+            .expect("a withdrawn task was admitted");
+        assert_eq!(
+            *mark,
+            Mark::Running,
+            "task {task} must be running to be withdrawn"
+        );
+        *mark = Mark::Fenced;
+        self.ended.push_back((now, task));
+        self.open -= 1;
+        self.check();
+    }
+
     /// Fences a task that is queued or unknown. Returns whether it is certain never to start. An unknown task
     /// cannot be fenced while the ledger is full, because the fence needs a mark.
     pub fn fence(&mut self, task: TaskId, now: Timestamp) -> bool {
--- a/crates/figdeal-core/src/outcome.rs
+++ b/crates/figdeal-core/src/outcome.rs
@@ -32,6 +32,8 @@
     Unplaceable,
     /// The team has as many tasks in progress as its quota allows.
     QuotaExceeded,
+    /// The entry that took it in is gone and had not started anything.
+    OwnerLost,
 }
 
 /// The final answer to a submission.
--- /dev/null
+++ b/crates/figdeal-core/tests/entry_faults.rs
@@ -0,0 +1,340 @@
+//! Regression tests of the entry's and the agent's decisions for faults that the fault runs found.
+
+use std::{sync::Arc, time::Duration};
+
+use figdeal_core::{
+    agent::{self, AgentCore, Declined, Known, TaskOrder, Verdict},
+    entry::{
+        Action, Answer, Claimed, Dispatch, EntryCore, EntryLimits, Orphan, Submission, TaskSpec,
+        WaiterId,
+    },
+    fleet::{AgentInfo, AgentKey, Load},
+    id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
+    ledger::{LedgerLimits, TaskResult},
+    outcome::{Outcome, Refusal, TaskState},
+    time::{Timestamp, UnixMillis},
+};
+
+const KEY: SubmissionKey = SubmissionKey([7; 16]);
+const OWNER: (EntryId, Incarnation) = (EntryId(2), Incarnation(20));
+const WAITER: WaiterId = WaiterId(1);
+const DEADLINE: Duration = Duration::from_millis(200);
+/// A caller is answered within its deadline plus this.
+const MARGIN: Duration = Duration::from_secs(1);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_micros(ms * 1_000)
+}
+
+fn digest() -> Digest {
+    Digest::new([3; 14], 1)
+}
+
+fn submission() -> Submission {
+    let spec = TaskSpec {
+        kind: KindId(0),
+        payload: Arc::from(&b"1 swap"[..]),
+        deadline: DEADLINE,
+        size: 1,
+        declared: Some(Duration::from_millis(1)),
+    };
+    Submission {
+        key: KEY,
+        digest: digest(),
+        created: UnixMillis(1),
+        team: TeamId(0),
+        tasks: vec![spec],
+    }
+}
+
+fn announce(entry: &mut EntryCore, name: &str, incarnation: u64, now: Timestamp) -> AgentKey {
+    let info = AgentInfo {
+        name: name.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        incarnation: Incarnation(incarnation),
+        slots: 1,
+        kinds: Vec::new(),
+        size: 64,
+        draining: false,
+    };
+    let load = Load {
+        free: 1,
+        ..Load::default()
+    };
+    entry.announce(info, load, now).expect("a new incarnation")
+}
+
+fn new_entry() -> EntryCore {
+    EntryCore::new(EntryLimits::default(), 1)
+}
+
+/// An entry that owns the submission.
+fn with_job(entry: &mut EntryCore, now: Timestamp) {
+    entry.submit(submission(), WAITER, true, now);
+    entry.claimed(KEY, Claimed::Owner, now);
+}
+
+fn runs(entry: &mut EntryCore) -> Vec<Dispatch> {
+    let actions = entry.take_actions().into_iter();
+    actions
+        .filter_map(|a| match a {
+            Action::Run(dispatch) => Some(dispatch),
+            _ => None,
+        })
+        .collect()
+}
+
+fn answers(entry: &mut EntryCore) -> Vec<Answer> {
+    let actions = entry.take_actions().into_iter();
+    actions
+        .filter_map(|a| match a {
+            Action::Answer { answer, .. } => Some(answer),
+            _ => None,
+        })
+        .collect()
+}
+
+fn not_run(answers: &[Answer], expected: Refusal) -> bool {
+    let [Answer::Final(outcome)] = answers else {
+        return false;
+    };
+    matches!(&**outcome, Outcome::NotRun { reason, .. } if *reason == expected)
+}
+
+/// Guards against tasks that are stuck at a killed agent: a refused connection proves that the task was not sent.
+#[test]
+fn unsent_task_goes_elsewhere() {
+    let mut entry = new_entry();
+    let first = announce(&mut entry, "a", 1, at(0));
+    with_job(&mut entry, at(0));
+    assert_eq!(runs(&mut entry)[0].agent, first);
+    let second = announce(&mut entry, "b", 2, at(1));
+    let task = TaskId { key: KEY, index: 0 };
+    entry.unsent(first, task, at(2));
+    let again = runs(&mut entry);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].agent, second);
+    // The late end of a call to the first agent changes nothing.
+    entry.unsent(first, task, at(3));
+    assert!(runs(&mut entry).is_empty());
+}
+
+/// Guards against attempts that are used up at an agent that declines everything, within a few milliseconds.
+#[test]
+fn unreachable_agent_gets_work_only_after_it_announces_itself() {
+    for declined in [None, Some(Declined::Draining), Some(Declined::Incarnation)] {
+        let mut entry = new_entry();
+        let agent = announce(&mut entry, "a", 1, at(0));
+        with_job(&mut entry, at(0));
+        assert_eq!(runs(&mut entry).len(), 1);
+        let task = TaskId { key: KEY, index: 0 };
+        match declined {
+            None => entry.unsent(agent, task, at(1)),
+            Some(why) => entry.verdict(agent, task, Verdict::NotStarted(why), None, at(1)),
+        }
+        entry.tick(at(2));
+        assert!(runs(&mut entry).is_empty(), "{declined:?}");
+        announce(&mut entry, "a", 1, at(100));
+        assert_eq!(runs(&mut entry).len(), 1, "{declined:?}");
+    }
+}
+
+/// Guards against `may_have_run` for a task whose upstream refused the connection, and against more calls to it.
+#[test]
+fn refused_call_leaves_the_task_unstarted_and_stops_the_upstream() {
+    let mut agent = AgentCore::new(Incarnation(1), LedgerLimits::default());
+    agent.set_clock(UnixMillis(0), at(0));
+    agent.set_slots(1);
+    let order = |index| TaskOrder {
+        task: TaskId { key: KEY, index },
+        kind: KindId(0),
+        team: TeamId(0),
+        order: 0,
+        deadline: at(10_000),
+        incarnation: Incarnation(1),
+        entry: EntryId(0),
+        sent_ms: UnixMillis(0),
+    };
+    let (first, second) = (order(0), order(1));
+    let reply = |task| agent::Action::Reply(task, Verdict::NotStarted(Declined::Draining));
+    assert_eq!(
+        agent.run(first.clone(), at(0)),
+        [agent::Action::Call(first.task)]
+    );
+    assert_eq!(agent.run(second.clone(), at(0)), []);
+    assert_eq!(
+        agent.unreached(first.task, at(1)),
+        [reply(first.task), reply(second.task)]
+    );
+    assert!(agent.is_draining() && agent.is_idle());
+    agent.set_slots(1);
+    let fenced = Verdict::NotStarted(Declined::Fenced);
+    let again = agent.run(first.clone(), at(2));
+    assert_eq!(again, [agent::Action::Reply(first.task, fenced.clone())]);
+    let known = agent.query(first.task, Incarnation(1), at(3));
+    assert_eq!(known, Known::Ended(fenced));
+}
+
+/// Guards against callers that wait for a claim, for a silent owner or for agents beyond their deadline.
+#[test]
+fn caller_is_told_to_ask_again_when_nothing_is_known_at_the_deadline() {
+    for claimed in [
+        None,
+        Some(Claimed::OwnedBy(OWNER.0, OWNER.1)),
+        Some(Claimed::Collector),
+    ] {
+        let mut entry = new_entry();
+        announce(&mut entry, "a", 1, at(0));
+        entry.submit(submission(), WAITER, true, at(0));
+        if let Some(claimed) = claimed {
+            entry.claimed(KEY, claimed, at(0));
+        }
+        let mut now = at(0);
+        while let Some(wake) = entry.next_wake()
+            && wake < at(0) + DEADLINE + MARGIN
+        {
+            now = wake;
+            entry.tick(now);
+        }
+        assert_eq!(answers(&mut entry), [Answer::Undecided], "{claimed:?}");
+        assert!(now <= at(0) + DEADLINE + MARGIN);
+        // Who asks again gets the answer that came in the meantime.
+        if claimed.is_some_and(|c| c != Claimed::Collector) {
+            let outcome = Arc::new(Outcome::Complete(vec![b"1 swap".to_vec()]));
+            let answer = Answer::Final(outcome);
+            entry.remote_answer(KEY, Some(answer.clone()), now);
+            entry.submit(submission(), WaiterId(2), true, now);
+            assert_eq!(answers(&mut entry), [answer]);
+        }
+    }
+}
+
+/// Guards against a start after the deadline, when the claim took longer than the caller waits.
+#[test]
+fn late_claim_starts_nothing() {
+    let mut entry = new_entry();
+    announce(&mut entry, "a", 1, at(0));
+    entry.submit(submission(), WAITER, true, at(0));
+    entry.claimed(KEY, Claimed::Owner, at(0) + DEADLINE);
+    let actions = answers(&mut entry);
+    assert!(not_run(&actions, Refusal::DeadlinePassed), "{actions:?}");
+}
+
+/// Guards against a lost cancellation: it came while the claim was decided, or to an entry that does not own the job.
+#[test]
+fn cancellation_reaches_the_owner() {
+    for is_early in [true, false] {
+        let mut entry = new_entry();
+        let claimed = Claimed::OwnedBy(OWNER.0, OWNER.1);
+        entry.submit(submission(), WAITER, true, at(0));
+        if is_early {
+            entry.cancel(KEY, WaiterId(2), at(1));
+            entry.claimed(KEY, claimed, at(2));
+        } else {
+            entry.claimed(KEY, claimed, at(1));
+            entry.cancel(KEY, WaiterId(2), at(2));
+        }
+        let actions = entry.take_actions();
+        let is_relayed = |a: &Action| matches!(a, Action::CancelAtOwner { key: KEY, owner } if *owner == OWNER.0);
+        assert_eq!(actions.iter().filter(|a| is_relayed(a)).count(), 1);
+        let outcome = Arc::new(Outcome::Cancelled(vec![TaskState::NotStarted]));
+        entry.remote_answer(KEY, Some(Answer::Final(outcome)), at(3));
+        assert_eq!(answers(&mut entry).len(), 2);
+    }
+}
+
+/// Guards against two entries that pass a cancellation to each other without end.
+#[test]
+fn relayed_cancellation_is_not_relayed_again() {
+    let mut entry = new_entry();
+    entry.submit(submission(), WAITER, true, at(0));
+    entry.claimed(KEY, Claimed::OwnedBy(OWNER.0, OWNER.1), at(1));
+    entry.take_actions();
+    entry.cancel_owned(KEY, WaiterId(2), at(2));
+    let actions = entry.take_actions();
+    assert!(
+        matches!(&actions[..], [Action::Answer { waiter: WaiterId(2), answer }] if *answer == Answer::Unknown)
+    );
+}
+
+/// Guards against a job that runs although it was cancelled before its claim was decided.
+#[test]
+fn cancelled_claim_starts_nothing() {
+    let mut entry = new_entry();
+    announce(&mut entry, "a", 1, at(0));
+    entry.submit(submission(), WAITER, true, at(0));
+    entry.cancel(KEY, WaiterId(2), at(1));
+    entry.claimed(KEY, Claimed::Owner, at(2));
+    let outcome = Arc::new(Outcome::Cancelled(vec![TaskState::NotStarted]));
+    let answer = Answer::Final(outcome);
+    assert_eq!(answers(&mut entry), [answer.clone(), answer]);
+}
+
+fn orphan() -> Orphan {
+    Orphan {
+        key: KEY,
+        digest: digest(),
+        created: UnixMillis(1),
+        owner: OWNER,
+    }
+}
+
+/// Guards against a takeover from a living owner after one broken connection: it would fence the owner's tasks.
+#[test]
+fn fetch_asks_the_owner_before_it_takes_over() {
+    let mut entry = new_entry();
+    entry.take_over(orphan(), WAITER, at(0));
+    let actions = entry.take_actions();
+    assert!(matches!(
+        actions[..],
+        [Action::AwaitAnswer { key: KEY, .. }]
+    ));
+    entry.remote_answer(KEY, None, at(1));
+    let actions = entry.take_actions();
+    assert!(matches!(actions[..], [Action::Claim { dead: Some(owner), .. }] if owner == OWNER));
+}
+
+/// Guards against `expired` for a submission that certainly never ran: the fetch became its owner.
+#[test]
+fn fetch_that_becomes_the_owner_knows_that_nothing_ran() {
+    let mut entry = new_entry();
+    entry.take_over(orphan(), WAITER, at(0));
+    entry.remote_answer(KEY, None, at(1));
+    entry.take_actions();
+    entry.claimed(KEY, Claimed::Owner, at(2));
+    let first = answers(&mut entry);
+    assert!(not_run(&first, Refusal::OwnerLost), "{first:?}");
+    entry.submit(submission(), WaiterId(2), true, at(3));
+    assert_eq!(answers(&mut entry), first);
+}
+
+/// Guards against a task of a restarted agent that is placed again, or waits for its deadline.
+#[test]
+fn restarted_agent_ends_its_tasks_at_once() {
+    let mut entry = new_entry();
+    let old = announce(&mut entry, "a", 1, at(0));
+    with_job(&mut entry, at(0));
+    assert_eq!(runs(&mut entry).len(), 1);
+    let task = TaskId { key: KEY, index: 0 };
+    announce(&mut entry, "a", 2, at(1));
+    let outcome = Arc::new(Outcome::Failed(vec![TaskState::MayHaveRun]));
+    assert_eq!(answers(&mut entry), [Answer::Final(outcome)]);
+    // The answers of the old incarnation, to the query and to the task itself, come too late.
+    entry.incarnation_gone(old, task, at(2));
+    let result = TaskResult::Done(b"late".to_vec());
+    let run = Duration::from_millis(1);
+    entry.verdict(old, task, Verdict::Ran { result, run }, None, at(3));
+    assert!(entry.take_actions().is_empty());
+}
+
+/// Guards against tasks without an agent that are forgotten at their deadline.
+#[test]
+fn unplaced_task_ends_at_the_deadline() {
+    let mut entry = new_entry();
+    with_job(&mut entry, at(0));
+    entry.tick(at(0) + DEADLINE);
+    let answers = answers(&mut entry);
+    assert!(not_run(&answers, Refusal::DeadlinePassed), "{answers:?}");
+    announce(&mut entry, "a", 1, at(300));
+    assert!(runs(&mut entry).is_empty());
+}
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -20,7 +20,7 @@
     time::{Timestamp, UnixMillis},
 };
 use figdeal_wire::{
-    channel::{self, Channel, Limits},
+    channel::{self, Channel, Limits, Step},
     count::{self, Class},
     message::{
         AnnounceReply, Announcement, CollectReply, LoadReport, OwnerRecord, PeerQuery,
@@ -40,8 +40,10 @@
 const MAX_WAIT: Duration = Duration::from_millis(100);
 /// Time between two attempts to ask an agent about a task.
 const QUERY_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait for an agent that collects, beyond which it counts as unreachable.
-const COLLECT_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for the verdict on a task before its agent is asked again.
+const QUERY_LIMIT: Duration = Duration::from_secs(30);
+/// Times that an agent is asked for what it holds of a submission before it counts as gone.
+const COLLECT_ATTEMPTS: u32 = 3;
 /// Longest wait for a cancellation to be taken.
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -94,10 +96,15 @@
         task: TaskId,
         reply: channel::Result<TaskReply>,
     },
+    /// The connection for a task could not be opened.
+    Unsent {
+        agent: AgentKey,
+        task: TaskId,
+    },
     Collected {
         agent: AgentKey,
         key: SubmissionKey,
-        reply: channel::Result<CollectReply>,
+        reply: Option<CollectReply>,
     },
     Owner {
         key: SubmissionKey,
@@ -173,7 +180,7 @@
         loop {
             match inbox.recv_timeout(self.wait()) {
                 Ok(Event::Kill) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
-                Ok(event) => self.handle(event),
+                Ok(event) => self.take(event),
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
             }
             // Events that are there already share the claim messages of this round.
@@ -181,12 +188,18 @@
                 if matches!(event, Event::Kill) {
                     return;
                 }
-                self.handle(event);
+                self.take(event);
             }
             self.tick();
         }
     }
 
+    /// Handles an event and performs what follows from it: a later one may remove the agent that an action names.
+    fn take(&mut self, event: Event) {
+        self.handle(event);
+        self.perform();
+    }
+
     fn wait(&self) -> Duration {
         let now = self.now();
         let wakes = [self.core.next_wake(), self.claims.next_wake()];
@@ -274,7 +287,7 @@
             } => {
                 let search = Search::Fetch { wait };
                 let waiter = self.add_waiter(self.search_responder(key, responder, search));
-                self.core.fetch(key, waiter, wait);
+                self.core.fetch(key, waiter, wait, now);
             }
             Event::Cancel { key, responder } => {
                 let waiter = self.add_waiter(self.search_responder(key, responder, Search::Cancel));
@@ -286,7 +299,7 @@
                 responder,
             } => {
                 let waiter = self.add_waiter(responder);
-                self.core.fetch(key, waiter, wait);
+                self.core.fetch(key, waiter, wait, now);
             }
             Event::TakeOver { orphan, responder } => {
                 let waiter = self.add_waiter(responder);
@@ -294,7 +307,7 @@
             }
             Event::PeerCancel(key, responder) => {
                 let waiter = self.add_waiter(responder);
-                self.core.cancel(key, waiter, now);
+                self.core.cancel_owned(key, waiter, now);
             }
             Event::Status(responder) => responder(self.status(now)),
             Event::Announce(announcement, reply) => {
@@ -314,8 +327,9 @@
                 let _ = reply.send(self.claims.find(key));
             }
             Event::Task { agent, task, reply } => self.take_reply(agent, task, reply, now),
+            Event::Unsent { agent, task } => self.core.unsent(agent, task, now),
             Event::Collected { agent, key, reply } => {
-                let held = reply.ok().map(held);
+                let held = reply.map(held);
                 self.core.collected(agent, key, held, now);
             }
             Event::Owner { key, answer } => self.core.remote_answer(key, answer, now),
@@ -549,7 +563,16 @@
                     }
                 });
             }
-            Action::Collect { agent, key } => self.send_collect(agent, key),
+            Action::CancelAtOwner { key, owner } => {
+                let peers = self.peers.clone();
+                self.runtime
+                    .spawn(async move { peers.cancel_at(owner, key).await });
+            }
+            Action::Collect {
+                agent,
+                key,
+                remaining,
+            } => self.send_collect(agent, key, remaining),
             Action::Answer { waiter, answer } => {
                 let responder = self
                     .responders
@@ -590,7 +613,14 @@
             if reply.is_ok() {
                 count::record(Class::Result);
             }
-            let _ = events.send(Event::Task { agent, task, reply });
+            let event = match reply {
+                Err(e) if e.step == Step::Connect => {
+                    log::info!("E309 task {task}: {e}");
+                    Event::Unsent { agent, task }
+                }
+                reply => Event::Task { agent, task, reply },
+            };
+            let _ = events.send(event);
         });
     }
 
@@ -609,7 +639,7 @@
         self.runtime.spawn(async move {
             tokio::time::sleep(QUERY_PAUSE).await;
             count::record(Class::Recovery);
-            let call = channel.call(COLLECT_LIMIT, |client, context| async move {
+            let call = channel.call(QUERY_LIMIT, |client, context| async move {
                 client.query(context, request).await
             });
             let reply = call.await;
@@ -620,19 +650,33 @@
         });
     }
 
-    fn send_collect(&mut self, agent: AgentKey, key: SubmissionKey) {
+    /// Asks an agent that breaks the connection again; one that cannot be reached a few times counts as gone.
+    fn send_collect(&mut self, agent: AgentKey, key: SubmissionKey, remaining: Duration) {
         let Some(channel) = self.agents.get(&agent).cloned() else {
+            let _ = self.events.send(Event::Collected {
+                agent,
+                key,
+                reply: None,
+            });
             return;
         };
         let events = self.events.clone();
         self.runtime.spawn(async move {
-            count::record(Class::Recovery);
-            let call = channel.call(COLLECT_LIMIT, |client, context| async move {
-                client.collect(context, key).await
-            });
-            let reply = call.await;
-            if reply.is_ok() {
+            let mut reply = None;
+            for _ in 0..COLLECT_ATTEMPTS {
                 count::record(Class::Recovery);
+                let call = channel.call(remaining, |client, context| async move {
+                    client.collect(context, key).await
+                });
+                match call.await {
+                    Ok(held) => {
+                        count::record(Class::Recovery);
+                        reply = Some(held);
+                        break;
+                    }
+                    Err(e) => log::info!("E308 collection: {e}"),
+                }
+                tokio::time::sleep(QUERY_PAUSE).await;
             }
             let _ = events.send(Event::Collected { agent, key, reply });
         });
--- a/crates/figdeal/src/entry/peers.rs
+++ b/crates/figdeal/src/entry/peers.rs
@@ -45,6 +45,8 @@
     /// Waits for the answer of the owner; `None` when it is gone or another incarnation.
     pub(crate) async fn await_owner(&self, owner: EntryId, query: PeerQuery) -> Option<Answer> {
         for _ in 0..OWNER_ATTEMPTS {
+            // An earlier run of this entry.
+            self.get(owner)?;
             match self.await_answer(owner, query).await {
                 Some(PeerAnswer::Final(outcome)) => return Some(Answer::Final(Arc::new(outcome))),
                 Some(PeerAnswer::Unknown) => return Some(Answer::Undecided),
@@ -117,6 +119,24 @@
         None
     }
 
+    /// Asks the owner to cancel a submission. Whoever waits for its answer learns the result.
+    pub(crate) async fn cancel_at(&self, owner: EntryId, key: SubmissionKey) {
+        let Some(channel) = self.get(owner) else {
+            return;
+        };
+        for _ in 0..OWNER_ATTEMPTS {
+            count::record(Class::Recovery);
+            let call = channel.call(ANSWER_LIMIT, |client, context| async move {
+                client.cancel(context, key).await
+            });
+            match call.await {
+                Ok(_) => return count::record(Class::Recovery),
+                Err(e) => log::info!("E305 cancellation: {e}"),
+            }
+            tokio::time::sleep(OWNER_PAUSE).await;
+        }
+    }
+
     /// Asks every other entry for the owner of a submission.
     pub(crate) async fn find(&self, key: SubmissionKey) -> Option<OwnerRecord> {
         for channel in self.channels.values() {
