Submit again when an entry forgets a job that it took

With wait=false an entry answers running before its claim is decided. When the claim ends undecided, a fetch says unknown, and `figdeal submit` exited with 9 as if the job had never been sent. Seen against an entry that had just restarted.

--- a/crates/figdeal/src/command/job.rs
+++ b/crates/figdeal/src/command/job.rs
@@ -122,6 +122,10 @@
         // The same id and content may be sent again to any entry; a task still starts at most once.
         let problem = match answer {
             Ok(answer) if answer.outcome() == "undecided" => answer.problem(),
+            // The entry forgets a job that it had taken when the claim ends undecided.
+            Ok(answer) if answer.outcome() == "unknown" => {
+                format!("step claim, entry {entry}: undecided")
+            }
             Ok(answer) => return print(&answer, args.json, out),
             Err(e) => e.to_string(),
         };
--- a/crates/figdeal/tests/http/commands.rs
+++ b/crates/figdeal/tests/http/commands.rs
@@ -103,6 +103,30 @@
     );
 }
 
+/// Guards against a job that is given up, or reported as unknown, because the entry that took it could not decide.
+#[test]
+fn an_undecided_job_is_submitted_again() {
+    let fleet = Fleet::start(1);
+    let entry = fleet.entry.http.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("job.json");
+    // Older than the start of the entry, which therefore cannot know whether it was started before.
+    let mut job = new_job("old", &[0]);
+    job["created_ms"] = Value::from(job["created_ms"].as_u64().unwrap() - 600_000);
+    fs::write(&file, job.to_string()).unwrap();
+    let words = [
+        "submit",
+        file.to_str().unwrap(),
+        "--entry",
+        &entry,
+        "--limit",
+        "0",
+    ];
+    let error = run(&words).0.unwrap_err().to_string();
+    assert!(error.contains("undecided; gave up"), "{error}");
+    assert!(fleet.upstreams[0].journal().is_empty());
+}
+
 /// Guards against errors that do not name the step and the peer.
 #[test]
 fn errors_name_the_step_and_the_peer() {
