--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -10,6 +10,7 @@
 };
 
 use figdeal_core::time::{Timestamp, UnixMillis};
+use figdeal_wire::codec::Postcard;
 use futures::{StreamExt, stream};
 use tarpc::{
     client, context,
@@ -22,7 +23,6 @@
 };
 
 use crate::{
-    codec::Postcard,
     command::Command,
     disk::Disk,
     message::Envelope,
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -25,6 +25,10 @@
     Entry(command::entry::Args),
     /// Runs a stand-in upstream beside an agent, for trials
     StandIn(command::stand_in::Args),
+    /// Measures the real code over loopback against the targets of the design
+    Bench(command::bench::Args),
+    /// Offers jobs to running entries and counts the answers
+    Load(command::load::Args),
     /// Founds, shows and replaces control replicas
     Control(command::control::Args),
     /// Proposes, signs and shows changes of the configuration
@@ -61,6 +65,8 @@
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
         Command::StandIn(args) => command::stand_in::run(&args),
+        Command::Bench(args) => command::bench::run(&args),
+        Command::Load(args) => command::load::run(&args),
         Command::Control(args) => command::control::run(&args),
         Command::Config(args) => command::config::run(&args),
         Command::Check(args) => done(command::check::run(&args)),
