--- a/crates/figdeal/src/command/load.rs
+++ b/crates/figdeal/src/command/load.rs
@@ -132,7 +132,7 @@
         tokio::select! {
             Some(done) = open.join_next() => match done {
                 Ok(done) => totals.count(done),
-                Err(e) => log::error!("E330 a caller of the load generator panicked: {e}"),
+                Err(e) => log::error!("E501 a caller of the load generator panicked: {e}"),
             },
             () = sleep_until(due.into()), if due < end => {
                 totals.offered += 1;
--- a/extra/completions/figdeal.bash
+++ b/extra/completions/figdeal.bash
@@ -16,6 +16,9 @@
             ",$1")
                 cmd="figdeal"
                 ;;
+            figdeal,bench)
+                cmd="figdeal__subcmd__bench"
+                ;;
             figdeal,cancel)
                 cmd="figdeal__subcmd__cancel"
                 ;;
@@ -49,6 +52,9 @@
             figdeal,keys)
                 cmd="figdeal__subcmd__keys"
                 ;;
+            figdeal,load)
+                cmd="figdeal__subcmd__load"
+                ;;
             figdeal,man)
                 cmd="figdeal__subcmd__man"
                 ;;
@@ -136,6 +142,9 @@
             figdeal__subcmd__control__subcmd__help,status)
                 cmd="figdeal__subcmd__control__subcmd__help__subcmd__status"
                 ;;
+            figdeal__subcmd__help,bench)
+                cmd="figdeal__subcmd__help__subcmd__bench"
+                ;;
             figdeal__subcmd__help,cancel)
                 cmd="figdeal__subcmd__help__subcmd__cancel"
                 ;;
@@ -169,6 +178,9 @@
             figdeal__subcmd__help,keys)
                 cmd="figdeal__subcmd__help__subcmd__keys"
                 ;;
+            figdeal__subcmd__help,load)
+                cmd="figdeal__subcmd__help__subcmd__load"
+                ;;
             figdeal__subcmd__help,man)
                 cmd="figdeal__subcmd__help__subcmd__man"
                 ;;
@@ -245,7 +257,7 @@
 
     case "${cmd}" in
         figdeal)
-            opts="-h -V --help --version demo entry stand-in control config check keys status report submit fetch cancel drain completions man help"
+            opts="-h -V --help --version demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -258,6 +270,52 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__bench)
+            opts="-h --json --quick --seed --entries --upstreams --slots --load --seconds --only --declared --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --seed)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --entries)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --upstreams)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --slots)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --load)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --seconds)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --only)
+                    COMPREPLY=($(compgen -W "response flood throughput memory" -- "${cur}"))
+                    return 0
+                    ;;
+                --declared)
+                    COMPREPLY=($(compgen -W "none rough exact" -- "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__cancel)
             opts="-h --entry --json --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
@@ -829,7 +887,7 @@
             return 0
             ;;
         figdeal__subcmd__help)
-            opts="demo entry stand-in control config check keys status report submit fetch cancel drain completions man help"
+            opts="demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -842,6 +900,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__help__subcmd__bench)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__help__subcmd__cancel)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -1164,6 +1236,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__help__subcmd__load)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__help__subcmd__man)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -1336,6 +1422,60 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__load)
+            opts="-h --entry --kind --team --rate --size --run-ms --deadline-ms --seconds --seed --open --json --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --entry)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --kind)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --team)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --rate)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --size)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --run-ms)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --deadline-ms)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --seconds)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --seed)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --open)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__man)
             opts="-h --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/completions/figdeal.fish
+++ b/extra/completions/figdeal.fish
@@ -29,6 +29,8 @@
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "demo" -d 'Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments'
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "entry" -d 'Runs an entry process until SIGTERM'
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "stand-in" -d 'Runs a stand-in upstream beside an agent, for trials'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "bench" -d 'Measures the real code over loopback against the targets of the design'
+complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "load" -d 'Offers jobs to running entries and counts the answers'
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "control" -d 'Founds, shows and replaces control replicas'
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "config" -d 'Proposes, signs and shows changes of the configuration'
 complete -c figdeal -n "__fish_figdeal_needs_command" -f -a "check" -d 'Checks a configuration without a running process'
@@ -53,6 +55,34 @@
 complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l journal -d 'File to which each start of a task is appended' -r -F
 complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -l fail -d 'Fail every task at once'
 complete -c figdeal -n "__fish_figdeal_using_subcommand stand-in" -s h -l help -d 'Print help'
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l seed -d 'Seed of the arrivals' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l entries -d 'Number of entries' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l upstreams -d 'Number of upstreams' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l slots -d 'Slots of each upstream' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l load -d 'Offered work divided by the capacity' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l seconds -d 'Length of the window of each run under load' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l only -d 'Measure only this' -r -f -a "response\t'Response times, messages under load and when idle'
+flood\t'What other work keeps during a flood'
+throughput\t'Tasks per second and CPU for each task'
+memory\t'Memory with queued tasks'"
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l declared -d 'What callers declare about run times' -r -f -a "none\t'Nothing'
+rough\t'The true run time times a factor, log-uniform between a half and two'
+exact\t'The true run time'"
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l json -d 'Print one JSON object a line'
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -l quick -d 'Shorter windows; less than a minute in total'
+complete -c figdeal -n "__fish_figdeal_using_subcommand bench" -s h -l help -d 'Print help (see more with \'--help\')'
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l entry -d 'HTTP address of an entry; several entries are picked at random' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l kind -d 'Kind with its part of the jobs, such as `quote-check=3`; several are drawn by their parts' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l team -d 'Team that submits' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l rate -d 'Jobs a second; the arrivals are a Poisson process' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l size -d 'Tasks of a job, log-uniform' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l run-ms -d 'Run times in milliseconds, log-uniform; a stand-in upstream takes them from the payload' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l deadline-ms -d 'Deadline of the tasks; the deadline of the kind where it is absent' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l seconds -d 'How long jobs are offered; answers are awaited after that' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l seed -d 'Seed of arrivals, kinds, sizes and run times' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l open -d 'Largest number of jobs without an answer; jobs beyond it are skipped and counted' -r
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -l json -d 'Print the summary as one JSON object a line'
+complete -c figdeal -n "__fish_figdeal_using_subcommand load" -s h -l help -d 'Print help'
 complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -s h -l help -d 'Print help'
 complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "id" -d 'Prints the identity of the replica in the data folder, and makes one in an empty folder'
 complete -c figdeal -n "__fish_figdeal_using_subcommand control; and not __fish_seen_subcommand_from id init status replace help" -f -a "init" -d 'Founds the register; run it once on each founding VM, with the same owners and members'
@@ -150,22 +180,24 @@
 complete -c figdeal -n "__fish_figdeal_using_subcommand completions" -l agent -d 'Completions of figdeal-agent instead of figdeal'
 complete -c figdeal -n "__fish_figdeal_using_subcommand completions" -s h -l help -d 'Print help'
 complete -c figdeal -n "__fish_figdeal_using_subcommand man" -s h -l help -d 'Print help'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "demo" -d 'Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "entry" -d 'Runs an entry process until SIGTERM'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "stand-in" -d 'Runs a stand-in upstream beside an agent, for trials'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "control" -d 'Founds, shows and replaces control replicas'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "config" -d 'Proposes, signs and shows changes of the configuration'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "check" -d 'Checks a configuration without a running process'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "keys" -d 'Makes and shows the keys of the co-owners'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "status" -d 'Shows fleet, slots, queues and versions as the entries see them'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "report" -d 'Shows the service-level burn, summed over the entries'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "submit" -d 'Submits a job and prints its progress and its answer'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "fetch" -d 'Fetches the answer to a job'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "cancel" -d 'Cancels a job'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "drain" -d 'Lets one entry finish what is in progress and exit'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "completions" -d 'Prints the completions for a shell'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "man" -d 'Writes the man pages into a folder'
-complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in control config check keys status report submit fetch cancel drain completions man help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "demo" -d 'Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "entry" -d 'Runs an entry process until SIGTERM'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "stand-in" -d 'Runs a stand-in upstream beside an agent, for trials'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "bench" -d 'Measures the real code over loopback against the targets of the design'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "load" -d 'Offers jobs to running entries and counts the answers'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "control" -d 'Founds, shows and replaces control replicas'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "config" -d 'Proposes, signs and shows changes of the configuration'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "check" -d 'Checks a configuration without a running process'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "keys" -d 'Makes and shows the keys of the co-owners'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "status" -d 'Shows fleet, slots, queues and versions as the entries see them'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "report" -d 'Shows the service-level burn, summed over the entries'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "submit" -d 'Submits a job and prints its progress and its answer'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "fetch" -d 'Fetches the answer to a job'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "cancel" -d 'Cancels a job'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "drain" -d 'Lets one entry finish what is in progress and exit'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "completions" -d 'Prints the completions for a shell'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "man" -d 'Writes the man pages into a folder'
+complete -c figdeal -n "__fish_figdeal_using_subcommand help; and not __fish_seen_subcommand_from demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
 complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "id" -d 'Prints the identity of the replica in the data folder, and makes one in an empty folder'
 complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "init" -d 'Founds the register; run it once on each founding VM, with the same owners and members'
 complete -c figdeal -n "__fish_figdeal_using_subcommand help; and __fish_seen_subcommand_from control" -f -a "status" -d 'Shows the members and the number in force, read through a majority'
