--- a/crates/figdeal/src/entry/peers.rs
+++ b/crates/figdeal/src/entry/peers.rs
@@ -131,7 +131,7 @@
             });
             match call.await {
                 Ok(_) => return count::record(Class::Recovery),
-                Err(e) => log::info!("E308 cancellation: {e}"),
+                Err(e) => log::info!("E309 cancellation: {e}"),
             }
             tokio::time::sleep(OWNER_PAUSE).await;
         }
