--- a/crates/figdeal/src/bench/client.rs
+++ b/crates/figdeal/src/bench/client.rs
@@ -39,7 +39,7 @@
 pub struct Reply {
     /// The outcome, or `lost` where no answer came.
     pub outcome: String,
-    /// The reason of a refusal.
+    /// The reason of a refusal or the text of an error.
     pub reason: Option<String>,
     /// Number of results in the answer.
     pub results: usize,
@@ -242,7 +242,10 @@
     match answer {
         Ok(value) => Reply {
             outcome: value["outcome"].as_str().unwrap_or("none").to_owned(),
-            reason: value["reason"].as_str().map(str::to_owned),
+            reason: value["reason"]
+                .as_str()
+                .or(value["error"].as_str())
+                .map(str::to_owned),
             results: value["results"].as_array().map_or(0, Vec::len),
             response,
             lag,
--- a/crates/figdeal/src/command/load.rs
+++ b/crates/figdeal/src/command/load.rs
@@ -83,6 +83,8 @@
 /// Counts of one kind and outcome.
 struct Line {
     tasks: u64,
+    /// The first reason that was given.
+    reason: String,
     times: Histogram<u64>,
 }
 
@@ -132,7 +134,7 @@
         tokio::select! {
             Some(done) = open.join_next() => match done {
                 Ok(done) => totals.count(done),
-                Err(e) => log::error!("E330 a caller of the load generator panicked: {e}"),
+                Err(e) => log::error!("E321 a caller of the load generator panicked: {e}"),
             },
             () = sleep_until(due.into()), if due < end => {
                 totals.offered += 1;
@@ -210,7 +212,8 @@
     fn count(&mut self, done: Done) {
         self.lag = self.lag.max(done.reply.lag);
         let key = (done.kind, done.reply.outcome);
-        let line = self.lines.entry(key).or_insert_with(Line::new);
+        let reason = done.reply.reason.unwrap_or_default();
+        let line = self.lines.entry(key).or_insert_with(|| Line::new(reason));
         line.tasks += done.tasks as u64;
         line.times
             .saturating_record(done.reply.response.as_millis() as u64);
@@ -218,10 +221,11 @@
 }
 
 impl Line {
-    fn new() -> Line {
+    fn new(reason: String) -> Line {
         let times = Histogram::new_with_max(MAX_MILLIS, DIGITS);
         Line {
             tasks: 0,
+            reason,
             times: times.expect("the bounds of the histogram are valid"),
         }
     }
@@ -247,18 +251,20 @@
             let figures = json!({
                 "kind": kind, "outcome": outcome, "jobs": times.len(), "tasks": line.tasks,
                 "p50_ms": at(50.0), "p90_ms": at(90.0), "p99_ms": at(99.0), "max_ms": times.max(),
+                "reason": line.reason,
             });
             println!("{figures}");
             continue;
         }
         println!(
-            "{kind:20} {outcome:10} {:7} {:8} {:7} {:7} {:7} {:7}",
+            "{kind:20} {outcome:10} {:7} {:8} {:7} {:7} {:7} {:7}  {}",
             times.len(),
             line.tasks,
             at(50.0),
             at(90.0),
             at(99.0),
             times.max(),
+            line.reason,
         );
     }
     let (offered, skipped) = (totals.offered, totals.skipped);
