--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -14,6 +14,7 @@
 use figdeal_wire::message::{
     CollectReply, LoadReport, QueryRequest, Reason, RunRequest, TaskReply, TaskWord,
 };
+use metrics::{counter, gauge};
 use tokio::{
     runtime::Handle,
     sync::{oneshot, watch},
@@ -66,11 +67,15 @@
     Cancel(Vec<TaskId>),
     Collect(SubmissionKey, oneshot::Sender<CollectReply>),
     Finished(TaskId, TaskResult),
+    /// The upstream refused the connection for a task.
+    Unreached(TaskId),
     Announce(Upstream),
     Leave,
     Config(u64, Box<SiteConfig>),
     Stop,
     NotifyIdle(mpsc::Sender<()>),
+    /// Sets the gauges, which are read when the metrics are rendered.
+    Gauges(mpsc::Sender<()>),
     Kill,
 }
 
@@ -173,10 +178,17 @@
             }
             Event::Collect(key, reply) => self.collect(key, reply, now),
             Event::Finished(task, result) => {
+                count_end(&result);
                 let actions = self.core.finish(task, result, now);
                 self.perform(actions, now);
                 self.answer_collects(now);
             }
+            Event::Unreached(task) => {
+                let actions = self.core.unreached(task, now);
+                self.perform(actions, now);
+                self.publish(now, true);
+                self.answer_collects(now);
+            }
             Event::Announce(upstream) => self.announce(upstream, now),
             Event::Leave => self.leave(now),
             Event::Config(version, site) => self.take_config(version, &site, now),
@@ -185,6 +197,10 @@
                 self.leave(now);
             }
             Event::NotifyIdle(sender) => self.idle.push(sender),
+            Event::Gauges(done) => {
+                self.set_gauges();
+                let _ = done.send(());
+            }
             Event::Kill => {}
         }
     }
@@ -388,6 +404,18 @@
         }
     }
 
+    fn set_gauges(&self) {
+        let slots = self.upstream.as_ref().map_or(0, |u| u.slots);
+        let (marks, bytes) = self.core.held();
+        gauge!("figdeal_agent_slots").set(f64::from(slots));
+        gauge!("figdeal_agent_busy_slots").set(f64::from(self.core.busy()));
+        gauge!("figdeal_agent_queued_tasks").set(self.core.queued() as f64);
+        gauge!("figdeal_agent_marks").set(marks as f64);
+        gauge!("figdeal_agent_held_bytes").set(bytes as f64);
+        gauge!("figdeal_agent_draining").set(f64::from(u8::from(self.core.is_draining())));
+        gauge!("figdeal_agent_config_version").set(self.version as f64);
+    }
+
     fn load(&self, now: Timestamp) -> LoadReport {
         let Load {
             free, queued, wait, ..
@@ -434,3 +462,12 @@
         Declined::Stale => Reason::Stale,
     }
 }
+
+fn count_end(result: &TaskResult) {
+    let state = match result {
+        TaskResult::Done(_) => "done",
+        TaskResult::Failed => "failed",
+        TaskResult::Unknown => "may_have_run",
+    };
+    counter!("figdeal_agent_tasks_total", "state" => state).increment(1);
+}
