Add the fault runs silence, fail-all and cancel

Silence puts relays between processes that stop passing bytes on open connections, fail-all lets one upstream fail every task at once, and cancel sends waves of cancellations through any entry.

--- a/crates/figdeal/examples/faults.rs
+++ b/crates/figdeal/examples/faults.rs
@@ -11,8 +11,12 @@
 
 #[path = "faults/caller.rs"]
 mod caller;
+#[path = "faults/cancel.rs"]
+mod cancel;
 #[path = "faults/check.rs"]
 mod check;
+#[path = "faults/fail_all.rs"]
+mod fail_all;
 #[path = "faults/fleet.rs"]
 mod fleet;
 #[path = "faults/kill.rs"]
@@ -21,8 +25,12 @@
 mod load;
 #[path = "faults/process.rs"]
 mod process;
+#[path = "faults/relay.rs"]
+mod relay;
 #[path = "faults/resubmit.rs"]
 mod resubmit;
+#[path = "faults/silence.rs"]
+mod silence;
 #[path = "faults/summary.rs"]
 mod summary;
 
@@ -64,11 +72,23 @@
     Kill,
     /// The same submission through every entry at once
     Resubmit,
+    /// Open connections between processes stop passing bytes
+    Silence,
+    /// One upstream fails every task at once
+    FailAll,
+    /// Waves of cancellations through any entry
+    Cancel,
 }
 
 impl Scenario {
     fn plan(self) -> Plan {
-        Plan::default()
+        Plan {
+            failing: match self {
+                Scenario::FailAll => vec![fail_all::FAILING],
+                _ => Vec::new(),
+            },
+            is_relayed: self == Scenario::Silence,
+        }
     }
 
     fn run(self, fleet: &Arc<Fleet>, args: &Args, summary: &mut Summary) -> Result<()> {
@@ -76,6 +96,9 @@
         match self {
             Scenario::Kill => kill::run(fleet, args.seed, span, summary),
             Scenario::Resubmit => resubmit::run(fleet, args.seed, args.count, summary),
+            Scenario::Silence => silence::run(fleet, args.seed, span, summary),
+            Scenario::FailAll => fail_all::run(fleet, args.seed, span, summary),
+            Scenario::Cancel => cancel::run(fleet, args.seed, span, summary),
         }
     }
 }
--- a/crates/figdeal/examples/faults/check.rs
+++ b/crates/figdeal/examples/faults/check.rs
@@ -51,6 +51,13 @@
         "latest answer after deadline, ms",
         latest.as_millis() as u64,
     );
+    let mut totals: Vec<Duration> = records.iter().map(|r| r.total).collect();
+    totals.sort_unstable();
+    for percent in [50, 99] {
+        let total = totals.get(totals.len() * percent / 100).copied();
+        let ms = total.unwrap_or_default().as_millis() as u64;
+        summary.count(&format!("response time p{percent}, ms"), ms);
+    }
     let beyond = |r: &&Record| r.total > r.job.deadline + ANSWER_MARGIN;
     summary.count(
         "late counted from first request",
--- /dev/null
+++ b/crates/figdeal/examples/faults/fail_all.rs
@@ -0,0 +1,38 @@
+//! Scenario `fail-all`: one upstream fails every task at once, so that it looks like the least loaded one.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use crate::{
+    Result, check,
+    fleet::{ENTRIES, Fleet},
+    load::Load,
+    summary::Summary,
+};
+
+/// The upstream that fails.
+pub(crate) const FAILING: usize = 0;
+/// Probes of one entry in the second half of a run: the back-off doubles from 1 s, and may start anew once.
+const MAX_PROBES: usize = 6;
+
+pub(crate) fn run(
+    fleet: &Arc<Fleet>,
+    seed: u64,
+    span: Duration,
+    summary: &mut Summary,
+) -> Result<()> {
+    let load = Load::start(fleet, seed);
+    thread::sleep(span / 2);
+    let first = fleet.starts(FAILING);
+    thread::sleep(span / 2);
+    let second = fleet.starts(FAILING) - first;
+    let records = load.finish()?;
+    summary.count("starts at the failing upstream, first half", first);
+    summary.count("starts at the failing upstream, second half", second);
+    if second > MAX_PROBES * ENTRIES {
+        summary.violation(format!(
+            "{second} tasks went to the failing upstream after its ejection"
+        ));
+    }
+    check::check(fleet, &records, summary);
+    Ok(())
+}
--- a/crates/figdeal/examples/faults/fleet.rs
+++ b/crates/figdeal/examples/faults/fleet.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
-use crate::{Result, process::Process, summary::Summary};
+use crate::{Result, process::Process, relay::Relay, summary::Summary};
 
 /// Entries of the reference load.
 pub(crate) const ENTRIES: usize = 3;
@@ -34,6 +34,8 @@
 pub(crate) struct Plan {
     /// Upstreams that fail every task at once.
     pub(crate) failing: Vec<usize>,
+    /// Whether relays stand before the entries and the agents.
+    pub(crate) is_relayed: bool,
 }
 
 /// Addresses of the processes.
@@ -44,6 +46,9 @@
     agent_http: Vec<SocketAddr>,
     agent_peer: Vec<SocketAddr>,
     upstream: Vec<SocketAddr>,
+    /// Where other processes reach the entries and the agents.
+    entry_address: Vec<SocketAddr>,
+    agent_address: Vec<SocketAddr>,
 }
 
 /// Number of starts of each task, by the hash of its submission and its index.
@@ -55,6 +60,8 @@
     pub(crate) entries: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     pub(crate) upstreams: Vec<Process>,
+    /// Relays to the entries, then to the agents.
+    pub(crate) relays: Vec<Relay>,
     folder: PathBuf,
     ports: Ports,
     _temporary: Option<TempDir>,
@@ -75,7 +82,11 @@
             }
             false => Some(temporary),
         };
-        let ports = Ports::pick(base_port)?;
+        let mut ports = Ports::pick(base_port)?;
+        let relays = match plan.is_relayed {
+            true => ports.relay()?,
+            false => Vec::new(),
+        };
         write_configuration(&folder)?;
         let file = |name: &str| folder.join(name).display().to_string();
         let mut entries = Vec::new();
@@ -123,6 +134,7 @@
             entries,
             agents,
             upstreams,
+            relays,
             folder,
             ports,
             _temporary: temporary,
@@ -162,6 +174,11 @@
         agents.iter().filter(|a| a["live"] == true).count()
     }
 
+    /// Number of starts that an upstream has recorded.
+    pub(crate) fn starts(&self, upstream: usize) -> usize {
+        self.read_journal(upstream).lines().count()
+    }
+
     /// Starts of all tasks at all upstreams.
     pub(crate) fn journal(&self) -> Journal {
         let mut journal = Journal::new();
@@ -214,15 +231,29 @@
             .collect::<std::io::Result<_>>()?;
         let mut free = listeners.iter().map(TcpListener::local_addr);
         let mut take = |n: usize| free.by_ref().take(n).collect::<std::io::Result<Vec<_>>>();
+        let (entry_peer, agent_peer) = (take(ENTRIES)?, take(UPSTREAMS)?);
         Ok(Ports {
             entry_http: take(ENTRIES)?,
-            entry_peer: take(ENTRIES)?,
             agent_http: take(UPSTREAMS)?,
-            agent_peer: take(UPSTREAMS)?,
             upstream: take(UPSTREAMS)?,
+            entry_address: entry_peer.clone(),
+            agent_address: agent_peer.clone(),
+            entry_peer,
+            agent_peer,
         })
     }
 
+    fn relay(&mut self) -> Result<Vec<Relay>> {
+        let addresses = self.entry_address.iter_mut().chain(&mut self.agent_address);
+        addresses
+            .map(|address| {
+                let relay = Relay::start(*address)?;
+                *address = relay.address;
+                Ok(relay)
+            })
+            .collect()
+    }
+
     fn entry_settings(&self, index: usize) -> String {
         let (http, peer) = (self.entry_http[index], self.entry_peer[index]);
         let mut text = format!(
@@ -235,16 +266,17 @@
 
     fn agent_settings(&self, index: usize) -> String {
         let (http, peer) = (self.agent_http[index], self.agent_peer[index]);
+        let address = self.agent_address[index];
         let mut text = format!(
             "name = \"rota-desk-{index}\"\ndata_centre = \"hervanta\"\nhttp_listen = \"{http}\"\n\
-             peer_listen = \"{peer}\"\nlog_level = \"info\"\n"
+             peer_listen = \"{peer}\"\naddress = \"{address}\"\nlog_level = \"info\"\n"
         );
         self.write_entries(&mut text);
         text
     }
 
     fn write_entries(&self, text: &mut String) {
-        for (id, address) in self.entry_peer.iter().enumerate() {
+        for (id, address) in self.entry_address.iter().enumerate() {
             write!(text, "\n[[entries]]\nid = {id}\naddress = \"{address}\"\n")
                 .expect("a string takes all text");
         }
