--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -221,6 +221,19 @@
     pub cancelled: u64,
 }
 
+/// A job that this entry owned and that has its final outcome.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    /// The team that submitted it.
+    pub team: TeamId,
+    /// The outcome.
+    pub outcome: Arc<Outcome>,
+    /// Time from the arrival to the outcome.
+    pub response: Duration,
+    /// Kind and deadline of each task, in order.
+    pub tasks: Vec<(KindId, Duration)>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct TaskRef {
     job: JobKey,
@@ -249,6 +262,7 @@
     bytes: usize,
     counts: Counts,
     actions: Vec<Action>,
+    ended: Vec<Ended>,
 }
 
 impl EntryCore {
@@ -276,6 +290,7 @@
             bytes: 0,
             counts: Counts::default(),
             actions: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -301,6 +316,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the jobs that this entry owned and that ended since the last call.
+    pub fn take_ended(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Takes a submission. The waiter gets the final answer, or [`Answer::Running`] at once without `wait`. When nothing
     /// is known shortly after the longest deadline of the tasks, it gets [`Answer::Undecided`].
     pub fn submit(&mut self, submission: Submission, waiter: WaiterId, wait: bool, now: Timestamp) {
@@ -754,7 +774,10 @@
     fn stop_tasks(&mut self, key: JobKey, now: Timestamp) {
         let mut cancels: HashMap<AgentKey, Vec<TaskId>> = HashMap::new();
         for index in 0..self.jobs[key].tasks.len() {
-            let job = &self.jobs[key];
+            // The job ends with its last open task, which drops the tasks after it.
+            let Some(job) = self.jobs.get(key).filter(|j| j.is_active()) else {
+                break;
+            };
             let id = TaskId {
                 key: job.key,
                 index: index as u16,
@@ -793,15 +816,21 @@
         if now < job.deadline + self.limits.grace {
             let again = job.deadline + self.limits.grace;
             self.stop_tasks(key, now);
-            if self.jobs[key].is_active() {
+            if self.jobs.get(key).is_some_and(Job::is_active) {
                 self.deadlines.insert((again, key));
             }
             return;
         }
+        let is_unsent =
+            |t: &job::Task| matches!(t.progress, Progress::Queued(_) | Progress::Unplaced);
+        // A driver that was held up may call for the first time after the grace.
+        if job.tasks.iter().any(is_unsent) {
+            self.stop_tasks(key, now);
+        }
+        let job = self.jobs.get(key).filter(|j| j.is_active());
         let sent: Vec<(usize, AgentKey)> = job
-            .tasks
-            .iter()
-            .enumerate()
+            .into_iter()
+            .flat_map(|j| j.tasks.iter().enumerate())
             .filter_map(|(i, task)| match task.progress {
                 Progress::Sent(agent) => Some((i, agent)),
                 _ => None,
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -1,10 +1,12 @@
 //! The entry process, the control role and the operator's command line of figdeal.
 
+pub mod bench;
 pub mod cli;
 pub mod command;
 pub mod entry;
 mod http;
 pub mod register;
+pub mod report;
 pub mod rules;
 pub mod settings;
 pub mod stand_in;
