Remove the folder of a fault run at its end

The thread that waits for signals kept the fleet alive, so that the folder with logs and journals stayed behind after each run. Not run again since.

--- a/crates/figdeal/examples/faults/fleet.rs
+++ b/crates/figdeal/examples/faults/fleet.rs
@@ -6,7 +6,7 @@
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -64,7 +64,8 @@
     pub(crate) relays: Vec<Relay>,
     folder: PathBuf,
     ports: Ports,
-    _temporary: Option<TempDir>,
+    /// Removed by [`Fleet::stop`]; the thread that waits for signals keeps the fleet itself alive.
+    temporary: Mutex<Option<TempDir>>,
 }
 
 impl Fleet {
@@ -137,7 +138,7 @@
             relays,
             folder,
             ports,
-            _temporary: temporary,
+            temporary: Mutex::new(temporary),
         };
         for process in fleet.processes() {
             process.start()?;
@@ -212,6 +213,11 @@
 
     pub(crate) fn stop(&self) {
         self.processes().for_each(Process::kill);
+        let mut temporary = self
+            .temporary
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *temporary = None;
     }
 
     fn processes(&self) -> impl Iterator<Item = &Process> {
