Let replies renew an agent so that it announces less

Replies carry the load and show that the agent lives, so an agent now announces to an entry every 10 s while replies flow there, and at once at a change; run requests name the configuration version. The model of the placement test renews in the same way.

--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -1,6 +1,12 @@
 //! Life cycle of an agent.
 
-use std::{io, marker::PhantomData, net::SocketAddr, sync::mpsc, time::Duration};
+use std::{
+    io,
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    time::Duration,
+};
 
 use displaydoc::Display;
 use figdeal_core::{id::Incarnation, ledger::LedgerLimits};
@@ -8,7 +14,9 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
-use crate::{announcer, control, control::Event, http, metrics, server, upstream};
+use crate::{
+    announcer, control, control::Event, http, metrics, server, traffic::Traffic, upstream,
+};
 
 /// Result of starting or stopping an agent.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -128,13 +136,20 @@
         let (presence, presence_view) = tokio::sync::watch::channel(control::Presence::default());
         let stop = CancellationToken::new();
 
+        let traffic = Arc::new(Traffic::default());
         control::spawn(&options, incarnation, inbox, calls, presence, runtime)
             .map_err(|e| Error::Thread("control", e))?;
         upstream::spawn(events.clone(), call_inbox).map_err(|e| Error::Thread("upstream", e))?;
         http::spawn(http_server, events.clone()).map_err(|e| Error::Thread("http", e))?;
-        runtime.spawn(server::serve(listener, events.clone(), stop.clone()));
+        runtime.spawn(server::serve(
+            listener,
+            events.clone(),
+            Arc::clone(&traffic),
+            stop.clone(),
+        ));
         for entry in &options.entries {
             let announcer = announcer::Announcer {
+                traffic: Arc::clone(&traffic),
                 name: options.name.clone(),
                 data_centre: options.data_centre.clone(),
                 address: options.address.unwrap_or(listen).to_string(),
--- a/crates/figdeal-agent/src/announcer.rs
+++ b/crates/figdeal-agent/src/announcer.rs
@@ -6,24 +6,30 @@
 };
 
 use figdeal_config::Bundle;
-use figdeal_core::id::Incarnation;
+use figdeal_core::id::{EntryId, Incarnation};
 use figdeal_wire::{
     channel::{Channel, Limits},
     count::{self, Class},
     message::Announcement,
     service::EntryRpcClient,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 
-use crate::control::{Event, Presence};
+use crate::{
+    control::{Event, Presence},
+    traffic::Traffic,
+};
 
+/// Longest time without an announcement while replies show that the agent lives.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 /// Time limit of one announcement.
 const ANNOUNCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Sends announcements to one entry.
 #[derive(Debug)]
 pub(crate) struct Announcer {
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) name: String,
     pub(crate) data_centre: String,
     pub(crate) address: String,
@@ -43,26 +49,46 @@
     ) {
         let channel: Arc<Channel<EntryRpcClient>> = Channel::new(entry, self.limits);
         let mut known = 0;
+        let mut last: Option<(EntryId, Instant)> = None;
         loop {
+            let is_changed = presence.has_changed().unwrap_or(false);
             let current = presence.borrow_and_update().clone();
             known = known.max(current.version);
-            if let Some(announcement) = self.announcement(current) {
-                self.announce(&channel, announcement, &mut known).await;
+            if (is_changed || !self.is_known(last, known))
+                && let Some(announcement) = self.announcement(current)
+            {
+                let entry = self.announce(&channel, announcement, &mut known).await;
+                last = entry.map(|entry| (entry, Instant::now()));
             }
             tokio::select! {
                 () = stop.cancelled() => return,
-                changed = presence.changed() => if changed.is_err() { return },
+                changed = presence.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    presence.mark_changed();
+                }
                 () = tokio::time::sleep(self.every) => {}
             }
         }
     }
 
+    /// Whether the entry needs no announcement: the last one arrived, replies went there since, and no request named a
+    /// newer version of the configuration, which only the reply to an announcement brings.
+    fn is_known(&self, last: Option<(EntryId, Instant)>, known: u64) -> bool {
+        last.is_some_and(|(entry, at)| {
+            at.elapsed() < LONGEST_PAUSE
+                && self.traffic.is_recent(entry, self.every)
+                && self.traffic.version() <= known
+        })
+    }
+
     async fn announce(
         &self,
         channel: &Arc<Channel<EntryRpcClient>>,
         announcement: Announcement,
         known: &mut u64,
-    ) {
+    ) -> Option<EntryId> {
         count::record(Class::Heartbeat);
         let call = channel.call(ANNOUNCE_LIMIT, |client, context| async move {
             client.announce(context, announcement).await
@@ -73,10 +99,12 @@
                 if reply.version > *known {
                     self.fetch_config(channel, known).await;
                 }
+                Some(reply.entry)
             }
             Err(e) => {
                 log::debug!("E205 announcement: {e}");
                 channel.close();
+                None
             }
         }
     }
--- a/crates/figdeal-agent/src/lib.rs
+++ b/crates/figdeal-agent/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod metrics;
 mod server;
 pub mod settings;
+mod traffic;
 mod upstream;
--- a/crates/figdeal-agent/src/server.rs
+++ b/crates/figdeal-agent/src/server.rs
@@ -1,6 +1,9 @@
 //! The tarpc service that entries call.
 
-use std::{net::TcpListener, sync::mpsc};
+use std::{
+    net::TcpListener,
+    sync::{Arc, mpsc},
+};
 
 use figdeal_core::id::{SubmissionKey, TaskId};
 use figdeal_wire::{
@@ -16,17 +19,21 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use crate::control::Event;
+use crate::{control::Event, traffic::Traffic};
 
 #[derive(Debug, Clone)]
 struct Server {
+    traffic: Arc<Traffic>,
     events: mpsc::Sender<Event>,
 }
 
 impl AgentRpc for Server {
     async fn run(self, _: Context, request: RunRequest) -> TaskReply {
-        let task = request.task;
-        self.ask(task, |reply| Event::Run(request, reply)).await
+        let (task, entry) = (request.task, request.entry);
+        self.traffic.on_request(request.version);
+        let reply = self.ask(task, |reply| Event::Run(request, reply)).await;
+        self.traffic.on_reply(entry);
+        reply
     }
 
     async fn query(self, _: Context, request: QueryRequest) -> TaskReply {
@@ -75,6 +82,7 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     events: mpsc::Sender<Event>,
+    traffic: Arc<Traffic>,
     stop: CancellationToken,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -96,6 +104,7 @@
         };
         while connections.try_join_next().is_some() {}
         let server = Server {
+            traffic: Arc::clone(&traffic),
             events: events.clone(),
         };
         connections.spawn(async move {
--- a/crates/figdeal-core/src/fleet.rs
+++ b/crates/figdeal-core/src/fleet.rs
@@ -384,13 +384,22 @@
         }
     }
 
-    /// Takes the load that rode on a reply, as of the latest time that this view was given.
-    pub fn report(&mut self, key: AgentKey, load: Load) {
+    /// Takes the load that rode on a reply, as of `now`. The reply shows that the
+    /// agent lives, so that it need not announce itself while replies flow; an agent that has expired or is draining
+    /// needs an announcement to get work again.
+    pub fn report(&mut self, key: AgentKey, load: Load, now: Timestamp) {
+        self.advance(now);
         let now = self.now;
-        if let Some(agent) = self.agents.get_mut(key) {
-            agent.take_load(load, now);
-            self.reindex(key);
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        agent.take_load(load, now);
+        if agent.is_member {
+            self.seen.remove(&(agent.seen, key));
+            self.seen.insert((now, key));
+            agent.seen = now;
         }
+        self.reindex(key);
     }
 
     /// Drops expired agents from placement, and forgets those without outstanding tasks that expired long ago.
--- a/crates/figdeal-core/tests/scheduling/fleet.rs
+++ b/crates/figdeal-core/tests/scheduling/fleet.rs
@@ -58,9 +58,13 @@
 
 impl Model {
     fn accepts(&self, kind: KindId, size: u32, now: Timestamp) -> bool {
-        let is_live = !self.is_replaced && now.since(self.seen) < 3 * SECOND;
         let is_kind = self.info.kinds.is_empty() || self.info.kinds.contains(&kind);
-        is_live && !self.info.draining && is_kind && size <= self.info.size
+        self.is_member(now) && is_kind && size <= self.info.size
+    }
+
+    fn is_member(&self, now: Timestamp) -> bool {
+        let is_live = !self.is_replaced && now.since(self.seen) < 3 * SECOND;
+        is_live && !self.info.draining
     }
 
     fn held(&self) -> u32 {
@@ -232,7 +236,11 @@
                     if rng.random_bool(0.8) {
                         model.load = random_load(rng);
                         model.sent.clear();
-                        fleet.report(key, model.load.clone());
+                        // A reply renews an agent that is live and not draining.
+                        if model.is_member(now) {
+                            model.seen = now;
+                        }
+                        fleet.report(key, model.load.clone(), now);
                     }
                 }
                 95 => {
@@ -337,7 +345,7 @@
         queued: vec![(KIND, 1)],
         wait: Duration::ZERO,
     };
-    fleet.report(placed[7], load);
+    fleet.report(placed[7], load, now);
     assert_eq!(fleet.place(OTHER, 1, now), Some(placed[0]));
     assert_eq!(fleet.status(now)[0].free, 0);
 }
@@ -352,7 +360,7 @@
             Sample::Success(SECOND / 10)
         };
         fleet.settle(key, kind, sample, now);
-        fleet.report(key, free(8));
+        fleet.report(key, free(8), now);
     }
 }
 
@@ -550,7 +558,7 @@
                 let placed = fleet.place(kind, size / 2, now);
                 assert_eq!(placed.is_some(), has_room);
                 if let Some(key) = placed {
-                    fleet.report(key, load);
+                    fleet.report(key, load, now);
                     let run = if name % 2 == 0 {
                         Sample::Success(*wait)
                     } else {
--- a/crates/figdeal-wire/src/message.rs
+++ b/crates/figdeal-wire/src/message.rs
@@ -35,6 +35,8 @@
 /// Reply to an announcement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnounceReply {
+    /// The entry that replies.
+    pub entry: EntryId,
     /// Version of the configuration that the entry runs on.
     pub version: u64,
 }
@@ -67,6 +69,8 @@
     pub order: u64,
     /// Time left until its deadline, in microseconds.
     pub remaining: u64,
+    /// Version of the configuration that the entry runs on.
+    pub version: u64,
     /// Wall clock of the entry when it sent the request.
     pub sent: UnixMillis,
     /// Bytes for the upstream.
--- a/crates/figdeal/src/entry/control.rs
+++ b/crates/figdeal/src/entry/control.rs
@@ -333,6 +333,7 @@
             Event::Announce(announcement, reply) => {
                 self.announce(announcement, now);
                 let _ = reply.send(AnnounceReply {
+                    entry: self.id,
                     version: self.shared.rules().version,
                 });
             }
@@ -618,6 +619,7 @@
             team: self.teams.name(dispatch.team.0).to_owned(),
             order: dispatch.order,
             remaining: dispatch.remaining.as_micros() as u64,
+            version: self.applied.as_ref().map_or(0, |rules| rules.version),
             sent: UnixMillis::now(),
             payload: dispatch.payload.to_vec(),
         };
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -40,7 +40,11 @@
     async fn announce(self, _: Context, announcement: Announcement) -> AnnounceReply {
         let (reply, answer) = oneshot::channel();
         let _ = self.events.send(Event::Announce(announcement, reply));
-        answer.await.unwrap_or(AnnounceReply { version: 0 })
+        match answer.await {
+            Ok(reply) => reply,
+            // A stopped control thread takes no announcement; the connection ends with the process.
+            Err(_) => std::future::pending().await,
+        }
     }
 
     async fn claim(self, _: Context, request: ClaimRequest) -> Option<ClaimReply> {
