Add fault runs of the configuration register

The register had been tested in one process only. The example config_faults runs three control replicas with entries, an entry without a disk and an agent as plain processes on loopback, with relays between the replicas, and ends with a failure on a violation.

--- /dev/null
+++ b/crates/figdeal/examples/config_faults/cluster.rs
@@ -0,0 +1,517 @@
+//! Plain processes on loopback: three entries with the control role, one entry without a disk, one agent.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use figdeal::{
+    cli::Result,
+    register::{Client, public_key, sign, to_register},
+};
+use figdeal_config::{Bundle, keys::PrivateKey};
+use figdeal_control::{
+    command::{Action, Answer, Command as Change},
+    sign::{change_digest, reject_message, signed_message},
+    state::Pending,
+    types::{Digest, RequestId},
+};
+use rand::{Rng, rngs::StdRng, seq::SliceRandom};
+use tempfile::TempDir;
+
+use crate::relay::{self, Net};
+
+/// Number of control replicas.
+pub const REPLICAS: usize = 3;
+/// Index of the entry without a disk.
+pub const DISKLESS: usize = 3;
+/// Index of the agent.
+pub const AGENT: usize = 4;
+/// Number of processes.
+pub const PROCESSES: usize = 5;
+/// Time in which a change has to be in force.
+pub const TARGET: Duration = Duration::from_secs(2);
+/// Time that a command gets.
+pub const LIMIT: Duration = Duration::from_secs(10);
+/// Ports outside the range from which the system takes ports of clients.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+/// Time between announcements of the stand-in upstream.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+
+/// A version that a process reported as in force.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    pub at: Instant,
+    /// Start of the process, counted from 1.
+    pub life: u32,
+    pub version: u64,
+}
+
+/// What the log lines of a process told.
+#[derive(Debug, Default)]
+pub struct Log {
+    pub seen: Vec<Seen>,
+    pub violations: Vec<String>,
+    pub lines: Vec<String>,
+}
+
+impl Log {
+    fn take(&mut self, name: &str, life: u32, keeps: bool, line: String) {
+        let version = ["E340 starts on version ", "E341 version ", "E212 version "]
+            .iter()
+            .find_map(|mark| line.split_once(mark))
+            .and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        if let Some(version) = version {
+            let before = self.seen.last().filter(|s| keeps || s.life == life);
+            if let Some(before) = before.filter(|b| b.version > version) {
+                self.violations.push(format!(
+                    "{name} went from {} down to {version}",
+                    before.version
+                ));
+            }
+            let at = Instant::now();
+            self.seen.push(Seen { at, life, version });
+        }
+        if line.contains("panicked") {
+            self.violations.push(format!("{name}: {line}"));
+        }
+        self.lines.push(line);
+    }
+}
+
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    program: PathBuf,
+    settings: PathBuf,
+    child: Option<Child>,
+    life: u32,
+    pub started: Instant,
+    pub log: Arc<Mutex<Log>>,
+}
+
+impl Process {
+    fn start(&mut self) -> Result<u32> {
+        assert!(self.child.is_none(), "a process runs once");
+        self.life += 1;
+        let mut command = Command::new(&self.program);
+        if self.name != "agent" {
+            command.arg("entry");
+        }
+        let mut child = command
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(Stdio::piped())
+            .spawn()?;
+        self.started = Instant::now();
+        let pid = child.id();
+        let lines = BufReader::new(child.stderr.take().ok_or("no standard error")?).lines();
+        let (log, name, life) = (Arc::clone(&self.log), self.name.clone(), self.life);
+        let keeps = self.name.starts_with("replica");
+        thread::spawn(move || {
+            for line in lines.map_while(std::result::Result::ok) {
+                log.lock().expect("lock").take(&name, life, keeps, line);
+            }
+        });
+        self.child = Some(child);
+        Ok(pid)
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // SIGKILL to this child only; it may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Processes, keys and clients of one run.
+#[derive(Debug)]
+pub struct Cluster {
+    pub folder: TempDir,
+    pub net: Arc<Net>,
+    pub processes: Vec<Mutex<Process>>,
+    pub control: Vec<SocketAddr>,
+    pub relays: Vec<SocketAddr>,
+    pub http: Vec<SocketAddr>,
+    pub keys: [PrivateKey; 2],
+    program: PathBuf,
+}
+
+impl Cluster {
+    /// Founds a register and starts all processes.
+    pub fn start() -> Result<Cluster> {
+        let folder = tempfile::tempdir()?;
+        let program = sibling("figdeal")?;
+        let ports = free_ports(3 * PROCESSES + REPLICAS)?;
+        let address = |i: usize| SocketAddr::from((Ipv4Addr::LOCALHOST, ports[i]));
+        let http: Vec<_> = (0..PROCESSES).map(address).collect();
+        let peer: Vec<_> = (PROCESSES..2 * PROCESSES).map(address).collect();
+        let control: Vec<_> = (10..10 + REPLICAS).map(address).collect();
+        let relays: Vec<_> = (15..15 + REPLICAS).map(address).collect();
+        let net = Arc::new(Net::default());
+        for (relay, target) in relays.iter().zip(&control) {
+            relay::start(*relay, *target, Arc::clone(&net))?;
+        }
+        let keys = [PrivateKey::generate()?, PrivateKey::generate()?];
+        let mut processes = Vec::new();
+        for i in 0..PROCESSES {
+            let name = match i {
+                DISKLESS => "diskless".to_owned(),
+                AGENT => "agent".to_owned(),
+                i => format!("replica-{i}"),
+            };
+            let settings = folder.path().join(format!("{name}.toml"));
+            fs::write(
+                &settings,
+                text(i, folder.path(), &http, &peer, &control, &relays),
+            )?;
+            let program = match i {
+                AGENT => sibling("figdeal-agent")?,
+                _ => program.clone(),
+            };
+            processes.push(Mutex::new(Process {
+                name,
+                program,
+                settings,
+                child: None,
+                life: 0,
+                started: Instant::now(),
+                log: Arc::default(),
+            }));
+        }
+        let cluster = Cluster {
+            folder,
+            net,
+            processes,
+            control,
+            relays,
+            http,
+            keys,
+            program,
+        };
+        cluster.found()?;
+        for i in 0..PROCESSES {
+            cluster.run(i)?;
+        }
+        cluster.wait_for_listeners()?;
+        announce(cluster.http[AGENT]);
+        Ok(cluster)
+    }
+
+    fn wait_for_listeners(&self) -> Result<()> {
+        let start = Instant::now();
+        for address in self.control.iter().chain(&self.http) {
+            while TcpStream::connect(address).is_err() {
+                if start.elapsed() > LIMIT {
+                    return Err(format!("nothing listens on {address}").into());
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+        Ok(())
+    }
+
+    /// The member ID@ADDRESS of the data folder of a replica, with the address of its relay.
+    pub fn member(&self, i: usize) -> Result<String> {
+        let out = self.command(&["control", "id", "--settings", &self.settings(i)])?;
+        let (id, _) = out.trim().split_once('@').ok_or("no identity")?;
+        Ok(format!("{id}@{}", self.relays[i]))
+    }
+
+    /// As [`Cluster::member`], for a replica that runs: its identity is in the warning of a start without membership.
+    pub fn member_of_running(&self, i: usize) -> Result<String> {
+        let log = Arc::clone(&self.process(i).log);
+        let log = log.lock().expect("lock");
+        let id = log.lines.iter().rev().find_map(|line| {
+            let (_, rest) = line.split_once("replica ")?;
+            rest.split_once(" is not a member").map(|(id, _)| id)
+        });
+        Ok(format!(
+            "{}@{}",
+            id.ok_or("no identity in the log")?,
+            self.relays[i]
+        ))
+    }
+
+    fn found(&self) -> Result<()> {
+        let members: Vec<String> = (0..REPLICAS)
+            .map(|i| self.member(i))
+            .collect::<Result<_>>()?;
+        for i in 0..REPLICAS {
+            let settings = self.settings(i);
+            let owners: Vec<String> = self.keys.iter().map(|k| k.public().to_string()).collect();
+            let mut args = vec!["control", "init", "--settings", &settings];
+            for owner in &owners {
+                args.extend(["--owner", owner]);
+            }
+            for member in &members {
+                args.extend(["--member", member]);
+            }
+            self.command(&args)?;
+        }
+        Ok(())
+    }
+
+    fn settings(&self, i: usize) -> String {
+        self.process(i).settings.display().to_string()
+    }
+
+    /// Runs a command of the command line and returns its output.
+    pub fn command(&self, args: &[&str]) -> Result<String> {
+        let out = Command::new(&self.program).args(args).output()?;
+        if out.status.success() {
+            return Ok(String::from_utf8(out.stdout)?);
+        }
+        let error = String::from_utf8_lossy(&out.stderr);
+        Err(format!("figdeal {}: {error}", args[..2].join(" ")).into())
+    }
+
+    pub fn process(&self, i: usize) -> std::sync::MutexGuard<'_, Process> {
+        self.processes[i].lock().expect("lock")
+    }
+
+    pub fn run(&self, i: usize) -> Result<()> {
+        let pid = self.process(i).start()?;
+        self.net.sent(pid);
+        if i < REPLICAS {
+            self.net.set_behind(self.control[i], pid);
+        }
+        Ok(())
+    }
+
+    pub fn kill(&self, i: usize) {
+        self.process(i).kill();
+    }
+
+    pub fn pid(&self, i: usize) -> u32 {
+        self.process(i).child.as_ref().map_or(0, Child::id)
+    }
+
+    /// Deletes the data folder of a process that is down.
+    pub fn delete_data(&self, i: usize) -> Result<()> {
+        assert_eq!(self.pid(i), 0, "the process is down");
+        fs::remove_dir_all(self.folder.path().join(format!("data-{i}")))?;
+        Ok(())
+    }
+
+    /// The newest version that a process reported in its present life.
+    pub fn version(&self, i: usize) -> u64 {
+        let process = self.process(i);
+        let log = process.log.lock().expect("lock");
+        let last = log.seen.last().filter(|s| s.life == process.life);
+        last.map_or(0, |s| s.version)
+    }
+
+    /// Waits until all of `who` report at least `version`; returns those that do not in time.
+    pub fn wait(&self, who: &[usize], version: u64, limit: Duration) -> Vec<usize> {
+        let start = Instant::now();
+        loop {
+            let mut late = who.to_vec();
+            late.retain(|&i| self.version(i) < version);
+            if late.is_empty() || start.elapsed() > limit {
+                return late;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Violations that the logs of all processes show.
+    pub fn violations(&self) -> Vec<String> {
+        let logs = (0..PROCESSES).map(|i| Arc::clone(&self.process(i).log));
+        logs.flat_map(|log| log.lock().expect("lock").violations.clone())
+            .collect()
+    }
+
+    /// A client of the replicas in a random order.
+    pub fn client(&self, rng: &mut StdRng) -> Client {
+        let mut control = self.control.clone();
+        control.shuffle(rng);
+        Client::new(control, LIMIT)
+    }
+
+    /// A client of one replica that tries once.
+    pub fn only(&self, i: usize) -> Client {
+        Client::new(vec![self.control[i]], Duration::ZERO)
+    }
+
+    /// Proposes and signs change `number` through random replicas; returns its digest and the time of the answer.
+    pub async fn change(&self, number: u64, rng: &mut StdRng) -> Result<(Digest, Instant)> {
+        let (first, second) = (self.client(rng), self.client(rng));
+        let digest = self.change_through(number, &first, &second, rng).await?;
+        Ok((digest, Instant::now()))
+    }
+
+    /// Proposes through one client and signs through another one.
+    pub async fn change_through(
+        &self,
+        number: u64,
+        first: &Client,
+        second: &Client,
+        rng: &mut StdRng,
+    ) -> Result<Digest> {
+        let bundle = bundle(number)?;
+        let change = self.proposal(number, &bundle, 0, rng);
+        let answer = first.command(change).await?;
+        let digest = change_digest(number, &bundle, &None);
+        if !matches!(&answer, Answer::Pending { digest: d, .. } if *d == digest) {
+            return Err(format!("propose {number}: {answer:?}").into());
+        }
+        let change = self.signature(number, &bundle, 1, rng);
+        match second.command(change).await? {
+            Answer::Accepted { digest: d, .. } if d == digest => Ok(digest),
+            other => Err(format!("sign {number}: {other:?}").into()),
+        }
+    }
+
+    pub fn proposal(
+        &self,
+        number: u64,
+        bundle: &figdeal_control::types::Bundle,
+        owner: usize,
+        rng: &mut StdRng,
+    ) -> Change {
+        let key = &self.keys[owner];
+        let action = Action::Propose {
+            number,
+            bundle: bundle.clone(),
+            author: public_key(&key.public()),
+            new_keys: None,
+            signature: Some(sign(key, &signed_message(number, bundle, &None))),
+        };
+        let request = RequestId(rng.random());
+        Change { request, action }
+    }
+
+    pub fn rejection(&self, pending: &Pending, rng: &mut StdRng) -> Change {
+        let key = &self.keys[0];
+        let message = reject_message(pending.number, &pending.digest, pending.request);
+        let action = Action::Reject {
+            number: pending.number,
+            digest: pending.digest,
+            signer: public_key(&key.public()),
+            signature: sign(key, &message),
+        };
+        let request = RequestId(rng.random());
+        Change { request, action }
+    }
+
+    pub fn signature(
+        &self,
+        number: u64,
+        bundle: &figdeal_control::types::Bundle,
+        owner: usize,
+        rng: &mut StdRng,
+    ) -> Change {
+        let key = &self.keys[owner];
+        let action = Action::Sign {
+            number,
+            digest: change_digest(number, bundle, &None),
+            signer: public_key(&key.public()),
+            signature: sign(key, &signed_message(number, bundle, &None)),
+        };
+        let request = RequestId(rng.random());
+        Change { request, action }
+    }
+}
+
+/// A valid configuration that differs for each `mark`.
+pub fn bundle(mark: u64) -> Result<figdeal_control::types::Bundle> {
+    const BASE: &str = include_str!("../../../../examples/kuorotee/base.toml");
+    const SITE: &str = include_str!("../../../../examples/kuorotee/sites/hervanta.toml");
+    let files = vec![
+        (
+            "base.toml".to_owned(),
+            format!("{BASE}\n# change {mark}\n").into_bytes(),
+        ),
+        ("sites/hervanta.toml".to_owned(), SITE.as_bytes().to_vec()),
+    ];
+    Ok(to_register(&Bundle::new(files)?))
+}
+
+fn text(
+    i: usize,
+    folder: &Path,
+    http: &[SocketAddr],
+    peer: &[SocketAddr],
+    control: &[SocketAddr],
+    relays: &[SocketAddr],
+) -> String {
+    let mut text = match i {
+        AGENT => "name = \"upstream\"\n".to_owned(),
+        i => format!("id = {i}\n"),
+    };
+    text += "data_centre = \"hervanta\"\n";
+    text += &format!(
+        "http_listen = \"{}\"\npeer_listen = \"{}\"\n",
+        http[i], peer[i]
+    );
+    let list: Vec<String> = relays.iter().map(|r| format!("\"{r}\"")).collect();
+    let list = list.join(", ");
+    if i < REPLICAS {
+        text += &format!("data_folder = {:?}\n", folder.join(format!("data-{i}")));
+    } else if i == DISKLESS {
+        text += &format!("control_vms = [{list}]\n");
+    }
+    for (id, address) in peer[..=DISKLESS].iter().enumerate() {
+        text += &format!("[[entries]]\nid = {id}\naddress = \"{address}\"\n");
+    }
+    if i < REPLICAS {
+        text += &format!(
+            "[control]\non = true\nlisten = \"{}\"\nmembers = [{list}]\n",
+            control[i]
+        );
+    }
+    text
+}
+
+/// Announces an upstream to the agent, which then announces itself to the entries.
+fn announce(agent: SocketAddr) {
+    let body = serde_json::json!({ "address": "127.0.0.1:9", "slots": 8, "connections": 60,
+        "kinds": ["reminder"], "size": 1, "data_centre": "hervanta" });
+    thread::spawn(move || {
+        loop {
+            // The agent may be down; the next announcement follows.
+            let _ = ureq::post(format!("http://{agent}/v1/announce")).send(body.to_string());
+            thread::sleep(ANNOUNCE_EVERY);
+        }
+    });
+}
+
+fn sibling(name: &str) -> Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folder = program
+        .parent()
+        .and_then(Path::parent)
+        .ok_or("no build folder")?;
+    let path = folder.join(name);
+    if !path.exists() {
+        return Err(format!("build {name} first: cargo build --release --bins").into());
+    }
+    Ok(path)
+}
+
+/// Ports do not follow the seed, so that two runs with one seed can share the machine.
+fn free_ports(count: usize) -> Result<Vec<u16>> {
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let port = rand::rng().random_range(PORTS);
+        if !ports.contains(&port) && TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    Ok(ports)
+}
--- /dev/null
+++ b/crates/figdeal/examples/config_faults/relay.rs
@@ -0,0 +1,157 @@
+//! TCP relay in front of a control replica, which can cut off a process.
+
+use std::{
+    collections::HashMap,
+    fs,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Pause of a connection that passes no bytes.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// What the relays do with the connections from and to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Connections stay open and pass no bytes.
+    Silent,
+    /// Connections are closed.
+    Closed,
+}
+
+/// State that all relays share.
+#[derive(Debug, Default)]
+pub struct Net {
+    /// Process ids that are cut off.
+    cut: Mutex<HashMap<u32, Cut>>,
+    /// Process id behind each relay.
+    behind: Mutex<HashMap<SocketAddr, u32>>,
+    /// Bytes and pieces that were sent by a process.
+    sent: Mutex<HashMap<u32, Arc<Sent>>>,
+}
+
+/// Traffic that a process sent through the relays.
+#[derive(Debug, Default)]
+pub struct Sent {
+    pub bytes: AtomicU64,
+    /// Pieces as the relay read them; one piece holds at least one message of an idle connection.
+    pub pieces: AtomicU64,
+}
+
+impl Net {
+    pub fn set_behind(&self, target: SocketAddr, pid: u32) {
+        self.behind.lock().expect("lock").insert(target, pid);
+    }
+
+    pub fn cut(&self, pid: u32, cut: Cut) {
+        self.cut.lock().expect("lock").insert(pid, cut);
+    }
+
+    pub fn heal(&self) {
+        self.cut.lock().expect("lock").clear();
+    }
+
+    pub fn sent(&self, pid: u32) -> Arc<Sent> {
+        let mut sent = self.sent.lock().expect("lock");
+        Arc::clone(sent.entry(pid).or_default())
+    }
+
+    fn state(&self, ends: [u32; 2]) -> Option<Cut> {
+        let cut = self.cut.lock().expect("lock");
+        ends.iter().find_map(|pid| cut.get(pid).copied())
+    }
+
+    fn pid_behind(&self, target: SocketAddr) -> u32 {
+        let behind = self.behind.lock().expect("lock");
+        behind.get(&target).copied().unwrap_or(0)
+    }
+
+    /// The known process that owns the client side of a connection, 0 for an unknown one.
+    fn owner(&self, client: SocketAddr, relay: SocketAddr) -> u32 {
+        let Some(inode) = inode(client, relay) else {
+            return 0;
+        };
+        let name = format!("socket:[{inode}]");
+        let pids: Vec<u32> = self.sent.lock().expect("lock").keys().copied().collect();
+        let has = |pid: &u32| {
+            let Ok(list) = fs::read_dir(format!("/proc/{pid}/fd")) else {
+                return false;
+            };
+            list.flatten()
+                .any(|f| fs::read_link(f.path()).is_ok_and(|l| l.as_os_str() == name.as_str()))
+        };
+        pids.into_iter().find(has).unwrap_or(0)
+    }
+}
+
+/// The socket of the client side of a loopback connection.
+fn inode(client: SocketAddr, relay: SocketAddr) -> Option<String> {
+    let hex = |a: SocketAddr| format!("0100007F:{:04X}", a.port());
+    let (client, relay) = (hex(client), hex(relay));
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    table.lines().find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        (fields.len() > 9 && fields[1] == client && fields[2] == relay)
+            .then(|| fields[9].to_owned())
+    })
+}
+
+/// Relays connections to `listen` on to `target`, until the program ends.
+pub fn start(listen: SocketAddr, target: SocketAddr, net: Arc<Net>) -> io::Result<()> {
+    let listener = TcpListener::bind(listen)?;
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let net = Arc::clone(&net);
+            thread::spawn(move || {
+                // An error ends this connection only; both ends see it closed.
+                let _ = serve(&client, listen, target, &net);
+                let _ = client.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    Ok(())
+}
+
+fn serve(
+    client: &TcpStream,
+    listen: SocketAddr,
+    target: SocketAddr,
+    net: &Arc<Net>,
+) -> io::Result<()> {
+    let from = net.owner(client.peer_addr()?, listen);
+    let to = net.pid_behind(target);
+    if net.state([from, to]) == Some(Cut::Closed) {
+        return Ok(());
+    }
+    let server = TcpStream::connect(target)?;
+    let (a, b) = (client.try_clone()?, server.try_clone()?);
+    let back = Arc::clone(net);
+    let thread = thread::spawn(move || pump(b, a, [to, from], &back));
+    pump(client.try_clone()?, server, [from, to], net);
+    let _ = thread.join();
+    Ok(())
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, ends: [u32; 2], net: &Net) {
+    let sent = net.sent(ends[0]);
+    let mut buffer = vec![0; 64 << 10];
+    let _ = from.set_nodelay(true).and(to.set_nodelay(true));
+    while let Ok(n @ 1..) = from.read(&mut buffer) {
+        while net.state(ends) == Some(Cut::Silent) {
+            thread::sleep(PAUSE);
+        }
+        if net.state(ends) == Some(Cut::Closed) || to.write_all(&buffer[..n]).is_err() {
+            break;
+        }
+        sent.bytes.fetch_add(n as u64, Ordering::Relaxed);
+        sent.pieces.fetch_add(1, Ordering::Relaxed);
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/figdeal/examples/config_faults/restarts.rs
@@ -0,0 +1,220 @@
+//! Changes go on while one process after the other is killed and restarted.
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use figdeal::cli::Result;
+use figdeal_control::types::Digest;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::json;
+
+use crate::{
+    Report,
+    cluster::{AGENT, Cluster, PROCESSES, REPLICAS, Seen, TARGET},
+};
+
+/// Time that a process is down, in milliseconds.
+const DOWN: std::ops::Range<u64> = 20..400;
+/// Time until the next process is killed, in milliseconds.
+const UP: std::ops::Range<u64> = 100..900;
+/// Pause between changes in milliseconds; without one, 500 changes end after a few kills.
+const BETWEEN: std::ops::Range<u64> = 0..60;
+/// Time that the version gets to reach every process at the end, well above the target.
+const SETTLE: Duration = Duration::from_secs(20);
+
+/// An accepted change.
+#[derive(Debug)]
+pub struct Accepted {
+    pub number: u64,
+    pub digest: Digest,
+    pub at: Instant,
+}
+
+pub async fn run(
+    cluster: &Cluster,
+    changes: u64,
+    rng: &mut StdRng,
+    report: &mut Report,
+) -> Result<()> {
+    let stop = AtomicBool::new(false);
+    let kills = AtomicU32::new(0);
+    let mut killer = StdRng::seed_from_u64(rng.random());
+    let accepted = thread::scope(|scope| {
+        let thread = scope.spawn(|| kill(cluster, &mut killer, &stop, &kills));
+        let accepted = tokio::task::block_in_place(|| {
+            tokio::runtime::Handle::current().block_on(change_all(cluster, changes, rng, report))
+        });
+        stop.store(true, Ordering::Relaxed);
+        let killed = thread.join().expect("the killing thread does not panic");
+        killed?;
+        accepted
+    })?;
+    report.fact("changes accepted", accepted.len());
+    report.fact("kills and restarts", kills.load(Ordering::Relaxed));
+    let all: Vec<usize> = (0..PROCESSES).collect();
+    let late = cluster.wait(&all, changes, SETTLE);
+    report.check(late.is_empty(), || {
+        format!("processes {late:?} did not reach {changes}")
+    });
+    spread(cluster, &accepted, &all, report);
+    restart_all(cluster, changes, &accepted, report).await
+}
+
+fn kill(
+    cluster: &Cluster,
+    rng: &mut StdRng,
+    stop: &AtomicBool,
+    kills: &AtomicU32,
+) -> std::result::Result<(), String> {
+    let mut order: Vec<usize> = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(rng.random_range(UP)));
+        if order.is_empty() {
+            order = (0..PROCESSES).collect();
+        }
+        let victim = order.swap_remove(rng.random_range(0..order.len()));
+        cluster.kill(victim);
+        thread::sleep(Duration::from_millis(rng.random_range(DOWN)));
+        cluster.run(victim).map_err(|e| e.to_string())?;
+        kills.fetch_add(1, Ordering::Relaxed);
+    }
+    Ok(())
+}
+
+/// Makes changes 1 to `count` and checks each read against what was accepted before.
+async fn change_all(
+    cluster: &Cluster,
+    count: u64,
+    rng: &mut StdRng,
+    report: &mut Report,
+) -> Result<Vec<Accepted>> {
+    let mut accepted: Vec<Accepted> = Vec::new();
+    let mut reads = 0;
+    for number in 1..=count {
+        let (digest, at) = cluster.change(number, rng).await?;
+        accepted.push(Accepted { number, digest, at });
+        if rng.random_bool(0.2) {
+            reads += 1;
+            let state = cluster.client(rng).read().await?;
+            check_state(&state, &accepted, report);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(BETWEEN))).await;
+    }
+    report.fact("reads checked", reads);
+    Ok(accepted)
+}
+
+/// No accepted change is lost or reverted in `state`.
+pub fn check_state(
+    state: &figdeal_control::state::RegisterState,
+    accepted: &[Accepted],
+    report: &mut Report,
+) {
+    let last = accepted.last().map_or(0, |a| a.number);
+    report.check(state.number == last, || {
+        format!(
+            "a read gave number {} after {last} was accepted",
+            state.number
+        )
+    });
+    for change in &state.history {
+        let known = accepted.iter().find(|a| a.number == change.number);
+        report.check(known.is_some_and(|k| k.digest == change.digest), || {
+            format!("number {} has another digest than accepted", change.number)
+        });
+    }
+}
+
+/// Time until a change was in force at each process, for processes that ran all the time and for others.
+pub fn spread(cluster: &Cluster, accepted: &[Accepted], who: &[usize], report: &mut Report) {
+    for &i in who {
+        let seen = cluster.process(i).log.lock().expect("lock").seen.clone();
+        let (mut steady, mut restarted) = (Vec::new(), Vec::new());
+        for change in accepted {
+            let before = seen.iter().rev().find(|s| s.at <= change.at);
+            let Some(first) = seen
+                .iter()
+                .find(|s| s.at > change.at && s.version >= change.number)
+            else {
+                // It was in force before the answer arrived, or the final check reports it.
+                if seen.iter().any(|s| s.version >= change.number) {
+                    steady.push(Duration::ZERO);
+                }
+                continue;
+            };
+            let had = seen
+                .iter()
+                .any(|s| s.at <= change.at && s.version >= change.number);
+            match before {
+                _ if had => steady.push(Duration::ZERO),
+                Some(Seen { life, .. }) if *life == first.life => steady.push(first.at - change.at),
+                _ => restarted.push(first.at - change.at),
+            }
+        }
+        let name = if i == AGENT {
+            "agent".to_owned()
+        } else {
+            format!("entry {i}")
+        };
+        let over = steady.iter().filter(|d| **d > TARGET).count();
+        report.check(over == 0, || {
+            format!("{over} changes took over {TARGET:?} at {name}")
+        });
+        report.fact(
+            &format!("in force ms, {name}"),
+            json!({ "steady": summary(steady), "restarted": summary(restarted) }),
+        );
+    }
+}
+
+pub fn summary(mut times: Vec<Duration>) -> serde_json::Value {
+    times.sort();
+    let at = |part: usize| times.get((times.len() * part / 100).min(times.len().saturating_sub(1)));
+    let ms = |d: Option<&Duration>| d.map(|d| (d.as_secs_f64() * 10_000.0).round() / 10.0);
+    json!({ "count": times.len(), "p50": ms(at(50)), "p99": ms(at(99)), "max": ms(times.last()) })
+}
+
+/// Every replica starts from disk on the newest version and answers reads.
+async fn restart_all(
+    cluster: &Cluster,
+    changes: u64,
+    accepted: &[Accepted],
+    report: &mut Report,
+) -> Result<()> {
+    let replicas: Vec<usize> = (0..REPLICAS).collect();
+    replicas.iter().for_each(|&i| cluster.kill(i));
+    let start = Instant::now();
+    for &i in &replicas {
+        cluster.run(i)?;
+    }
+    let late = cluster.wait(&replicas, changes, SETTLE);
+    report.check(late.is_empty(), || {
+        format!("replicas {late:?} start below {changes}")
+    });
+    let mut reads = Vec::new();
+    for &i in &replicas {
+        loop {
+            if let Ok(state) = cluster.only(i).read().await {
+                check_state(&state, accepted, report);
+                reads.push(start.elapsed());
+                break;
+            }
+            if start.elapsed() > SETTLE {
+                report
+                    .violations
+                    .push(format!("replica {i} answers no read"));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let slowest = reads.iter().max().copied().unwrap_or(SETTLE);
+    report.check(slowest < TARGET, || {
+        format!("the start took {slowest:?}, target {TARGET:?}")
+    });
+    report.fact("start from disk until read, ms", summary(reads));
+    Ok(())
+}
