Let an isolated control replica say that it is unavailable

Cause: an isolated replica answered commands and reads after 10 s, when the operator's call had ended after 5 s. It answered polls with "nothing newer" after 8 s, so entries stayed with it and counted that as a confirmation; an entry on a silent connection waited 10 s.

Change: requests end after 4 s, checked against the call limit at compile time. A poll ends after 1 s and tells "current" from "unavailable" by the last agreement of a quorum.

--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -4,7 +4,11 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, mpsc as std_mpsc},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc as std_mpsc,
+    },
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -12,6 +16,7 @@
 use figdeal_core::time::{Timestamp, UnixMillis};
 use figdeal_wire::codec::Postcard;
 use futures::{StreamExt, stream};
+use serde::{Deserialize, Serialize};
 use tarpc::{
     client, context,
     serde_transport::tcp,
@@ -31,8 +36,14 @@
     store::{Error, Version},
 };
 
-/// Time that a poll waits for a newer version; it is below tarpc's default deadline of 10 s.
-pub const POLL_WAIT: Duration = Duration::from_secs(8);
+/// Time that a poll waits for a newer version. A change must be in force within 2 s, also where the connection to one
+/// replica went silent; 8 s delayed changes by 6 s there.
+pub const POLL_WAIT: Duration = Duration::from_secs(1);
+/// Time without the agreement of a quorum after which a replica does not claim to be current. It is above two
+/// background reads ([`crate::node::SYNC_EVERY`]), so that a single lost message does not count.
+pub const STALE_AFTER: Duration = Duration::from_millis(1_250);
+/// Time between checks of that during a poll.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
 /// Requests and messages that wait for the control thread.
 pub const MAX_INPUTS: usize = 256;
 /// Messages that wait for one peer; further ones are dropped, which the agreement tolerates.
@@ -57,7 +68,18 @@
     /// Reads the current state through a quorum.
     async fn read() -> Reply;
     /// Waits up to [`POLL_WAIT`] for an accepted version newer than `have`.
-    async fn poll(have: u64) -> Option<Version>;
+    async fn poll(have: u64) -> Poll;
+}
+
+/// Answer to a poll.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Poll {
+    /// A newer version.
+    Newer(Version),
+    /// A quorum agreed within [`STALE_AFTER`] that there is no newer version.
+    Current,
+    /// The replica has no newer version and does not reach a quorum; the poller asks another one.
+    Unavailable,
 }
 
 enum Input {
@@ -121,14 +143,17 @@
     let incoming = tcp::listen(listen, Postcard::default).await?;
     let address = incoming.local_addr();
     let (inputs, receiver) = mpsc::channel(MAX_INPUTS);
+    let confirmed = Arc::new(AtomicU64::new(0));
     let (versions, watched) = watch::channel(node.poll(0).cloned().map(Arc::new));
     let peers = Peers {
         runtime: tokio::runtime::Handle::current(),
         senders: HashMap::new(),
     };
+    let start = Instant::now();
     let owner = Owner {
         node,
-        start: Instant::now(),
+        start,
+        confirmed: Arc::clone(&confirmed),
         versions,
         peers,
         clients: HashMap::new(),
@@ -138,6 +163,8 @@
     let server = Server {
         inputs: inputs.downgrade(),
         versions: watched,
+        start,
+        confirmed,
     };
     let accept = incoming
         .filter_map(|c| async { c.ok() })
@@ -175,9 +202,17 @@
     /// Weak, so that open connections do not keep the control thread running.
     inputs: mpsc::WeakSender<Input>,
     versions: watch::Receiver<Option<Arc<Version>>>,
+    start: Instant,
+    /// Microseconds from `start` to [`Node::confirmed`], 0 where there is none.
+    confirmed: Arc<AtomicU64>,
 }
 
 impl Server {
+    fn is_current(&self) -> bool {
+        let confirmed = Duration::from_micros(self.confirmed.load(Ordering::Relaxed));
+        !confirmed.is_zero() && self.start.elapsed() < confirmed + STALE_AFTER
+    }
+
     async fn ask(self, input: impl FnOnce(oneshot::Sender<Reply>) -> Input) -> Reply {
         let (sender, receiver) = oneshot::channel();
         let Some(inputs) = self.inputs.upgrade() else {
@@ -208,11 +243,25 @@
         self.ask(Input::Read).await
     }
 
-    async fn poll(mut self, _: context::Context, have: u64) -> Option<Version> {
+    async fn poll(mut self, _: context::Context, have: u64) -> Poll {
         let is_newer = |v: &Option<Arc<Version>>| v.as_ref().is_some_and(|v| v.number > have);
-        let newer = timeout(POLL_WAIT, self.versions.wait_for(is_newer)).await;
-        let version = newer.ok()?.ok()?.clone()?;
-        Some(Version::clone(&version))
+        let end = Instant::now() + POLL_WAIT;
+        loop {
+            let newer = match timeout(CHECK_EVERY, self.versions.wait_for(is_newer)).await {
+                Ok(Ok(newer)) => newer.clone(),
+                Ok(Err(_)) => return Poll::Unavailable,
+                Err(_) => None,
+            };
+            if let Some(newer) = newer {
+                return Poll::Newer(Version::clone(&newer));
+            }
+            if !self.is_current() {
+                return Poll::Unavailable;
+            }
+            if Instant::now() >= end {
+                return Poll::Current;
+            }
+        }
     }
 }
 
@@ -248,6 +297,7 @@
 struct Owner<D> {
     node: Node<D>,
     start: Instant,
+    confirmed: Arc<AtomicU64>,
     versions: watch::Sender<Option<Arc<Version>>>,
     peers: Peers,
     clients: HashMap<ClientId, oneshot::Sender<Reply>>,
@@ -302,6 +352,10 @@
     }
 
     fn publish(&mut self) {
+        if let Some(at) = self.node.confirmed() {
+            let since = at.since(Timestamp::ZERO).as_micros();
+            self.confirmed.store(since as u64, Ordering::Relaxed);
+        }
         let shown = self.versions.borrow().as_ref().map_or(0, |v| v.number);
         if let Some(newer) = self.node.poll(shown) {
             self.versions.send_replace(Some(Arc::new(newer.clone())));
--- a/crates/figdeal-control/src/node.rs
+++ b/crates/figdeal-control/src/node.rs
@@ -57,6 +57,8 @@
     verifier: Box<dyn Verifier + Send>,
     /// Newest state that is known to be accepted by a quorum.
     chosen: Option<Proposal>,
+    /// When a quorum last told this replica which state is chosen.
+    confirmed: Option<Timestamp>,
     latest: Option<Version>,
     address: String,
     local: VecDeque<Envelope>,
@@ -87,6 +89,7 @@
             store,
             verifier,
             chosen: None,
+            confirmed: None,
             latest: loaded.latest,
             address: String::new(),
             local: VecDeque::new(),
@@ -128,6 +131,11 @@
         self.chosen.as_ref()
     }
 
+    /// When a quorum last told this replica which state is chosen; what it gives out may be out of date since then.
+    pub fn confirmed(&self) -> Option<Timestamp> {
+        self.confirmed
+    }
+
     /// The acceptor, for reports.
     pub fn acceptor(&self) -> &Acceptor {
         &self.acceptor
@@ -255,6 +263,7 @@
             Step::Send(member, message) => self.send(member.id, member.address, message),
             Step::Reply(client, reply) => self.actions.push(Action::Reply { client, reply }),
             Step::Chosen { proposal, tell } => {
+                self.confirmed = Some(clock.now);
                 if tell {
                     let ballot = proposal.ballot;
                     let mut others = proposal.state.members.all();
--- a/crates/figdeal-control/src/proposer.rs
+++ b/crates/figdeal-control/src/proposer.rs
@@ -23,8 +23,9 @@
 
 /// Time for one phase; it covers a few synced writes and round trips on a slow disk.
 pub const PHASE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which a client learns that the outcome is unknown.
-pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a client learns that the outcome is unknown; it is below the time that operators' calls wait for a
+/// reply, so that an isolated replica says that it is unavailable.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for a background request once it runs; clients wait behind it.
 pub const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(1);
 /// First back-off after a lost race; it doubles up to [`MAX_BACKOFF`].
--- a/crates/figdeal-control/tests/tcp.rs
+++ b/crates/figdeal-control/tests/tcp.rs
@@ -6,7 +6,7 @@
 use figdeal_control::{
     command::{Action, Answer, Command},
     disk::Folder,
-    driver::{Control, IDLE_TIMEOUT, connect, serve},
+    driver::{Control, IDLE_TIMEOUT, Poll, connect, serve},
     node::Node,
     proposer::Reply,
     sign::{Ed25519, replace_message, signed_message},
@@ -70,7 +70,15 @@
     }
 
     let poller = connect(addresses[2]).await.unwrap();
-    let poll = tokio::spawn(async move { poller.poll(context::current(), 0).await });
+    let poll = tokio::spawn(async move {
+        loop {
+            // The replicas may not have reached each other yet.
+            match poller.poll(context::current(), 0).await {
+                Ok(Poll::Current | Poll::Unavailable) => {}
+                other => return other,
+            }
+        }
+    });
     let bundle = Bundle::new([("base.toml", "a = 1")]);
     let message = signed_message(1, &bundle, &None);
     let propose = Action::Propose {
@@ -91,11 +99,9 @@
     };
     let answer = ask(addresses[1], 2, second).await;
     assert_eq!(answer, Answer::Accepted { number: 1, digest });
-    let version = poll
-        .await
-        .unwrap()
-        .unwrap()
-        .expect("the poll gets the version");
+    let Poll::Newer(version) = poll.await.unwrap().unwrap() else {
+        panic!("the poll gets the version");
+    };
     assert_eq!((version.number, version.bundle), (1, bundle));
 
     // Replica 1 stops for good; the empty replica 3 takes its place.
@@ -124,6 +130,26 @@
     assert!(!state.members.contains(ReplicaId(1)));
 }
 
+/// Guards against entries that stay with an isolated replica and take its silence for "nothing is newer".
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_without_a_quorum_does_not_claim_to_be_current() {
+    let root = tempfile::tempdir().unwrap();
+    let members: Vec<_> = (0..3)
+        .map(|i| Member {
+            id: ReplicaId(i),
+            address: free_address().to_string(),
+        })
+        .collect();
+    let mut node = open(root.path(), 0);
+    let owners = [1, 2].map(|n| PublicKey([n; 32]));
+    node.init(owners, members.clone()).unwrap();
+    let address = members[0].address.parse().unwrap();
+    let _control = serve(node, address).await.unwrap();
+    let rpc = connect(address).await.unwrap();
+    let answer = rpc.poll(context::current(), 0).await.unwrap();
+    assert_eq!(answer, Poll::Unavailable);
+}
+
 /// Guards against silent connections that use up the bound on connections.
 #[tokio::test(start_paused = true)]
 async fn a_silent_connection_is_closed() {
--- a/crates/figdeal/src/entry/spread.rs
+++ b/crates/figdeal/src/entry/spread.rs
@@ -11,7 +11,7 @@
 use displaydoc::Display;
 use figdeal_control::{
     disk::{Disk, Folder},
-    driver::{POLL_WAIT, connect},
+    driver::{POLL_WAIT, Poll, connect},
     store::{Version, frame, unframe},
 };
 use figdeal_core::time::UnixMillis;
@@ -29,7 +29,7 @@
 const TEMPORARY: &str = "accepted.new";
 
 /// Time beyond the wait of a poll after which the replica counts as silent.
-const POLL_MARGIN: Duration = Duration::from_secs(2);
+const POLL_MARGIN: Duration = Duration::from_millis(500);
 /// Pause before the next replica is polled.
 const REPLICA_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a version that could not be taken.
@@ -202,9 +202,13 @@
                 Err(_) => return "step poll failed: no reply in time".to_owned(),
             };
         count::record(Class::Heartbeat);
-        let Some(version) = answer else {
-            spread.confirm();
-            continue;
+        let version = match answer {
+            Poll::Newer(version) => version,
+            Poll::Current => {
+                spread.confirm();
+                continue;
+            }
+            Poll::Unavailable => return "step poll failed: it reaches no majority".to_owned(),
         };
         let taker = Arc::clone(spread);
         // Writing to disk takes milliseconds, which the network threads do not have.
--- a/crates/figdeal/src/register.rs
+++ b/crates/figdeal/src/register.rs
@@ -14,7 +14,7 @@
     disk::Folder,
     driver::{ControlRpcClient, connect},
     node::Node,
-    proposer::Reply,
+    proposer::{REQUEST_TIMEOUT, Reply},
     sign::Ed25519,
     state::{Member, RegisterState},
     types::{Bundle, PublicKey, ReplicaId, Signature},
@@ -24,6 +24,8 @@
 
 /// Time limit of one call to one replica.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// An isolated replica has to answer "unavailable" before the call ends.
+const _: () = assert!(REQUEST_TIMEOUT.as_millis() + 500 <= CALL_LIMIT.as_millis());
 /// Pause before the replicas are asked again.
 const PAUSE: Duration = Duration::from_millis(200);
 
