Name the reason in /readyz when an entry is not ready

An entry without a version answered only {"ready":false}. The answer now says whether it drains, has no configuration or waits for its horizon.

--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -148,10 +148,33 @@
         *self.rules.write().expect("the lock is not poisoned") = Arc::new(rules);
     }
 
+    /// State before a version is in force.
+    fn new(rules: Rules, is_configured: bool) -> Shared {
+        Shared {
+            rules: RwLock::new(Arc::new(rules)),
+            in_force: RwLock::new(None),
+            is_configured: AtomicBool::new(is_configured),
+            is_claimable: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            drain: CancellationToken::new(),
+        }
+    }
+
+    /// Why the balancer may not send work, if it may not.
+    pub(crate) fn unready(&self) -> Option<&'static str> {
+        let load = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        if load(&self.is_draining) {
+            return Some("the entry is draining");
+        }
+        if !load(&self.is_configured) {
+            return Some("no control replica has given out a configuration yet");
+        }
+        (!load(&self.is_claimable)).then_some("the horizon of claims has not passed")
+    }
+
     /// Whether the balancer may send work.
     pub(crate) fn is_ready(&self) -> bool {
-        let load = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
-        load(&self.is_claimable) && load(&self.is_configured) && !load(&self.is_draining)
+        self.unready().is_none()
     }
 }
 
@@ -195,14 +218,10 @@
     ) -> Result<Entry<Serving>> {
         let incarnation = Incarnation(rand::random());
         figdeal_agent::metrics::recorder();
-        let shared = Arc::new(Shared {
-            rules: RwLock::new(Arc::new(options.rules.clone())),
-            in_force: RwLock::new(None),
-            is_configured: AtomicBool::new(options.control.is_empty()),
-            is_claimable: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
-            drain: CancellationToken::new(),
-        });
+        let shared = Arc::new(Shared::new(
+            options.rules.clone(),
+            options.control.is_empty(),
+        ));
         let spread = Spread::open(
             &options.site,
             options.folder.as_deref(),
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -63,13 +63,10 @@
             (Method::GET, ["metrics"]) => self.metrics().await,
             (Method::POST, ["v1", "drain"]) => self.drain(&call),
             (Method::GET, ["healthz"]) => Reply::json(200, &json!({ "healthy": true })),
-            (Method::GET, ["readyz"]) => {
-                let is_ready = self.shared.is_ready();
-                Reply::json(
-                    if is_ready { 200 } else { 503 },
-                    &json!({ "ready": is_ready }),
-                )
-            }
+            (Method::GET, ["readyz"]) => match self.shared.unready() {
+                None => Reply::json(200, &json!({ "ready": true })),
+                Some(reason) => Reply::json(503, &json!({ "ready": false, "reason": reason })),
+            },
             (method, _) => {
                 let error = format!("{method} is not allowed on {}, use {allowed}", call.path);
                 Reply {
