Keep the last confirmation of a version across restarts

The file of the accepted version holds the time at which it was written, so after a restart the reported age counted from the last change. The time of the last confirmation is now kept beside it, at most every 5 s and without a sync, because losing it only overstates the age.

--- a/crates/figdeal/src/entry/spread.rs
+++ b/crates/figdeal/src/entry/spread.rs
@@ -20,6 +20,9 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+#[cfg(test)]
+mod tests;
+
 use super::Shared;
 use crate::{register::to_config, rules::Rules};
 
@@ -27,6 +30,12 @@
 const FILE: &str = "accepted";
 /// Name under which the file is written before it replaces the old one.
 const TEMPORARY: &str = "accepted.new";
+/// File with the time of the last confirmation of a version.
+const CONFIRMED: &str = "confirmed";
+/// Name under which that file is written.
+const CONFIRMED_NEW: &str = "confirmed.new";
+/// Time between writes of the confirmation. It is not synced, because losing it only overstates the age.
+const CONFIRM_EVERY: Duration = Duration::from_secs(5);
 
 /// Time beyond the wait of a poll after which the replica counts as silent.
 const POLL_MARGIN: Duration = Duration::from_millis(500);
@@ -65,6 +74,8 @@
     site: String,
     shared: Arc<Shared>,
     folder: Option<Mutex<Folder>>,
+    /// The confirmation that is on disk.
+    kept: Mutex<UnixMillis>,
 }
 
 impl Spread {
@@ -84,13 +95,15 @@
             site: site.to_owned(),
             shared,
             folder: folder.map(Mutex::new),
+            kept: Mutex::new(UnixMillis(0)),
         };
         if let Some((version, saved)) = kept {
             log::info!(
                 "E340 starts on version {} from the data folder",
                 version.number
             );
-            spread.install(version, saved)?;
+            let confirmed = confirmation(&spread, version.number).unwrap_or(saved);
+            spread.install(version, confirmed.max(saved))?;
         }
         Ok(spread)
     }
@@ -102,14 +115,43 @@
 
     /// Notes that a control VM confirmed the version in force as the newest one.
     pub(crate) fn confirm(&self) {
+        self.confirm_at(UnixMillis::now());
+    }
+
+    fn confirm_at(&self, now: UnixMillis) {
         let mut in_force = self
             .shared
             .in_force
             .write()
             .expect("the lock is not poisoned");
         if let Some(in_force) = in_force.as_mut() {
-            in_force.confirmed = UnixMillis::now();
+            in_force.confirmed = now;
+        }
+        drop(in_force);
+        if let Err(e) = self.keep(now) {
+            log::warn!("E344 {e}");
+        }
+    }
+
+    /// Keeps the confirmation for the age after a restart, from time to time.
+    fn keep(&self, now: UnixMillis) -> Result<()> {
+        let Some(folder) = &self.folder else {
+            return Ok(());
+        };
+        let mut kept = self.kept.lock().expect("the lock is not poisoned");
+        if u128::from(now.0.saturating_sub(kept.0)) < CONFIRM_EVERY.as_millis() {
+            return Ok(());
         }
+        let mut folder = folder.lock().expect("the lock is not poisoned");
+        let bytes = frame(&(self.number(), now));
+        folder
+            .write(CONFIRMED_NEW, &bytes)
+            .map_err(|e| Error::Disk("write of the confirmation", e))?;
+        folder
+            .rename(CONFIRMED_NEW, CONFIRMED)
+            .map_err(|e| Error::Disk("rename of the confirmation", e))?;
+        *kept = now;
+        Ok(())
     }
 
     /// Puts a version in force if it is newer, after it is synced to disk. Returns whether it was newer.
@@ -205,8 +247,12 @@
         let version = match answer {
             Poll::Newer(version) => version,
             Poll::Current => {
-                spread.confirm();
-                continue;
+                let confirmer = Arc::clone(spread);
+                let confirmed = tokio::task::spawn_blocking(move || confirmer.confirm()).await;
+                match confirmed {
+                    Ok(()) => continue,
+                    Err(e) => return format!("step confirm failed: {e}"),
+                }
             }
             Poll::Unavailable => return "step poll failed: it reaches no majority".to_owned(),
         };
@@ -214,7 +260,7 @@
         // Writing to disk takes milliseconds, which the network threads do not have.
         let taken = tokio::task::spawn_blocking(move || taker.offer(version)).await;
         match taken {
-            Ok(Ok(_)) => spread.confirm(),
+            Ok(Ok(_)) => {}
             Ok(Err(e)) => {
                 log::error!("E343 {e}");
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -230,6 +276,15 @@
     Duration::from_millis(now.0.saturating_sub(in_force.confirmed.0))
 }
 
+/// The kept confirmation of version `number`; an unreadable one only overstates the age.
+fn confirmation(spread: &Spread, number: u64) -> Option<UnixMillis> {
+    let folder = spread.folder.as_ref()?;
+    let folder = folder.lock().expect("the lock is not poisoned");
+    let bytes = folder.read(CONFIRMED).ok()?;
+    let (of, at) = unframe::<(u64, UnixMillis)>(&bytes).ok()?;
+    (of == number).then_some(at)
+}
+
 fn load(folder: &Folder) -> Result<Option<(Version, UnixMillis)>> {
     let names = folder.list().map_err(|e| Error::Disk("list", e))?;
     if !names.iter().any(|n| n == FILE) {
--- /dev/null
+++ b/crates/figdeal/src/entry/spread/tests.rs
@@ -0,0 +1,50 @@
+use std::path::Path;
+
+use figdeal_config::Bundle;
+use figdeal_control::types::{Digest, PublicKey};
+
+use super::*;
+use crate::register::to_register;
+
+fn shared() -> Arc<Shared> {
+    Arc::new(Shared::new(Rules::default(), false))
+}
+
+fn version(number: u64) -> Version {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kuorotee");
+    Version {
+        number,
+        digest: Digest::of(&number.to_le_bytes()),
+        bundle: to_register(&Bundle::read(&folder).unwrap()),
+        signers: [1, 2].map(|n| PublicKey([n; 32])),
+        time: UnixMillis(1),
+    }
+}
+
+/// Guards against an age after a restart that counts from the change and not from the last confirmation.
+#[test]
+fn a_restart_keeps_the_last_confirmation() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = Spread::open("hervanta", Some(folder.path()), shared()).unwrap();
+    assert!(first.offer(version(1)).unwrap());
+    let later = UnixMillis(UnixMillis::now().0 + 3_600_000);
+    first.confirm_at(later);
+    drop(first);
+    let shared = shared();
+    let second = Spread::open("hervanta", Some(folder.path()), Arc::clone(&shared)).unwrap();
+    assert_eq!(shared.in_force().unwrap().confirmed, later);
+    // The confirmation of an older version says nothing about a newer one.
+    assert!(second.offer(version(2)).unwrap());
+    assert!(shared.in_force().unwrap().confirmed < later);
+}
+
+/// Guards against an entry that is not ready without a reason.
+#[test]
+fn an_entry_without_a_version_names_the_reason() {
+    let shared = shared();
+    let reason = shared.unready().unwrap();
+    assert!(reason.contains("configuration"), "{reason}");
+    let spread = Spread::open("hervanta", None, Arc::clone(&shared)).unwrap();
+    assert!(spread.offer(version(1)).unwrap());
+    assert_ne!(shared.unready(), Some(reason));
+}
