--- a/crates/figdeal/examples/config_faults.rs
+++ b/crates/figdeal/examples/config_faults.rs
@@ -11,10 +11,14 @@
 
 #[path = "config_faults/cluster.rs"]
 mod cluster;
+#[path = "config_faults/idle.rs"]
+mod idle;
 #[path = "config_faults/isolate.rs"]
 mod isolate;
 #[path = "config_faults/lost_disk.rs"]
 mod lost_disk;
+#[path = "config_faults/no_control.rs"]
+mod no_control;
 #[path = "config_faults/race.rs"]
 mod race;
 #[path = "config_faults/relay.rs"]
@@ -34,6 +38,10 @@
     LostDisk,
     /// Two operators propose under one number
     Race,
+    /// All control replicas are gone
+    NoControl,
+    /// Traffic, processor time and memory at rest
+    Idle,
 }
 
 /// Options of a run.
@@ -103,6 +111,8 @@
             }
             Scenario::Isolate => isolate::run(&cluster, &mut rng, &mut report).await,
             Scenario::Race => race::run(&cluster, args.changes, &mut rng, &mut report).await,
+            Scenario::NoControl => no_control::run(&cluster, &mut rng, &mut report).await,
+            Scenario::Idle => idle::run(&cluster, &mut rng, &mut report).await,
             Scenario::LostDisk => lost_disk::run(&cluster, &mut rng, &mut report).await,
         }
     });
--- /dev/null
+++ b/crates/figdeal/examples/config_faults/idle.rs
@@ -0,0 +1,71 @@
+//! Traffic, processor time and memory at rest.
+
+use std::{fs, sync::atomic::Ordering, time::Duration};
+
+use figdeal::cli::Result;
+use rand::rngs::StdRng;
+use serde_json::json;
+
+use crate::{
+    Report,
+    cluster::{AGENT, Cluster, DISKLESS, PROCESSES},
+};
+
+/// Time of the measurement.
+const MEASURED: Duration = Duration::from_secs(20);
+/// Time until connections and caches are at rest.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Budget of design 1.4: bytes per second, part of a core in percent, MB.
+const BUDGET: (f64, f64, f64) = (5_000.0, 1.9, 128.0);
+/// Ticks of the processor clock per second in /proc, which Linux fixes at 100 for programs.
+const TICKS: f64 = 100.0;
+
+pub async fn run(cluster: &Cluster, rng: &mut StdRng, report: &mut Report) -> Result<()> {
+    cluster.change(1, rng).await?;
+    tokio::time::sleep(SETTLE).await;
+    let read = || -> Result<Vec<[f64; 3]>> { (0..PROCESSES).map(|i| usage(cluster, i)).collect() };
+    let before = read()?;
+    tokio::time::sleep(MEASURED).await;
+    let after = read()?;
+    let seconds = MEASURED.as_secs_f64();
+    for i in 0..PROCESSES {
+        let rate = |k: usize| (after[i][k] - before[i][k]) / seconds;
+        let (bytes, pieces, cpu) = (rate(0), rate(1), rate(2) / TICKS * 100.0);
+        let memory = memory(cluster.pid(i))?;
+        let name = match i {
+            DISKLESS => "entry without disk".to_owned(),
+            AGENT => "agent".to_owned(),
+            i => format!("replica and entry {i}"),
+        };
+        report.fact(
+            &name,
+            json!({ "sent B/s": bytes.round(), "sent pieces/s": (pieces * 10.0).round() / 10.0,
+                "cpu %": (cpu * 100.0).round() / 100.0, "memory MB": memory.round() }),
+        );
+        let within = bytes <= BUDGET.0 && cpu <= BUDGET.1 && memory <= BUDGET.2;
+        report.check(within, || format!("{name} is over the budget {BUDGET:?}"));
+    }
+    Ok(())
+}
+
+/// Bytes and pieces sent through the relays, and ticks of processor time.
+fn usage(cluster: &Cluster, i: usize) -> Result<[f64; 3]> {
+    let pid = cluster.pid(i);
+    let sent = cluster.net.sent(pid);
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let (_, fields) = stat.rsplit_once(')').ok_or("no fields in stat")?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    // User and system time are fields 14 and 15; the first one after the name is field 3.
+    let ticks = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    let load = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed) as f64;
+    Ok([load(&sent.bytes), load(&sent.pieces), ticks])
+}
+
+fn memory(pid: u32) -> Result<f64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kib = line
+        .and_then(|l| l.split_whitespace().next())
+        .ok_or("no VmRSS")?;
+    Ok(kib.parse::<f64>()? / 1024.0)
+}
--- /dev/null
+++ b/crates/figdeal/examples/config_faults/no_control.rs
@@ -0,0 +1,92 @@
+//! All control replicas are gone; entries restart.
+
+use std::time::{Duration, Instant};
+
+use figdeal::cli::Result;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+
+use crate::{
+    Report,
+    cluster::{Cluster, DISKLESS, REPLICAS},
+};
+
+/// Changes before the control replicas are lost.
+const CHANGES: u64 = 10;
+/// Time that the processes get for each step.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time without control replicas before the restart; the reported age must be at least that.
+const GONE: Duration = Duration::from_secs(12);
+
+pub async fn run(cluster: &Cluster, rng: &mut StdRng, report: &mut Report) -> Result<()> {
+    for number in 1..=CHANGES {
+        cluster.change(number, rng).await?;
+    }
+    let late = cluster.wait(&[0, 1, 2, 3, 4], CHANGES, LIMIT);
+    report.check(late.is_empty(), || {
+        format!("processes {late:?} did not reach {CHANGES}")
+    });
+    tokio::time::sleep(LIMIT).await;
+    (0..REPLICAS).for_each(|i| cluster.kill(i));
+    let gone = Instant::now();
+    tokio::time::sleep(GONE).await;
+    // Replica 0 returns as an entry whose control role reaches no majority.
+    cluster.run(0)?;
+    let late = cluster.wait(&[0], CHANGES, LIMIT);
+    report.check(late.is_empty(), || {
+        "the entry with a folder has no version".to_owned()
+    });
+    let status = get(cluster, 0, "/v1/status")?;
+    let (age, real) = (
+        status["version_age_ms"].as_u64(),
+        gone.elapsed().as_millis() as u64,
+    );
+    report.fact("entry with folder, version", status["version"].clone());
+    report.fact("entry with folder, age ms", json!(age));
+    report.fact("time without control ms", real);
+    report.check(status["version"] == CHANGES, || format!("status {status}"));
+    // The kept confirmation is up to 5 s older than the last one, which is up to 1 s older than the loss.
+    let fits = age.is_some_and(|age| (real..real + 7_000).contains(&age));
+    report.check(fits, || {
+        format!("age {age:?} does not fit {real} ms without control")
+    });
+    let kept = get(cluster, DISKLESS, "/v1/status")?;
+    report.check(kept["version"] == CHANGES, || {
+        format!("the running entry has {kept}")
+    });
+    // Replica 0 would give out its archived version to a poller.
+    cluster.kill(0);
+    cluster.kill(DISKLESS);
+    cluster.run(DISKLESS)?;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let ready = get(cluster, DISKLESS, "/readyz")?;
+    report.fact("entry without disk, readyz", ready.clone());
+    report.check(
+        ready["ready"] == false
+            && ready["reason"]
+                .as_str()
+                .is_some_and(|r| r.contains("configuration")),
+        || format!("the entry without a disk answers {ready}"),
+    );
+    Ok(())
+}
+
+fn get(cluster: &Cluster, i: usize, path: &str) -> Result<Value> {
+    let url = format!("http://{}{path}", cluster.http[i]);
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let start = Instant::now();
+    loop {
+        match agent.get(&url).call() {
+            Ok(mut response) => {
+                return Ok(serde_json::from_str(
+                    &response.body_mut().read_to_string()?,
+                )?);
+            }
+            Err(e) if start.elapsed() > LIMIT => return Err(format!("{url}: {e}").into()),
+            Err(_) => std::thread::sleep(Duration::from_millis(20)),
+        }
+    }
+}
