Keep a slot of each agent for jobs with little work left

With three entries the p99 of response / ideal was far above that of one entry: a small job waits for the first of the 8 slots of the one agent that it was sent to, while large jobs of other entries refill each slot that becomes free; the ideal is the first free slot of the fleet. The last slot of an agent is now kept from tasks of jobs with more than 4 s of work left.

--- a/crates/figdeal-agent/src/control.rs
+++ b/crates/figdeal-agent/src/control.rs
@@ -121,6 +121,7 @@
 ) -> io::Result<()> {
     let mut core = AgentCore::new(incarnation, options.ledger);
     core.set_clock(UnixMillis::now(), Timestamp::ZERO);
+
     let expire_after = options.expire_after;
     let runtime = runtime.clone();
     thread::Builder::new()
@@ -275,6 +276,8 @@
             self.core.set_team_weight(id, team.weight);
         }
         self.core.set_reserve(site.limits.reserve);
+        self.core
+            .set_small(site.limits.small_slots, site.limits.small_work);
         self.expire_after = site.time_outs.expire_after;
         self.version = version;
         log::info!("E212 version {version} is in force");
--- a/crates/figdeal-config/src/section/limits.rs
+++ b/crates/figdeal-config/src/section/limits.rs
@@ -17,6 +17,10 @@
         [window: u32 as Count = 2, 0, 64];
         /// Free slots of an agent that are kept from kinds over their share.
         [reserve: u32 as Count = 0, 0, 64];
+        /// Slots of an agent that are kept from tasks of large jobs; at least one stays for these.
+        [small_slots: u32 as Count = 1, 0, 64];
+        /// Work that a job may have left to count as small.
+        [small_work: Duration as Time = Duration::from_secs(4), Duration::from_millis(10), Duration::from_secs(600)];
         /// Age up to which the outcome of a submission is remembered.
         shared [retention: Duration as Time = Duration::from_secs(3_600), Duration::from_secs(60), Duration::from_secs(86_400)];
         /// Difference between wall clocks up to which claims and submissions are accepted.
--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -21,6 +21,11 @@
 /// Largest age of an order. Marks are kept for 600 s, so a task is forgotten only when no order for it is valid.
 const MAX_ORDER_AGE: Duration = Duration::from_secs(60);
 
+/// Slots kept free of large jobs until the configuration says otherwise.
+const SMALL_SLOTS: u32 = 1;
+/// Work that a small job has left at most until the configuration says otherwise.
+const SMALL_WORK: Duration = Duration::from_secs(4);
+
 /// A task as an entry hands it over.
 #[derive(Debug, Clone)]
 pub struct TaskOrder {
@@ -162,6 +167,8 @@
     times: RunTimes,
     slots: u32,
     reserve: u32,
+    small_slots: u32,
+    small_work: u64,
     draining: bool,
     clock: Option<(UnixMillis, Timestamp)>,
 }
@@ -183,6 +190,8 @@
             times: RunTimes::default(),
             slots: 0,
             reserve: 0,
+            small_slots: SMALL_SLOTS,
+            small_work: SMALL_WORK.as_micros() as u64,
             draining: true,
             clock: None,
         }
@@ -206,6 +215,12 @@
         self.reserve = reserve;
     }
 
+    /// Sets the number of slots that are kept free of tasks whose job has more than `work` left.
+    pub fn set_small(&mut self, slots: u32, work: Duration) {
+        self.small_slots = slots;
+        self.small_work = work.as_micros() as u64;
+    }
+
     /// Sets the share of a kind.
     pub fn set_share(&mut self, kind: KindId, share: KindShare) {
         self.queue.set_share(kind, share);
@@ -465,7 +480,7 @@
 
     fn fill(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = self.expire_queued(now);
-        while let Some((key, task)) = self.queue.pop_slot(self.slots, self.reserve) {
+        while let Some((key, task)) = self.pop_next() {
             let waiting = self.waiting.remove(&task).expect("a queued task waits");
             self.deadlines.remove(&(waiting.deadline, task));
             self.ledger.start(task);
@@ -485,6 +500,17 @@
         actions
     }
 
+    /// The last `small_slots` free slots are for jobs with little work left, which would otherwise wait for one of the
+    /// slots that a large job holds here, while the ideal is the next free slot of the whole fleet.
+    fn pop_next(&mut self) -> Option<(ItemKey, TaskId)> {
+        let free = self.slots.saturating_sub(self.busy());
+        if free > self.small_slots.min(self.slots.saturating_sub(1)) {
+            return self.queue.pop_slot(self.slots, self.reserve);
+        }
+        self.queue
+            .pop_small_slot(self.slots, self.reserve, self.small_work)
+    }
+
     fn expire_queued(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(&(deadline, task)) = self.deadlines.first()
--- a/crates/figdeal-core/src/entry.rs
+++ b/crates/figdeal-core/src/entry.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     agent::{Declined, Verdict},
-    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Load, Sample},
+    fleet::{AgentInfo, AgentKey, Announced, Fleet, FleetLimits, Lane, Load, Sample},
     id::{Digest, EntryId, Incarnation, KindId, SubmissionKey, TaskId, TeamId},
     ledger::TaskResult,
     outcome::{Outcome, Refusal, TaskState},
@@ -52,6 +52,8 @@
     pub grace: Duration,
     /// Time after which a task that no agent accepts is refused.
     pub unplaceable_after: Duration,
+    /// A job with at most this much work left may take the slots that are kept free of large jobs.
+    pub small_work: Duration,
     /// Placement and ejection.
     pub fleet: FleetLimits,
 }
@@ -65,6 +67,7 @@
             retention: Duration::from_secs(3600),
             grace: Duration::from_millis(500),
             unplaceable_after: Duration::from_secs(2),
+            small_work: Duration::from_secs(4),
             fleet: FleetLimits::default(),
         }
     }
@@ -669,8 +672,8 @@
 
     fn dispatch(&mut self, now: Timestamp) {
         loop {
-            let fleet = &self.fleet;
-            let Some((item, task_ref)) = self.queue.pop(|kind| fleet.has_room(kind, now)) else {
+            let open = self.open_kinds(now);
+            let Some((item, task_ref)) = self.queue.pop(|kind| open.contains(&kind)) else {
                 return;
             };
             let job = &mut self.jobs[task_ref.job];
@@ -680,7 +683,14 @@
                 key: job.key,
                 index: task_ref.index,
             };
-            let Some(agent) = self.fleet.place(task.spec.kind, task.spec.size, now) else {
+            let mean = self.times.estimate(task.spec.kind, task.spec.declared);
+            let left = mean.as_micros() as u64 * job.unresolved as u64;
+            let is_small = item.order() <= self.limits.small_work.as_micros() as u64;
+            let lane = Lane {
+                kind: task.spec.kind,
+                is_small,
+            };
+            let Some(agent) = self.fleet.place_in(lane, task.spec.size, now) else {
                 self.queue.finish(item.kind(), item.team());
                 task.progress = Progress::Unplaced;
                 self.unplaced
@@ -690,13 +700,12 @@
             task.progress = Progress::Sent(agent);
             task.attempts += 1;
             self.counts.sent += 1;
-            let mean = self.times.estimate(task.spec.kind, task.spec.declared);
             let dispatch = Dispatch {
                 agent,
                 task: id,
                 kind: task.spec.kind,
                 team: job.team,
-                order: mean.as_micros() as u64 * job.unresolved as u64,
+                order: left,
                 remaining: (job.arrived + task.spec.deadline).since(now),
                 payload: Arc::clone(&task.spec.payload),
             };
@@ -706,6 +715,30 @@
         }
     }
 
+    /// The kinds whose next task has room somewhere.
+    fn open_kinds(&self, now: Timestamp) -> Vec<KindId> {
+        let largest = self.limits.small_work.as_micros() as u64;
+        let is_open = |kind: &KindId| {
+            let is_small = self
+                .queue
+                .next_order(*kind)
+                .is_some_and(|order| order <= largest);
+            self.fleet.has_room_in(
+                Lane {
+                    kind: *kind,
+                    is_small,
+                },
+                0,
+                now,
+            )
+        };
+        self.queue
+            .backlog()
+            .map(|(kind, _)| kind)
+            .filter(is_open)
+            .collect()
+    }
+
     fn place_again(&mut self, key: JobKey, index: usize, declined: Declined, now: Timestamp) {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
--- a/crates/figdeal-core/src/share.rs
+++ b/crates/figdeal-core/src/share.rs
@@ -46,6 +46,11 @@
         self.kind
     }
 
+    /// The order of the item inside its team.
+    pub fn order(&self) -> u64 {
+        self.order
+    }
+
     /// The team of the item.
     pub fn team(&self) -> TeamId {
         self.team
@@ -153,6 +158,13 @@
         self.queued == 0 && self.active == 0
     }
 
+    /// The first team in the order of service whose next item has an order of at most `largest`.
+    fn small_team(&self, largest: u64) -> Option<TeamId> {
+        let next = |team: &TeamId| self.teams[team].items.first_key_value();
+        let is_small = |team: &TeamId| next(team).is_some_and(|(&(order, _), _)| order <= largest);
+        self.ready.iter().map(|&(_, _, team)| team).find(is_small)
+    }
+
     /// Applies `change` to a team, which is created if it is unknown, and keeps the indexes and counts.
     fn update<R>(
         &mut self,
@@ -365,6 +377,35 @@
         self.pop_kind(kind)
     }
 
+    /// As [`FairQueue::pop_slot`], but takes only items whose order is at most `largest`.
+    pub fn pop_small_slot(
+        &mut self,
+        slots: u32,
+        reserve: u32,
+        largest: u64,
+    ) -> Option<(ItemKey, T)> {
+        let free = slots.saturating_sub(self.active);
+        if free == 0 {
+            return None;
+        }
+        let kind = self.next_kind(|kind| {
+            let is_eligible = free > reserve || !self.holds_share(kind, slots);
+            is_eligible && self.kinds[&kind].small_team(largest).is_some()
+        })?;
+        let team = self.kinds[&kind].small_team(largest)?;
+        self.pop_team(kind, team)
+    }
+
+    /// The smallest order of the queued items of a kind that would go next in its team.
+    pub fn next_order(&self, kind: KindId) -> Option<u64> {
+        let queue = self.kinds.get(&kind)?;
+        let &(_, _, team) = queue.ready.first()?;
+        queue.teams[&team]
+            .items
+            .first_key_value()
+            .map(|(&(order, _), _)| order)
+    }
+
     /// The item that [`FairQueue::pop`] would take.
     pub fn peek(&self, eligible: impl FnMut(KindId) -> bool) -> Option<(ItemKey, &T)> {
         let kind = self.next_kind(eligible)?;
@@ -491,6 +532,11 @@
     }
 
     fn pop_kind(&mut self, kind: KindId) -> Option<(ItemKey, T)> {
+        let &(_, _, team) = self.kinds.get(&kind)?.ready.first()?;
+        self.pop_team(kind, team)
+    }
+
+    fn pop_team(&mut self, kind: KindId, team: TeamId) -> Option<(ItemKey, T)> {
         for (&id, other) in &mut self.kinds {
             other.passed = if id != kind && other.queued > 0 && other.active == 0 {
                 other.passed + 1
@@ -499,8 +545,7 @@
             };
         }
         let queue = self.kinds.get_mut(&kind)?;
-        let &(_, virtual_time, team) = queue.ready.first()?;
-        let virtual_time = queue.virtual_time.max(virtual_time);
+        let virtual_time = queue.virtual_time.max(queue.teams[&team].virtual_time);
         queue.virtual_time = virtual_time;
         let weight = queue.teams[&team].weight;
         let ((order, arrival), item) = queue.update(team, weight, |t| {
--- a/crates/figdeal-core/tests/scheduling/agent.rs
+++ b/crates/figdeal-core/tests/scheduling/agent.rs
@@ -417,3 +417,39 @@
         }
     });
 }
+
+/// Guards against a small job that waits behind a large one for a slot, and against an agent with one slot that never
+/// runs a large job.
+#[test]
+fn small_jobs_find_a_slot_beside_a_large_one() {
+    let now = Timestamp::ZERO;
+    let order = |index: u16, order: u64| TaskOrder {
+        task: TaskId {
+            key: SubmissionKey([7; 16]),
+            index,
+        },
+        kind: KindId(0),
+        team: TeamId(0),
+        order,
+        deadline: now + Duration::from_secs(60),
+        incarnation: Incarnation(1),
+        entry: EntryId(0),
+        sent_ms: UnixMillis(1_000_000),
+    };
+    for (slots, large) in [(8, 7), (1, 1)] {
+        let mut agent = AgentCore::new(Incarnation(1), LedgerLimits::default());
+        agent.set_clock(UnixMillis(1_000_000), now);
+        agent.set_slots(slots);
+        agent.set_small(1, Duration::from_secs(4));
+        for index in 0..10 {
+            agent.run(order(index, 60_000_000), now);
+        }
+        assert_eq!(agent.busy(), large);
+        let actions = agent.run(order(100, 3_000_000), now);
+        assert_eq!(
+            !actions.is_empty(),
+            slots > large,
+            "the kept slot is for the small job"
+        );
+    }
+}
--- a/crates/figdeal/src/rules.rs
+++ b/crates/figdeal/src/rules.rs
@@ -108,11 +108,13 @@
                 queued: limits.queue_bound as usize,
                 retention: limits.retention,
                 unplaceable_after: limits.unplaceable_after,
+                small_work: limits.small_work,
                 fleet: FleetLimits {
                     window: limits.window,
                     expire_after: times.expire_after,
                     max_ejected: (limits.max_ejected.ratio() * 100.0) as u32,
                     eject_for: times.probe_after,
+                    small_slots: limits.small_slots,
                 },
                 ..EntryLimits::default()
             },
