--- a/crates/figdeal-control/tests/tcp.rs
+++ b/crates/figdeal-control/tests/tcp.rs
@@ -45,6 +45,9 @@
 }
 
 /// Guards against a change that does not reach pollers, and against a replica that cannot be restarted or replaced.
+/// Polls that wait at most 1 s each for a change.
+const MAX_POLLS: u32 = 120;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_reaches_pollers_through_restart_and_replacement() {
     let root = tempfile::tempdir().unwrap();
@@ -71,13 +74,14 @@
 
     let poller = connect(addresses[2]).await.unwrap();
     let poll = tokio::spawn(async move {
-        loop {
-            // The replicas may not have reached each other yet.
+        // The replicas may not have reached each other yet. The bound makes a lost change fail instead of hang.
+        for _ in 0..MAX_POLLS {
             match poller.poll(context::current(), 0).await {
                 Ok(Poll::Current | Poll::Unavailable) => {}
                 other => return other,
             }
         }
+        panic!("the change never reached the poller");
     });
     let bundle = Bundle::new([("base.toml", "a = 1")]);
     let message = signed_message(1, &bundle, &None);
