Share the accept loop and let the last replies and leaves out

Agent and entry had the same accept loop; it moves to figdeal-wire with its two events. An agent that stopped could cut its last replies, because it ended as soon as no task ran, and the stand-in exited before its leave was sent; both were found by reading.

--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -18,6 +18,9 @@
     announcer, control, control::Event, http, metrics, server, traffic::Traffic, upstream,
 };
 
+/// Time in which the last replies are written after the last task ended.
+const REPLY_GRACE: Duration = Duration::from_millis(200);
+
 /// Result of starting or stopping an agent.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -212,6 +215,8 @@
         let (sender, receiver) = mpsc::channel();
         let _ = self.events.send(Event::NotifyIdle(sender));
         let is_idle = receiver.recv_timeout(limit).is_ok();
+        // The last replies are on their way through the network threads.
+        std::thread::sleep(REPLY_GRACE);
         self.stop.cancel();
         if is_idle {
             Ok(())
--- a/crates/figdeal-agent/src/server.rs
+++ b/crates/figdeal-agent/src/server.rs
@@ -8,6 +8,7 @@
 use figdeal_core::id::{SubmissionKey, TaskId};
 use figdeal_wire::{
     codec::transport,
+    listen,
     message::{CollectReply, LoadReport, QueryRequest, RunRequest, TaskReply, TaskWord},
     service::AgentRpc,
 };
@@ -85,34 +86,18 @@
     traffic: Arc<Traffic>,
     stop: CancellationToken,
 ) {
-    let listener = match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(e) => return log::error!("E203 cannot serve entries: {e}"),
-    };
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    log::warn!("E204 cannot accept an entry's connection: {e}");
-                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
-        };
-        while connections.try_join_next().is_some() {}
+    let connection = |stream| {
         let server = Server {
             traffic: Arc::clone(&traffic),
             events: events.clone(),
         };
-        connections.spawn(async move {
+        async move {
             let channel = BaseChannel::with_defaults(transport(stream));
             channel
                 .execute(server.serve())
                 .for_each_concurrent(None, |response| response)
                 .await;
-        });
-    }
+        }
+    };
+    listen::serve(listener, stop, connection).await;
 }
--- a/crates/figdeal-wire/src/lib.rs
+++ b/crates/figdeal-wire/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod channel;
 pub mod codec;
 pub mod count;
+pub mod listen;
 pub mod message;
 pub mod service;
--- /dev/null
+++ b/crates/figdeal-wire/src/listen.rs
@@ -0,0 +1,39 @@
+//! Accepts connections of other processes.
+
+use std::{future::Future, net::TcpListener, time::Duration};
+
+use tokio::{net::TcpStream, task::JoinSet, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+/// Pause after a failed accept, which happens when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Runs `connection` for each accepted connection until `stop` is cancelled, which ends them all.
+pub async fn serve<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    connection: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("E102 cannot serve other processes: {e}"),
+    };
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("E103 cannot accept a connection of another process: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        while connections.try_join_next().is_some() {}
+        connections.spawn(connection(stream));
+    }
+}
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -3,7 +3,6 @@
 use std::{
     net::TcpListener,
     sync::{Arc, mpsc},
-    time::Duration,
 };
 
 use figdeal_core::{
@@ -13,6 +12,7 @@
 };
 use figdeal_wire::{
     codec::transport,
+    listen,
     message::{AnnounceReply, Announcement, ConfigFiles, OwnerRecord, PeerAnswer, PeerQuery},
     service::EntryRpc,
 };
@@ -118,35 +118,19 @@
     shared: Arc<Shared>,
     stop: CancellationToken,
 ) {
-    let listener = match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(e) => return log::error!("E301 cannot serve agents: {e}"),
-    };
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    log::warn!("E302 cannot accept a connection: {e}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
-        };
-        while connections.try_join_next().is_some() {}
+    let connection = |stream| {
         let server = Server {
             incarnation,
             events: events.clone(),
             shared: Arc::clone(&shared),
         };
-        connections.spawn(async move {
+        async move {
             let channel = BaseChannel::with_defaults(transport(stream));
             channel
                 .execute(server.serve())
                 .for_each_concurrent(None, |response| response)
                 .await;
-        });
-    }
+        }
+    };
+    listen::serve(listener, stop, connection).await;
 }
--- a/crates/figdeal/src/stand_in.rs
+++ b/crates/figdeal/src/stand_in.rs
@@ -51,6 +51,7 @@
 pub struct StandIn {
     /// Where it takes calls.
     pub address: SocketAddr,
+    agent: SocketAddr,
     shared: Arc<Shared>,
     presence: watch::Sender<bool>,
     stop: CancellationToken,
@@ -100,6 +101,7 @@
         runtime.spawn(renew(agent, address, slots, view, stop.clone()));
         Ok(StandIn {
             address,
+            agent,
             shared,
             presence,
             stop,
@@ -120,6 +122,15 @@
         self.presence.send_replace(is_present);
     }
 
+    /// Tells the agent that this upstream leaves, and returns when the agent knows.
+    ///
+    /// # Errors
+    /// Fails when the agent does not answer with success.
+    pub fn leave(&self) -> Result<(), ureq::Error> {
+        self.presence.send_replace(false);
+        leave(self.agent)
+    }
+
     /// Every task that was started, with the number of its starts.
     pub fn journal(&self) -> HashMap<Start, u32> {
         self.shared
