Set the fault run's max_skew in the base only

The run wrote the limit into overlays too, where it is refused, so that the entries ended at their start.

--- a/crates/figdeal/examples/faults/fleet.rs
+++ b/crates/figdeal/examples/faults/fleet.rs
@@ -321,7 +321,11 @@
     let mut files = Vec::new();
     for (name, bytes) in figdeal_config::Bundle::read(source)?.files() {
         let text = String::from_utf8(bytes.clone())?;
-        files.push((name.clone(), text.replacen("[limits]", &limits, 1)));
+        let text = match name.as_str() {
+            "base.toml" => text.replacen("[limits]", &limits, 1),
+            _ => text,
+        };
+        files.push((name.clone(), text));
     }
     Ok(Bundle::new(files))
 }
