--- a/crates/figdeal/src/entry/spread/tests.rs
+++ b/crates/figdeal/src/entry/spread/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the versions that an entry keeps and puts in force.
+
 use std::path::Path;
 
 use figdeal_config::Bundle;
