Share the range of a submission's tasks and drop an unused method

The agent and its ledger built the same range of task ids for searches in ordered tables; TaskId::all_of now gives it. StandIn::set_present had no caller since a leave waits for the agent.

--- a/crates/figdeal-core/src/agent.rs
+++ b/crates/figdeal-core/src/agent.rs
@@ -386,15 +386,8 @@
 
     /// Tasks of a submission that were started here and not finished.
     pub fn running(&self, key: SubmissionKey) -> Vec<TaskId> {
-        let (first, last) = (
-            TaskId { key, index: 0 },
-            TaskId {
-                key,
-                index: u16::MAX,
-            },
-        );
         self.running
-            .range(first..=last)
+            .range(TaskId::all_of(key))
             .map(|(&task, _)| task)
             .collect()
     }
--- a/crates/figdeal-core/src/id.rs
+++ b/crates/figdeal-core/src/id.rs
@@ -1,6 +1,6 @@
 //! Identities of submissions, processes, kinds and teams.
 
-use std::{collections::HashMap, fmt};
+use std::{collections::HashMap, fmt, ops::RangeInclusive};
 
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,24 @@
     pub index: u16,
 }
 
+impl TaskId {
+    /// All tasks of a submission, for searches in ordered tables.
+    ///
+    /// ```
+    /// use figdeal_core::id::{SubmissionKey, TaskId};
+    ///
+    /// let key = SubmissionKey([1; 16]);
+    /// assert!(TaskId::all_of(key).contains(&TaskId { key, index: 389 }));
+    /// ```
+    pub fn all_of(key: SubmissionKey) -> RangeInclusive<TaskId> {
+        let last = TaskId {
+            key,
+            index: u16::MAX,
+        };
+        TaskId { key, index: 0 }..=last
+    }
+}
+
 /// Interned name of a kind of task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub u16);
--- a/crates/figdeal-core/src/ledger.rs
+++ b/crates/figdeal-core/src/ledger.rs
@@ -270,15 +270,8 @@
 
     /// The tasks of a submission with their marks, in order of their index.
     pub fn tasks(&self, key: SubmissionKey) -> impl Iterator<Item = (TaskId, &Mark)> {
-        let (first, last) = (
-            TaskId { key, index: 0 },
-            TaskId {
-                key,
-                index: u16::MAX,
-            },
-        );
         self.marks
-            .range(first..=last)
+            .range(TaskId::all_of(key))
             .map(|(&task, mark)| (task, mark))
     }
 
--- a/crates/figdeal/src/stand_in.rs
+++ b/crates/figdeal/src/stand_in.rs
@@ -117,11 +117,6 @@
             .expect("the lock is not poisoned") = behaviour;
     }
 
-    /// Tells the agent that this upstream leaves, or announces it again.
-    pub fn set_present(&self, is_present: bool) {
-        self.presence.send_replace(is_present);
-    }
-
     /// Tells the agent that this upstream leaves, and returns when the agent knows.
     ///
     /// # Errors
