--- a/crates/figdeal-agent/src/cli.rs
+++ b/crates/figdeal-agent/src/cli.rs
@@ -24,8 +24,18 @@
 #[command(name = "figdeal-agent", version)]
 pub struct Cli {
     /// File with the settings of the process
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
+    #[arg(long, value_name = "FILE", required_unless_present = "queue")]
+    settings: Option<PathBuf>,
+    /// Serves the durable queue beside a worker of the platform, with the platform's settings
+    #[arg(long, conflicts_with = "settings")]
+    queue: bool,
+}
+
+impl Cli {
+    /// Whether the durable queue is served, which brings its own log output.
+    pub fn is_queue(&self) -> bool {
+        self.queue
+    }
 }
 
 /// Runs the agent until SIGTERM or SIGINT, then finishes what runs.
@@ -33,7 +43,11 @@
 /// # Errors
 /// Fails on wrong settings, when an address cannot be listened on, and when tasks still run after the stop limit.
 pub fn run(cli: &Cli) -> Result<()> {
-    let settings = Settings::read(&cli.settings)?;
+    let Some(path) = &cli.settings else {
+        let _output = figdeal_node::output::init();
+        return figdeal_node::agent::run();
+    };
+    let settings = Settings::read(path)?;
     log::set_max_level(settings.log_level);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/figdeal-agent/src/main.rs
+++ b/crates/figdeal-agent/src/main.rs
@@ -10,8 +10,11 @@
 const FILTER: &str = "warn,figdeal=trace";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
-    match run(&Cli::parse()) {
+    let cli = Cli::parse();
+    if !cli.is_queue() {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
+    }
+    match run(&cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("figdeal-agent: {e}");
--- /dev/null
+++ b/crates/figdeal-node/src/agent.rs
@@ -0,0 +1,238 @@
+//! The process beside a worker.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use figdeal_platform::{
+    Response,
+    settings::Settings,
+    worker::{self as wire, INSTANCES},
+};
+use figdeal_queue::{
+    agent::{Action, Agent, CALL_LIMIT, Heartbeat, Held, Started},
+    job::TaskId,
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+use crate::{
+    Result, clock,
+    http::{self, Call},
+    link::{Event, Links},
+    measure,
+    worker::Worker,
+};
+
+/// Inputs that wait for the decisions.
+const INPUTS: usize = 1_024;
+/// Inputs that are handled before the actions are carried out.
+const BURST: usize = 64;
+/// Time before SIGKILL at which the process ends in any case.
+const MARGIN: Duration = Duration::from_millis(800);
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD: Duration = Duration::from_secs(2);
+
+enum Input {
+    Heartbeat(Heartbeat),
+    Left(String),
+    Held(u64, Option<Held>),
+    Started(TaskId, u64, Started),
+    Seeds(Vec<SocketAddr>),
+    Close,
+}
+
+/// Runs the process until SIGTERM.
+///
+/// # Errors
+/// Fails on wrong settings and when an address cannot be listened on.
+pub fn run() -> Result<()> {
+    let path = Settings::path()?;
+    let settings = Settings::read(&path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(main(path, settings))
+}
+
+async fn main(path: PathBuf, settings: Settings) -> Result<()> {
+    let (inputs, received) = mpsc::channel(INPUTS);
+    let (events, messages) = mpsc::channel(INPUTS);
+    let (_, closed) = watch::channel(false);
+    let own = SocketAddr::new(settings.ip, settings.agent_port);
+    let worker = Settings::require(&path, settings.worker, "the worker")?;
+    let control = Settings::require(&path, settings.control, "the worker's heartbeats")?;
+    let session = rand::random();
+    log::info!(
+        "E720 start name={} address={own} worker={worker} session={session:016x} seeds={:?}",
+        settings.name,
+        settings.seeds
+    );
+    let links = Links::listen(own, events).await?;
+    let sender = inputs.clone();
+    http::serve(control, closed.clone(), move |call| heartbeat(call, sender.clone())).await?;
+    measure::start(settings.ip, closed).await?;
+    watch_signals(path, settings.seeds.clone(), inputs.clone())?;
+    let agent = Agent::new(own, session, settings.seeds);
+    let mut process = Process { agent, links, worker: Worker::new(worker), inputs };
+    process.run(received, messages, settings.grace).await;
+    log::info!("E721 stop name={}", settings.name);
+    Ok(())
+}
+
+async fn heartbeat(call: Call, inputs: mpsc::Sender<Input>) -> Response {
+    let Some(id) = call.path.strip_prefix(INSTANCES) else { return Response::new(404) };
+    let input = match call.method.as_str() {
+        "PUT" => match wire::heartbeat(id, &call.body) {
+            Some(beat) => Input::Heartbeat(beat),
+            None => {
+                log::info!("E722 heartbeat not readable worker={id} bytes={}", call.body.len());
+                return Response::new(400);
+            }
+        },
+        "DELETE" => Input::Left(id.to_owned()),
+        _ => return Response::new(405),
+    };
+    match inputs.send(input).await {
+        Ok(()) => Response::with_body(200, "{}".to_owned()),
+        Err(_) => Response::new(503),
+    }
+}
+
+fn watch_signals(path: PathBuf, seeds: Vec<SocketAddr>, inputs: mpsc::Sender<Input>) -> Result<()> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut held = seeds;
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = stop.recv() => {
+                    // The process ends when nobody takes inputs any more.
+                    let _ = inputs.send(Input::Close).await;
+                    return;
+                }
+                _ = hangup.recv() => {}
+                () = tokio::time::sleep(RELOAD) => {}
+            }
+            match Settings::read(&path) {
+                Ok(settings) if settings.seeds != held => {
+                    log::info!("E723 settings changed seeds={:?}", settings.seeds);
+                    held = settings.seeds.clone();
+                    if inputs.send(Input::Seeds(settings.seeds)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(_) => {}
+                Err(e) => log::warn!("E724 settings not read, the former ones stay error=\"{e}\""),
+            }
+        }
+    });
+    Ok(())
+}
+
+struct Process {
+    agent: Agent,
+    links: Links,
+    worker: Worker,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Process {
+    async fn run(
+        &mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        mut messages: mpsc::Receiver<Event>,
+        grace: Duration,
+    ) {
+        let mut end: Option<Instant> = None;
+        loop {
+            let wait = self.agent.next_tick().since(clock::now());
+            tokio::select! {
+                Some(input) = inputs.recv() => {
+                    if matches!(input, Input::Close) {
+                        end = Some(Instant::now() + grace.saturating_sub(MARGIN));
+                    }
+                    self.input(input);
+                    for _ in 1..BURST {
+                        let Ok(input) = inputs.try_recv() else { break };
+                        self.input(input);
+                    }
+                }
+                Some(event) = messages.recv() => {
+                    self.event(event);
+                    for _ in 1..BURST {
+                        let Ok(event) = messages.try_recv() else { break };
+                        self.event(event);
+                    }
+                }
+                () = tokio::time::sleep(wait) => {}
+            }
+            self.agent.tick(clock::now());
+            self.carry_out();
+            if let Some(last) = end
+                && (Instant::now() >= last || self.agent.is_finished())
+            {
+                return;
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = clock::now();
+        match input {
+            Input::Heartbeat(beat) => self.agent.heartbeat(now, beat),
+            Input::Left(id) => self.agent.left(now, &id),
+            Input::Held(number, held) => self.agent.held(now, number, held),
+            Input::Started(task, run, answer) => self.agent.started(now, task, run, answer),
+            Input::Seeds(seeds) => self.agent.learn(&seeds),
+            Input::Close => {
+                log::info!("E725 shutting down runs={}", self.agent.run_count());
+                self.agent.close();
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Message(peer) => self.agent.on_peer(clock::now(), peer),
+            Event::Accepted(address, link) => self.links.accepted(address, link),
+            Event::Lost(address, number) => {
+                self.links.lost(address, number);
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.agent.take_actions() {
+            let (worker, inputs) = (self.worker.clone(), self.inputs.clone());
+            match action {
+                Action::Send(to, peer) => self.links.send(to, peer),
+                Action::Hold(call) => {
+                    tokio::spawn(async move {
+                        let limit = call.wait + CALL_LIMIT;
+                        let answer = worker.call(wire::hold(&call), limit).await;
+                        let held = answer.and_then(|(status, body)| wire::held(status, &body));
+                        // The process ends when nobody takes inputs any more.
+                        let _ = inputs.send(Input::Held(call.number, held)).await;
+                    });
+                }
+                Action::Start(call) => {
+                    metrics::counter!("figdeal_agent_starts_total").increment(1);
+                    tokio::spawn(async move {
+                        let answer = worker.call(wire::start(&call), CALL_LIMIT).await;
+                        let started = answer.map_or(Started::Unclear, |(status, body)| {
+                            wire::started(status, &body)
+                        });
+                        let _ = inputs.send(Input::Started(call.task, call.run, started)).await;
+                    });
+                }
+                Action::Stop(call) => {
+                    metrics::counter!("figdeal_agent_stops_total").increment(1);
+                    tokio::spawn(async move {
+                        // Whether it was stopped shows in the list of ends; it is sent again until then.
+                        worker.call(wire::stop(&call), CALL_LIMIT).await;
+                    });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-node/src/measure.rs
@@ -0,0 +1,27 @@
+//! Counters and histograms on the metrics address.
+
+use std::net::SocketAddr;
+
+use figdeal_platform::{Response, settings::METRICS_PORT};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::sync::watch;
+
+use crate::http;
+
+/// Upper bounds of the buckets of times, in seconds.
+const BUCKETS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// Serves the metrics of this process on every path of the metrics port.
+///
+/// # Errors
+/// Fails when the port cannot be listened on or another recorder is installed.
+pub(crate) async fn start(ip: std::net::IpAddr, closing: watch::Receiver<bool>) -> crate::Result<()> {
+    let builder = PrometheusBuilder::new().set_buckets(&BUCKETS)?;
+    let handle = builder.install_recorder()?;
+    let address = SocketAddr::new(ip, METRICS_PORT);
+    let handler = move |_| {
+        let text = handle.render();
+        async move { Response::with_body(200, text) }
+    };
+    Ok(http::serve(address, closing, handler).await?)
+}
--- /dev/null
+++ b/crates/figdeal-node/src/queue.rs
@@ -0,0 +1,440 @@
+//! The process that serves callers and operators and, with a disk, keeps a replica of the log.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering, mpsc as disk},
+    thread,
+    time::Duration,
+};
+
+use figdeal_platform::{
+    Response, ingress, operator,
+    settings::Settings,
+};
+use figdeal_queue::{
+    message::{Answer, Peer, Request},
+    node::{Action, Clock, Node, Options},
+    raft::{NodeId, Raft, Write, log::Position},
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, oneshot, watch},
+    time::Instant,
+};
+
+use crate::{
+    Result, clock,
+    http::{self, Call},
+    link::{Event, Links},
+    measure,
+    store::{Content, Store},
+};
+
+/// Inputs that wait for the decisions; the connections wait beyond that.
+const INPUTS: usize = 4_096;
+/// Inputs that are handled before the actions are carried out.
+const BURST: usize = 64;
+/// Time of the shutdown for which callers are still accepted, until the balancer sends them elsewhere.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Time before SIGKILL at which the process ends in any case.
+const MARGIN: Duration = Duration::from_millis(800);
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD: Duration = Duration::from_secs(2);
+/// Pause before a failed write to the disk is tried again.
+const DISK_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two checks whether everything is answered.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// Something that the decisions have to know.
+enum Input {
+    Request(Request, oneshot::Sender<Answer>),
+    Stored(Position, Vec<(SocketAddr, Peer)>),
+    Settings(Settings),
+    Close,
+}
+
+/// Records on their way to the disk.
+struct Job {
+    writes: Vec<Write>,
+    last: Position,
+    after: Vec<(SocketAddr, Peer)>,
+}
+
+/// Runs the process until SIGTERM.
+///
+/// # Errors
+/// Fails on wrong settings, on storage that cannot be read, and when an address cannot be listened on.
+pub fn run() -> Result<()> {
+    let path = Settings::path()?;
+    let settings = Settings::read(&path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(main(path, settings))
+}
+
+async fn main(path: PathBuf, settings: Settings) -> Result<()> {
+    let (inputs, received) = mpsc::channel(INPUTS);
+    let (events, messages) = mpsc::channel(INPUTS);
+    let (closing, closed) = watch::channel(false);
+    let own = SocketAddr::new(settings.ip, settings.node_port);
+    log::info!(
+        "E662 start name={} address={own} zone={} disk={} bootstrap={} seeds={:?}",
+        settings.name,
+        settings.zone,
+        settings.folder.is_some(),
+        settings.bootstrap,
+        settings.seeds
+    );
+    let (node, jobs) = open(&settings, own, inputs.clone())?;
+    let links = Links::listen(own, events).await?;
+    let ready = Arc::new(AtomicBool::new(false));
+    serve(&path, &settings, &inputs, &closed, &ready).await?;
+    measure::start(settings.ip, closed.clone()).await?;
+    watch_signals(inputs.clone())?;
+    watch_settings(path, settings.clone(), inputs);
+    let mut process = Process {
+        node,
+        links,
+        jobs,
+        ready,
+        own,
+        answers: HashMap::new(),
+        next_token: 0,
+        grace: settings.grace,
+    };
+    process.run(received, messages, closing).await;
+    log::info!("E663 stop name={}", settings.name);
+    Ok(())
+}
+
+/// Opens the storage and starts the disk thread, if there is a disk.
+fn open(
+    settings: &Settings,
+    own: SocketAddr,
+    inputs: mpsc::Sender<Input>,
+) -> Result<(Node, Option<disk::Sender<Job>>)> {
+    let fresh = NodeId(rand::random());
+    let (id, content, jobs) = match &settings.folder {
+        Some(folder) => {
+            let (store, content) = Store::open(folder, fresh)?;
+            let (jobs, waiting) = disk::channel();
+            let id = store.id();
+            thread::spawn(move || keep(store, &waiting, &inputs));
+            (id, content, Some(jobs))
+        }
+        None => (fresh, Content::default(), None),
+    };
+    let options = Options {
+        address: own,
+        zone: settings.zone.clone(),
+        disk: settings.folder.is_some(),
+        bootstrap: settings.bootstrap,
+        seeds: settings.seeds.clone(),
+        voters: 2 * settings.tolerance + 1,
+    };
+    let now = clock::read();
+    let last = content.log.last_index();
+    log::info!("E664 storage opened node={id} term={} last={last}", content.hard.term);
+    let raft = Raft::new(id, content.hard, content.log, now.now, rand::random());
+    Ok((Node::new(options, raft, content.snapshot, now)?, jobs))
+}
+
+/// Writes records; those that have collected share one sync.
+fn keep(mut store: Store, waiting: &disk::Receiver<Job>, inputs: &mpsc::Sender<Input>) {
+    while let Ok(first) = waiting.recv() {
+        let mut jobs = vec![first];
+        while let Ok(job) = waiting.try_recv() {
+            jobs.push(job);
+        }
+        let writes: Vec<Write> = jobs.iter_mut().flat_map(|j| std::mem::take(&mut j.writes)).collect();
+        if !writes.is_empty() {
+            let start = clock::now();
+            if let Err(e) = store.write(&writes) {
+                // What of the records has reached the disk is unknown, so the file is read anew by the next start.
+                log::error!("E665 storage failed error={e}");
+                thread::sleep(DISK_PAUSE);
+                std::process::exit(1);
+            }
+            let took = clock::now().since(start).as_secs_f64();
+            metrics::histogram!("figdeal_store_seconds").record(took);
+        }
+        for job in jobs {
+            if inputs.blocking_send(Input::Stored(job.last, job.after)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn serve(
+    path: &PathBuf,
+    settings: &Settings,
+    inputs: &mpsc::Sender<Input>,
+    closed: &watch::Receiver<bool>,
+    ready: &Arc<AtomicBool>,
+) -> Result<()> {
+    let callers = Settings::require(path, settings.callers, "callers")?;
+    let sender = inputs.clone();
+    http::serve(callers, closed.clone(), move |call| caller(call, sender.clone())).await?;
+    if let Some(address) = settings.ready {
+        let ready = Arc::clone(ready);
+        // The balancer asks to the end, so this listener does not close its connections.
+        let (_, open) = watch::channel(false);
+        http::serve(address, open, move |call| {
+            let known = call.path == ingress::READINESS;
+            let status = match (known, ready.load(Ordering::Relaxed)) {
+                (false, _) => 404,
+                (true, true) => 200,
+                (true, false) => 503,
+            };
+            std::future::ready(Response::new(status))
+        })
+        .await?;
+    }
+    if let Some(address) = settings.control {
+        let sender = inputs.clone();
+        http::serve(address, closed.clone(), move |call| operator(call, sender.clone())).await?;
+    }
+    Ok(())
+}
+
+async fn caller(call: Call, inputs: mpsc::Sender<Input>) -> Response {
+    let start = clock::now();
+    let decoded = ingress::decode(&call.method, &call.host, &call.path, &call.body);
+    let answer = match decoded {
+        ingress::Call::Serve(request) => ask(request, &inputs).await,
+        ingress::Call::Unsupported(feature) => {
+            log::info!("E666 job refused path={} unsupported={feature}", call.path);
+            let reason = figdeal_queue::message::Refusal::Unsupported;
+            Answer::Refused { retry: 1_000, reason }
+        }
+        ingress::Call::Invalid => {
+            log::info!("E667 request not readable path={} bytes={}", call.path, call.body.len());
+            Answer::Invalid
+        }
+        ingress::Call::NoMethod => return Response::new(405),
+    };
+    let response = ingress::encode(&answer);
+    let took = clock::now().since(start);
+    if response.status >= 400 {
+        log::info!(
+            "E668 request failed method={} path={} status={} answer={answer:?} took_ms={}",
+            call.method,
+            call.path,
+            response.status,
+            took.as_millis()
+        );
+    }
+    metrics::counter!("figdeal_requests_total", "status" => response.status.to_string())
+        .increment(1);
+    metrics::histogram!("figdeal_request_seconds").record(took.as_secs_f64());
+    response
+}
+
+async fn operator(call: Call, inputs: mpsc::Sender<Input>) -> Response {
+    if call.path != operator::CONFIG {
+        return Response::new(404);
+    }
+    let request = match call.method.as_str() {
+        "GET" => Request::ReadConfig,
+        "PUT" => match operator::decode(&call.body) {
+            Ok(request) => request,
+            Err(e) => {
+                log::info!("E669 configuration refused error=\"{e}\"");
+                return Response::new(400);
+            }
+        },
+        _ => return Response::new(405),
+    };
+    let answer = ask(request, &inputs).await;
+    log::info!("E670 operator request method={} status={}", call.method, ingress::encode(&answer).status);
+    ingress::encode(&answer)
+}
+
+async fn ask(request: Request, inputs: &mpsc::Sender<Input>) -> Answer {
+    let (sender, answer) = oneshot::channel();
+    let overload = Answer::Refused { retry: 1_000, reason: figdeal_queue::message::Refusal::Overload };
+    if inputs.try_send(Input::Request(request, sender)).is_err() {
+        return overload;
+    }
+    answer.await.unwrap_or(Answer::Unclear)
+}
+
+fn watch_signals(inputs: mpsc::Sender<Input>) -> Result<()> {
+    let mut stop = signal(SignalKind::terminate())?;
+    tokio::spawn(async move {
+        stop.recv().await;
+        // The process ends when nobody takes inputs any more.
+        let _ = inputs.send(Input::Close).await;
+    });
+    Ok(())
+}
+
+/// Reports changes of the settings file, with and without SIGHUP.
+fn watch_settings(path: PathBuf, first: Settings, inputs: mpsc::Sender<Input>) {
+    tokio::spawn(async move {
+        let mut held = first;
+        let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+        loop {
+            tokio::select! {
+                _ = hangup.recv() => {}
+                () = tokio::time::sleep(RELOAD) => {}
+            }
+            match Settings::read(&path) {
+                Ok(settings) if settings != held => {
+                    log::info!("E671 settings changed seeds={:?}", settings.seeds);
+                    held = settings.clone();
+                    if inputs.send(Input::Settings(settings)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(_) => {}
+                Err(e) => log::warn!("E672 settings not read, the former ones stay error=\"{e}\""),
+            }
+        }
+    });
+}
+
+/// The decisions with their connections.
+struct Process {
+    node: Node,
+    links: Links,
+    jobs: Option<disk::Sender<Job>>,
+    ready: Arc<AtomicBool>,
+    own: SocketAddr,
+    answers: HashMap<u64, oneshot::Sender<Answer>>,
+    next_token: u64,
+    grace: Duration,
+}
+
+impl Process {
+    async fn run(
+        &mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        mut messages: mpsc::Receiver<Event>,
+        closing: watch::Sender<bool>,
+    ) {
+        let mut end: Option<(Instant, Instant)> = None;
+        loop {
+            let now = clock::now();
+            let wait = self.node.next_tick().since(now);
+            let wait = if end.is_some() { wait.min(IDLE_CHECK) } else { wait };
+            tokio::select! {
+                Some(input) = inputs.recv() => {
+                    if matches!(input, Input::Close) {
+                        let start = Instant::now();
+                        end = Some((start + NOTICE, start + self.grace.saturating_sub(MARGIN)));
+                    }
+                    self.input(input);
+                    for _ in 1..BURST {
+                        let Ok(input) = inputs.try_recv() else { break };
+                        self.input(input);
+                    }
+                }
+                Some(event) = messages.recv() => {
+                    self.event(event);
+                    for _ in 1..BURST {
+                        let Ok(event) = messages.try_recv() else { break };
+                        self.event(event);
+                    }
+                }
+                () = tokio::time::sleep(wait) => {}
+            }
+            let clock = clock::read();
+            if self.node.next_tick() <= clock.now {
+                self.node.tick(clock);
+                self.gauge();
+            }
+            self.carry_out(clock);
+            self.ready.store(self.node.is_ready(), Ordering::Relaxed);
+            if let Some((notice, last)) = end {
+                let now = Instant::now();
+                if now >= notice {
+                    closing.send_replace(true);
+                }
+                if now >= last || (now >= notice + IDLE_CHECK && self.answers.is_empty()) {
+                    // Answers that are on their way to the socket get a moment.
+                    tokio::time::sleep(IDLE_CHECK).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn gauge(&self) {
+        let (jobs, tasks) = self.node.load().unwrap_or_default();
+        metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
+        metrics::gauge!("figdeal_queue_waiting_tasks").set(tasks as f64);
+        metrics::gauge!("figdeal_queue_term").set(self.node.raft().term() as f64);
+        metrics::gauge!("figdeal_queue_commit").set(self.node.raft().commit() as f64);
+    }
+
+    fn input(&mut self, input: Input) {
+        let clock = clock::read();
+        match input {
+            Input::Request(request, answer) => {
+                self.next_token += 1;
+                self.answers.insert(self.next_token, answer);
+                self.node.request(clock, self.next_token, request);
+            }
+            Input::Stored(last, after) => {
+                self.node.stored(clock, last);
+                for (address, peer) in after {
+                    self.send(clock, address, peer);
+                }
+            }
+            Input::Settings(settings) => self.node.learn(&settings.seeds),
+            Input::Close => self.node.close(clock),
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let clock = clock::read();
+        match event {
+            Event::Message(peer) => self.node.on_peer(clock, peer),
+            Event::Accepted(address, link) => self.links.accepted(address, link),
+            Event::Lost(address, number) => {
+                if self.links.lost(address, number) {
+                    self.node.link_lost(clock, address);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, clock: Clock, to: SocketAddr, peer: Peer) {
+        match to == self.own {
+            true => self.node.on_peer(clock, peer),
+            false => self.links.send(to, peer),
+        }
+    }
+
+    fn carry_out(&mut self, clock: Clock) {
+        loop {
+            let actions = self.node.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    Action::Send(to, peer) => self.send(clock, to, peer),
+                    Action::Reply(token, answer) => {
+                        // A caller that has left does not take its answer.
+                        let _ = self.answers.remove(&token).map(|sender| sender.send(answer));
+                    }
+                    Action::Store { writes, last, after } => self.store(writes, last, after),
+                }
+            }
+        }
+    }
+
+    fn store(&mut self, writes: Vec<Write>, last: Position, after: Vec<(SocketAddr, Peer)>) {
+        let Some(jobs) = &self.jobs else {
+            log::warn!("E673 records for a node without a disk ignored records={}", writes.len());
+            return;
+        };
+        if jobs.send(Job { writes, last, after }).is_err() {
+            log::error!("E674 disk thread has ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/agent.rs
@@ -0,0 +1,493 @@
+//! The agent beside a worker: it alone starts and stops runs there and owns the room.
+//!
+//! The agent acts only under a lease of the leader, which counts from the agent's own clock at the time of its report.
+//! Without it the agent lets the worker's hold run out, so a new leader knows when everything here is over.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use figdeal_core::time::Timestamp;
+
+use crate::{
+    job::{Resources, TaskId},
+    message::{
+        Announce, Directory, Ending, Event, Life, Order, Orders, Peer, Report, Running,
+        Worker,
+    },
+    raft::Term,
+};
+
+mod hold;
+mod start;
+
+pub use hold::{Held, HoldEnd};
+pub use start::Started;
+
+/// Time after the sending of a report in which the agent may act on the answer to it.
+pub const AGENT_LEASE: Duration = Duration::from_millis(1_200);
+/// Longest time for which a worker keeps runs without a renewal.
+pub const HOLD: Duration = Duration::from_millis(1_000);
+/// Time after the last renewal, sent or not answered, in which every run has ended: [`HOLD`] by a clock that is 2%
+/// slow, and the 50 ms that ending a run takes.
+pub const LAPSE: Duration = Duration::from_millis(1_070);
+/// Time after the last report in which everything at an agent that is out of reach has ended.
+pub const AGENT_GONE: Duration = Duration::from_millis(2_370);
+/// Time between two reports without news.
+const PING: Duration = Duration::from_millis(300);
+/// Time between two announcements to find a leader.
+const SEARCH: Duration = Duration::from_millis(150);
+/// Shortest time between two announcements, for nodes that name each other as the leader.
+const ANNOUNCE_GAP: Duration = Duration::from_millis(50);
+/// Time after which events that the leader has not taken are sent again.
+const RESEND: Duration = Duration::from_millis(600);
+/// Time that a worker gets to list an end before the look at its runs returns.
+pub const LOOK_WAIT: Duration = Duration::from_millis(300);
+/// Time that a call to the worker may take beyond what it was asked to wait.
+pub const CALL_LIMIT: Duration = Duration::from_millis(350);
+/// Bits of the fence below the number of the enrolment, for the agent to raise it by itself.
+const FENCE_BITS: u32 = 12;
+
+/// Call to the worker, or message to another process.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Sends a message.
+    Send(SocketAddr, Peer),
+    /// Renews the hold and looks at runs and ends. Answered by [`Agent::held`].
+    Hold(HoldCall),
+    /// Starts a run. Answered by [`Agent::started`].
+    Start(StartCall),
+    /// Stops a run; its end is listed later.
+    Stop(StopCall),
+}
+
+/// Renewal of the hold and look at runs and ends.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HoldCall {
+    /// Number of the call.
+    pub number: u64,
+    /// Fence of the agent.
+    pub fence: u64,
+    /// Ends up to here may be forgotten.
+    pub taken: u64,
+    /// New end of the hold on the worker's clock, in milliseconds. Absent for a look only.
+    pub expiry: Option<u64>,
+    /// Time to wait for an end.
+    pub wait: Duration,
+    /// The worker that is meant, if one is known.
+    pub worker: Option<String>,
+}
+
+/// Start of a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StartCall {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// What the task does.
+    pub payload: String,
+    /// End of the hold on the worker's clock, in milliseconds.
+    pub expiry: u64,
+    /// Fence of the agent.
+    pub fence: u64,
+    /// The worker that is meant.
+    pub worker: Option<String>,
+}
+
+/// Stop of a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StopCall {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Fence of the agent.
+    pub fence: u64,
+    /// The worker that is meant.
+    pub worker: Option<String>,
+}
+
+/// What a worker says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Heartbeat {
+    /// Identity of the worker.
+    pub id: String,
+    /// Unix milliseconds of its start, if it tells them.
+    pub born: Option<u64>,
+    /// Number of the heartbeat within its life.
+    pub sequence: u64,
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// What it offers.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// It takes no new tasks.
+    pub draining: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    run: u64,
+    /// Absent for a run that was found on the worker, until the leader tells.
+    needs: Option<Resources>,
+    /// Fence of the start.
+    fence: u64,
+    since: Timestamp,
+    /// When the worker was first known to have it.
+    confirmed: Option<Timestamp>,
+    /// The start got no answer; a look under a higher fence decides.
+    unclear: bool,
+    /// When a stop was sent last.
+    stopped: Option<Timestamp>,
+}
+
+#[derive(Debug, Clone)]
+struct Lease {
+    leader: SocketAddr,
+    term: Term,
+    start: Timestamp,
+}
+
+/// The decisions of one agent.
+#[derive(Debug)]
+pub struct Agent {
+    address: SocketAddr,
+    session: u64,
+    worker: Option<(String, Worker)>,
+    /// Start of the worker's present life, once it was told.
+    born: Option<u64>,
+    sequence: u64,
+    life: Life,
+    lease: Option<Lease>,
+    /// Newest term of which orders were taken, and the number of the last of them.
+    term: Term,
+    orders: u64,
+    next_announce: Timestamp,
+    /// The agent shuts down and takes no new tasks.
+    closing: bool,
+    fence: u64,
+    runs: BTreeMap<TaskId, Run>,
+    events: VecDeque<Event>,
+    last_event: u64,
+    sent_event: u64,
+    hold: hold::HoldState,
+    peers: Vec<SocketAddr>,
+    next_peer: usize,
+    next_report: Timestamp,
+    resend: Timestamp,
+    news: bool,
+    actions: Vec<Action>,
+}
+
+impl Agent {
+    /// Starts an agent that knows some nodes and nothing of its worker.
+    pub fn new(address: SocketAddr, session: u64, seeds: Vec<SocketAddr>) -> Agent {
+        Agent {
+            address,
+            session,
+            worker: None,
+            born: None,
+            sequence: 0,
+            life: 1,
+            lease: None,
+            term: 0,
+            orders: 0,
+            next_announce: Timestamp::ZERO,
+            closing: false,
+            fence: 0,
+            runs: BTreeMap::new(),
+            events: VecDeque::new(),
+            last_event: 0,
+            sent_event: 0,
+            hold: hold::HoldState::default(),
+            peers: seeds,
+            next_peer: 0,
+            next_report: Timestamp::ZERO,
+            resend: Timestamp::ZERO,
+            news: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes what the driver has to do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`Agent::tick`] has something to do at the latest.
+    pub fn next_tick(&self) -> Timestamp {
+        self.next_report.min(self.hold.next)
+    }
+
+    /// Whether a leader stands behind this agent.
+    pub fn is_leased(&self, now: Timestamp) -> bool {
+        self.lease.as_ref().is_some_and(|l| l.start + AGENT_LEASE > now)
+    }
+
+    /// Number of runs that may be on the worker.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Takes no new tasks from now on.
+    pub fn close(&mut self) {
+        self.closing = true;
+        self.news = true;
+    }
+
+    /// Learns nodes that may know the leader.
+    pub fn learn(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            if !self.peers.contains(seed) {
+                self.peers.push(*seed);
+            }
+        }
+    }
+
+    /// Acts on the passing of time.
+    pub fn tick(&mut self, now: Timestamp) {
+        if self.lease.is_some() && !self.is_leased(now) {
+            let lease = self.lease.take().expect("the lease exists");
+            log::warn!(
+                "E701 lease lost leader={} term={} age_ms={} runs={}",
+                lease.leader,
+                lease.term,
+                now.since(lease.start).as_millis(),
+                self.runs.len()
+            );
+        }
+        self.tick_hold(now);
+        self.retry_stops(now);
+        if self.news || now >= self.next_report {
+            self.report(now);
+        }
+    }
+
+    /// Whether the agent has shut down: nothing runs, and the leader has taken all events.
+    pub fn is_finished(&self) -> bool {
+        self.closing && self.runs.is_empty() && self.events.is_empty()
+    }
+
+    /// Takes a worker's heartbeat; one of an earlier life or out of order changes nothing.
+    pub fn heartbeat(&mut self, now: Timestamp, beat: Heartbeat) {
+        let known = self.worker.as_ref().map(|(id, _)| id.as_str());
+        let same = known == Some(beat.id.as_str()) && (self.born == beat.born);
+        if !same {
+            let older = beat.born.is_some() && self.born.is_some() && beat.born < self.born;
+            if older {
+                log::info!("E702 heartbeat of an earlier life ignored worker={}", beat.id);
+                return;
+            }
+            let adopted = known.is_none() && self.born.is_some() && self.born == beat.born;
+            if (known.is_some() || self.born.is_some()) && !adopted {
+                self.new_life(now, beat.born);
+            }
+            self.born = beat.born;
+            self.sequence = 0;
+            log::info!(
+                "E703 worker joined worker={} pool={} cpu={} life={}",
+                beat.id,
+                beat.pool,
+                beat.capacity.cpu,
+                self.life
+            );
+        }
+        if beat.sequence < self.sequence {
+            return;
+        }
+        self.sequence = beat.sequence;
+        let worker = Worker {
+            life: self.life,
+            pool: beat.pool,
+            capacity: beat.capacity,
+            labels: beat.labels,
+            draining: beat.draining,
+        };
+        let changed = self.worker.as_ref().is_none_or(|(_, held)| *held != worker);
+        if changed {
+            if worker.draining {
+                log::info!("E704 worker drains worker={} runs={}", beat.id, self.runs.len());
+            }
+            self.news = true;
+        }
+        self.worker = Some((beat.id, worker));
+    }
+
+    /// The worker has left for good.
+    pub fn left(&mut self, now: Timestamp, id: &str) {
+        if self.worker.as_ref().is_some_and(|(known, _)| known == id) {
+            log::info!("E705 worker left worker={id} runs={}", self.runs.len());
+            self.new_life(now, None);
+            self.worker = None;
+        }
+    }
+
+    /// Everything of the life before is over.
+    fn new_life(&mut self, now: Timestamp, born: Option<u64>) {
+        log::warn!("E706 worker has a new life born={born:?} lost_runs={}", self.runs.len());
+        self.life += 1;
+        self.born = born;
+        self.worker = None;
+        self.lose_runs(now);
+        self.hold.forget_worker();
+    }
+
+    /// Reports every run as lost.
+    fn lose_runs(&mut self, now: Timestamp) {
+        for (task, run) in std::mem::take(&mut self.runs) {
+            self.push_event(now, task, run.run, Ending::Lost, run.since);
+        }
+    }
+
+    fn push_event(
+        &mut self,
+        now: Timestamp,
+        task: TaskId,
+        run: u64,
+        ending: Ending,
+        since: Timestamp,
+    ) {
+        self.last_event += 1;
+        let elapsed = now.since(since).as_millis() as u32;
+        self.events.push_back(Event { seq: self.last_event, task, run, ending, elapsed });
+        self.news = true;
+        log::info!("E707 run ended task={task} run={run} how={ending:?} elapsed_ms={elapsed}");
+    }
+
+    /// Handles a message of another process.
+    pub fn on_peer(&mut self, now: Timestamp, peer: Peer) {
+        match peer {
+            Peer::Directory(directory) => self.on_directory(now, &directory),
+            Peer::Orders(orders) => self.on_orders(now, orders),
+            other => log::warn!("E708 unexpected message ignored message={other:?}"),
+        }
+    }
+
+    fn on_directory(&mut self, now: Timestamp, directory: &Directory) {
+        let addresses: Vec<SocketAddr> = directory.members.iter().map(|m| m.address).collect();
+        self.learn(&addresses);
+        let invited = directory.serving && directory.term > self.term;
+        if let Some(leader) = directory.leader
+            && (invited || (!self.is_leased(now) && leader != directory.from))
+            && now >= self.next_announce
+        {
+            self.announce(now, leader);
+        }
+    }
+
+    fn on_orders(&mut self, now: Timestamp, orders: Orders) {
+        let start = Timestamp::from_micros(orders.grant);
+        let held = self.term;
+        if orders.session != self.session || orders.term < held || start + AGENT_LEASE <= now {
+            log::info!(
+                "E709 orders ignored term={} held_term={held} grant_age_ms={} count={}",
+                orders.term,
+                now.since(start).as_millis(),
+                orders.orders.len()
+            );
+            return;
+        }
+        if orders.term > held || self.lease.is_none() {
+            log::info!(
+                "E710 lease gained leader={} term={} fence={}",
+                orders.leader,
+                orders.term,
+                orders.fence
+            );
+            if orders.term > held {
+                (self.term, self.orders) = (orders.term, 0);
+            }
+            self.sent_event = 0;
+            self.news = true;
+            self.next_report = now;
+        }
+        if orders.number <= self.orders {
+            return;
+        }
+        self.orders = orders.number;
+        let start = self.lease.as_ref().map_or(start, |l| l.start.max(start));
+        self.lease = Some(Lease { leader: orders.leader, term: orders.term, start });
+        self.raise_fence(now, orders.fence << FENCE_BITS);
+        self.take(orders.taken);
+        for order in orders.orders {
+            match order {
+                Order::Start { task, run, life, needs, payload } => {
+                    self.start(now, task, run, life, needs, payload);
+                }
+                Order::Stop { task, run } => self.stop(now, task, run),
+                Order::Keep { task, run, needs } => {
+                    if let Some(held) = self.runs.get_mut(&task)
+                        && held.run == run
+                    {
+                        held.needs = Some(needs);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Drops events that the leader has taken for good.
+    fn take(&mut self, taken: u64) {
+        while self.events.front().is_some_and(|e| e.seq <= taken) {
+            self.events.pop_front();
+        }
+        self.hold.taken_events(taken);
+    }
+
+    fn report(&mut self, now: Timestamp) {
+        let Some(lease) = &self.lease else {
+            self.next_report = now + SEARCH;
+            self.news = false;
+            if !self.peers.is_empty() {
+                self.next_peer = (self.next_peer + 1) % self.peers.len();
+                let peer = self.peers[self.next_peer];
+                self.announce(now, peer);
+            }
+            return;
+        };
+        // Before the first look at the worker the agent does not know what runs there.
+        let known = self.hold.is_current(self.fence);
+        let ping = now >= self.next_report;
+        let resend = now >= self.resend;
+        let from = if resend { 0 } else { self.sent_event };
+        let events: Vec<Event> = self.events.iter().filter(|e| e.seq > from).copied().collect();
+        let running = self.runs.iter().map(|(task, r)| Running { task: *task, run: r.run });
+        let worker = self.worker.as_ref().map(|(_, w)| Worker {
+            draining: w.draining || self.closing,
+            ..w.clone()
+        });
+        let report = Report {
+            address: self.address,
+            session: self.session,
+            term: lease.term,
+            sent: now.as_micros(),
+            orders: self.orders,
+            first_event: self.events.front().map_or(self.last_event + 1, |e| e.seq),
+            last_event: self.last_event,
+            worker,
+            running: (ping && known).then(|| running.collect()),
+            events,
+        };
+        let leader = lease.leader;
+        self.actions.push(Action::Send(leader, Peer::Report(report)));
+        self.sent_event = self.last_event;
+        self.news = false;
+        if ping {
+            self.next_report = now + PING;
+        }
+        if resend {
+            self.resend = now + RESEND;
+        }
+    }
+
+    fn announce(&mut self, now: Timestamp, peer: SocketAddr) {
+        let announce =
+            Announce { address: self.address, session: self.session, sent: now.as_micros() };
+        self.next_announce = now + ANNOUNCE_GAP;
+        self.actions.push(Action::Send(peer, Peer::Announce(announce)));
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -0,0 +1,248 @@
+//! Renewal of the hold on the worker, and the runs and ends that it lists.
+
+use std::time::Duration;
+
+use figdeal_core::time::Timestamp;
+
+use super::{Action, Agent, CALL_LIMIT, HOLD, HoldCall, LAPSE, LOOK_WAIT, Run};
+use crate::{job::TaskId, message::Ending};
+
+/// Most ends that a worker lists at once.
+const END_PAGE: usize = 500;
+/// Time between two looks at a worker that does not answer.
+const RETRY: Duration = Duration::from_millis(200);
+/// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
+const MUTE: Duration = Duration::from_millis(800);
+
+/// How a run ended, in the words of the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldEnd {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It ended for any other cause.
+    Lost,
+}
+
+/// What the worker answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    /// Clock of the worker in milliseconds.
+    pub clock: u64,
+    /// Unix milliseconds of the worker's start, if it tells them.
+    pub born: Option<u64>,
+    /// Runs by task and number.
+    pub running: Vec<(TaskId, u64)>,
+    /// Ends that were not taken yet, by their number.
+    pub ended: Vec<(u64, TaskId, u64, HoldEnd)>,
+}
+
+/// State of the calls.
+#[derive(Debug, Default)]
+pub(super) struct HoldState {
+    number: u64,
+    /// Calls that are out: number, fence, and when they were sent.
+    calls: Vec<(u64, u64, Timestamp)>,
+    pub(super) next: Timestamp,
+    /// The worker's clock in milliseconds and when it was read.
+    clock: Option<(Timestamp, u64)>,
+    /// When a call with a new end of the hold was sent last.
+    grant: Option<Timestamp>,
+    /// When the worker last answered, or when calls to it began.
+    answered: Option<Timestamp>,
+    /// Fence of the newest look that was answered in this life of the worker.
+    looked: Option<u64>,
+    /// Last end that was read.
+    listed: u64,
+    /// Ends that are reported under these event numbers.
+    open: std::collections::VecDeque<(u64, u64)>,
+    taken: u64,
+}
+
+impl HoldState {
+    pub(super) fn granted(&mut self, now: Timestamp) {
+        self.grant = Some(now);
+    }
+
+    /// Whether runs and ends are known under `fence` or the enrolment that it belongs to.
+    pub(super) fn is_current(&self, fence: u64) -> bool {
+        self.looked.is_some_and(|looked| looked >> super::FENCE_BITS == fence >> super::FENCE_BITS)
+    }
+
+    pub(super) fn forget_worker(&mut self) {
+        *self = HoldState { number: self.number, ..HoldState::default() };
+    }
+
+    /// Ends whose events the leader has taken may be forgotten by the worker.
+    pub(super) fn taken_events(&mut self, event: u64) {
+        while let Some(&(seq, end)) = self.open.front()
+            && seq <= event
+        {
+            self.open.pop_front();
+            self.taken = end;
+        }
+    }
+}
+
+impl Agent {
+    /// The end of a renewed hold on the worker's clock.
+    pub(super) fn expiry(&self, now: Timestamp) -> Option<u64> {
+        let (read, clock) = self.hold.clock?;
+        Some(clock + (now.since(read) + HOLD).as_millis() as u64)
+    }
+
+    /// Raises the fence and looks at the worker under it: what it does not list then can never start.
+    pub(super) fn raise_fence(&mut self, now: Timestamp, fence: u64) {
+        if fence > self.fence {
+            self.fence = fence;
+            self.look(now, Duration::ZERO);
+        }
+    }
+
+    pub(super) fn tick_hold(&mut self, now: Timestamp) {
+        if !self.is_leased(now) || self.fence == 0 {
+            self.hold.next = now + RETRY;
+            self.check_lapse(now);
+            return;
+        }
+        self.hold.answered.get_or_insert(now);
+        self.check_lapse(now);
+        if now >= self.hold.next && !self.hold.calls.iter().any(|(_, f, _)| *f == self.fence) {
+            self.look(now, LOOK_WAIT);
+        }
+        if now >= self.hold.next {
+            self.hold.next = now + RETRY;
+        }
+    }
+
+    /// Once the hold must have run out, everything on the worker is over.
+    fn check_lapse(&mut self, now: Timestamp) {
+        let lapsed = self.hold.grant.is_some_and(|at| at + LAPSE < now);
+        if lapsed && !self.runs.is_empty() {
+            log::warn!("E715 hold ran out runs={}", self.runs.len());
+            self.lose_runs(now);
+        }
+    }
+
+    fn look(&mut self, now: Timestamp, wait: Duration) {
+        let mute = self.hold.answered.is_some_and(|at| at + MUTE < now);
+        let first = self.hold.clock.is_none();
+        // Without its clock the worker shortens any far end to the longest hold that it grants.
+        let expiry = match (mute, first) {
+            (true, _) => None,
+            (false, true) => Some(u64::from(u32::MAX)),
+            (false, false) => self.expiry(now),
+        };
+        if expiry.is_some() {
+            self.hold.granted(now);
+        }
+        self.hold.number += 1;
+        let (number, fence, taken) = (self.hold.number, self.fence, self.hold.taken);
+        self.hold.calls.push((number, fence, now));
+        self.hold.next = now + wait + CALL_LIMIT;
+        let worker = self.worker_id();
+        let call = HoldCall { number, fence, taken, expiry, wait, worker };
+        self.actions.push(Action::Hold(call));
+    }
+
+    /// Takes the worker's answer to a look, or nothing if there was none.
+    pub fn held(&mut self, now: Timestamp, number: u64, answer: Option<Held>) {
+        let Some(at) = self.hold.calls.iter().position(|(n, ..)| *n == number) else { return };
+        let (_, fence, sent) = self.hold.calls.swap_remove(at);
+        let Some(held) = answer else {
+            log::info!("E716 worker did not answer a look number={number}");
+            self.hold.next = now + RETRY;
+            return;
+        };
+        if self.born.is_some() && held.born.is_some() && held.born != self.born {
+            if held.born < self.born {
+                return;
+            }
+            self.new_life(now, held.born);
+        }
+        if self.born.is_none() && self.worker.is_none() {
+            self.born = held.born;
+        }
+        self.hold.answered = Some(now);
+        if self.hold.clock.is_none_or(|(_, clock)| clock <= held.clock) {
+            self.hold.clock = Some((now, held.clock));
+        }
+        self.read_ends(now, &held);
+        self.read_runs(now, sent, fence, &held);
+        if fence == self.fence {
+            if !self.hold.is_current(fence) {
+                self.news = true;
+                self.next_report = now;
+            }
+            self.hold.looked = Some(fence);
+            self.hold.next = now;
+        }
+    }
+
+    fn read_ends(&mut self, now: Timestamp, held: &Held) {
+        for &(number, task, run, how) in &held.ended {
+            if number <= self.hold.listed {
+                continue;
+            }
+            self.hold.listed = number;
+            let since = match self.runs.get(&task) {
+                Some(known) if known.run == run => {
+                    let since = known.since;
+                    self.runs.remove(&task);
+                    since
+                }
+                _ => now,
+            };
+            let ending = match how {
+                HoldEnd::Done => Ending::Done,
+                HoldEnd::Failed => Ending::Failed,
+                HoldEnd::Lost => Ending::Lost,
+            };
+            self.push_event(now, task, run, ending, since);
+            self.hold.open.push_back((self.last_event, number));
+        }
+    }
+
+    /// Compares the runs that the worker lists with those that were ordered before the look was sent.
+    fn read_runs(&mut self, now: Timestamp, sent: Timestamp, fence: u64, held: &Held) {
+        let listed = |task: TaskId, run: u64| held.running.contains(&(task, run));
+        for &(task, run) in &held.running {
+            let known = self.runs.get(&task).is_some_and(|r| r.run >= run);
+            let ended = self.events.iter().any(|e| e.task == task && e.run >= run);
+            if !known && !ended {
+                let found = Run {
+                    run,
+                    needs: None,
+                    fence,
+                    since: now,
+                    confirmed: Some(now),
+                    unclear: false,
+                    stopped: None,
+                };
+                log::info!("E717 run found on the worker task={task} run={run}");
+                self.runs.insert(task, found);
+            }
+        }
+        if held.ended.len() >= END_PAGE {
+            return;
+        }
+        let mut gone = Vec::new();
+        for (task, run) in &mut self.runs {
+            if listed(*task, run.run) {
+                run.confirmed.get_or_insert(now);
+                run.unclear = false;
+                continue;
+            }
+            let vanished = run.confirmed.is_some_and(|at| at < sent);
+            if vanished || (run.unclear && run.fence < fence) {
+                gone.push(*task);
+            }
+        }
+        for task in gone {
+            let run = self.runs.remove(&task).expect("the run is known");
+            log::warn!("E718 run is not on the worker task={task} run={}", run.run);
+            self.push_event(now, task, run.run, Ending::Lost, run.since);
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -0,0 +1,545 @@
+//! Placement by the leader: which task starts where and when.
+//!
+//! Starts are not in the log. A new leader therefore holds back the tasks of earlier terms until every enrolled agent
+//! has told what it runs, or until everything at an agent out of reach has ended.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use figdeal_core::time::Timestamp;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    agent::AGENT_GONE,
+    job::{JobId, JobState, Resources, TaskId},
+    message::{Announce, Order, Orders, Report, Worker},
+    raft::Term,
+    state::{Command, Job, State},
+};
+
+mod admit;
+mod place;
+mod report;
+mod worker;
+
+use worker::Health;
+
+new_key_type! {
+    /// An agent that the leader knows.
+    struct AgentKey;
+}
+
+/// Numbers of runs of a task that one term may use. The number of a run is unique without a record of the starts.
+const RUNS_PER_TERM: u64 = 1_000;
+/// Time without a report after which an agent gets no new tasks.
+const AGENT_SILENT: Duration = Duration::from_millis(700);
+/// Time between two searches for runs that take too long.
+const SWEEP: Duration = Duration::from_millis(50);
+/// A run is too long at this many times its estimate and [`OVERRUN_SLACK`].
+const OVERRUN: u32 = 4;
+/// Time that a run of any estimate gets.
+const OVERRUN_SLACK: Duration = Duration::from_millis(300);
+
+/// A run that the leader has ordered.
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    run: u64,
+    needs: Resources,
+    at: Timestamp,
+    /// Number of the orders that carried the start.
+    number: u64,
+    /// Estimate of the caller in milliseconds.
+    estimate: u32,
+    stopping: bool,
+}
+
+/// What the leader knows of an agent.
+#[derive(Debug)]
+struct AgentView {
+    address: SocketAddr,
+    session: u64,
+    fence: u64,
+    /// Enrolled in the log under `session`; an entry for it is on its way otherwise.
+    enrolled: bool,
+    dismissing: bool,
+    grant: u64,
+    heard: Timestamp,
+    /// The runs of the session are known.
+    current: bool,
+    number: u64,
+    received: Option<u64>,
+    /// Events that are not taken for good, with the batch that must be committed first.
+    events: VecDeque<(u64, u64)>,
+    taken: u64,
+    worker: Option<Worker>,
+    placed: BTreeMap<TaskId, Placed>,
+    used: Resources,
+    health: Health,
+    outbox: Vec<Order>,
+    due: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum TaskState {
+    /// Waits for earlier steps, or for the agents after a change of the leader.
+    Blocked,
+    Ready,
+    Placed(AgentKey, u64),
+    /// It has ended, and the entry that says so is not committed yet.
+    Ending,
+    Done,
+}
+
+#[derive(Debug)]
+struct StepView {
+    tasks: Vec<TaskState>,
+    ready: VecDeque<u32>,
+    open: u32,
+    after: Vec<u16>,
+    /// Latest time to start a task of this step that still meets the goal.
+    latest: Timestamp,
+}
+
+#[derive(Debug)]
+struct JobView {
+    queue: String,
+    pool: String,
+    term: Term,
+    /// Starts in this term by task.
+    starts: HashMap<(u16, u32), u64>,
+    steps: Vec<StepView>,
+    started: bool,
+    held: bool,
+}
+
+/// The volatile state of a leader.
+#[derive(Debug)]
+pub struct Dispatch {
+    address: SocketAddr,
+    term: Term,
+    since: Timestamp,
+    agents: SlotMap<AgentKey, AgentView>,
+    by_address: HashMap<SocketAddr, AgentKey>,
+    jobs: HashMap<JobId, JobView>,
+    ready: BTreeSet<(Timestamp, JobId, u16)>,
+    /// Agents of earlier terms whose runs are not known yet.
+    unresolved: BTreeSet<SocketAddr>,
+    held: Vec<JobId>,
+    /// Commands that are not in the log yet belong to this batch.
+    batch: u64,
+    committed: u64,
+    commands: Vec<Command>,
+    sweep: Timestamp,
+    /// The run time of tasks against their estimates, by queue.
+    bias: HashMap<String, f64>,
+}
+
+impl Dispatch {
+    /// Starts to lead with the state of all earlier entries.
+    pub fn new(
+        state: &State,
+        address: SocketAddr,
+        term: Term,
+        now: Timestamp,
+        wall: u64,
+    ) -> Dispatch {
+        let mut dispatch = Dispatch {
+            address,
+            term,
+            since: now,
+            agents: SlotMap::with_key(),
+            by_address: HashMap::new(),
+            jobs: HashMap::new(),
+            ready: BTreeSet::new(),
+            unresolved: state.agents.clone(),
+            held: Vec::new(),
+            batch: 1,
+            committed: 0,
+            commands: Vec::new(),
+            sweep: now,
+            bias: HashMap::new(),
+        };
+        for (id, job) in &state.jobs {
+            dispatch.add_job(now, wall, *id, job, true);
+        }
+        log::info!(
+            "E601 leading term={term} jobs={} agents={}",
+            state.jobs.len(),
+            state.agents.len()
+        );
+        dispatch.release(now);
+        dispatch
+    }
+
+    /// Agents of earlier terms, to be told who leads.
+    pub fn unresolved(&self) -> Vec<SocketAddr> {
+        self.unresolved.iter().copied().collect()
+    }
+
+    fn add_job(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job, held: bool) {
+        let chains = job.spec.chains();
+        let total = chains.iter().copied().max().unwrap_or(0);
+        let age = Duration::from_millis(wall.saturating_sub(job.time));
+        let bias = self.bias.get(&job.queue).copied().unwrap_or(1.0);
+        let goal = (total as f64 * bias * f64::from(job.policy.stretch)) as u64;
+        let goal = goal + u64::from(job.policy.goal);
+        let latest = |chain: u64| {
+            let slack = goal.saturating_sub((chain as f64 * bias) as u64);
+            let at = now + Duration::from_millis(slack);
+            Timestamp::from_micros(at.as_micros().saturating_sub(age.as_micros() as u64))
+        };
+        let steps = job.spec.steps.iter().zip(&job.tasks).zip(&chains);
+        let steps = steps.map(|((step, records), chain)| StepView {
+            tasks: records
+                .iter()
+                .map(|r| if r.done { TaskState::Done } else { TaskState::Blocked })
+                .collect(),
+            ready: VecDeque::new(),
+            open: records.iter().filter(|r| !r.done).count() as u32,
+            after: step.after.clone(),
+            latest: latest(*chain),
+        });
+        let view = JobView {
+            queue: job.queue.clone(),
+            pool: job.pool.clone(),
+            term: job.term,
+            starts: HashMap::new(),
+            steps: steps.collect(),
+            started: held && job.tasks.iter().flatten().any(|r| r.done || r.failures > 0),
+            held,
+        };
+        self.jobs.insert(id, view);
+        match held {
+            true => self.held.push(id),
+            false => self.unblock(id),
+        }
+    }
+
+    /// Releases the jobs of earlier terms once no unknown run can exist.
+    fn release(&mut self, now: Timestamp) {
+        if !self.unresolved.is_empty() || self.held.is_empty() {
+            return;
+        }
+        let held = std::mem::take(&mut self.held);
+        log::info!(
+            "E602 jobs of earlier terms released jobs={} after_ms={}",
+            held.len(),
+            now.since(self.since).as_millis()
+        );
+        for id in held {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.held = false;
+                self.unblock(id);
+            }
+        }
+    }
+
+    /// Makes the tasks ready whose earlier steps are done.
+    fn unblock(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.held {
+            return;
+        }
+        let done: Vec<bool> = job.steps.iter().map(|s| s.open == 0).collect();
+        for (number, step) in job.steps.iter_mut().enumerate() {
+            if !step.after.iter().all(|a| done[usize::from(*a)]) {
+                continue;
+            }
+            for (index, task) in step.tasks.iter_mut().enumerate() {
+                if *task == TaskState::Blocked {
+                    *task = TaskState::Ready;
+                    step.ready.push_back(index as u32);
+                }
+            }
+            if !step.ready.is_empty() {
+                self.ready.insert((step.latest, id, number as u16));
+            }
+        }
+    }
+
+    fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let step = job.steps.get_mut(usize::from(task.step))?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Puts a task back into the queue.
+    fn requeue(&mut self, task: TaskId) {
+        if let Some(state) = self.task_mut(task) {
+            *state = TaskState::Blocked;
+            self.unblock(task.job);
+        }
+    }
+
+    /// A job was committed.
+    pub fn accepted(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job) {
+        self.add_job(now, wall, id, job, false);
+    }
+
+    /// A task's end was committed.
+    pub fn done(&mut self, task: TaskId) {
+        let Some(state) = self.task_mut(task) else { return };
+        if *state == TaskState::Done {
+            return;
+        }
+        let before = std::mem::replace(state, TaskState::Done);
+        if let TaskState::Placed(key, run) = before {
+            self.order_stop(key, task, run);
+        }
+        let job = self.jobs.get_mut(&task.job).expect("the job is known");
+        let step = &mut job.steps[usize::from(task.step)];
+        step.ready.retain(|index| *index != task.index);
+        step.open -= 1;
+        if step.open == 0 {
+            self.unblock(task.job);
+        }
+    }
+
+    /// A failed run was committed and the task may be tried again.
+    pub fn retry(&mut self, task: TaskId) {
+        if self.task_mut(task).is_some_and(|state| *state == TaskState::Ending) {
+            self.requeue(task);
+        }
+    }
+
+    /// A job has ended; what still runs of it is stopped.
+    pub fn ended(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        for (number, step) in job.steps.into_iter().enumerate() {
+            let number = number as u16;
+            self.ready.remove(&(step.latest, id, number));
+            for (index, state) in step.tasks.into_iter().enumerate() {
+                if let TaskState::Placed(key, run) = state {
+                    let task = TaskId { job: id, step: number, index: index as u32 };
+                    self.order_stop(key, task, run);
+                }
+            }
+        }
+    }
+
+    fn order_stop(&mut self, key: AgentKey, task: TaskId, run: u64) {
+        let Some(agent) = self.agents.get_mut(key) else { return };
+        if let Some(placed) = agent.placed.get_mut(&task).filter(|p| p.run == run) {
+            placed.stopping = true;
+            agent.outbox.push(Order::Stop { task, run });
+            agent.due = true;
+        }
+    }
+
+    /// The state of a job that has not ended.
+    pub fn state_of(&self, id: JobId) -> Option<JobState> {
+        let job = self.jobs.get(&id)?;
+        Some(if job.started { JobState::Running } else { JobState::Queued })
+    }
+
+    /// Jobs of a queue of which no task has started.
+    pub fn waiting(&self, queue: &str) -> u32 {
+        self.jobs.values().filter(|j| !j.started && j.queue == queue).count() as u32
+    }
+
+    /// Jobs that have not ended, and tasks that wait for room.
+    pub fn load(&self) -> (usize, usize) {
+        let waiting = self.ready.iter().filter_map(|(_, id, step)| {
+            Some(self.jobs.get(id)?.steps[usize::from(*step)].ready.len())
+        });
+        (self.jobs.len(), waiting.sum())
+    }
+
+    /// An agent looks for a leader.
+    pub fn announced(&mut self, now: Timestamp, announce: &Announce) {
+        let key = self.agent_at(now, announce.address);
+        let agent = &mut self.agents[key];
+        agent.grant = agent.grant.max(announce.sent);
+        let fresh = agent.session != announce.session;
+        if fresh {
+            agent.grant = announce.sent;
+        }
+        agent.due = true;
+        if fresh || agent.dismissing {
+            log::info!(
+                "E603 agent announces itself address={} session={:016x}",
+                announce.address,
+                announce.session
+            );
+            agent.session = announce.session;
+            agent.enrolled = false;
+            agent.current = false;
+            agent.dismissing = false;
+            let (address, session) = (announce.address, announce.session);
+            self.commands.push(Command::Enrol { address, session });
+        }
+        self.agents[key].heard = now;
+    }
+
+    fn agent_at(&mut self, now: Timestamp, address: SocketAddr) -> AgentKey {
+        if let Some(key) = self.by_address.get(&address) {
+            return *key;
+        }
+        let key = self.agents.insert(AgentView {
+            address,
+            session: 0,
+            fence: 0,
+            enrolled: false,
+            dismissing: false,
+            grant: 0,
+            heard: now,
+            current: false,
+            number: 0,
+            received: None,
+            events: VecDeque::new(),
+            taken: 0,
+            worker: None,
+            placed: BTreeMap::new(),
+            used: Resources::default(),
+            health: Health::default(),
+            outbox: Vec::new(),
+            due: false,
+        });
+        self.by_address.insert(address, key);
+        key
+    }
+
+    /// The enrolment of an agent was committed.
+    pub fn enrolled(&mut self, address: SocketAddr, session: u64, fence: u64) {
+        let Some(&key) = self.by_address.get(&address) else { return };
+        let agent = &mut self.agents[key];
+        if agent.session != session || agent.enrolled {
+            return;
+        }
+        agent.enrolled = true;
+        agent.fence = fence;
+        agent.received = None;
+        agent.events.clear();
+        agent.taken = 0;
+        agent.outbox.clear();
+        agent.due = true;
+        for placed in agent.placed.values_mut() {
+            placed.number = 0;
+        }
+        log::info!("E604 agent enrolled address={address} session={session:016x} fence={fence}");
+    }
+
+    /// The dismissal of an agent was committed.
+    pub fn dismissed(&mut self, address: SocketAddr) {
+        let Some(&key) = self.by_address.get(&address) else { return };
+        if self.agents[key].dismissing {
+            self.agents.remove(key);
+            self.by_address.remove(&address);
+        }
+    }
+
+    /// Acts on the passing of time.
+    pub fn tick(&mut self, now: Timestamp) {
+        if now < self.sweep {
+            return;
+        }
+        self.sweep = now + SWEEP;
+        self.drop_silent(now);
+        if !self.unresolved.is_empty() && now >= self.since + AGENT_GONE {
+            log::warn!("E605 agents of earlier terms did not report agents={:?}", self.unresolved);
+            for address in std::mem::take(&mut self.unresolved) {
+                if !self.by_address.contains_key(&address) {
+                    self.commands.push(Command::Dismiss { address });
+                }
+            }
+            self.release(now);
+        }
+        self.stop_overruns(now);
+    }
+
+    /// When [`Dispatch::tick`] has something to do.
+    pub fn next_tick(&self) -> Timestamp {
+        self.sweep
+    }
+
+    fn drop_silent(&mut self, now: Timestamp) {
+        let gone = |a: &AgentView| !a.dismissing && a.heard + AGENT_GONE < now;
+        let keys: Vec<AgentKey> =
+            self.agents.iter().filter(|(_, a)| gone(a)).map(|(key, _)| key).collect();
+        for key in keys {
+            let agent = &mut self.agents[key];
+            agent.dismissing = true;
+            agent.enrolled = false;
+            agent.current = false;
+            agent.worker = None;
+            agent.used = Resources::default();
+            let address = agent.address;
+            let lost = std::mem::take(&mut agent.placed);
+            log::warn!(
+                "E606 agent out of reach address={address} silent_ms={} lost_runs={}",
+                now.since(agent.heard).as_millis(),
+                lost.len()
+            );
+            self.commands.push(Command::Dismiss { address });
+            for (task, placed) in lost {
+                self.lost(key, task, placed.run);
+            }
+        }
+    }
+
+    /// A run has ended without a result.
+    fn lost(&mut self, key: AgentKey, task: TaskId, run: u64) {
+        if self.task_mut(task).is_some_and(|state| *state == TaskState::Placed(key, run)) {
+            self.requeue(task);
+        }
+    }
+
+    /// Takes commands for the log. They belong to one batch, whose number is returned with them.
+    pub fn take_commands(&mut self) -> Option<(u64, Vec<Command>)> {
+        if self.commands.is_empty() {
+            return None;
+        }
+        let batch = self.batch;
+        self.batch += 1;
+        Some((batch, std::mem::take(&mut self.commands)))
+    }
+
+    /// Whether commands wait for the log.
+    pub fn has_commands(&self) -> bool {
+        !self.commands.is_empty()
+    }
+
+    /// Adds commands of callers, which go into the same batch.
+    pub fn push_command(&mut self, command: Command) {
+        self.commands.push(command);
+    }
+
+    /// The batch and all before it are committed and applied.
+    pub fn committed(&mut self, batch: u64) {
+        self.committed = self.committed.max(batch);
+        for agent in self.agents.values_mut() {
+            while let Some(&(seq, batch)) = agent.events.front()
+                && batch <= self.committed
+            {
+                agent.taken = seq;
+                agent.events.pop_front();
+                agent.due = true;
+            }
+        }
+    }
+
+    /// Takes the messages for agents.
+    pub fn take_orders(&mut self) -> Vec<(SocketAddr, Orders)> {
+        let (leader, term) = (self.address, self.term);
+        let due = self.agents.values_mut().filter(|a| a.enrolled && a.due);
+        let orders = due.map(|agent| {
+            agent.due = false;
+            agent.number += 1;
+            let orders = Orders {
+                leader,
+                term,
+                session: agent.session,
+                fence: agent.fence,
+                grant: agent.grant,
+                number: agent.number,
+                taken: agent.taken,
+                orders: std::mem::take(&mut agent.outbox),
+            };
+            (agent.address, orders)
+        });
+        orders.collect()
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -0,0 +1,145 @@
+//! The choice of a worker for each ready task.
+
+use figdeal_core::time::Timestamp;
+
+use super::{
+    AGENT_SILENT, AgentKey, AgentView, Dispatch, OVERRUN, OVERRUN_SLACK, Placed, RUNS_PER_TERM,
+    TaskState,
+};
+use crate::{
+    job::{JobId, Step, TaskId},
+    message::Order,
+    state::State,
+};
+
+/// Steps without room after which a round of placement ends.
+const MISSES: usize = 32;
+/// How much longer a task takes away from its data, for the choice of a worker.
+const FAR: f64 = 1.5;
+
+impl Dispatch {
+    /// Starts ready tasks while workers have room, those with the least slack first.
+    pub fn place(&mut self, now: Timestamp, state: &State) {
+        let mut misses = 0;
+        let mut cursor = self.ready.first().copied();
+        while let Some(key @ (_, id, number)) = cursor {
+            if !self.place_step(now, state, id, number) {
+                misses += 1;
+            }
+            let rest = self.jobs.get(&id).map(|j| &j.steps[usize::from(number)]);
+            if rest.is_none_or(|step| step.ready.is_empty()) {
+                self.ready.remove(&key);
+            }
+            if misses >= MISSES {
+                break;
+            }
+            let after = (std::ops::Bound::Excluded(key), std::ops::Bound::Unbounded);
+            cursor = self.ready.range(after).next().copied();
+        }
+    }
+
+    /// Places tasks of one step. Returns whether all of them found room.
+    fn place_step(&mut self, now: Timestamp, state: &State, id: JobId, number: u16) -> bool {
+        let Some(step) = state.jobs.get(&id).map(|j| &j.spec.steps[usize::from(number)]) else {
+            return true;
+        };
+        let payload = &state.jobs[&id].spec.payload;
+        loop {
+            let Some(job) = self.jobs.get(&id) else { return true };
+            let Some(&index) = job.steps[usize::from(number)].ready.front() else { return true };
+            let pool = job.pool.clone();
+            let Some(key) = self.choose(now, id, number, &pool, step) else { return false };
+            let task = TaskId { job: id, step: number, index };
+            self.place_task(now, key, task, step, payload.clone());
+        }
+    }
+
+    fn place_task(
+        &mut self,
+        now: Timestamp,
+        key: AgentKey,
+        task: TaskId,
+        step: &Step,
+        payload: String,
+    ) {
+        let job = self.jobs.get_mut(&task.job).expect("the job is known");
+        let starts = job.starts.entry((task.step, task.index)).or_default();
+        *starts += 1;
+        let run = self.term.saturating_sub(job.term) * RUNS_PER_TERM + *starts;
+        let view = &mut job.steps[usize::from(task.step)];
+        view.ready.pop_front();
+        view.tasks[task.index as usize] = TaskState::Placed(key, run);
+        job.started = true;
+        let agent = &mut self.agents[key];
+        let needs = step.needs;
+        agent.placed.insert(task, Placed {
+            run,
+            needs,
+            at: now,
+            number: agent.number + 1,
+            estimate: step.estimate,
+            stopping: false,
+        });
+        agent.used = agent.used.with(needs);
+        agent.health.placed(now);
+        let life = agent.worker.as_ref().expect("the worker is known").life;
+        agent.outbox.push(Order::Start { task, run, life, needs, payload });
+        agent.due = true;
+    }
+
+    fn choose(
+        &self,
+        now: Timestamp,
+        id: JobId,
+        number: u16,
+        pool: &str,
+        step: &Step,
+    ) -> Option<AgentKey> {
+        let fits = |agent: &AgentView| {
+            let Some(worker) = agent.worker.as_ref() else { return false };
+            let label = step.label.as_ref().is_none_or(|l| worker.labels.contains(l));
+            let open = agent.enrolled
+                && agent.current
+                && agent.heard + AGENT_SILENT > now
+                && !worker.draining
+                && agent.health.is_open(now);
+            open && label
+                && worker.pool == pool
+                && step.needs.fits(worker.capacity.without(agent.used))
+        };
+        let spread = |agent: &AgentView| {
+            let same = agent.placed.keys().filter(|t| t.job == id && t.step == number);
+            step.spread == 0 || same.count() < step.spread as usize
+        };
+        let score = |agent: &AgentView| {
+            let worker = agent.worker.as_ref().expect("the worker is known");
+            let far = step.rack.as_ref().is_some_and(|r| !worker.labels.contains(r));
+            agent.health.score() * if far { FAR } else { 1.0 }
+        };
+        let open = self.agents.iter().filter(|(_, a)| fits(a) && spread(a));
+        open.min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b))).map(|(key, _)| key)
+    }
+
+    /// Stops runs that take far longer than expected; they are started elsewhere once they have ended.
+    pub(super) fn stop_overruns(&mut self, now: Timestamp) {
+        let mut late = Vec::new();
+        for (key, agent) in &self.agents {
+            for (task, placed) in &agent.placed {
+                let bias = self.jobs.get(&task.job).and_then(|j| self.bias.get(&j.queue));
+                let expected = f64::from(placed.estimate) * bias.copied().unwrap_or(1.0).max(1.0);
+                let limit = std::time::Duration::from_secs_f64(expected / 1_000.0) * OVERRUN;
+                if !placed.stopping && placed.at + limit + OVERRUN_SLACK < now {
+                    late.push((key, *task, placed.run));
+                }
+            }
+        }
+        for (key, task, run) in late {
+            log::warn!(
+                "E607 run takes too long task={task} run={run} agent={}",
+                self.agents[key].address
+            );
+            self.agents[key].health.failed(now);
+            self.order_stop(key, task, run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/dispatch/worker.rs
@@ -0,0 +1,79 @@
+//! What the runs of a worker tell about it.
+
+use std::time::Duration;
+
+use figdeal_core::time::Timestamp;
+
+/// Weight of one run in the speed of its worker.
+const SPEED_WEIGHT: f64 = 0.05;
+/// Weight of one run in the share of failures of its worker.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Share of failures above which a worker is ejected.
+const EJECT: f64 = 0.55;
+/// Time between two trials of an ejected worker.
+const TRIAL: Duration = Duration::from_millis(1_500);
+/// How much a worker with failures is shunned.
+const SHUN: f64 = 8.0;
+
+/// Speed and failures of one worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Health {
+    /// Run time over estimate, averaged.
+    speed: f64,
+    /// Share of failures, averaged.
+    failures: f64,
+    /// When the worker may get a task again.
+    rest: Timestamp,
+}
+
+impl Default for Health {
+    fn default() -> Health {
+        Health { speed: 1.0, failures: 0.0, rest: Timestamp::ZERO }
+    }
+}
+
+impl Health {
+    /// A run is done in `elapsed` with this estimate, both in milliseconds.
+    pub(super) fn done(&mut self, elapsed: u32, expected: f64) {
+        self.failures *= 1.0 - FAILURE_WEIGHT;
+        if expected > 0.0 {
+            let ratio = (f64::from(elapsed) / expected).clamp(0.2, 5.0);
+            self.speed += SPEED_WEIGHT * (ratio - self.speed);
+        }
+    }
+
+    /// A run has failed or takes far too long.
+    pub(super) fn failed(&mut self, now: Timestamp) {
+        self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
+        if self.is_ejected() {
+            self.rest = now + TRIAL;
+        }
+    }
+
+    /// The worker refuses or does not answer; it gets nothing for a moment.
+    pub(super) fn refused(&mut self, now: Timestamp, pause: Duration) {
+        self.rest = self.rest.max(now + pause);
+    }
+
+    /// A task was placed: an ejected worker gets one trial at a time.
+    pub(super) fn placed(&mut self, now: Timestamp) {
+        if self.is_ejected() {
+            self.rest = now + TRIAL;
+        }
+    }
+
+    /// Whether its failures keep it out.
+    pub(super) fn is_ejected(&self) -> bool {
+        self.failures > EJECT
+    }
+
+    /// Whether it may get a task.
+    pub(super) fn is_open(&self, now: Timestamp) -> bool {
+        now >= self.rest
+    }
+
+    /// Lower is better.
+    pub(super) fn score(&self) -> f64 {
+        self.speed * (1.0 + SHUN * self.failures)
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/message.rs
@@ -0,0 +1,327 @@
+//! Messages between the processes of the queue.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    job::{JobId, JobSpec, JobState, QueueSet, Resources, TaskId},
+    raft::{Member, Message, NodeId, Term},
+};
+
+/// What a caller or an operator asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Hands a job in.
+    Submit {
+        /// Host of the request.
+        host: String,
+        /// Path with the identity of the job.
+        path: String,
+        /// The job.
+        spec: JobSpec,
+    },
+    /// Asks for the state of a job, or of a queue.
+    Query {
+        /// Host of the request.
+        host: String,
+        /// Path of the job or the queue.
+        path: String,
+    },
+    /// Cancels a job.
+    Cancel {
+        /// Host of the request.
+        host: String,
+        /// Path of the job.
+        path: String,
+    },
+    /// Replaces the configuration.
+    Configure(QueueSet),
+    /// Asks for the newest configuration.
+    ReadConfig,
+}
+
+/// The answer to a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job is stored.
+    Accepted,
+    /// The job is not stored and never runs.
+    Refused {
+        /// Milliseconds after which another try may succeed.
+        retry: u32,
+        /// Why, for the log of the entry.
+        reason: Refusal,
+    },
+    /// The outcome is not known: the caller has to ask again with the same identity.
+    Unclear,
+    /// No such queue.
+    NoQueue,
+    /// No such job.
+    NoJob,
+    /// State of a job.
+    State(JobState),
+    /// Jobs of a queue of which no task has started.
+    Waiting(u32),
+    /// The job has ended or is cancelled.
+    Cancelled,
+    /// The configuration is stored, or a newer one is.
+    Configured,
+    /// The newest configuration as it was sent.
+    Config(String),
+    /// The request cannot be understood.
+    Invalid,
+}
+
+/// Why a request was refused without effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// No leader is in reach.
+    NoLeader,
+    /// No configuration is in force yet.
+    NoConfig,
+    /// The job would miss its response-time goal.
+    Overload,
+    /// No worker is large enough for a task.
+    TooLarge,
+    /// The job asks for something that this version does not offer.
+    Unsupported,
+}
+
+/// One life of a worker, as its agent counts them.
+pub type Life = u32;
+
+/// What an agent knows of its worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Number of this life.
+    pub life: Life,
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// What it offers.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// It takes no new tasks.
+    pub draining: bool,
+}
+
+/// How a run ended or did not begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// It did its work.
+    Done,
+    /// It failed by its own fault or the worker's.
+    Failed,
+    /// It was stopped, its lease ran out, or its worker is gone.
+    Lost,
+    /// It never started and never will.
+    NotStarted(Obstacle),
+}
+
+/// Why a run did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Obstacle {
+    /// No room on the worker.
+    Room,
+    /// The worker drains, is gone, or another life than intended.
+    Worker,
+    /// The order came too late or under an old leader.
+    Stale,
+    /// The worker refused it or did not answer.
+    Refused,
+}
+
+/// Something that an agent reports until the leader has taken it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// Number within the session, from 1.
+    pub seq: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// What happened.
+    pub ending: Ending,
+    /// Milliseconds from the start to the end, as the agent saw it.
+    pub elapsed: u32,
+}
+
+/// A run on a worker with its progress in percent, if the worker tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+}
+
+/// An agent tells the leader what changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Address of the agent.
+    pub address: SocketAddr,
+    /// Identity of its process.
+    pub session: u64,
+    /// Term of the leader that this is meant for.
+    pub term: Term,
+    /// The agent's clock in microseconds; the lease counts from it.
+    pub sent: u64,
+    /// Number of the last orders that were carried out or queued.
+    pub orders: u64,
+    /// Number of the oldest event that the leader has not taken, or of the next one.
+    pub first_event: u64,
+    /// Number of the last event, sent or not.
+    pub last_event: u64,
+    /// The worker, absent before its first heartbeat.
+    pub worker: Option<Worker>,
+    /// Every run that may be on the worker. Absent in a report of events only.
+    pub running: Option<Vec<Running>>,
+    /// Events that the leader has not taken yet, in order.
+    pub events: Vec<Event>,
+}
+
+/// An order to an agent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    /// Starts a run.
+    Start {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// The life of the worker that is meant.
+        life: Life,
+        /// What the task takes.
+        needs: Resources,
+        /// What the task does.
+        payload: String,
+    },
+    /// Stops a run.
+    Stop {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+    },
+    /// Tells what a run takes that the agent found on its worker.
+    Keep {
+        /// The task.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// What the task takes.
+        needs: Resources,
+    },
+}
+
+/// The leader's word to an agent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Address of the leader.
+    pub leader: SocketAddr,
+    /// Term of the leader.
+    pub term: Term,
+    /// Session of the agent that is meant.
+    pub session: u64,
+    /// Fence of the session: rises with each enrolment.
+    pub fence: u64,
+    /// Newest `sent` of the agent that the leader has seen; the lease counts from it.
+    pub grant: u64,
+    /// Number of this message within term and session.
+    pub number: u64,
+    /// Events up to here are taken for good.
+    pub taken: u64,
+    /// Orders.
+    pub orders: Vec<Order>,
+}
+
+/// A node tells who it is and asks who leads.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Identity of its store.
+    pub node: NodeId,
+    /// Where it listens for other processes.
+    pub address: SocketAddr,
+    /// Zone of its machine.
+    pub zone: String,
+    /// It can store the log.
+    pub disk: bool,
+    /// The whole system starts for the first time.
+    pub bootstrap: bool,
+}
+
+/// Answer to [`Hello`] and [`Announce`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Who answers.
+    pub from: SocketAddr,
+    /// The leader as the sender knows it.
+    pub leader: Option<SocketAddr>,
+    /// The sender is the leader and serves.
+    pub serving: bool,
+    /// Newest term that the sender knows.
+    pub term: Term,
+    /// The voters as the sender knows them.
+    pub members: Vec<Member>,
+}
+
+/// An agent without a leader asks for one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Announce {
+    /// Address of the agent.
+    pub address: SocketAddr,
+    /// Identity of its process.
+    pub session: u64,
+    /// The agent's clock in microseconds.
+    pub sent: u64,
+}
+
+/// Any message between two processes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Peer {
+    /// A node greets another.
+    Hello(Hello),
+    /// Who leads.
+    Directory(Directory),
+    /// The founding voters, from the node that founds the group.
+    Found(Vec<Member>),
+    /// A message of the replicated log.
+    Raft {
+        /// The sender.
+        from: NodeId,
+        /// Where the sender listens.
+        address: SocketAddr,
+        /// The store that is meant; a wiped one ignores it.
+        to: NodeId,
+        /// The message.
+        message: Message,
+    },
+    /// An entry passes a request to the leader.
+    Forward {
+        /// Where to answer.
+        origin: SocketAddr,
+        /// Number of the request at its origin.
+        token: u64,
+        /// The request.
+        request: Request,
+    },
+    /// The leader answers.
+    Reply {
+        /// Number of the request at its origin.
+        token: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// An agent looks for the leader.
+    Announce(Announce),
+    /// An agent reports to the leader.
+    Report(Report),
+    /// The leader orders.
+    Orders(Orders),
+}
+
+/// The job that a path names, after the prefix of its queue.
+pub fn job_of(rest: &str) -> Option<JobId> {
+    rest.parse().ok()
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/node.rs
@@ -0,0 +1,361 @@
+//! One node: its replica of the log, the state, the placement while it leads, and the requests that it passes on.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use figdeal_core::time::Timestamp;
+
+use crate::{
+    dispatch::Dispatch,
+    job::JobId,
+    message::{Answer, Directory, Hello, Peer, Refusal, Request},
+    raft::{Index, Member, NodeId, Raft, Write, log::Position, log::Snapshot},
+    state::{Batch, State},
+};
+
+mod apply;
+mod find;
+mod group;
+mod serve;
+
+pub use group::Options;
+
+/// Time after which a request that was passed on counts as unanswered. Callers wait for 1.5 s.
+const FORWARD_LIMIT: Duration = Duration::from_millis(1_000);
+/// Bytes of entries after which the state is written and the entries before it are dropped.
+const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
+/// Milliseconds after which a caller may try again when no leader is in reach.
+const RETRY_LEADER: u32 = 500;
+
+/// The time of an input.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Clock {
+    /// Time that also passes while the machine is suspended.
+    pub now: Timestamp,
+    /// Unix milliseconds.
+    pub wall: u64,
+}
+
+/// What the driver has to do.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Sends a message; one to the own address comes back as an input.
+    Send(SocketAddr, Peer),
+    /// Answers a request of a caller or an operator.
+    Reply(u64, Answer),
+    /// Stores and syncs records in the order of these actions, then reports [`Node::stored`] and sends `after`.
+    Store {
+        /// Records.
+        writes: Vec<Write>,
+        /// Last entry of the log after these records.
+        last: Position,
+        /// Messages that may go out after the sync.
+        after: Vec<(SocketAddr, Peer)>,
+    },
+}
+
+/// Who waits for an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Origin {
+    Local(u64),
+    Remote(SocketAddr, u64),
+}
+
+/// Requests that wait for a commit.
+#[derive(Debug, Default)]
+struct Waiters {
+    submits: HashMap<JobId, Vec<Origin>>,
+    cancels: HashMap<JobId, Vec<Origin>>,
+    configs: Vec<(u64, Origin)>,
+}
+
+#[derive(Debug)]
+struct Forwarded {
+    to: SocketAddr,
+    at: Timestamp,
+}
+
+/// A node of the queue.
+#[derive(Debug)]
+pub struct Node {
+    options: Options,
+    clock: Clock,
+    raft: Raft,
+    state: State,
+    applied: Index,
+    snapshot: Option<Snapshot>,
+    leading: Option<Dispatch>,
+    /// Batches in the log that are not committed.
+    batches: VecDeque<(Index, u64)>,
+    waiters: Waiters,
+    forwards: HashMap<u64, Forwarded>,
+    find: find::Find,
+    group: group::Group,
+    /// Stores that the driver has not reported.
+    storing: usize,
+    /// Something happened that may let a task start.
+    stirred: bool,
+    closing: bool,
+    actions: Vec<Action>,
+}
+
+impl Node {
+    /// Starts a node from what its storage holds.
+    pub fn new(
+        options: Options,
+        raft: Raft,
+        snapshot: Option<Snapshot>,
+        clock: Clock,
+    ) -> Result<Node, postcard::Error> {
+        let state = match &snapshot {
+            Some(snapshot) => postcard::from_bytes(&snapshot.data)?,
+            None => State::default(),
+        };
+        let applied = raft.log().base().index;
+        Ok(Node {
+            find: find::Find::new(&options, clock.now),
+            group: group::Group::new(clock.now),
+            options,
+            clock,
+            raft,
+            state,
+            applied,
+            snapshot,
+            leading: None,
+            batches: VecDeque::new(),
+            waiters: Waiters::default(),
+            forwards: HashMap::new(),
+            storing: 0,
+            stirred: false,
+            closing: false,
+            actions: Vec::new(),
+        })
+    }
+
+    /// Takes what the driver has to do.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The replicated state as this node has applied it.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The replica of the log.
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// Jobs and waiting tasks, if this node leads.
+    pub fn load(&self) -> Option<(usize, usize)> {
+        self.leading.as_ref().map(Dispatch::load)
+    }
+
+    /// Whether requests can be served or passed on, so that the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.closing && (self.is_serving() || self.leader_address().is_some())
+    }
+
+    /// Whether this node leads and may answer.
+    pub fn is_serving(&self) -> bool {
+        self.leading.is_some() && self.raft.is_serving(self.clock.now)
+    }
+
+    /// When [`Node::tick`] has something to do at the latest.
+    pub fn next_tick(&self) -> Timestamp {
+        let mut next = self.raft.next_tick().min(self.find.next).min(self.group.next);
+        if let Some(leading) = &self.leading {
+            next = next.min(leading.next_tick());
+        }
+        next
+    }
+
+    /// Acts on the passing of time.
+    pub fn tick(&mut self, clock: Clock) {
+        self.clock = clock;
+        self.raft.tick(clock.now);
+        if let Some(leading) = &mut self.leading
+            && self.raft.is_serving(clock.now)
+            && leading.next_tick() <= clock.now
+        {
+            leading.tick(clock.now);
+            self.stirred = true;
+        }
+        self.tick_find();
+        self.tick_group();
+        self.expire_forwards();
+        self.advance();
+    }
+
+    /// A caller or an operator asks this node.
+    pub fn request(&mut self, clock: Clock, token: u64, request: Request) {
+        self.clock = clock;
+        if self.is_serving() {
+            self.serve(Origin::Local(token), request);
+        } else if let Some(to) = self.leader_address().filter(|to| *to != self.options.address) {
+            let origin = self.options.address;
+            self.forwards.insert(token, Forwarded { to, at: clock.now });
+            self.send(to, Peer::Forward { origin, token, request });
+        } else {
+            self.answer(Origin::Local(token), no_leader());
+        }
+        self.advance();
+    }
+
+    /// The connection to another process is lost, with all that was on its way.
+    pub fn link_lost(&mut self, clock: Clock, address: SocketAddr) {
+        self.clock = clock;
+        self.find.lost(address);
+        let lost = self.forwards.iter().filter(|(_, f)| f.to == address);
+        let tokens: Vec<u64> = lost.map(|(token, _)| *token).collect();
+        for token in tokens {
+            self.forwards.remove(&token);
+            self.answer(Origin::Local(token), Answer::Unclear);
+        }
+        self.advance();
+    }
+
+    /// Records of a [`Action::Store`] are durable up to `last`.
+    pub fn stored(&mut self, clock: Clock, last: Position) {
+        self.clock = clock;
+        self.storing -= 1;
+        self.raft.synced(last.index, last.term);
+        self.advance();
+    }
+
+    /// Hands the leadership over and tells the balancer to send callers elsewhere.
+    pub fn close(&mut self, clock: Clock) {
+        self.clock = clock;
+        self.closing = true;
+        let successor = self.raft.hand_over(clock.now);
+        log::info!(
+            "E612 shutting down leading={} successor={successor:?}",
+            self.raft.is_leader()
+        );
+        self.advance();
+    }
+
+    /// Whether nothing waits for an answer.
+    pub fn is_idle(&self) -> bool {
+        let w = &self.waiters;
+        self.forwards.is_empty()
+            && w.submits.is_empty()
+            && w.cancels.is_empty()
+            && w.configs.is_empty()
+    }
+
+    /// Handles a message of another process.
+    pub fn on_peer(&mut self, clock: Clock, peer: Peer) {
+        self.clock = clock;
+        match peer {
+            Peer::Raft { from, address, to, message } => {
+                self.find.met(from, address);
+                if to == self.raft.id() {
+                    self.raft.step(clock.now, from, message);
+                }
+            }
+            Peer::Hello(hello) => self.on_hello(hello),
+            Peer::Directory(directory) => self.on_directory(&directory),
+            Peer::Found(members) => self.on_found(members),
+            Peer::Forward { origin, token, request } => {
+                let origin = Origin::Remote(origin, token);
+                match self.is_serving() {
+                    true => self.serve(origin, request),
+                    false => self.answer(origin, no_leader()),
+                }
+            }
+            Peer::Reply { token, answer } => {
+                if self.forwards.remove(&token).is_some() {
+                    self.answer(Origin::Local(token), answer);
+                }
+            }
+            Peer::Announce(announce) => {
+                if self.is_serving() {
+                    let leading = self.leading.as_mut().expect("a serving node leads");
+                    leading.announced(clock.now, &announce);
+                } else {
+                    self.send_directory(announce.address);
+                }
+            }
+            Peer::Report(report) => {
+                let address = report.address;
+                let known = self.is_serving()
+                    && self
+                        .leading
+                        .as_mut()
+                        .is_some_and(|l| l.report(clock.now, &self.state, report));
+                self.stirred |= known;
+                if !known {
+                    self.send_directory(address);
+                }
+            }
+            Peer::Orders(orders) => {
+                log::warn!("E613 orders for an agent ignored leader={}", orders.leader);
+            }
+        }
+        self.advance();
+    }
+
+    fn send(&mut self, to: SocketAddr, peer: Peer) {
+        self.actions.push(Action::Send(to, peer));
+    }
+
+    fn answer(&mut self, origin: Origin, answer: Answer) {
+        match origin {
+            Origin::Local(token) => self.actions.push(Action::Reply(token, answer)),
+            Origin::Remote(address, token) => self.send(address, Peer::Reply { token, answer }),
+        }
+    }
+
+    fn expire_forwards(&mut self) {
+        let now = self.clock.now;
+        let late = self.forwards.iter().filter(|(_, f)| f.at + FORWARD_LIMIT < now);
+        let tokens: Vec<u64> = late.map(|(token, _)| *token).collect();
+        for token in tokens {
+            let forwarded = self.forwards.remove(&token).expect("the request is known");
+            log::warn!("E614 leader did not answer token={token} leader={}", forwarded.to);
+            self.answer(Origin::Local(token), Answer::Unclear);
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            node: self.raft.id(),
+            address: self.options.address,
+            zone: self.options.zone.clone(),
+            disk: self.options.disk,
+            bootstrap: self.options.bootstrap,
+        }
+    }
+
+    fn send_directory(&mut self, to: SocketAddr) {
+        let directory = Directory {
+            from: self.options.address,
+            leader: match self.is_serving() {
+                true => Some(self.options.address),
+                false => self.leader_address(),
+            },
+            serving: self.is_serving(),
+            term: self.raft.term(),
+            members: self.raft.members().to_vec(),
+        };
+        self.send(to, Peer::Directory(directory));
+    }
+
+    fn address_of(&self, id: NodeId) -> Option<SocketAddr> {
+        let member = self.raft.members().iter().find(|m: &&Member| m.id == id);
+        member.map(|m| m.address).or_else(|| self.find.address_of(id))
+    }
+}
+
+fn no_leader() -> Answer {
+    Answer::Refused { retry: RETRY_LEADER, reason: Refusal::NoLeader }
+}
+
+fn decode(data: &[u8]) -> Batch {
+    postcard::from_bytes(data).expect("an entry of the log was written by a leader of the same format")
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -0,0 +1,222 @@
+//! Committed entries, changes of the leader, and what goes to the log and out of it.
+
+use super::{Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode};
+use crate::{
+    dispatch::Dispatch,
+    job::JobState,
+    message::Peer,
+    raft::{Message, Payload, log::Position, log::Snapshot},
+    state::{Batch, Change},
+};
+
+impl Node {
+    /// Brings everything up to date after an input.
+    pub(super) fn advance(&mut self) {
+        self.restore();
+        self.apply();
+        self.change_role();
+        self.lead();
+        self.compact();
+        self.drain();
+    }
+
+    fn restore(&mut self) {
+        let Some(snapshot) = self.raft.take_restored() else { return };
+        match postcard::from_bytes(&snapshot.data) {
+            Ok(state) => {
+                log::info!("E615 state taken from the leader index={}", snapshot.last.index);
+                self.state = state;
+                self.applied = snapshot.last.index;
+                self.snapshot = Some(snapshot);
+            }
+            Err(e) => panic!("the state of the leader cannot be read: {e}"),
+        }
+    }
+
+    fn apply(&mut self) {
+        while self.applied < self.raft.commit() {
+            let index = self.applied + 1;
+            let entry = self.raft.log().get(index).expect("a committed entry is held");
+            let changes = match &entry.payload {
+                Payload::Data(data) => self.state.apply(index, decode(data)),
+                Payload::Members(members) => {
+                    log::info!("E616 voters index={index} members={members:?}");
+                    Vec::new()
+                }
+                Payload::Noop => Vec::new(),
+            };
+            self.applied = index;
+            for change in changes {
+                self.on_change(change);
+            }
+            while self.batches.front().is_some_and(|(i, _)| *i <= index) {
+                let (_, batch) = self.batches.pop_front().expect("the first batch exists");
+                if let Some(leading) = &mut self.leading {
+                    leading.committed(batch);
+                }
+            }
+        }
+    }
+
+    fn on_change(&mut self, change: Change) {
+        self.stirred = true;
+        let (now, wall) = (self.clock.now, self.clock.wall);
+        let Some(leading) = &mut self.leading else { return };
+        match change {
+            Change::Accepted(id) => {
+                // The job may have been cancelled later in the same entry.
+                if let Some(job) = self.state.jobs.get(&id) {
+                    leading.accepted(now, wall, id, job);
+                    log::info!("E617 job accepted job={id} queue={}", job.queue);
+                }
+                let waiters = self.waiters.submits.remove(&id);
+                self.answer_all(waiters, &Answer::Accepted);
+            }
+            Change::Known(id) => {
+                let waiters = self.waiters.submits.remove(&id);
+                self.answer_all(waiters, &Answer::Accepted);
+            }
+            Change::Done(task) => leading.done(task),
+            Change::Retry(task) => leading.retry(task),
+            Change::Ended(id, state) => {
+                log::info!("E618 job ended job={id} state={state:?}");
+                leading.ended(id);
+                let waiters = self.waiters.cancels.remove(&id);
+                self.answer_all(waiters, &Answer::Cancelled);
+            }
+            Change::Missing(id) => {
+                let waiters = self.waiters.cancels.remove(&id);
+                self.answer_all(waiters, &Answer::NoJob);
+            }
+            Change::Configured { version, held } => {
+                log::info!("E619 configuration stored version={version} held={held}");
+                let all = std::mem::take(&mut self.waiters.configs);
+                let (ready, rest) = all.into_iter().partition(|(v, _)| *v == version);
+                self.waiters.configs = rest;
+                let ready: Vec<(u64, Origin)> = ready;
+                let origins = ready.into_iter().map(|(_, origin)| origin).collect();
+                self.answer_all(Some(origins), &Answer::Configured);
+            }
+            Change::Enrolled(address, session, fence) => leading.enrolled(address, session, fence),
+            Change::Dismissed(address) => leading.dismissed(address),
+        }
+    }
+
+    fn answer_all(&mut self, origins: Option<Vec<Origin>>, answer: &Answer) {
+        for origin in origins.into_iter().flatten() {
+            self.answer(origin, answer.clone());
+        }
+    }
+
+    /// Starts to lead once all earlier entries are applied, and gives up what a lost leadership leaves.
+    fn change_role(&mut self) {
+        let (now, wall) = (self.clock.now, self.clock.wall);
+        if !self.raft.is_leader() {
+            if self.leading.take().is_some() {
+                log::warn!("E620 leadership lost term={}", self.raft.term());
+                self.batches.clear();
+                let waiters = std::mem::take(&mut self.waiters);
+                let jobs = waiters.submits.into_values().chain(waiters.cancels.into_values());
+                let configs = waiters.configs.into_iter().map(|(_, origin)| origin);
+                let all = jobs.flatten().chain(configs).collect();
+                self.answer_all(Some(all), &Answer::Unclear);
+            }
+            return;
+        }
+        if self.leading.is_some() || !self.raft.is_serving(now) {
+            return;
+        }
+        let term = self.raft.term();
+        let leading = Dispatch::new(&self.state, self.options.address, term, now, wall);
+        let agents = leading.unresolved();
+        self.leading = Some(leading);
+        self.stirred = true;
+        for agent in agents {
+            self.send_directory(agent);
+        }
+    }
+
+    fn lead(&mut self) {
+        let Some(leading) = &mut self.leading else { return };
+        let now = self.clock.now;
+        if self.raft.is_serving(now) {
+            if std::mem::take(&mut self.stirred) {
+                leading.place(now, &self.state);
+            }
+            for (address, orders) in leading.take_orders() {
+                self.actions.push(Action::Send(address, Peer::Orders(orders)));
+            }
+        }
+        // One entry at a time is on its way to the own disk, so that commands of the meantime share the next one.
+        if leading.has_commands() && self.raft.is_synced() {
+            let (batch, commands) = leading.take_commands().expect("commands wait");
+            let entry = Batch { time: self.clock.wall, commands };
+            let data = postcard::to_stdvec(&entry).expect("commands can be encoded");
+            if let Some(index) = self.raft.propose(now, data) {
+                self.batches.push_back((index, batch));
+            }
+        }
+    }
+
+    fn compact(&mut self) {
+        if self.raft.log().bytes() < SNAPSHOT_BYTES || self.applied <= self.raft.log().base().index
+        {
+            return;
+        }
+        let index = self.applied;
+        let term = self.raft.log().term(index).expect("an applied entry is held");
+        let snapshot = Snapshot {
+            last: Position { term, index },
+            members: self.raft.log().members_at(index),
+            data: postcard::to_stdvec(&self.state).expect("the state can be encoded"),
+        };
+        log::info!("E621 log compacted index={index} bytes={}", snapshot.data.len());
+        self.raft.compact(snapshot.clone());
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Turns the output of the log into actions.
+    fn drain(&mut self) {
+        let out = self.raft.take_output();
+        for (id, message) in out.send {
+            if let Some(action) = self.envelope(id, message) {
+                self.actions.push(Action::Send(action.0, action.1));
+            }
+        }
+        let after: Vec<_> =
+            out.after.into_iter().filter_map(|(id, m)| self.envelope(id, m)).collect();
+        if !out.writes.is_empty() || (!after.is_empty() && self.storing > 0) {
+            self.storing += 1;
+            let last = self.raft.log().last();
+            self.actions.push(Action::Store { writes: out.writes, last, after });
+        } else {
+            let sends = after.into_iter().map(|(address, peer)| Action::Send(address, peer));
+            self.actions.extend(sends);
+        }
+    }
+
+    fn envelope(
+        &self,
+        to: crate::raft::NodeId,
+        message: Message,
+    ) -> Option<(std::net::SocketAddr, Peer)> {
+        let address = match to == self.raft.id() {
+            true => self.options.address,
+            false => self.address_of(to)?,
+        };
+        let message = match message {
+            Message::Install { term, sent, .. } => {
+                Message::Install { term, sent, snapshot: self.snapshot.clone()? }
+            }
+            other => other,
+        };
+        let (from, own) = (self.raft.id(), self.options.address);
+        Some((address, Peer::Raft { from, address: own, to, message }))
+    }
+
+    /// The state of a job, if it is known.
+    pub(super) fn job_state(&self, id: crate::job::JobId) -> Option<JobState> {
+        let volatile = self.leading.as_ref().and_then(|l| l.state_of(id));
+        self.state.outcome(id).or(volatile)
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -0,0 +1,147 @@
+//! The search for the leader, and who answers at which address.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use figdeal_core::time::Timestamp;
+
+use super::{Node, Options};
+use crate::{
+    message::{Directory, Hello, Peer},
+    raft::NodeId,
+};
+
+/// Time between two questions for the leader while none is known.
+const SEARCH: Duration = Duration::from_millis(100);
+/// Time between two greetings of the leader.
+const GREET: Duration = Duration::from_millis(300);
+/// Time without an answer of the leader after which it counts as unknown.
+const SILENT: Duration = Duration::from_millis(800);
+
+/// What a node knows of the others.
+#[derive(Debug)]
+pub(super) struct Find {
+    contacts: Vec<SocketAddr>,
+    turn: usize,
+    /// The leader and when it answered last.
+    leader: Option<(SocketAddr, Timestamp)>,
+    pub(super) next: Timestamp,
+    addresses: HashMap<NodeId, SocketAddr>,
+}
+
+impl Find {
+    pub(super) fn new(options: &Options, now: Timestamp) -> Find {
+        let own = options.address;
+        let contacts = options.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        Find { contacts, turn: 0, leader: None, next: now, addresses: HashMap::new() }
+    }
+
+    /// A node has sent a message from its address.
+    pub(super) fn met(&mut self, id: NodeId, address: SocketAddr) {
+        self.addresses.insert(id, address);
+    }
+
+    pub(super) fn lost(&mut self, address: SocketAddr) {
+        if self.leader.is_some_and(|(leader, _)| leader == address) {
+            self.leader = None;
+        }
+    }
+
+    pub(super) fn address_of(&self, id: NodeId) -> Option<SocketAddr> {
+        self.addresses.get(&id).copied()
+    }
+
+    fn learn(&mut self, own: SocketAddr, address: SocketAddr) {
+        if address != own && !self.contacts.contains(&address) {
+            self.contacts.push(address);
+        }
+    }
+}
+
+impl Node {
+    /// Adds nodes that may know the leader, after a change of the settings.
+    pub fn learn(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            self.find.learn(self.options.address, *seed);
+        }
+    }
+
+    /// Where requests go that this node cannot serve.
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        if self.raft.is_leader() {
+            return None;
+        }
+        if self.raft.is_following(self.clock.now) {
+            return self.raft.leader().and_then(|id| self.address_of(id));
+        }
+        self.find.leader.map(|(address, _)| address)
+    }
+
+    pub(super) fn tick_find(&mut self) {
+        let now = self.clock.now;
+        if let Some((leader, heard)) = self.find.leader
+            && heard + SILENT < now
+        {
+            log::warn!(
+                "E624 leader is silent leader={leader} silent_ms={}",
+                now.since(heard).as_millis()
+            );
+            self.find.leader = None;
+        }
+        if now < self.find.next {
+            return;
+        }
+        let hello = Peer::Hello(self.hello());
+        if self.raft.is_leader() {
+            self.find.next = now + GREET;
+        } else if let Some(leader) = self.leader_address() {
+            self.find.next = now + GREET;
+            self.send(leader, hello);
+        } else {
+            self.find.next = now + SEARCH;
+            let count = self.find.contacts.len();
+            if count > 0 {
+                self.find.turn = (self.find.turn + 1) % count;
+                let contact = self.find.contacts[self.find.turn];
+                self.send(contact, hello);
+            }
+        }
+    }
+
+    pub(super) fn on_hello(&mut self, hello: Hello) {
+        self.find.met(hello.node, hello.address);
+        self.find.learn(self.options.address, hello.address);
+        let address = hello.address;
+        self.note_standby(hello);
+        self.send_directory(address);
+    }
+
+    pub(super) fn on_directory(&mut self, directory: &Directory) {
+        let own = self.options.address;
+        for member in &directory.members {
+            self.find.learn(own, member.address);
+            self.find.met(member.id, member.address);
+        }
+        let now = self.clock.now;
+        if directory.serving {
+            let before = self.find.leader.map(|(address, _)| address);
+            if before != Some(directory.from) {
+                log::info!("E625 leader found leader={} term={}", directory.from, directory.term);
+            }
+            self.find.leader = Some((directory.from, now));
+        } else if self.find.leader.is_some_and(|(leader, _)| leader == directory.from) {
+            self.find.leader = None;
+        }
+        if self.find.leader.is_none()
+            && let Some(leader) = directory.leader
+            && leader != own
+            && leader != directory.from
+        {
+            // Asks the named leader itself with the next question.
+            self.find.learn(own, leader);
+            let at = self.find.contacts.iter().position(|c| *c == leader).unwrap_or(0);
+            let count = self.find.contacts.len();
+            self.find.turn = (at + count - 1) % count;
+            self.find.next = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/node/group.rs
@@ -0,0 +1,172 @@
+//! Founding of the group and replacement of its voters.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use figdeal_core::time::Timestamp;
+
+use super::Node;
+use crate::{
+    message::{Hello, Peer},
+    raft::{Member, NodeId},
+};
+
+/// Time in which the founding node hears of the machines that may vote. All start within 0.3 s.
+const FOUND_WAIT: Duration = Duration::from_millis(1_500);
+/// Time between two steps of the membership.
+const REVIEW: Duration = Duration::from_millis(300);
+/// Time without an answer after which a voter is replaced if another node with a disk is there.
+const REPLACE: Duration = Duration::from_millis(2_500);
+/// Time after which a node that was not heard is no candidate for a voter.
+const STALE: Duration = Duration::from_millis(1_000);
+
+/// What a node knows of itself at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Where it listens for other processes.
+    pub address: SocketAddr,
+    /// Zone of its machine.
+    pub zone: String,
+    /// It can store the log.
+    pub disk: bool,
+    /// The whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Nodes that may know the others.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of voters to have: twice the losses to be borne, and one.
+    pub voters: usize,
+}
+
+#[derive(Debug)]
+struct Standby {
+    id: NodeId,
+    zone: String,
+    bootstrap: bool,
+    heard: Timestamp,
+}
+
+/// Candidates for voters.
+#[derive(Debug)]
+pub(super) struct Group {
+    start: Timestamp,
+    pub(super) next: Timestamp,
+    /// Nodes with a disk by their address; a new store at an address replaces the one before.
+    standbys: BTreeMap<SocketAddr, Standby>,
+    chosen: Option<Vec<Member>>,
+}
+
+impl Group {
+    pub(super) fn new(now: Timestamp) -> Group {
+        Group { start: now, next: now + REVIEW, standbys: BTreeMap::new(), chosen: None }
+    }
+}
+
+impl Node {
+    pub(super) fn note_standby(&mut self, hello: Hello) {
+        if hello.disk {
+            let heard = self.clock.now;
+            let Hello { node: id, zone, bootstrap, .. } = hello;
+            self.group.standbys.insert(hello.address, Standby { id, zone, bootstrap, heard });
+        }
+    }
+
+    pub(super) fn tick_group(&mut self) {
+        if self.clock.now < self.group.next {
+            return;
+        }
+        self.group.next = self.clock.now + REVIEW;
+        if self.is_serving() {
+            self.review_voters();
+        } else {
+            self.found();
+        }
+    }
+
+    /// The first seed founds the group. It does so in one process only, so two groups cannot arise.
+    fn found(&mut self) {
+        let founder = self.options.bootstrap && self.options.seeds.first() == Some(&self.options.address);
+        let early = self.clock.now < self.group.start + FOUND_WAIT;
+        if !founder || early || self.leader_address().is_some() || self.raft.log().last_index() > 1 {
+            return;
+        }
+        if self.group.chosen.is_none() {
+            let own = self.hello();
+            self.note_standby(own);
+            self.group.chosen = self.choose_founders();
+        }
+        let Some(members) = self.group.chosen.clone() else { return };
+        for member in &members {
+            self.send(member.address, Peer::Found(members.clone()));
+        }
+    }
+
+    /// Spreads the voters over the zones.
+    fn choose_founders(&self) -> Option<Vec<Member>> {
+        let mut by_zone: BTreeMap<&str, Vec<Member>> = BTreeMap::new();
+        for (address, standby) in self.group.standbys.iter().filter(|(_, s)| s.bootstrap) {
+            let member = Member { id: standby.id, address: *address };
+            by_zone.entry(&standby.zone).or_default().push(member);
+        }
+        let mut members = Vec::new();
+        while members.len() < self.options.voters {
+            let before = members.len();
+            for zone in by_zone.values_mut() {
+                if members.len() < self.options.voters
+                    && let Some(member) = zone.pop()
+                {
+                    members.push(member);
+                }
+            }
+            if members.len() == before {
+                break;
+            }
+        }
+        log::info!("E626 founding members={members:?}");
+        (!members.is_empty()).then_some(members)
+    }
+
+    pub(super) fn on_found(&mut self, members: Vec<Member>) {
+        let own = members.iter().any(|m| m.id == self.raft.id());
+        if self.options.disk && own && self.raft.log().last_index() == 0 {
+            log::info!("E627 founded members={members:?}");
+            self.raft.found(members);
+        }
+    }
+
+    /// Replaces voters that are gone by nodes with a disk, one step at a time: teach, add, remove.
+    fn review_voters(&mut self) {
+        let now = self.clock.now;
+        let own = self.raft.id();
+        let members = self.raft.members().to_vec();
+        let wiped = |m: &Member| {
+            self.group.standbys.get(&m.address).is_some_and(|s| s.id != m.id && s.heard + STALE > now)
+        };
+        let gone = |m: &Member| {
+            m.id != own && (wiped(m) || self.raft.silence(now, m.id) > REPLACE)
+        };
+        let lost: Vec<Member> = members.iter().filter(|m| gone(m)).cloned().collect();
+        let healthy = members.len() - lost.len();
+        let missing = healthy < self.options.voters;
+        let is_member = |id: NodeId| members.iter().any(|m| m.id == id);
+        let standbys = self.group.standbys.iter();
+        let mut fresh = standbys.filter(|(_, s)| s.heard + STALE > now && !is_member(s.id));
+        let learner = fresh.next().map(|(a, s)| Member { id: s.id, address: *a });
+        match learner {
+            Some(learner) if missing => {
+                self.raft.forget_others(&[learner.id]);
+                if self.raft.teach(now, learner.id) {
+                    log::info!("E628 voter added member={learner:?} lost={lost:?}");
+                    let mut members = members;
+                    members.push(learner);
+                    self.raft.propose_members(now, members);
+                }
+            }
+            _ if members.len() > self.options.voters && !lost.is_empty() => {
+                log::info!("E629 voter removed member={:?}", lost[0]);
+                let members = members.into_iter().filter(|m| *m != lost[0]).collect();
+                self.raft.propose_members(now, members);
+                self.raft.forget_others(&[]);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -0,0 +1,111 @@
+//! Requests at the leader.
+
+use super::{Answer, Node, Origin};
+use crate::{
+    job::{JobId, JobSpec},
+    message::{Refusal, Request},
+    state::Command,
+};
+
+/// Milliseconds after which a caller may try again without a configuration.
+const RETRY_CONFIG: u32 = 1_000;
+/// Milliseconds after which a caller may try again when the queue is full.
+const RETRY_OVERLOAD: u32 = 1_000;
+
+impl Node {
+    /// Serves a request. This node leads and no other leader can exist.
+    pub(super) fn serve(&mut self, origin: Origin, request: Request) {
+        let answer = match request {
+            Request::Submit { host, path, spec } => self.submit(origin, &host, &path, spec),
+            Request::Query { host, path } => Some(self.query(&host, &path)),
+            Request::Cancel { host, path } => self.cancel(origin, &host, &path),
+            Request::Configure(set) => {
+                self.waiters.configs.push((set.version, origin));
+                self.command(Command::Configure(set));
+                None
+            }
+            Request::ReadConfig => Some(match &self.state.queues {
+                Some(held) => Answer::Config(held.text.clone()),
+                None => no_config(),
+            }),
+        };
+        if let Some(answer) = answer {
+            self.answer(origin, answer);
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        let leading = self.leading.as_mut().expect("a serving node leads");
+        leading.push_command(command);
+    }
+
+    fn submit(
+        &mut self,
+        origin: Origin,
+        host: &str,
+        path: &str,
+        spec: JobSpec,
+    ) -> Option<Answer> {
+        let Some(queues) = &self.state.queues else { return Some(no_config()) };
+        let Some((queue, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
+        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::Invalid) };
+        if self.state.knows(id) {
+            return Some(Answer::Accepted);
+        }
+        if let Some(waiting) = self.waiters.submits.get_mut(&id) {
+            waiting.push(origin);
+            return None;
+        }
+        if !spec.is_sound() {
+            return Some(Answer::Invalid);
+        }
+        let leading = self.leading.as_ref().expect("a serving node leads");
+        if let Some(reason) = leading.refusal(&queue.pool, &spec) {
+            log::info!("E622 job refused job={id} queue={} reason={reason:?}", queue.name);
+            return Some(Answer::Refused { retry: RETRY_OVERLOAD, reason });
+        }
+        let command = Command::Accept {
+            id,
+            queue: queue.name.clone(),
+            pool: queue.pool.clone(),
+            policy: queue.policy.clone(),
+            spec,
+            term: self.raft.term(),
+        };
+        self.waiters.submits.insert(id, vec![origin]);
+        self.command(command);
+        None
+    }
+
+    fn query(&self, host: &str, path: &str) -> Answer {
+        let Some(queues) = &self.state.queues else { return no_config() };
+        let Some((queue, rest)) = queues.route(host, path) else { return Answer::NoQueue };
+        if rest.is_empty() {
+            let leading = self.leading.as_ref().expect("a serving node leads");
+            return Answer::Waiting(leading.waiting(&queue.name));
+        }
+        let state = rest.parse().ok().and_then(|id| self.job_state(id));
+        state.map_or(Answer::NoJob, Answer::State)
+    }
+
+    fn cancel(&mut self, origin: Origin, host: &str, path: &str) -> Option<Answer> {
+        let Some(queues) = &self.state.queues else { return Some(no_config()) };
+        let Some((_, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
+        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::NoJob) };
+        if self.state.outcome(id).is_some() {
+            return Some(Answer::Cancelled);
+        }
+        let pending = self.waiters.submits.contains_key(&id);
+        if !pending && !self.state.jobs.contains_key(&id) {
+            return Some(Answer::NoJob);
+        }
+        log::info!("E623 cancellation job={id}");
+        self.waiters.cancels.entry(id).or_default().push(origin);
+        self.command(Command::Cancel(id));
+        None
+    }
+}
+
+fn no_config() -> Answer {
+    Answer::Refused { retry: RETRY_CONFIG, reason: Refusal::NoConfig }
+}
--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -17,12 +17,21 @@
     command: Command,
 }
 
+impl Cli {
+    /// Whether the durable queue is served, which brings its own log output.
+    pub fn is_queue(&self) -> bool {
+        matches!(self.command, Command::Queue)
+    }
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Runs entry, agents and stand-in upstreams in one process and submits jobs of both sample deployments
     Demo(command::demo::Args),
     /// Runs an entry process until SIGTERM
     Entry(command::entry::Args),
+    /// Runs a node of the durable queue with the platform's settings until SIGTERM
+    Queue,
     /// Runs a stand-in upstream beside an agent, for trials
     StandIn(command::stand_in::Args),
     /// Measures the real code over loopback against the targets of the design
@@ -64,6 +73,10 @@
     match cli.command {
         Command::Demo(args) => command::demo::run(&args),
         Command::Entry(args) => command::entry::run(&args),
+        Command::Queue => {
+            let _output = figdeal_node::output::init();
+            figdeal_node::queue::run().map(|()| ExitCode::SUCCESS)
+        }
         Command::StandIn(args) => command::stand_in::run(&args),
         Command::Bench(args) => command::bench::run(&args),
         Command::Load(args) => command::load::run(&args),
--- a/crates/figdeal/src/main.rs
+++ b/crates/figdeal/src/main.rs
@@ -10,9 +10,12 @@
 const FILTER: &str = "warn,figdeal=trace";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
-    log::set_max_level(log::LevelFilter::Warn);
-    match run(Cli::parse()) {
+    let cli = Cli::parse();
+    if !cli.is_queue() {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(FILTER)).init();
+        log::set_max_level(log::LevelFilter::Warn);
+    }
+    match run(cli) {
         Ok(code) => code,
         Err(e) => {
             eprintln!("figdeal: {e}");
