Serve best-effort jobs at the leader without the log

Cause: every kind of the two sites hands its jobs in as best effort: the answer waits for the end and the caller sends the job again after a loss. They were refused. Servers without a close signal closed each HTTP connection at once, so 182 of 391 heartbeats failed. Change: the leader keeps such jobs in memory, entries hand them in again after a change of the leader, and withdraw them when the caller leaves or the entry falls silent. A dropped close signal means that connections stay open.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -195,8 +195,8 @@
         match event {
             Event::Message(peer) => self.agent.on_peer(clock::now(), peer),
             Event::Accepted(address, link) => self.links.accepted(address, link),
-            Event::Lost(address, number) => {
-                self.links.lost(address, number);
+            Event::Lost { peer, number, .. } => {
+                self.links.lost(peer, number);
             }
         }
     }
--- a/crates/figdeal-node/src/http.rs
+++ b/crates/figdeal-node/src/http.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use figdeal_platform::Response as Answer;
+use figdeal_platform::{Response as Answer, ingress::PATIENCE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, Response, StatusCode,
@@ -33,6 +33,8 @@
     pub(crate) host: String,
     /// Path.
     pub(crate) path: String,
+    /// Time for which the caller waits, if it says so.
+    pub(crate) patience: Option<Duration>,
     /// Body.
     pub(crate) body: Bytes,
 }
@@ -96,7 +98,7 @@
             }
             return;
         }
-        _ = closed.wait_for(|closing| *closing) => {}
+        () = closes(&mut closed) => {}
     }
     connection.as_mut().graceful_shutdown();
     if let Err(e) = connection.await {
@@ -104,6 +106,13 @@
     }
 }
 
+/// Ends when connections are to be closed; without a sender they never are.
+async fn closes(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 async fn exchange<F, R>(
     request: Request<Incoming>,
     handler: &F,
@@ -117,6 +126,8 @@
     let path = request.uri().path().to_owned();
     let host = request.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
+    let patience = request.headers().get(PATIENCE).and_then(|v| v.to_str().ok()?.parse().ok());
+    let patience = patience.map(Duration::from_millis);
     let body = match Limited::new(request.into_body(), MAX_BODY).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
@@ -124,7 +135,7 @@
             return render(Answer::new(413), closing);
         }
     };
-    render(handler(Call { method, host, path, body }).await, closing)
+    render(handler(Call { method, host, path, patience, body }).await, closing)
 }
 
 fn render(answer: Answer, closing: &watch::Receiver<bool>) -> Response<Full<Bytes>> {
--- a/crates/figdeal-node/src/link.rs
+++ b/crates/figdeal-node/src/link.rs
@@ -51,7 +51,14 @@
     /// Another process has connected; `Links` sends to it over this connection.
     Accepted(SocketAddr, Link),
     /// A connection was lost with what was on its way.
-    Lost(SocketAddr, u64),
+    Lost {
+        /// The other process.
+        peer: SocketAddr,
+        /// Number of the connection.
+        number: u64,
+        /// No process listens there.
+        refused: bool,
+    },
 }
 
 /// One connection.
@@ -149,18 +156,27 @@
         tokio::spawn(async move {
             match timeout(CONNECT_LIMIT, TcpStream::connect(to)).await {
                 Ok(Ok(stream)) => run(stream, Peering { peer: to, number, traffic }, Some(own), waiting, events).await,
-                Ok(Err(e)) => lose(to, number, &events, &e.to_string()).await,
-                Err(_) => lose(to, number, &events, "no connection in time").await,
+                Ok(Err(e)) => {
+                    let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+                    lose(to, number, refused, &events, &e.to_string()).await;
+                }
+                Err(_) => lose(to, number, false, &events, "no connection in time").await,
             }
         });
         Link { number, queue }
     }
 }
 
-async fn lose(peer: SocketAddr, number: u64, events: &mpsc::Sender<Event>, reason: &str) {
+async fn lose(
+    peer: SocketAddr,
+    number: u64,
+    refused: bool,
+    events: &mpsc::Sender<Event>,
+    reason: &str,
+) {
     log::info!("E653 connection lost peer={peer} reason={reason:?}");
     // The process ends when nobody takes events any more.
-    let _ = events.send(Event::Lost(peer, number)).await;
+    let _ = events.send(Event::Lost { peer, number, refused }).await;
 }
 
 async fn accept(listener: TcpListener, events: mpsc::Sender<Event>, shared: Arc<Shared>) {
@@ -220,7 +236,7 @@
         let mut greeting = vec![text.len() as u8];
         greeting.extend_from_slice(text.as_bytes());
         if let Err(e) = stream.write_all(&greeting).await {
-            return lose(peer, number, &events, &e.to_string()).await;
+            return lose(peer, number, false, &events, &e.to_string()).await;
         }
     }
     let (input, output) = stream.into_split();
@@ -233,7 +249,7 @@
         log::debug!("E655 connection failed peer={peer} error={e}");
         "failed"
     });
-    lose(peer, number, &events, reason).await;
+    lose(peer, number, false, &events, reason).await;
 }
 
 /// Ends when messages stay without an answer.
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -38,6 +38,8 @@
 const BURST: usize = 64;
 /// Time of the shutdown for which callers are still accepted, until the balancer sends them elsewhere.
 const NOTICE: Duration = Duration::from_millis(2_500);
+/// Time for which a caller waits that does not say so.
+const PATIENCE: Duration = Duration::from_secs(30);
 /// Time before SIGKILL at which the process ends in any case.
 const MARGIN: Duration = Duration::from_millis(800);
 /// Time between two looks at the settings file, which may change without a signal.
@@ -49,12 +51,36 @@
 
 /// Something that the decisions have to know.
 enum Input {
-    Request(Request, oneshot::Sender<Answer>),
+    Request(Asked),
+    Withdrawn(u64),
     Stored(Position, Vec<(SocketAddr, Peer)>),
     Settings(Settings),
     Close,
 }
 
+/// A request with its answer's way back.
+struct Asked {
+    token: u64,
+    request: Request,
+    patience: Duration,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// Tells the decisions when the caller of a request has left.
+struct Waiting {
+    token: u64,
+    inputs: mpsc::Sender<Input>,
+    answered: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.answered && self.inputs.try_send(Input::Withdrawn(self.token)).is_err() {
+            log::warn!("E675 withdrawal dropped token={}", self.token);
+        }
+    }
+}
+
 /// Records on their way to the disk.
 struct Job {
     writes: Vec<Write>,
@@ -100,7 +126,6 @@
         ready,
         own,
         answers: HashMap::new(),
-        next_token: 0,
         grace: settings.grace,
     };
     process.run(received, messages, closing).await;
@@ -203,7 +228,7 @@
     let start = clock::now();
     let decoded = ingress::decode(&call.method, &call.host, &call.path, &call.body);
     let answer = match decoded {
-        ingress::Call::Serve(request) => ask(request, &inputs).await,
+        ingress::Call::Serve(request) => ask(request, call.patience, &inputs).await,
         ingress::Call::Unsupported(feature) => {
             log::info!("E666 job refused path={} unsupported={feature}", call.path);
             let reason = figdeal_queue::message::Refusal::Unsupported;
@@ -247,18 +272,29 @@
         },
         _ => return Response::new(405),
     };
-    let answer = ask(request, &inputs).await;
+    let answer = ask(request, call.patience, &inputs).await;
     log::info!("E670 operator request method={} status={}", call.method, ingress::encode(&answer).status);
     ingress::encode(&answer)
 }
 
-async fn ask(request: Request, inputs: &mpsc::Sender<Input>) -> Answer {
+async fn ask(
+    request: Request,
+    patience: Option<Duration>,
+    inputs: &mpsc::Sender<Input>,
+) -> Answer {
     let (sender, answer) = oneshot::channel();
     let overload = Answer::Refused { retry: 1_000, reason: figdeal_queue::message::Refusal::Overload };
-    if inputs.try_send(Input::Request(request, sender)).is_err() {
+    // Numbers of two processes at the same address must differ.
+    let token = rand::random();
+    let patience = patience.unwrap_or(PATIENCE);
+    let asked = Asked { token, request, patience, answer: sender };
+    if inputs.try_send(Input::Request(asked)).is_err() {
         return overload;
     }
-    answer.await.unwrap_or(Answer::Unclear)
+    let mut waiting = Waiting { token, inputs: inputs.clone(), answered: false };
+    let answer = answer.await.unwrap_or(Answer::Unclear);
+    waiting.answered = true;
+    answer
 }
 
 fn watch_signals(inputs: mpsc::Sender<Input>) -> Result<()> {
@@ -304,7 +340,6 @@
     ready: Arc<AtomicBool>,
     own: SocketAddr,
     answers: HashMap<u64, oneshot::Sender<Answer>>,
-    next_token: u64,
     grace: Duration,
 }
 
@@ -373,10 +408,13 @@
     fn input(&mut self, input: Input) {
         let clock = clock::read();
         match input {
-            Input::Request(request, answer) => {
-                self.next_token += 1;
-                self.answers.insert(self.next_token, answer);
-                self.node.request(clock, self.next_token, request);
+            Input::Request(asked) => {
+                self.answers.insert(asked.token, asked.answer);
+                self.node.request(clock, asked.token, asked.request, asked.patience);
+            }
+            Input::Withdrawn(token) => {
+                self.answers.remove(&token);
+                self.node.withdraw(clock, token);
             }
             Input::Stored(last, after) => {
                 self.node.stored(clock, last);
@@ -394,9 +432,9 @@
         match event {
             Event::Message(peer) => self.node.on_peer(clock, peer),
             Event::Accepted(address, link) => self.links.accepted(address, link),
-            Event::Lost(address, number) => {
-                if self.links.lost(address, number) {
-                    self.node.link_lost(clock, address);
+            Event::Lost { peer, number, refused } => {
+                if self.links.lost(peer, number) {
+                    self.node.link_lost(clock, peer, refused);
                 }
             }
         }
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -14,8 +15,8 @@
 
 use crate::{
     agent::AGENT_GONE,
-    job::{JobId, JobState, Resources, TaskId},
-    message::{Announce, Order, Orders, Report, Worker},
+    job::{JobId, JobSpec, JobState, Queue, Resources, TaskId},
+    message::{Announce, Order, Orders, Report, Running, Worker},
     raft::Term,
     state::{Command, Job, State},
 };
@@ -34,6 +35,13 @@
 
 /// Numbers of runs of a task that one term may use. The number of a run is unique without a record of the starts.
 const RUNS_PER_TERM: u64 = 1_000;
+/// Time in which a job may come again that an earlier leader has started. Callers send a job again after 1.3 s, and
+/// wait for an answer before that.
+const FOREIGN_RUNS: Duration = Duration::from_secs(10);
+/// Volatile jobs that have ended of which the numbers of runs are remembered.
+const PAST_RUNS: usize = 4_096;
+/// Time in which runs without a job are left alone, since their job may come back from its entry.
+const ORPHAN_WAIT: Duration = Duration::from_millis(500);
 /// Time without a report after which an agent gets no new tasks.
 const AGENT_SILENT: Duration = Duration::from_millis(700);
 /// Time between two searches for runs that take too long.
@@ -103,18 +111,41 @@
     latest: Timestamp,
 }
 
+/// How long a job may take.
+struct Goal {
+    /// The goal allows this many times the chain of work.
+    stretch: f32,
+    /// Milliseconds that it allows besides.
+    slack: u32,
+    /// Time since the job arrived.
+    age: Duration,
+}
+
 #[derive(Debug)]
 struct JobView {
     queue: String,
     pool: String,
-    term: Term,
+    spec: Arc<JobSpec>,
+    /// Failed runs after which the job has failed.
+    attempts: u32,
+    /// Failed runs of a volatile job by task; those of other jobs are in the log.
+    failures: HashMap<(u16, u32), u32>,
     /// Starts in this term by task.
     starts: HashMap<(u16, u32), u64>,
+    /// The number before the first run of this leader.
+    base: u64,
     steps: Vec<StepView>,
     started: bool,
     held: bool,
 }
 
+impl JobView {
+    fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
+        let step = self.steps.get_mut(usize::from(task.step))?;
+        step.tasks.get_mut(task.index as usize)
+    }
+}
+
 /// The volatile state of a leader.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -128,6 +159,12 @@
     /// Agents of earlier terms whose runs are not known yet.
     unresolved: BTreeSet<SocketAddr>,
     held: Vec<JobId>,
+    /// Runs of jobs that are not known yet: a volatile job comes back with its entry.
+    orphans: BTreeMap<TaskId, (AgentKey, u64)>,
+    /// Last numbers of the runs of volatile jobs that have ended, oldest first.
+    past_runs: VecDeque<(JobId, u64)>,
+    /// Volatile jobs that have ended, with all tasks done or not.
+    finished: Vec<(JobId, bool)>,
     /// Commands that are not in the log yet belong to this batch.
     batch: u64,
     committed: u64,
@@ -156,6 +193,9 @@
             ready: BTreeSet::new(),
             unresolved: state.agents.clone(),
             held: Vec::new(),
+            orphans: BTreeMap::new(),
+            past_runs: VecDeque::new(),
+            finished: Vec::new(),
             batch: 1,
             committed: 0,
             commands: Vec::new(),
@@ -163,7 +203,7 @@
             bias: HashMap::new(),
         };
         for (id, job) in &state.jobs {
-            dispatch.add_job(now, wall, *id, job, true);
+            dispatch.add_stored(now, wall, *id, job, true);
         }
         log::info!(
             "E601 leading term={term} jobs={} agents={}",
@@ -179,39 +219,106 @@
         self.unresolved.iter().copied().collect()
     }
 
-    fn add_job(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job, held: bool) {
-        let chains = job.spec.chains();
-        let total = chains.iter().copied().max().unwrap_or(0);
+    fn add_stored(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job, held: bool) {
         let age = Duration::from_millis(wall.saturating_sub(job.time));
-        let bias = self.bias.get(&job.queue).copied().unwrap_or(1.0);
-        let goal = (total as f64 * bias * f64::from(job.policy.stretch)) as u64;
-        let goal = goal + u64::from(job.policy.goal);
+        let base = self.term.saturating_sub(job.term) * RUNS_PER_TERM;
+        let goal = Goal { stretch: job.policy.stretch, slack: job.policy.goal, age };
+        let mut view = self.view(now, &job.queue, &job.pool, &job.spec, goal);
+        view.base = base;
+        view.attempts = job.policy.attempts;
+        for (step, records) in view.steps.iter_mut().zip(&job.tasks) {
+            for (task, record) in step.tasks.iter_mut().zip(records) {
+                if record.done {
+                    *task = TaskState::Done;
+                    step.open -= 1;
+                }
+            }
+        }
+        view.started = held && job.tasks.iter().flatten().any(|r| r.done || r.failures > 0);
+        view.held = held;
+        self.add_job(now, id, view);
+    }
+
+    /// Takes a volatile job, or one that comes back from its entry after a change of the leader.
+    pub fn submit(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        queue: &Queue,
+        spec: &Arc<JobSpec>,
+        age: Duration,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let goal = Goal { stretch: queue.policy.stretch, slack: queue.policy.goal, age };
+        let mut view = self.view(now, &queue.name, &queue.pool, spec, goal);
+        let past = self.past_runs.iter().rev().find(|(job, _)| *job == id).map(|(_, run)| *run);
+        // An earlier leader may have started runs of the same job, so its numbers are left out.
+        let young = now < self.since + FOREIGN_RUNS;
+        view.base = past.unwrap_or(if young { self.term * RUNS_PER_TERM } else { 0 });
+        view.attempts = queue.policy.attempts;
+        view.held = !self.unresolved.is_empty();
+        self.add_job(now, id, view);
+    }
+
+    fn view(
+        &self,
+        now: Timestamp,
+        queue: &str,
+        pool: &str,
+        spec: &Arc<JobSpec>,
+        goal: Goal,
+    ) -> JobView {
+        let chains = spec.chains();
+        let total = chains.iter().copied().max().unwrap_or(0);
+        let bias = self.bias.get(queue).copied().unwrap_or(1.0);
+        let limit = (total as f64 * bias * f64::from(goal.stretch)) as u64 + u64::from(goal.slack);
         let latest = |chain: u64| {
-            let slack = goal.saturating_sub((chain as f64 * bias) as u64);
+            let slack = limit.saturating_sub((chain as f64 * bias) as u64);
             let at = now + Duration::from_millis(slack);
-            Timestamp::from_micros(at.as_micros().saturating_sub(age.as_micros() as u64))
+            Timestamp::from_micros(at.as_micros().saturating_sub(goal.age.as_micros() as u64))
         };
-        let steps = job.spec.steps.iter().zip(&job.tasks).zip(&chains);
-        let steps = steps.map(|((step, records), chain)| StepView {
-            tasks: records
-                .iter()
-                .map(|r| if r.done { TaskState::Done } else { TaskState::Blocked })
-                .collect(),
+        let steps = spec.steps.iter().zip(&chains).map(|(step, chain)| StepView {
+            tasks: vec![TaskState::Blocked; step.count as usize],
             ready: VecDeque::new(),
-            open: records.iter().filter(|r| !r.done).count() as u32,
+            open: step.count,
             after: step.after.clone(),
             latest: latest(*chain),
         });
-        let view = JobView {
-            queue: job.queue.clone(),
-            pool: job.pool.clone(),
-            term: job.term,
+        JobView {
+            queue: queue.to_owned(),
+            pool: pool.to_owned(),
+            spec: Arc::clone(spec),
+            attempts: 1,
+            failures: HashMap::new(),
             starts: HashMap::new(),
+            base: 0,
             steps: steps.collect(),
-            started: held && job.tasks.iter().flatten().any(|r| r.done || r.failures > 0),
-            held,
-        };
+            started: false,
+            held: false,
+        }
+    }
+
+    fn add_job(&mut self, now: Timestamp, id: JobId, mut view: JobView) {
+        let first = TaskId { job: id, step: 0, index: 0 };
+        // Runs that are still being stopped, or that were found before their job, are its runs again.
+        for (key, agent) in &self.agents {
+            for (task, placed) in agent.placed.range(first..).take_while(|(t, _)| t.job == id) {
+                if let Some(state) = view.task_mut(*task) {
+                    *state = TaskState::Placed(key, placed.run);
+                    view.started = true;
+                }
+            }
+        }
+        let held = view.held;
         self.jobs.insert(id, view);
+        let orphans = self.orphans.range(first..).take_while(|(t, _)| t.job == id);
+        let orphans: Vec<_> = orphans.map(|(task, (key, run))| (*task, *key, *run)).collect();
+        for (task, key, run) in orphans {
+            self.orphans.remove(&task);
+            self.adopt(now, key, Running { task, run });
+        }
         match held {
             true => self.held.push(id),
             false => self.unblock(id),
@@ -261,9 +368,7 @@
     }
 
     fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
-        let job = self.jobs.get_mut(&task.job)?;
-        let step = job.steps.get_mut(usize::from(task.step))?;
-        step.tasks.get_mut(task.index as usize)
+        self.jobs.get_mut(&task.job)?.task_mut(task)
     }
 
     /// Puts a task back into the queue.
@@ -276,7 +381,7 @@
 
     /// A job was committed.
     pub fn accepted(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job) {
-        self.add_job(now, wall, id, job, false);
+        self.add_stored(now, wall, id, job, false);
     }
 
     /// A task's end was committed.
@@ -293,11 +398,38 @@
         let step = &mut job.steps[usize::from(task.step)];
         step.ready.retain(|index| *index != task.index);
         step.open -= 1;
-        if step.open == 0 {
+        if step.open > 0 {
+            return;
+        }
+        if job.spec.volatile && job.steps.iter().all(|s| s.open == 0) {
+            self.finish(task.job, true);
+        } else {
             self.unblock(task.job);
         }
     }
 
+    /// Ends a volatile job.
+    fn finish(&mut self, id: JobId, done: bool) {
+        self.finished.push((id, done));
+        self.ended(id);
+    }
+
+    /// Takes the volatile jobs that have ended, with all tasks done or not.
+    pub fn take_finished(&mut self) -> Vec<(JobId, bool)> {
+        std::mem::take(&mut self.finished)
+    }
+
+    /// A run of a volatile job has failed.
+    fn fail_volatile(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let failures = job.failures.entry((task.step, task.index)).or_default();
+        *failures += 1;
+        match *failures >= job.attempts {
+            true => self.finish(task.job, false),
+            false => self.requeue(task),
+        }
+    }
+
     /// A failed run was committed and the task may be tried again.
     pub fn retry(&mut self, task: TaskId) {
         if self.task_mut(task).is_some_and(|state| *state == TaskState::Ending) {
@@ -308,6 +440,13 @@
     /// A job has ended; what still runs of it is stopped.
     pub fn ended(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        if job.spec.volatile {
+            let last = job.starts.values().max().copied().unwrap_or(0);
+            self.past_runs.push_back((id, job.base + last));
+            if self.past_runs.len() > PAST_RUNS {
+                self.past_runs.pop_front();
+            }
+        }
         for (number, step) in job.steps.into_iter().enumerate() {
             let number = number as u16;
             self.ready.remove(&(step.latest, id, number));
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -1,15 +1,15 @@
 //! The choice of a worker for each ready task.
 
+use std::sync::Arc;
+
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AGENT_SILENT, AgentKey, AgentView, Dispatch, OVERRUN, OVERRUN_SLACK, Placed, RUNS_PER_TERM,
-    TaskState,
+    AGENT_SILENT, AgentKey, AgentView, Dispatch, OVERRUN, OVERRUN_SLACK, Placed, TaskState,
 };
 use crate::{
     job::{JobId, Step, TaskId},
     message::Order,
-    state::State,
 };
 
 /// Steps without room after which a round of placement ends.
@@ -19,11 +19,11 @@
 
 impl Dispatch {
     /// Starts ready tasks while workers have room, those with the least slack first.
-    pub fn place(&mut self, now: Timestamp, state: &State) {
+    pub fn place(&mut self, now: Timestamp) {
         let mut misses = 0;
         let mut cursor = self.ready.first().copied();
         while let Some(key @ (_, id, number)) = cursor {
-            if !self.place_step(now, state, id, number) {
+            if !self.place_step(now, id, number) {
                 misses += 1;
             }
             let rest = self.jobs.get(&id).map(|j| &j.steps[usize::from(number)]);
@@ -39,18 +39,16 @@
     }
 
     /// Places tasks of one step. Returns whether all of them found room.
-    fn place_step(&mut self, now: Timestamp, state: &State, id: JobId, number: u16) -> bool {
-        let Some(step) = state.jobs.get(&id).map(|j| &j.spec.steps[usize::from(number)]) else {
-            return true;
-        };
-        let payload = &state.jobs[&id].spec.payload;
+    fn place_step(&mut self, now: Timestamp, id: JobId, number: u16) -> bool {
+        let Some(spec) = self.jobs.get(&id).map(|j| Arc::clone(&j.spec)) else { return true };
+        let step = &spec.steps[usize::from(number)];
         loop {
             let Some(job) = self.jobs.get(&id) else { return true };
             let Some(&index) = job.steps[usize::from(number)].ready.front() else { return true };
             let pool = job.pool.clone();
             let Some(key) = self.choose(now, id, number, &pool, step) else { return false };
             let task = TaskId { job: id, step: number, index };
-            self.place_task(now, key, task, step, payload.clone());
+            self.place_task(now, key, task, step, spec.payload.clone());
         }
     }
 
@@ -65,7 +63,7 @@
         let job = self.jobs.get_mut(&task.job).expect("the job is known");
         let starts = job.starts.entry((task.step, task.index)).or_default();
         *starts += 1;
-        let run = self.term.saturating_sub(job.term) * RUNS_PER_TERM + *starts;
+        let run = job.base + *starts;
         let view = &mut job.steps[usize::from(task.step)];
         view.ready.pop_front();
         view.tasks[task.index as usize] = TaskState::Placed(key, run);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -1,14 +1,14 @@
 //! Reports of agents.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use figdeal_core::time::Timestamp;
 
-use super::{AgentKey, Dispatch, Placed, Report, TaskState};
+use super::{AgentKey, Dispatch, ORPHAN_WAIT, Placed, Report, TaskState};
 use crate::{
     job::TaskId,
     message::{Ending, Event, Obstacle, Order, Running},
-    state::{Command, State},
+    state::Command,
 };
 
 /// Time in which a worker that refused a start gets no other.
@@ -20,7 +20,7 @@
 
 impl Dispatch {
     /// Takes a report. Returns whether its sender is enrolled; others have to announce themselves.
-    pub fn report(&mut self, now: Timestamp, state: &State, report: Report) -> bool {
+    pub fn report(&mut self, now: Timestamp, report: Report) -> bool {
         let Some(&key) = self.by_address.get(&report.address) else { return false };
         let agent = &mut self.agents[key];
         if report.term != self.term || report.session != agent.session || !agent.enrolled {
@@ -36,15 +36,15 @@
         agent.worker = report.worker;
         agent.received.get_or_insert(report.first_event - 1);
         for event in report.events {
-            self.take_event(now, state, key, event);
+            self.take_event(now, key, event);
         }
         if let Some(running) = report.running {
-            self.compare(now, state, key, report.orders, report.last_event, &running);
+            self.compare(now, key, report.orders, report.last_event, &running);
         }
         true
     }
 
-    fn take_event(&mut self, now: Timestamp, state: &State, key: AgentKey, event: Event) {
+    fn take_event(&mut self, now: Timestamp, key: AgentKey, event: Event) {
         let agent = &mut self.agents[key];
         if agent.received.map(|seq| seq + 1) != Some(event.seq) {
             return;
@@ -56,7 +56,7 @@
             agent.used = agent.used.without(placed.needs);
         }
         let logged = match event.ending {
-            Ending::Done | Ending::Failed => self.take_end(now, state, key, event, placed),
+            Ending::Done | Ending::Failed => self.take_end(now, key, event, placed),
             Ending::Lost => {
                 self.lost(key, event.task, event.run);
                 false
@@ -87,7 +87,6 @@
     fn take_end(
         &mut self,
         now: Timestamp,
-        state: &State,
         key: AgentKey,
         event: Event,
         placed: Option<Placed>,
@@ -108,11 +107,19 @@
             }
             _ => *held = TaskState::Ending,
         }
+        let mut volatile = false;
         if let Some(job) = self.jobs.get_mut(&task.job) {
+            volatile = job.spec.volatile;
             let step = &mut job.steps[usize::from(task.step)];
             step.ready.retain(|index| *index != task.index);
         }
-        debug_assert!(state.jobs.contains_key(&task.job), "the job has not ended");
+        if volatile {
+            match done {
+                true => self.done(task),
+                false => self.fail_volatile(task),
+            }
+            return false;
+        }
         self.commands.push(Command::End { task, run, done });
         true
     }
@@ -144,7 +151,6 @@
     fn compare(
         &mut self,
         now: Timestamp,
-        state: &State,
         key: AgentKey,
         orders: u64,
         last_event: u64,
@@ -153,7 +159,7 @@
         for found in running {
             let known = self.agents[key].placed.get(&found.task);
             if known.is_none_or(|p| p.run != found.run) {
-                self.adopt(now, state, key, *found);
+                self.adopt(now, key, *found);
             }
         }
         let agent = &mut self.agents[key];
@@ -181,14 +187,19 @@
     }
 
     /// Takes over a run of an earlier leader, or of an earlier process of the agent, or has it stopped.
-    fn adopt(&mut self, now: Timestamp, state: &State, key: AgentKey, found: Running) {
+    pub(super) fn adopt(&mut self, now: Timestamp, key: AgentKey, found: Running) {
         let Running { task, run } = found;
-        let step = state.jobs.get(&task.job).and_then(|j| j.spec.steps.get(usize::from(task.step)));
+        if !self.jobs.contains_key(&task.job) && now < self.since + ORPHAN_WAIT {
+            self.orphans.insert(task, (key, run));
+            return;
+        }
+        let spec = self.jobs.get(&task.job).map(|j| Arc::clone(&j.spec));
+        let step = spec.as_ref().and_then(|s| s.steps.get(usize::from(task.step)));
         let free = matches!(
             self.task_mut(task),
             Some(TaskState::Blocked | TaskState::Ready)
         );
-        let agent = &mut self.agents[key];
+        let Some(agent) = self.agents.get_mut(key) else { return };
         agent.due = true;
         let Some(step) = step.filter(|_| free && !agent.placed.contains_key(&task)) else {
             log::info!("E610 unexpected run is stopped task={task} run={run}");
--- a/crates/figdeal-queue/src/job.rs
+++ b/crates/figdeal-queue/src/job.rs
@@ -122,6 +122,8 @@
     pub payload: String,
     /// Steps in order.
     pub steps: Vec<Step>,
+    /// The job need not be stored: its caller waits for the outcome and hands it in again after a loss.
+    pub volatile: bool,
 }
 
 impl JobSpec {
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -20,6 +20,8 @@
         path: String,
         /// The job.
         spec: JobSpec,
+        /// Milliseconds since its arrival at the first node.
+        age: u32,
     },
     /// Asks for the state of a job, or of a queue.
     Query {
@@ -61,6 +63,8 @@
     NoJob,
     /// State of a job.
     State(JobState),
+    /// A volatile job has ended, with all tasks done or not.
+    Ended(bool),
     /// Jobs of a queue of which no task has started.
     Waiting(u32),
     /// The job has ended or is cancelled.
@@ -306,6 +310,13 @@
         /// The request.
         request: Request,
     },
+    /// The caller of a request that was passed on no longer waits.
+    Withdraw {
+        /// Where the request came from.
+        origin: SocketAddr,
+        /// Number of the request at its origin.
+        token: u64,
+    },
     /// The leader answers.
     Reply {
         /// Number of the request at its origin.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -25,6 +25,8 @@
 
 /// Time after which a request that was passed on counts as unanswered. Callers wait for 1.5 s.
 const FORWARD_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for which a new volatile job waits for a leader; a quarter of the shortest response-time goals.
+const FRESH_WAIT: Duration = Duration::from_millis(35);
 /// Bytes of entries after which the state is written and the entries before it are dropped.
 const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
 /// Milliseconds after which a caller may try again when no leader is in reach.
@@ -58,7 +60,7 @@
 }
 
 /// Who waits for an answer.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Origin {
     Local(u64),
     Remote(SocketAddr, u64),
@@ -70,12 +72,52 @@
     submits: HashMap<JobId, Vec<Origin>>,
     cancels: HashMap<JobId, Vec<Origin>>,
     configs: Vec<(u64, Origin)>,
+    /// Those of volatile jobs wait for the end.
+    volatile: HashMap<JobId, Vec<Origin>>,
+    by_origin: HashMap<Origin, JobId>,
+}
+
+impl Waiters {
+    fn add_volatile(&mut self, id: JobId, origin: Origin) {
+        let origins = self.volatile.entry(id).or_default();
+        if !origins.contains(&origin) {
+            origins.push(origin);
+        }
+        self.by_origin.insert(origin, id);
+    }
+
+    fn take_volatile(&mut self, id: JobId) -> Vec<Origin> {
+        let origins = self.volatile.remove(&id).unwrap_or_default();
+        for origin in &origins {
+            self.by_origin.remove(origin);
+        }
+        origins
+    }
+
+    /// Forgets one who waits. Returns the job if nobody else waits for it.
+    fn withdraw(&mut self, origin: Origin) -> Option<JobId> {
+        let id = self.by_origin.remove(&origin)?;
+        let origins = self.volatile.get_mut(&id)?;
+        origins.retain(|o| *o != origin);
+        if !origins.is_empty() {
+            return None;
+        }
+        self.volatile.remove(&id);
+        Some(id)
+    }
 }
 
+/// A request that waits for the answer of the leader.
 #[derive(Debug)]
 struct Forwarded {
-    to: SocketAddr,
+    /// Who has it; nobody while the leader of a volatile job is lost.
+    to: Option<SocketAddr>,
     at: Timestamp,
+    limit: Timestamp,
+    /// A volatile job, which is handed in again at the next leader.
+    again: Option<Request>,
+    /// It has been at a leader, so it may have run.
+    offered: bool,
 }
 
 /// A node of the queue.
@@ -168,6 +210,9 @@
     /// When [`Node::tick`] has something to do at the latest.
     pub fn next_tick(&self) -> Timestamp {
         let mut next = self.raft.next_tick().min(self.find.next).min(self.group.next);
+        if self.forwards.values().any(|f| f.to.is_none()) {
+            next = next.min(self.clock.now + FRESH_WAIT / 2);
+        }
         if let Some(leading) = &self.leading {
             next = next.min(leading.next_tick());
         }
@@ -187,38 +232,95 @@
         }
         self.tick_find();
         self.tick_group();
-        self.expire_forwards();
+        self.tick_forwards();
         self.advance();
     }
 
-    /// A caller or an operator asks this node.
-    pub fn request(&mut self, clock: Clock, token: u64, request: Request) {
+    /// A caller or an operator asks this node and waits for `patience`.
+    pub fn request(&mut self, clock: Clock, token: u64, request: Request, patience: Duration) {
         self.clock = clock;
-        if self.is_serving() {
-            self.serve(Origin::Local(token), request);
-        } else if let Some(to) = self.leader_address().filter(|to| *to != self.options.address) {
-            let origin = self.options.address;
-            self.forwards.insert(token, Forwarded { to, at: clock.now });
-            self.send(to, Peer::Forward { origin, token, request });
-        } else {
+        let volatile = matches!(&request, Request::Submit { spec, .. } if spec.volatile);
+        let limit = if volatile { patience } else { patience.min(FORWARD_LIMIT) };
+        let forwarded = Forwarded {
+            to: None,
+            at: clock.now,
+            limit: clock.now + limit,
+            again: volatile.then(|| request.clone()),
+            offered: false,
+        };
+        self.forwards.insert(token, forwarded);
+        if !self.offer(token, request) && !volatile {
             self.answer(Origin::Local(token), no_leader());
         }
         self.advance();
     }
 
-    /// The connection to another process is lost, with all that was on its way.
-    pub fn link_lost(&mut self, clock: Clock, address: SocketAddr) {
+    /// Serves a request here or passes it on. Returns whether there is a leader.
+    fn offer(&mut self, token: u64, request: Request) -> bool {
+        let own = self.options.address;
+        let to = match self.is_serving() {
+            true => Some(own),
+            false => self.leader_address().filter(|to| *to != own),
+        };
+        let (Some(to), Some(forwarded)) = (to, self.forwards.get_mut(&token)) else { return false };
+        forwarded.to = Some(to);
+        forwarded.offered = true;
+        match to == own {
+            true => self.serve(Origin::Local(token), request),
+            false => self.send(to, Peer::Forward { origin: own, token, request }),
+        }
+        true
+    }
+
+    /// The caller of a request does not wait any more.
+    pub fn withdraw(&mut self, clock: Clock, token: u64) {
         self.clock = clock;
-        self.find.lost(address);
-        let lost = self.forwards.iter().filter(|(_, f)| f.to == address);
+        self.drop_forward(token);
+        self.advance();
+    }
+
+    fn drop_forward(&mut self, token: u64) {
+        let Some(forwarded) = self.forwards.remove(&token) else { return };
+        let Some(to) = forwarded.to.filter(|_| forwarded.again.is_some()) else { return };
+        let origin = self.options.address;
+        match to == origin {
+            true => self.on_withdraw(Origin::Local(token)),
+            false => self.send(to, Peer::Withdraw { origin, token }),
+        }
+    }
+
+    fn on_withdraw(&mut self, origin: Origin) {
+        if let Some(id) = self.waiters.withdraw(origin)
+            && let Some(leading) = &mut self.leading
+        {
+            log::info!("E631 volatile job withdrawn job={id}");
+            leading.ended(id);
+            self.stirred = true;
+        }
+    }
+
+    /// The connection to another process is lost, with all that was on its way. `refused` means that no process
+    /// listens there any more.
+    pub fn link_lost(&mut self, clock: Clock, address: SocketAddr, refused: bool) {
+        self.clock = clock;
+        self.lose_leader(address, refused);
+        let lost = self.forwards.iter().filter(|(_, f)| f.to == Some(address));
         let tokens: Vec<u64> = lost.map(|(token, _)| *token).collect();
         for token in tokens {
-            self.forwards.remove(&token);
-            self.answer(Origin::Local(token), Answer::Unclear);
+            self.forward_lost(token);
         }
         self.advance();
     }
 
+    /// The leader of a request is lost: a volatile job waits for the next one, the outcome of others is not known.
+    fn forward_lost(&mut self, token: u64) {
+        let Some(forwarded) = self.forwards.get_mut(&token) else { return };
+        forwarded.to = None;
+        if forwarded.again.is_none() {
+            self.answer(Origin::Local(token), Answer::Unclear);
+        }
+    }
+
     /// Records of a [`Action::Store`] are durable up to `last`.
     pub fn stored(&mut self, clock: Clock, last: Position) {
         self.clock = clock;
@@ -261,7 +363,9 @@
             Peer::Hello(hello) => self.on_hello(hello),
             Peer::Directory(directory) => self.on_directory(&directory),
             Peer::Found(members) => self.on_found(members),
+            Peer::Withdraw { origin, token } => self.on_withdraw(Origin::Remote(origin, token)),
             Peer::Forward { origin, token, request } => {
+                self.find.entry_heard(origin, clock.now);
                 let origin = Origin::Remote(origin, token);
                 match self.is_serving() {
                     true => self.serve(origin, request),
@@ -269,8 +373,10 @@
                 }
             }
             Peer::Reply { token, answer } => {
-                if self.forwards.remove(&token).is_some() {
-                    self.answer(Origin::Local(token), answer);
+                let volatile = self.forwards.get(&token).is_some_and(|f| f.again.is_some());
+                match volatile && answer == no_leader() {
+                    true => self.forward_lost(token),
+                    false => self.answer(Origin::Local(token), answer),
                 }
             }
             Peer::Announce(announce) => {
@@ -287,7 +393,7 @@
                     && self
                         .leading
                         .as_mut()
-                        .is_some_and(|l| l.report(clock.now, &self.state, report));
+                        .is_some_and(|l| l.report(clock.now, report));
                 self.stirred |= known;
                 if !known {
                     self.send_directory(address);
@@ -306,19 +412,50 @@
 
     fn answer(&mut self, origin: Origin, answer: Answer) {
         match origin {
-            Origin::Local(token) => self.actions.push(Action::Reply(token, answer)),
+            Origin::Local(token) => {
+                let volatile = self.forwards.get(&token).is_some_and(|f| f.again.is_some());
+                if volatile && answer == no_leader() {
+                    self.forward_lost(token);
+                } else if self.forwards.remove(&token).is_some() {
+                    self.actions.push(Action::Reply(token, answer));
+                }
+            }
             Origin::Remote(address, token) => self.send(address, Peer::Reply { token, answer }),
         }
     }
 
-    fn expire_forwards(&mut self) {
+    /// Hands volatile jobs in at the next leader and gives up requests whose callers do not wait any longer.
+    fn tick_forwards(&mut self) {
         let now = self.clock.now;
-        let late = self.forwards.iter().filter(|(_, f)| f.at + FORWARD_LIMIT < now);
-        let tokens: Vec<u64> = late.map(|(token, _)| *token).collect();
-        for token in tokens {
-            let forwarded = self.forwards.remove(&token).expect("the request is known");
-            log::warn!("E614 leader did not answer token={token} leader={}", forwarded.to);
-            self.answer(Origin::Local(token), Answer::Unclear);
+        let own = self.options.address;
+        let current = if self.is_serving() { Some(own) } else { self.leader_address() };
+        let (mut lost, mut late, mut stranded) = (Vec::new(), Vec::new(), Vec::new());
+        for (token, forwarded) in &self.forwards {
+            if forwarded.limit <= now {
+                late.push(*token);
+            } else if forwarded.to.is_none() && !forwarded.offered && forwarded.at + FRESH_WAIT <= now {
+                stranded.push(*token);
+            } else if forwarded.again.is_some() && current.is_some() && forwarded.to != current {
+                lost.push(*token);
+            }
+        }
+        for token in late {
+            log::warn!("E614 no answer in time token={token} leader={current:?}");
+            let offered = self.forwards.get(&token).is_some_and(|f| f.offered);
+            self.drop_forward(token);
+            let answer = if offered { Answer::Unclear } else { no_leader() };
+            self.actions.push(Action::Reply(token, answer));
+        }
+        for token in stranded {
+            self.forwards.remove(&token);
+            self.actions.push(Action::Reply(token, no_leader()));
+        }
+        for token in lost {
+            let forwarded = &self.forwards[&token];
+            let waited = now.since(forwarded.at).as_millis() as u32;
+            if let Some(Request::Submit { host, path, spec, .. }) = forwarded.again.clone() {
+                self.offer(token, Request::Submit { host, path, spec, age: waited });
+            }
         }
     }
 
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -1,6 +1,6 @@
 //! Committed entries, changes of the leader, and what goes to the log and out of it.
 
-use super::{Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode};
+use super::{Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode, no_leader};
 use crate::{
     dispatch::Dispatch,
     job::JobState,
@@ -116,6 +116,9 @@
                 log::warn!("E620 leadership lost term={}", self.raft.term());
                 self.batches.clear();
                 let waiters = std::mem::take(&mut self.waiters);
+                let volatile = waiters.volatile.into_values().flatten().collect();
+                // Their entries hand them in again at the next leader.
+                self.answer_all(Some(volatile), &no_leader());
                 let jobs = waiters.submits.into_values().chain(waiters.cancels.into_values());
                 let configs = waiters.configs.into_iter().map(|(_, origin)| origin);
                 let all = jobs.flatten().chain(configs).collect();
@@ -137,11 +140,19 @@
     }
 
     fn lead(&mut self) {
-        let Some(leading) = &mut self.leading else { return };
         let now = self.clock.now;
+        self.drop_silent_entries();
+        let Some(leading) = &mut self.leading else { return };
+        let finished = leading.take_finished();
+        for (id, done) in finished {
+            log::info!("E630 volatile job ended job={id} done={done}");
+            let waiters = self.waiters.take_volatile(id);
+            self.answer_all(Some(waiters), &Answer::Ended(done));
+        }
+        let Some(leading) = &mut self.leading else { return };
         if self.raft.is_serving(now) {
             if std::mem::take(&mut self.stirred) {
-                leading.place(now, &self.state);
+                leading.place(now);
             }
             for (address, orders) in leading.take_orders() {
                 self.actions.push(Action::Send(address, Peer::Orders(orders)));
--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -4,16 +4,19 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{Node, Options};
+use super::{Node, Options, Origin};
 use crate::{
     message::{Directory, Hello, Peer},
     raft::NodeId,
 };
 
 /// Time between two questions for the leader while none is known.
-const SEARCH: Duration = Duration::from_millis(100);
+const SEARCH: Duration = Duration::from_millis(50);
 /// Time between two greetings of the leader.
 const GREET: Duration = Duration::from_millis(300);
+/// Time without a greeting after which the volatile jobs of an entry are given up. Callers hand a job in again 1.3 s
+/// after they have lost its entry.
+const ENTRY_SILENT: Duration = Duration::from_millis(800);
 /// Time without an answer of the leader after which it counts as unknown.
 const SILENT: Duration = Duration::from_millis(800);
 
@@ -26,13 +29,16 @@
     leader: Option<(SocketAddr, Timestamp)>,
     pub(super) next: Timestamp,
     addresses: HashMap<NodeId, SocketAddr>,
+    /// When other nodes were heard last.
+    heard: HashMap<SocketAddr, Timestamp>,
 }
 
 impl Find {
     pub(super) fn new(options: &Options, now: Timestamp) -> Find {
         let own = options.address;
         let contacts = options.seeds.iter().copied().filter(|seed| *seed != own).collect();
-        Find { contacts, turn: 0, leader: None, next: now, addresses: HashMap::new() }
+        let (addresses, heard) = (HashMap::new(), HashMap::new());
+        Find { contacts, turn: 0, leader: None, next: now, addresses, heard }
     }
 
     /// A node has sent a message from its address.
@@ -46,6 +52,10 @@
         }
     }
 
+    pub(super) fn entry_heard(&mut self, address: SocketAddr, now: Timestamp) {
+        self.heard.insert(address, now);
+    }
+
     pub(super) fn address_of(&self, id: NodeId) -> Option<SocketAddr> {
         self.addresses.get(&id).copied()
     }
@@ -107,10 +117,42 @@
         }
     }
 
+    /// The connection to `address` is lost. If that was the leader, it is asked once more: without a listener its
+    /// process has ended and holds no lease.
+    pub(super) fn lose_leader(&mut self, address: SocketAddr, refused: bool) {
+        let led = self.raft.leader().and_then(|id| self.address_of(id)) == Some(address);
+        if led && refused {
+            log::warn!("E633 leader has ended leader={address}");
+            self.raft.leader_ended(self.clock.now);
+        } else if led {
+            let hello = Peer::Hello(self.hello());
+            self.send(address, hello);
+        }
+        self.find.lost(address);
+        self.find.next = self.clock.now;
+    }
+
+    /// Withdraws the volatile jobs of entries that are silent: their callers hand them in elsewhere.
+    pub(super) fn drop_silent_entries(&mut self) {
+        let now = self.clock.now;
+        let silent = |o: &Origin| match o {
+            Origin::Remote(address, _) => {
+                self.find.heard.get(address).is_none_or(|at| *at + ENTRY_SILENT < now)
+            }
+            Origin::Local(_) => false,
+        };
+        let silent: Vec<Origin> =
+            self.waiters.by_origin.keys().filter(|o| silent(o)).copied().collect();
+        for origin in silent {
+            self.on_withdraw(origin);
+        }
+    }
+
     pub(super) fn on_hello(&mut self, hello: Hello) {
         self.find.met(hello.node, hello.address);
         self.find.learn(self.options.address, hello.address);
         let address = hello.address;
+        self.find.entry_heard(address, self.clock.now);
         self.note_standby(hello);
         self.send_directory(address);
     }
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -1,8 +1,10 @@
 //! Requests at the leader.
 
+use std::{sync::Arc, time::Duration};
+
 use super::{Answer, Node, Origin};
 use crate::{
-    job::{JobId, JobSpec},
+    job::{JobId, JobSpec, Queue},
     message::{Refusal, Request},
     state::Command,
 };
@@ -16,7 +18,9 @@
     /// Serves a request. This node leads and no other leader can exist.
     pub(super) fn serve(&mut self, origin: Origin, request: Request) {
         let answer = match request {
-            Request::Submit { host, path, spec } => self.submit(origin, &host, &path, spec),
+            Request::Submit { host, path, spec, age } => {
+                self.submit(origin, &host, &path, spec, age)
+            }
             Request::Query { host, path } => Some(self.query(&host, &path)),
             Request::Cancel { host, path } => self.cancel(origin, &host, &path),
             Request::Configure(set) => {
@@ -45,6 +49,7 @@
         host: &str,
         path: &str,
         spec: JobSpec,
+        age: u32,
     ) -> Option<Answer> {
         let Some(queues) = &self.state.queues else { return Some(no_config()) };
         let Some((queue, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
@@ -64,12 +69,17 @@
             log::info!("E622 job refused job={id} queue={} reason={reason:?}", queue.name);
             return Some(Answer::Refused { retry: RETRY_OVERLOAD, reason });
         }
+        if spec.volatile {
+            let queue = queue.clone();
+            self.submit_volatile(origin, id, &queue, spec, age);
+            return None;
+        }
         let command = Command::Accept {
             id,
             queue: queue.name.clone(),
             pool: queue.pool.clone(),
             policy: queue.policy.clone(),
-            spec,
+            spec: Arc::new(spec),
             term: self.raft.term(),
         };
         self.waiters.submits.insert(id, vec![origin]);
@@ -77,6 +87,23 @@
         None
     }
 
+    /// Places a job whose caller waits for its end.
+    fn submit_volatile(
+        &mut self,
+        origin: Origin,
+        id: JobId,
+        queue: &Queue,
+        spec: JobSpec,
+        age: u32,
+    ) {
+        log::info!("E632 volatile job taken job={id} queue={} age_ms={age}", queue.name);
+        let (now, age) = (self.clock.now, Duration::from_millis(u64::from(age)));
+        let leading = self.leading.as_mut().expect("a serving node leads");
+        leading.submit(now, id, queue, &Arc::new(spec), age);
+        self.waiters.add_volatile(id, origin);
+        self.stirred = true;
+    }
+
     fn query(&self, host: &str, path: &str) -> Answer {
         let Some(queues) = &self.state.queues else { return no_config() };
         let Some((queue, rest)) = queues.route(host, path) else { return Answer::NoQueue };
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -30,6 +30,8 @@
 /// Time after the sending of a heartbeat, acknowledged by a majority, in which a leader may act. It is shorter than
 /// [`ELECTION_MIN`] by more than the drift of two clocks.
 pub const LEASE: Duration = Duration::from_millis(600);
+/// Spread of the elections after the process of the leader has ended; about two syncs.
+const ENDED_SPREAD: Duration = Duration::from_millis(40);
 /// Bytes of entries in one message.
 const APPEND_BYTES: usize = 256 * 1024;
 
@@ -270,6 +272,16 @@
         }
     }
 
+    /// The process of the leader has ended, so nothing stands against an election.
+    pub fn leader_ended(&mut self, now: Timestamp) {
+        if !self.is_leader() {
+            self.heard = Timestamp::ZERO;
+            self.leader = None;
+            let spread = ENDED_SPREAD.as_micros() as u64;
+            self.election = now + Duration::from_micros(self.rng.random_range(0..spread));
+        }
+    }
+
     fn reset_election(&mut self, now: Timestamp) {
         let spread = (ELECTION_MAX - ELECTION_MIN).as_micros() as u64;
         self.election = now + ELECTION_MIN + Duration::from_micros(self.rng.random_range(0..spread));
--- a/crates/figdeal-queue/src/state.rs
+++ b/crates/figdeal-queue/src/state.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -31,7 +32,7 @@
         /// Policy of its queue at this moment.
         policy: Policy,
         /// What to run.
-        spec: JobSpec,
+        spec: Arc<JobSpec>,
         /// Term of the leader, for the numbers of runs.
         term: Term,
     },
@@ -92,7 +93,7 @@
     /// Policy of its queue when it was accepted.
     pub policy: Policy,
     /// What to run.
-    pub spec: JobSpec,
+    pub spec: Arc<JobSpec>,
     /// Term in which it was accepted.
     pub term: Term,
     /// When it was accepted, in Unix milliseconds of the leader.
