Refuse volatile jobs early that would miss their goal

Change: priorities first, late jobs last; a job is refused at its arrival if the work before it takes longer than its slack, and in the queue once no start can meet its goal and no task has run.

--- a/crates/figdeal-core/src/time.rs
+++ b/crates/figdeal-core/src/time.rs
@@ -49,6 +49,14 @@
     }
 }
 
+impl Sub<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn sub(self, rhs: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_sub(rhs.as_micros() as u64))
+    }
+}
+
 impl Sub for Timestamp {
     type Output = Duration;
 
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     agent::AGENT_GONE,
-    job::{JobId, JobSpec, JobState, Queue, Resources, TaskId},
+    job::{JobId, JobSpec, JobState, Policy, Queue, Resources, TaskId},
     message::{Announce, Order, Orders, Report, Running, Worker},
     raft::Term,
     state::{Command, Job, State},
@@ -26,6 +26,7 @@
 mod report;
 mod worker;
 
+pub use admit::Rejection;
 use worker::Health;
 
 new_key_type! {
@@ -35,6 +36,10 @@
 
 /// Numbers of runs of a task that one term may use. The number of a run is unique without a record of the starts.
 const RUNS_PER_TERM: u64 = 1_000;
+/// Place of the steps that have missed their goal, after every priority.
+const LATE: u8 = 128;
+/// A late outcome is of use up to this many times the goal.
+const USEFUL: u64 = 3;
 /// Time in which a job may come again that an earlier leader has started. Callers send a job again after 1.3 s, and
 /// wait for an answer before that.
 const FOREIGN_RUNS: Duration = Duration::from_secs(10);
@@ -109,10 +114,27 @@
     after: Vec<u16>,
     /// Latest time to start a task of this step that still meets the goal.
     latest: Timestamp,
+    /// Its place among the ready steps.
+    class: u8,
+}
+
+/// How a volatile job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// All tasks are done.
+    Done,
+    /// A task has failed as often as its queue allows.
+    Failed,
+    /// It would miss its goal, and no task of it has started.
+    Refused,
+    /// It is of no use any more, and tasks of it may have run.
+    GivenUp,
 }
 
 /// How long a job may take.
 struct Goal {
+    /// 0 comes first.
+    priority: u8,
     /// The goal allows this many times the chain of work.
     stretch: f32,
     /// Milliseconds that it allows besides.
@@ -121,6 +143,12 @@
     age: Duration,
 }
 
+impl Goal {
+    fn new(policy: &Policy, age: Duration) -> Goal {
+        Goal { priority: policy.priority, stretch: policy.stretch, slack: policy.goal, age }
+    }
+}
+
 #[derive(Debug)]
 struct JobView {
     queue: String,
@@ -137,6 +165,10 @@
     steps: Vec<StepView>,
     started: bool,
     held: bool,
+    /// It has been at a leader before, so tasks of it may have run.
+    again: bool,
+    /// From then on its outcome is of no use.
+    expiry: Timestamp,
 }
 
 impl JobView {
@@ -155,7 +187,8 @@
     agents: SlotMap<AgentKey, AgentView>,
     by_address: HashMap<SocketAddr, AgentKey>,
     jobs: HashMap<JobId, JobView>,
-    ready: BTreeSet<(Timestamp, JobId, u16)>,
+    /// Steps with ready tasks: by priority, those that have missed their goal last, then by their latest start.
+    ready: BTreeSet<(u8, Timestamp, JobId, u16)>,
     /// Agents of earlier terms whose runs are not known yet.
     unresolved: BTreeSet<SocketAddr>,
     held: Vec<JobId>,
@@ -163,8 +196,8 @@
     orphans: BTreeMap<TaskId, (AgentKey, u64)>,
     /// Last numbers of the runs of volatile jobs that have ended, oldest first.
     past_runs: VecDeque<(JobId, u64)>,
-    /// Volatile jobs that have ended, with all tasks done or not.
-    finished: Vec<(JobId, bool)>,
+    /// Volatile jobs that have ended.
+    finished: Vec<(JobId, Finish)>,
     /// Commands that are not in the log yet belong to this batch.
     batch: u64,
     committed: u64,
@@ -222,7 +255,7 @@
     fn add_stored(&mut self, now: Timestamp, wall: u64, id: JobId, job: &Job, held: bool) {
         let age = Duration::from_millis(wall.saturating_sub(job.time));
         let base = self.term.saturating_sub(job.term) * RUNS_PER_TERM;
-        let goal = Goal { stretch: job.policy.stretch, slack: job.policy.goal, age };
+        let goal = Goal::new(&job.policy, age);
         let mut view = self.view(now, &job.queue, &job.pool, &job.spec, goal);
         view.base = base;
         view.attempts = job.policy.attempts;
@@ -251,7 +284,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let goal = Goal { stretch: queue.policy.stretch, slack: queue.policy.goal, age };
+        let goal = Goal::new(&queue.policy, age);
         let mut view = self.view(now, &queue.name, &queue.pool, spec, goal);
         let past = self.past_runs.iter().rev().find(|(job, _)| *job == id).map(|(_, run)| *run);
         // An earlier leader may have started runs of the same job, so its numbers are left out.
@@ -276,8 +309,7 @@
         let limit = (total as f64 * bias * f64::from(goal.stretch)) as u64 + u64::from(goal.slack);
         let latest = |chain: u64| {
             let slack = limit.saturating_sub((chain as f64 * bias) as u64);
-            let at = now + Duration::from_millis(slack);
-            Timestamp::from_micros(at.as_micros().saturating_sub(goal.age.as_micros() as u64))
+            now + Duration::from_millis(slack) - goal.age
         };
         let steps = spec.steps.iter().zip(&chains).map(|(step, chain)| StepView {
             tasks: vec![TaskState::Blocked; step.count as usize],
@@ -285,6 +317,7 @@
             open: step.count,
             after: step.after.clone(),
             latest: latest(*chain),
+            class: goal.priority.min(LATE - 1),
         });
         JobView {
             queue: queue.to_owned(),
@@ -297,6 +330,8 @@
             steps: steps.collect(),
             started: false,
             held: false,
+            again: !goal.age.is_zero(),
+            expiry: now + Duration::from_millis(limit * USEFUL) - goal.age,
         }
     }
 
@@ -362,7 +397,7 @@
                 }
             }
             if !step.ready.is_empty() {
-                self.ready.insert((step.latest, id, number as u16));
+                self.ready.insert((step.class, step.latest, id, number as u16));
             }
         }
     }
@@ -402,20 +437,20 @@
             return;
         }
         if job.spec.volatile && job.steps.iter().all(|s| s.open == 0) {
-            self.finish(task.job, true);
+            self.finish(task.job, Finish::Done);
         } else {
             self.unblock(task.job);
         }
     }
 
     /// Ends a volatile job.
-    fn finish(&mut self, id: JobId, done: bool) {
-        self.finished.push((id, done));
+    fn finish(&mut self, id: JobId, how: Finish) {
+        self.finished.push((id, how));
         self.ended(id);
     }
 
-    /// Takes the volatile jobs that have ended, with all tasks done or not.
-    pub fn take_finished(&mut self) -> Vec<(JobId, bool)> {
+    /// Takes the volatile jobs that have ended.
+    pub fn take_finished(&mut self) -> Vec<(JobId, Finish)> {
         std::mem::take(&mut self.finished)
     }
 
@@ -425,7 +460,7 @@
         let failures = job.failures.entry((task.step, task.index)).or_default();
         *failures += 1;
         match *failures >= job.attempts {
-            true => self.finish(task.job, false),
+            true => self.finish(task.job, Finish::Failed),
             false => self.requeue(task),
         }
     }
@@ -449,7 +484,7 @@
         }
         for (number, step) in job.steps.into_iter().enumerate() {
             let number = number as u16;
-            self.ready.remove(&(step.latest, id, number));
+            self.ready.remove(&(step.class, step.latest, id, number));
             for (index, state) in step.tasks.into_iter().enumerate() {
                 if let TaskState::Placed(key, run) = state {
                     let task = TaskId { job: id, step: number, index: index as u32 };
@@ -481,7 +516,7 @@
 
     /// Jobs that have not ended, and tasks that wait for room.
     pub fn load(&self) -> (usize, usize) {
-        let waiting = self.ready.iter().filter_map(|(_, id, step)| {
+        let waiting = self.ready.iter().filter_map(|(_, _, id, step)| {
             Some(self.jobs.get(id)?.steps[usize::from(*step)].ready.len())
         });
         (self.jobs.len(), waiting.sum())
@@ -587,6 +622,7 @@
             self.release(now);
         }
         self.stop_overruns(now);
+        self.shed(now);
     }
 
     /// When [`Dispatch::tick`] has something to do.
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -22,7 +22,7 @@
     pub fn place(&mut self, now: Timestamp) {
         let mut misses = 0;
         let mut cursor = self.ready.first().copied();
-        while let Some(key @ (_, id, number)) = cursor {
+        while let Some(key @ (_, _, id, number)) = cursor {
             if !self.place_step(now, id, number) {
                 misses += 1;
             }
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -1,10 +1,10 @@
 //! Committed entries, changes of the leader, and what goes to the log and out of it.
 
-use super::{Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode, no_leader};
+use super::{serve::RETRY_OVERLOAD, Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode, no_leader};
 use crate::{
-    dispatch::Dispatch,
+    dispatch::{Dispatch, Finish},
     job::JobState,
-    message::Peer,
+    message::{Peer, Refusal},
     raft::{Message, Payload, log::Position, log::Snapshot},
     state::{Batch, Change},
 };
@@ -144,10 +144,18 @@
         self.drop_silent_entries();
         let Some(leading) = &mut self.leading else { return };
         let finished = leading.take_finished();
-        for (id, done) in finished {
-            log::info!("E630 volatile job ended job={id} done={done}");
+        for (id, how) in finished {
+            log::info!("E630 volatile job ended job={id} how={how:?}");
             let waiters = self.waiters.take_volatile(id);
-            self.answer_all(Some(waiters), &Answer::Ended(done));
+            let answer = match how {
+                Finish::Done => Answer::Ended(true),
+                Finish::Failed => Answer::Ended(false),
+                Finish::Refused => {
+                    Answer::Refused { retry: RETRY_OVERLOAD, reason: Refusal::Overload }
+                }
+                Finish::GivenUp => Answer::Unclear,
+            };
+            self.answer_all(Some(waiters), &answer);
         }
         let Some(leading) = &mut self.leading else { return };
         if self.raft.is_serving(now) {
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -11,8 +11,8 @@
 
 /// Milliseconds after which a caller may try again without a configuration.
 const RETRY_CONFIG: u32 = 1_000;
-/// Milliseconds after which a caller may try again when the queue is full.
-const RETRY_OVERLOAD: u32 = 1_000;
+/// Milliseconds after which a caller may try again whose job has waited too long for room.
+pub(super) const RETRY_OVERLOAD: u32 = 1_000;
 
 impl Node {
     /// Serves a request. This node leads and no other leader can exist.
@@ -65,9 +65,18 @@
             return Some(Answer::Invalid);
         }
         let leading = self.leading.as_ref().expect("a serving node leads");
-        if let Some(reason) = leading.refusal(&queue.pool, &spec) {
-            log::info!("E622 job refused job={id} queue={} reason={reason:?}", queue.name);
-            return Some(Answer::Refused { retry: RETRY_OVERLOAD, reason });
+        let known = leading.state_of(id).is_some();
+        if age == 0
+            && !known
+            && let Some(rejection) = leading.rejection(queue, &spec)
+        {
+            let retry = rejection.retry.as_millis() as u32;
+            let reason = rejection.reason;
+            log::info!(
+                "E622 job refused job={id} queue={} reason={reason:?} retry_ms={retry}",
+                queue.name
+            );
+            return Some(Answer::Refused { retry, reason });
         }
         if spec.volatile {
             let queue = queue.clone();
