Let an agent take orders again after its dismissal

Cause: a leader that had dismissed an unreachable agent numbered its orders anew from 1 when it came back. Ruled out: leaked room at the leader, runs of unknown size at the agents. Change: the numbers start at the leader's clock.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -561,7 +561,8 @@
             grant: 0,
             heard: now,
             current: false,
-            number: 0,
+            // Rises over a dismissal, after which an agent still refuses the numbers of before.
+            number: now.as_micros(),
             received: None,
             events: VecDeque::new(),
             taken: 0,
