Shorten leases and elections and announce a new leader

Ruled out: lost capacity alone, since the runs were held back at a leader with six agents in reach. A new leader tells all nodes it knows; it refuses jobs that cannot outwait the agents that have not reported.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -27,26 +27,28 @@
 pub use start::Started;
 
 /// Time after the sending of a report in which the agent may act on the answer to it.
-pub const AGENT_LEASE: Duration = Duration::from_millis(1_200);
-/// Longest time for which a worker keeps runs without a renewal.
-pub const HOLD: Duration = Duration::from_millis(1_000);
+pub const AGENT_LEASE: Duration = Duration::from_millis(700);
+/// Time for which a worker keeps runs without a renewal. With [`AGENT_LEASE`] it outlasts an election, so runs survive a
+/// change of the leader.
+pub const HOLD: Duration = Duration::from_millis(600);
 /// Time after the last renewal, sent or not answered, in which every run has ended: [`HOLD`] by a clock that is 2%
 /// slow, and the 50 ms that ending a run takes.
-pub const LAPSE: Duration = Duration::from_millis(1_070);
-/// Time after the last report in which everything at an agent that is out of reach has ended.
-pub const AGENT_GONE: Duration = Duration::from_millis(2_370);
+pub const LAPSE: Duration = Duration::from_millis(662);
+/// Time after the last report in which everything at an agent that is out of reach has ended: [`AGENT_LEASE`] by a clock
+/// that is slow, and [`LAPSE`].
+pub const AGENT_GONE: Duration = Duration::from_millis(1_400);
 /// Time between two reports without news.
-const PING: Duration = Duration::from_millis(300);
+const PING: Duration = Duration::from_millis(200);
 /// Time between two announcements to find a leader.
-const SEARCH: Duration = Duration::from_millis(150);
+const SEARCH: Duration = Duration::from_millis(100);
 /// Shortest time between two announcements, for nodes that name each other as the leader.
 const ANNOUNCE_GAP: Duration = Duration::from_millis(50);
 /// Time after which events that the leader has not taken are sent again.
 const RESEND: Duration = Duration::from_millis(600);
 /// Time that a worker gets to list an end before the look at its runs returns.
-pub const LOOK_WAIT: Duration = Duration::from_millis(300);
+pub const LOOK_WAIT: Duration = Duration::from_millis(200);
 /// Time that a call to the worker may take beyond what it was asked to wait.
-pub const CALL_LIMIT: Duration = Duration::from_millis(350);
+pub const CALL_LIMIT: Duration = Duration::from_millis(300);
 /// Bits of the fence below the number of the enrolment, for the agent to raise it by itself.
 const FENCE_BITS: u32 = 12;
 
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -10,9 +10,9 @@
 /// Most ends that a worker lists at once.
 const END_PAGE: usize = 500;
 /// Time between two looks at a worker that does not answer.
-const RETRY: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(100);
 /// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
-const MUTE: Duration = Duration::from_millis(800);
+const MUTE: Duration = Duration::from_millis(700);
 
 /// How a run ended, in the words of the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/figdeal-queue/src/dispatch/admit.rs
+++ b/crates/figdeal-queue/src/dispatch/admit.rs
@@ -6,6 +6,7 @@
 
 use super::{AgentView, Dispatch, Finish, JobView, LATE};
 use crate::{
+    agent::AGENT_GONE,
     job::{JobId, JobSpec, Queue, Resources},
     message::Refusal,
 };
@@ -21,12 +22,14 @@
 
 /// Shortest time after which a refused job should come again.
 const RETRY_MIN: Duration = Duration::from_millis(200);
+/// Time in which agents in reach report to a new leader.
+const SETTLE: Duration = Duration::from_millis(150);
 /// Time after which a job that no worker can hold should come again, since workers may be added.
 const RETRY_LARGE: Duration = Duration::from_secs(5);
 
 impl Dispatch {
     /// Why a job should not be accepted, if so: no worker can hold a task, or a volatile job would miss its goal.
-    pub fn rejection(&self, queue: &Queue, spec: &JobSpec) -> Option<Rejection> {
+    pub fn rejection(&self, now: Timestamp, queue: &Queue, spec: &JobSpec) -> Option<Rejection> {
         let of_pool = |a: &&AgentView| a.worker.as_ref().is_some_and(|w| w.pool == queue.pool);
         let workers = self.agents.values().filter(of_pool).filter_map(|a| a.worker.as_ref());
         let rooms: Vec<Resources> = workers.map(|w| w.capacity).collect();
@@ -41,11 +44,20 @@
         let bias = self.bias.get(&queue.name).copied().unwrap_or(1.0);
         let chain = spec.chains().into_iter().max().unwrap_or(0) as f64 * bias;
         let slack = chain * f64::from(queue.policy.stretch - 1.0) + f64::from(queue.policy.goal);
-        let wait = self.backlog(queue) / cpu as f64;
+        let wait = self.backlog(queue) / cpu as f64 + self.held_for(now).as_millis() as f64;
         let retry = RETRY_MIN.max(Duration::from_secs_f64(wait / 1_000.0));
         (wait > slack).then_some(Rejection { reason: Refusal::Overload, retry })
     }
 
+    /// Time for which nothing starts, once the agents in reach have told what they run and others have not.
+    fn held_for(&self, now: Timestamp) -> Duration {
+        let settled = self.unresolved.is_empty() || now < self.since + SETTLE;
+        match settled {
+            true => Duration::ZERO,
+            false => (self.since + AGENT_GONE).since(now),
+        }
+    }
+
     /// Work that waits before a new job of the queue, in thousandths of a core times milliseconds.
     fn backlog(&self, queue: &Queue) -> f64 {
         let ahead = self.ready.iter().take_while(|(class, ..)| *class <= queue.policy.priority);
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -134,8 +134,9 @@
         let agents = leading.unresolved();
         self.leading = Some(leading);
         self.stirred = true;
-        for agent in agents {
-            self.send_directory(agent);
+        let nodes = self.find.contacts().to_vec();
+        for address in agents.into_iter().chain(nodes) {
+            self.send_directory(address);
         }
     }
 
--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -7,18 +7,18 @@
 use super::{Node, Options, Origin};
 use crate::{
     message::{Directory, Hello, Peer},
-    raft::NodeId,
+    raft::{NodeId, Term},
 };
 
 /// Time between two questions for the leader while none is known.
 const SEARCH: Duration = Duration::from_millis(50);
 /// Time between two greetings of the leader.
-const GREET: Duration = Duration::from_millis(300);
+const GREET: Duration = Duration::from_millis(200);
 /// Time without a greeting after which the volatile jobs of an entry are given up. Callers hand a job in again 1.3 s
 /// after they have lost its entry.
 const ENTRY_SILENT: Duration = Duration::from_millis(800);
 /// Time without an answer of the leader after which it counts as unknown.
-const SILENT: Duration = Duration::from_millis(800);
+const SILENT: Duration = Duration::from_millis(600);
 
 /// What a node knows of the others.
 #[derive(Debug)]
@@ -27,6 +27,8 @@
     turn: usize,
     /// The leader and when it answered last.
     leader: Option<(SocketAddr, Timestamp)>,
+    /// Newest term of a leader that was found.
+    term: Term,
     pub(super) next: Timestamp,
     addresses: HashMap<NodeId, SocketAddr>,
     /// When other nodes were heard last.
@@ -38,7 +40,7 @@
         let own = options.address;
         let contacts = options.seeds.iter().copied().filter(|seed| *seed != own).collect();
         let (addresses, heard) = (HashMap::new(), HashMap::new());
-        Find { contacts, turn: 0, leader: None, next: now, addresses, heard }
+        Find { contacts, turn: 0, leader: None, term: 0, next: now, addresses, heard }
     }
 
     /// A node has sent a message from its address.
@@ -60,6 +62,10 @@
         self.addresses.get(&id).copied()
     }
 
+    pub(super) fn contacts(&self) -> &[SocketAddr] {
+        &self.contacts
+    }
+
     fn learn(&mut self, own: SocketAddr, address: SocketAddr) {
         if address != own && !self.contacts.contains(&address) {
             self.contacts.push(address);
@@ -164,7 +170,8 @@
             self.find.met(member.id, member.address);
         }
         let now = self.clock.now;
-        if directory.serving {
+        if directory.serving && directory.term >= self.find.term {
+            self.find.term = directory.term;
             let before = self.find.leader.map(|(address, _)| address);
             if before != Some(directory.from) {
                 log::info!("E625 leader found leader={} term={}", directory.from, directory.term);
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -68,7 +68,7 @@
         let known = leading.state_of(id).is_some();
         if age == 0
             && !known
-            && let Some(rejection) = leading.rejection(queue, &spec)
+            && let Some(rejection) = leading.rejection(self.clock.now, queue, &spec)
         {
             let retry = rejection.retry.as_millis() as u32;
             let reason = rejection.reason;
