Add seeded runs over all decisions and tell the lives of a worker apart

Change: runs that the former life has not listed are settled by a look under a higher fence; ends are given up only after the worker's last answer came from the present life. A question for a job whose last end is being stored waits for that sync. tests/sim: nodes, disks, agents, workers, callers and faults in one thread, with four broken guards.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -141,6 +141,8 @@
     since: Timestamp,
     /// When the worker was first known to have it.
     confirmed: Option<Timestamp>,
+    /// The life of the worker that has listed it.
+    listed: Option<Life>,
     /// The start got no answer; a look under a higher fence decides.
     unclear: bool,
     /// When a stop was sent last.
@@ -328,14 +330,33 @@
         }
     }
 
-    /// Everything of the life before is over.
+    /// Every run that the life before has listed is over. A start that it has not listed may have reached the new one,
+    /// which a look under a higher fence tells.
     fn new_life(&mut self, now: Timestamp, born: Option<u64>) {
-        log::warn!("E706 worker has a new life born={born:?} lost_runs={}", self.runs.len());
+        let before = self.life;
         self.life += 1;
         self.born = born;
         self.worker = None;
-        self.lose_runs(now);
         self.hold.forget_worker();
+        let runs = std::mem::take(&mut self.runs);
+        let (lost, unclear): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            runs.into_iter().partition(|(_, run)| run.listed == Some(before));
+        log::warn!(
+            "E706 worker has a new life born={born:?} lost_runs={} unclear_runs={}",
+            lost.len(),
+            unclear.len()
+        );
+        for (task, run) in lost {
+            self.push_event(now, task, run.run, Ending::Lost, run.since);
+        }
+        self.runs = unclear;
+        for run in self.runs.values_mut() {
+            run.unclear = true;
+            run.confirmed = None;
+        }
+        if !self.runs.is_empty() {
+            self.raise_fence(now, self.fence + 1);
+        }
     }
 
     /// Reports every run as lost.
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -58,6 +58,9 @@
     /// Ends that are reported under these event numbers.
     open: std::collections::VecDeque<(u64, u64)>,
     taken: u64,
+    /// The last look was answered by the present life. Otherwise ends are not given up: a new life under the same
+    /// identity numbers its own from 1.
+    trusted: bool,
 }
 
 impl HoldState {
@@ -138,7 +141,8 @@
             self.hold.granted(now);
         }
         self.hold.number += 1;
-        let (number, fence, taken) = (self.hold.number, self.fence, self.hold.taken);
+        let taken = if self.hold.trusted { self.hold.taken } else { 0 };
+        let (number, fence) = (self.hold.number, self.fence);
         self.hold.calls.push((number, fence, now));
         self.hold.next = now + wait + CALL_LIMIT;
         let worker = self.worker_id();
@@ -152,6 +156,7 @@
         let (_, fence, sent) = self.hold.calls.swap_remove(at);
         let Some(held) = answer else {
             log::info!("E716 worker did not answer a look number={number}");
+            self.hold.trusted = false;
             self.hold.next = now + RETRY;
             return;
         };
@@ -165,6 +170,7 @@
             self.born = held.born;
         }
         self.hold.answered = Some(now);
+        self.hold.trusted = true;
         if self.hold.clock.is_none_or(|(_, clock)| clock <= held.clock) {
             self.hold.clock = Some((now, held.clock));
         }
@@ -217,6 +223,7 @@
                     fence,
                     since: now,
                     confirmed: Some(now),
+                    listed: Some(self.life),
                     unclear: false,
                     stopped: None,
                 };
@@ -231,6 +238,7 @@
         for (task, run) in &mut self.runs {
             if listed(*task, run.run) {
                 run.confirmed.get_or_insert(now);
+                run.listed = Some(self.life);
                 run.unclear = false;
                 continue;
             }
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -46,6 +46,7 @@
             fence,
             since: now,
             confirmed: None,
+            listed: None,
             unclear: false,
             stopped: None,
         });
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -509,6 +509,12 @@
         Some(if job.started { JobState::Running } else { JobState::Queued })
     }
 
+    /// Whether every task has ended and the entry that says so is on its way to the disks.
+    pub fn is_ending(&self, id: JobId) -> bool {
+        let ended = |t: &TaskState| matches!(t, TaskState::Ending | TaskState::Done);
+        self.jobs.get(&id).is_some_and(|job| job.steps.iter().flat_map(|s| &s.tasks).all(ended))
+    }
+
     /// Jobs of a queue of which no task has started.
     pub fn waiting(&self, queue: &str) -> u32 {
         self.jobs.values().filter(|j| !j.started && j.queue == queue).count() as u32
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -72,6 +72,8 @@
     submits: HashMap<JobId, Vec<Origin>>,
     cancels: HashMap<JobId, Vec<Origin>>,
     configs: Vec<(u64, Origin)>,
+    /// Questions for jobs whose last end is being stored.
+    queries: HashMap<JobId, Vec<Origin>>,
     /// Those of volatile jobs wait for the end.
     volatile: HashMap<JobId, Vec<Origin>>,
     by_origin: HashMap<Origin, JobId>,
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -77,12 +77,18 @@
                 self.answer_all(waiters, &Answer::Accepted);
             }
             Change::Done(task) => leading.done(task),
-            Change::Retry(task) => leading.retry(task),
+            Change::Retry(task) => {
+                leading.retry(task);
+                let queries = self.waiters.queries.remove(&task.job);
+                self.answer_all(queries, &Answer::State(JobState::Running));
+            }
             Change::Ended(id, state) => {
                 log::info!("E618 job ended job={id} state={state:?}");
                 leading.ended(id);
                 let waiters = self.waiters.cancels.remove(&id);
                 self.answer_all(waiters, &Answer::Cancelled);
+                let queries = self.waiters.queries.remove(&id);
+                self.answer_all(queries, &Answer::State(state));
             }
             Change::Missing(id) => {
                 let waiters = self.waiters.cancels.remove(&id);
@@ -120,6 +126,7 @@
                 // Their entries hand them in again at the next leader.
                 self.answer_all(Some(volatile), &no_leader());
                 let jobs = waiters.submits.into_values().chain(waiters.cancels.into_values());
+                let jobs = jobs.chain(waiters.queries.into_values());
                 let configs = waiters.configs.into_iter().map(|(_, origin)| origin);
                 let all = jobs.flatten().chain(configs).collect();
                 self.answer_all(Some(all), &Answer::Unclear);
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -21,7 +21,7 @@
             Request::Submit { host, path, spec, age } => {
                 self.submit(origin, &host, &path, spec, age)
             }
-            Request::Query { host, path } => Some(self.query(&host, &path)),
+            Request::Query { host, path } => self.query(origin, &host, &path),
             Request::Cancel { host, path } => self.cancel(origin, &host, &path),
             Request::Configure(set) => {
                 self.waiters.configs.push((set.version, origin));
@@ -113,15 +113,20 @@
         self.stirred = true;
     }
 
-    fn query(&self, host: &str, path: &str) -> Answer {
-        let Some(queues) = &self.state.queues else { return no_config() };
-        let Some((queue, rest)) = queues.route(host, path) else { return Answer::NoQueue };
+    fn query(&mut self, origin: Origin, host: &str, path: &str) -> Option<Answer> {
+        let Some(queues) = &self.state.queues else { return Some(no_config()) };
+        let Some((queue, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
+        let leading = self.leading.as_ref().expect("a serving node leads");
         if rest.is_empty() {
-            let leading = self.leading.as_ref().expect("a serving node leads");
-            return Answer::Waiting(leading.waiting(&queue.name));
+            return Some(Answer::Waiting(leading.waiting(&queue.name)));
+        }
+        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::NoJob) };
+        if leading.is_ending(id) {
+            // The outcome is known once the sync that is under way ends, a few milliseconds from now.
+            self.waiters.queries.entry(id).or_default().push(origin);
+            return None;
         }
-        let state = rest.parse().ok().and_then(|id| self.job_state(id));
-        state.map_or(Answer::NoJob, Answer::State)
+        Some(self.job_state(id).map_or(Answer::NoJob, Answer::State))
     }
 
     fn cancel(&mut self, origin: Origin, host: &str, path: &str) -> Option<Answer> {
--- /dev/null
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -0,0 +1,118 @@
+//! Randomised runs over all decisions together: log, state, placement, agents, with workers, callers and faults.
+//!
+//! Each seed gives one run that repeats. Every promise is judged by what callers and workers see. Runs in which a guard is
+//! broken on purpose show that the judge notices it.
+
+mod check;
+mod worker;
+mod world;
+
+use world::{Plan, Sabotage, World};
+
+/// Seeds of the runs in CI.
+const SEEDS: std::ops::Range<u64> = 0..24;
+/// Seeds that are tried until a broken guard shows.
+const SABOTAGE_SEEDS: std::ops::Range<u64> = 0..60;
+
+fn plan(seed: u64) -> Plan {
+    let sabotage = Sabotage::None;
+    Plan { seed, jobs: 150, volatile: 0.5, faults: 6, late: 0.0, sabotage }
+}
+
+thread_local! {
+    /// Time of the run on this thread, in microseconds, for the log.
+    static NOW: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
+}
+
+/// Shows the log of a run with its time if RUST_LOG asks for it.
+fn init_log() {
+    let mut builder = env_logger::Builder::from_default_env();
+    builder.format(|out, record| {
+        use std::io::Write;
+        let seconds = NOW.get() as f64 / 1e6;
+        writeln!(out, "{seconds:9.4} {} {}", record.level(), record.args())
+    });
+    // Another test of this process may have done so.
+    let _ = builder.try_init();
+}
+
+fn play(plan: Plan) -> (World, Vec<String>) {
+    init_log();
+    let mut world = World::new(plan);
+    world.play();
+    let broken = world.check.broken.clone();
+    (world, broken)
+}
+
+fn seeds(default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    // By hand: FIGDEAL_SIM_SEEDS=1000 runs the seeds up to 1000, FIGDEAL_SIM_ONLY=7 one of them.
+    let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
+    match (number("FIGDEAL_SIM_ONLY"), number("FIGDEAL_SIM_SEEDS")) {
+        (Some(seed), _) => seed..seed + 1,
+        (None, Some(count)) => 0..count,
+        (None, None) => default,
+    }
+}
+
+/// Guards against a path that serves nothing without any fault.
+#[test]
+fn calm_run_ends_every_job() {
+    let (world, broken) = play(Plan { faults: 0, ..plan(1) });
+    assert!(broken.is_empty(), "{broken:?}");
+    let ended = world.check.jobs.values().filter(|s| s.ended.is_some() || s.cancelled).count();
+    assert_eq!(ended, world.check.jobs.len());
+    assert!(world.check.start_count() >= 150);
+}
+
+/// Guards against lost jobs, double runs, exceeded room, false refusals and configurations that go back.
+#[test]
+fn promises_hold_under_faults() {
+    for seed in seeds(SEEDS) {
+        let (_, broken) = play(plan(seed));
+        assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+    }
+}
+
+/// Guards against a second run beside one that a worker carries out seconds after the order.
+#[test]
+fn promises_hold_with_late_orders() {
+    for seed in seeds(SEEDS) {
+        let (_, broken) = play(Plan { late: 0.04, ..plan(seed) });
+        assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+    }
+}
+
+fn assert_noticed(sabotage: Sabotage, rules: &[&str]) {
+    for seed in SABOTAGE_SEEDS {
+        let late = if sabotage == Sabotage::LaxWorkers { 0.05 } else { 0.0 };
+        let (_, broken) = play(Plan { sabotage, late, faults: 14, ..plan(seed) });
+        if broken.iter().any(|b| rules.iter().any(|rule| b.starts_with(rule))) {
+            return;
+        }
+    }
+    panic!("{sabotage:?} was not noticed");
+}
+
+/// Guards against a judge that does not see acknowledged state that a power loss takes away.
+#[test]
+fn skipped_sync_is_noticed() {
+    assert_noticed(Sabotage::SkipSync, &["LOST", "CONFIG", "TWICE", "UNASKED"]);
+}
+
+/// Guards against a judge that does not see late orders that are carried out.
+#[test]
+fn lax_workers_are_noticed() {
+    assert_noticed(Sabotage::LaxWorkers, &["TWICE", "LIMIT", "BUDGET"]);
+}
+
+/// Guards against a judge that does not see leases that last too long.
+#[test]
+fn slow_agents_are_noticed() {
+    assert_noticed(Sabotage::SlowAgents, &["TWICE", "LIMIT"]);
+}
+
+/// Guards against a judge that does not see a wiped voter that votes as if it remembered.
+#[test]
+fn kept_identity_is_noticed() {
+    assert_noticed(Sabotage::KeepIdentity, &["LOST", "CONFIG", "TWICE"]);
+}
--- /dev/null
+++ b/crates/figdeal-queue/tests/sim/worker.rs
@@ -0,0 +1,173 @@
+//! A stand-in for a worker: leases, fences, runs and ends as the platform describes them.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use figdeal_core::time::Timestamp;
+use figdeal_queue::{
+    agent::{Held, HoldCall, HoldEnd, StartCall, Started, StopCall},
+    job::{Resources, TaskId},
+    message::Obstacle,
+};
+
+/// Longest hold in milliseconds.
+const MAX_HOLD: u64 = 1_000;
+
+/// One run that has begun.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) run: u64,
+    pub(crate) end: Timestamp,
+    pub(crate) how: HoldEnd,
+    pub(crate) needs: Resources,
+}
+
+/// An end that has not been taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct End {
+    pub(crate) number: u64,
+    pub(crate) task: TaskId,
+    pub(crate) run: u64,
+    pub(crate) how: HoldEnd,
+    pub(crate) at: Timestamp,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) up: bool,
+    pub(crate) born: u64,
+    /// Zero of its clock.
+    start: Timestamp,
+    pub(crate) capacity: Resources,
+    pub(crate) runs: BTreeMap<TaskId, Run>,
+    pub(crate) ends: VecDeque<End>,
+    next: u64,
+    lease: u64,
+    /// When the lease ran out.
+    pub(crate) lapses: Vec<Timestamp>,
+    /// Tasks that have ended as done since the judge looked.
+    pub(crate) done: Vec<TaskId>,
+    fence: u64,
+    /// Highest run of a task that has ended or was stopped.
+    past: BTreeMap<TaskId, u64>,
+    /// Breaks the rule on fences and ends of holds, for a test that must notice it.
+    pub(crate) lax: bool,
+}
+
+impl Worker {
+    pub(crate) fn new(now: Timestamp, born: u64, cpu: u32) -> Worker {
+        Worker {
+            up: true,
+            born,
+            start: now,
+            capacity: Resources { cpu, memory: 100_000, gpu: 0 },
+            runs: BTreeMap::new(),
+            ends: VecDeque::new(),
+            next: 1,
+            lease: 0,
+            lapses: Vec::new(),
+            done: Vec::new(),
+            fence: 0,
+            past: BTreeMap::new(),
+            lax: false,
+        }
+    }
+
+    pub(crate) fn clock(&self, now: Timestamp) -> u64 {
+        now.since(self.start).as_millis() as u64
+    }
+
+    /// Ends what is due by now.
+    pub(crate) fn advance(&mut self, now: Timestamp) {
+        let due: Vec<TaskId> =
+            self.runs.iter().filter(|(_, r)| r.end <= now).map(|(t, _)| *t).collect();
+        for task in due {
+            let run = self.runs.remove(&task).unwrap();
+            self.end(run.end, task, run.run, run.how);
+        }
+        if self.lease > 0 && self.clock(now) >= self.lease {
+            self.lease = 0;
+            log::debug!("worker lease ran out born={}", self.born);
+            self.lapses.push(now);
+            for (task, run) in std::mem::take(&mut self.runs) {
+                self.end(now, task, run.run, HoldEnd::Lost);
+            }
+        }
+    }
+
+    fn end(&mut self, at: Timestamp, task: TaskId, run: u64, how: HoldEnd) {
+        log::debug!("worker lists end={} task={task} run={run} how={how:?}", self.next);
+        let past = self.past.entry(task).or_default();
+        *past = (*past).max(run);
+        if how == HoldEnd::Done {
+            self.done.push(task);
+        }
+        self.ends.push_back(End { number: self.next, task, run, how, at });
+        self.next += 1;
+    }
+
+    fn grant(&mut self, now: Timestamp, expiry: u64) {
+        let expiry = expiry.min(self.clock(now) + MAX_HOLD);
+        if expiry > self.clock(now) {
+            self.lease = self.lease.max(expiry);
+        }
+    }
+
+    /// Whether a start would begin a run, or why not.
+    pub(crate) fn check(&mut self, now: Timestamp, call: &StartCall) -> Started {
+        if self.runs.get(&call.task).is_some_and(|r| r.run == call.run) {
+            return Started::Yes;
+        }
+        let old = self.past.get(&call.task).is_some_and(|past| call.run <= *past);
+        let fenced = call.fence < self.fence || call.expiry <= self.clock(now);
+        if !self.lax && (fenced || old || self.runs.contains_key(&call.task)) {
+            return Started::No(Obstacle::Stale);
+        }
+        self.fence = self.fence.max(call.fence);
+        Started::Yes
+    }
+
+    /// Begins a run that [`Worker::check`] has allowed.
+    pub(crate) fn begin(&mut self, now: Timestamp, call: &StartCall, run: Run) {
+        self.grant(now, if self.lax { u64::MAX } else { call.expiry });
+        self.runs.insert(call.task, run);
+    }
+
+    pub(crate) fn stop(&mut self, now: Timestamp, call: &StopCall) {
+        if call.fence < self.fence {
+            return;
+        }
+        self.fence = call.fence;
+        let past = self.past.entry(call.task).or_default();
+        *past = (*past).max(call.run);
+        if self.runs.get(&call.task).is_some_and(|r| r.run == call.run) {
+            self.runs.remove(&call.task);
+            self.end(now, call.task, call.run, HoldEnd::Lost);
+        }
+    }
+
+    /// Renews the hold. Returns the ends that are taken note of, or nothing for a low fence.
+    pub(crate) fn hold(&mut self, now: Timestamp, call: &HoldCall) -> Option<Vec<End>> {
+        if call.fence < self.fence {
+            return None;
+        }
+        self.fence = call.fence;
+        if let Some(expiry) = call.expiry {
+            self.grant(now, expiry);
+        }
+        let mut taken = Vec::new();
+        while self.ends.front().is_some_and(|e| e.number <= call.taken) {
+            taken.extend(self.ends.pop_front());
+        }
+        Some(taken)
+    }
+
+    pub(crate) fn view(&self, now: Timestamp) -> Held {
+        Held {
+            clock: self.clock(now),
+            born: Some(self.born),
+            running: self.runs.iter().map(|(t, r)| (*t, r.run)).collect(),
+            ended: self.ends.iter().map(|e| (e.number, e.task, e.run, e.how)).collect(),
+        }
+    }
+}
