Say that a job has not run only if one leader had it

Cause: an entry that saw the leader change twice handed a job to the same leader twice. Ruled out: a refusal after a start at one leader. Change: answers of a former leader are ignored, and a refusal of a job that was handed over more than once becomes 504. Calls that the driver forgets expire; a new life always raises the fence.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -354,7 +354,8 @@
             run.unclear = true;
             run.confirmed = None;
         }
-        if !self.runs.is_empty() {
+        // A late call to the life before would give up ends of the new one, so it has to meet a higher fence.
+        if self.fence > 0 {
             self.raise_fence(now, self.fence + 1);
         }
     }
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -11,6 +11,8 @@
 const END_PAGE: usize = 500;
 /// Time between two looks at a worker that does not answer.
 const RETRY: Duration = Duration::from_millis(100);
+/// Time after which a call counts as unanswered even if the driver has not said so.
+const CALL_EXPIRY: Duration = Duration::from_millis(1_000);
 /// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
 const MUTE: Duration = Duration::from_millis(700);
 
@@ -110,6 +112,7 @@
             return;
         }
         self.hold.answered.get_or_insert(now);
+        self.hold.calls.retain(|(_, _, sent)| *sent + CALL_EXPIRY > now);
         self.check_lapse(now);
         if now >= self.hold.next && !self.hold.calls.iter().any(|(_, f, _)| *f == self.fence) {
             self.look(now, LOOK_WAIT);
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -319,6 +319,8 @@
     },
     /// The leader answers.
     Reply {
+        /// Who answers; an answer of a former leader does not count.
+        from: SocketAddr,
         /// Number of the request at its origin.
         token: u64,
         /// The answer.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -1,7 +1,7 @@
 //! One node: its replica of the log, the state, the placement while it leads, and the requests that it passes on.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -60,7 +60,7 @@
 }
 
 /// Who waits for an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Origin {
     Local(u64),
     Remote(SocketAddr, u64),
@@ -69,14 +69,14 @@
 /// Requests that wait for a commit.
 #[derive(Debug, Default)]
 struct Waiters {
-    submits: HashMap<JobId, Vec<Origin>>,
-    cancels: HashMap<JobId, Vec<Origin>>,
+    submits: BTreeMap<JobId, Vec<Origin>>,
+    cancels: BTreeMap<JobId, Vec<Origin>>,
     configs: Vec<(u64, Origin)>,
     /// Questions for jobs whose last end is being stored.
-    queries: HashMap<JobId, Vec<Origin>>,
+    queries: BTreeMap<JobId, Vec<Origin>>,
     /// Those of volatile jobs wait for the end.
-    volatile: HashMap<JobId, Vec<Origin>>,
-    by_origin: HashMap<Origin, JobId>,
+    volatile: BTreeMap<JobId, Vec<Origin>>,
+    by_origin: BTreeMap<Origin, JobId>,
 }
 
 impl Waiters {
@@ -118,8 +118,8 @@
     limit: Timestamp,
     /// A volatile job, which is handed in again at the next leader.
     again: Option<Request>,
-    /// It has been at a leader, so it may have run.
-    offered: bool,
+    /// How often it was handed to a leader.
+    offers: u32,
 }
 
 /// A node of the queue.
@@ -135,7 +135,7 @@
     /// Batches in the log that are not committed.
     batches: VecDeque<(Index, u64)>,
     waiters: Waiters,
-    forwards: HashMap<u64, Forwarded>,
+    forwards: BTreeMap<u64, Forwarded>,
     find: find::Find,
     group: group::Group,
     /// Stores that the driver has not reported.
@@ -171,7 +171,7 @@
             leading: None,
             batches: VecDeque::new(),
             waiters: Waiters::default(),
-            forwards: HashMap::new(),
+            forwards: BTreeMap::new(),
             storing: 0,
             stirred: false,
             closing: false,
@@ -248,7 +248,7 @@
             at: clock.now,
             limit: clock.now + limit,
             again: volatile.then(|| request.clone()),
-            offered: false,
+            offers: 0,
         };
         self.forwards.insert(token, forwarded);
         if !self.offer(token, request) && !volatile {
@@ -266,7 +266,7 @@
         };
         let (Some(to), Some(forwarded)) = (to, self.forwards.get_mut(&token)) else { return false };
         forwarded.to = Some(to);
-        forwarded.offered = true;
+        forwarded.offers += 1;
         match to == own {
             true => self.serve(Origin::Local(token), request),
             false => self.send(to, Peer::Forward { origin: own, token, request }),
@@ -374,11 +374,9 @@
                     false => self.answer(origin, no_leader()),
                 }
             }
-            Peer::Reply { token, answer } => {
-                let volatile = self.forwards.get(&token).is_some_and(|f| f.again.is_some());
-                match volatile && answer == no_leader() {
-                    true => self.forward_lost(token),
-                    false => self.answer(Origin::Local(token), answer),
+            Peer::Reply { from, token, answer } => {
+                if self.forwards.get(&token).is_some_and(|f| f.to == Some(from)) {
+                    self.answer(Origin::Local(token), answer);
                 }
             }
             Peer::Announce(announce) => {
@@ -415,14 +413,24 @@
     fn answer(&mut self, origin: Origin, answer: Answer) {
         match origin {
             Origin::Local(token) => {
-                let volatile = self.forwards.get(&token).is_some_and(|f| f.again.is_some());
+                let Some(forwarded) = self.forwards.get(&token) else { return };
+                let volatile = forwarded.again.is_some();
+                let refused = matches!(answer, Answer::Refused { .. });
                 if volatile && answer == no_leader() {
                     self.forward_lost(token);
-                } else if self.forwards.remove(&token).is_some() {
+                } else if refused && forwarded.offers > 1 {
+                    // Another leader may have started it, so it cannot be said that it has not run.
+                    self.drop_forward(token);
+                    self.actions.push(Action::Reply(token, Answer::Unclear));
+                } else {
+                    self.forwards.remove(&token);
                     self.actions.push(Action::Reply(token, answer));
                 }
             }
-            Origin::Remote(address, token) => self.send(address, Peer::Reply { token, answer }),
+            Origin::Remote(address, token) => {
+                let from = self.options.address;
+                self.send(address, Peer::Reply { from, token, answer });
+            }
         }
     }
 
@@ -435,7 +443,7 @@
         for (token, forwarded) in &self.forwards {
             if forwarded.limit <= now {
                 late.push(*token);
-            } else if forwarded.to.is_none() && !forwarded.offered && forwarded.at + FRESH_WAIT <= now {
+            } else if forwarded.to.is_none() && forwarded.offers == 0 && forwarded.at + FRESH_WAIT <= now {
                 stranded.push(*token);
             } else if forwarded.again.is_some() && current.is_some() && forwarded.to != current {
                 lost.push(*token);
@@ -443,7 +451,7 @@
         }
         for token in late {
             log::warn!("E614 no answer in time token={token} leader={current:?}");
-            let offered = self.forwards.get(&token).is_some_and(|f| f.offered);
+            let offered = self.forwards.get(&token).is_some_and(|f| f.offers > 0);
             self.drop_forward(token);
             let answer = if offered { Answer::Unclear } else { no_leader() };
             self.actions.push(Action::Reply(token, answer));
--- a/crates/figdeal-queue/src/state.rs
+++ b/crates/figdeal-queue/src/state.rs
@@ -1,7 +1,7 @@
 //! The replicated state: what the committed entries of the log add up to.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -147,9 +147,9 @@
     /// The configuration in force.
     pub queues: Option<QueueSet>,
     /// Jobs that have not ended.
-    pub jobs: HashMap<JobId, Job>,
+    pub jobs: BTreeMap<JobId, Job>,
     /// Jobs that have ended.
-    pub outcomes: HashMap<JobId, Outcome>,
+    pub outcomes: BTreeMap<JobId, Outcome>,
     /// Ended jobs in the order of their ends.
     ended: VecDeque<JobId>,
     /// Agents that may have started something.
@@ -230,7 +230,8 @@
             };
         }
         if run <= record.failed_run {
-            return None;
+            // A leader before has stored this failure, and the one that got the report again waits for its entry.
+            return Some(Change::Retry(task));
         }
         record.failed_run = run;
         record.failures += 1;
--- a/crates/figdeal-queue/tests/sim/check.rs
+++ b/crates/figdeal-queue/tests/sim/check.rs
@@ -1,6 +1,6 @@
 //! The promises, judged by what callers and workers see.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
@@ -33,12 +33,12 @@
 /// Everything that was seen.
 #[derive(Debug, Default)]
 pub(crate) struct Check {
-    pub(crate) jobs: HashMap<JobId, Sent>,
-    starts: HashMap<TaskId, Vec<Start>>,
-    done: HashSet<TaskId>,
+    pub(crate) jobs: BTreeMap<JobId, Sent>,
+    starts: BTreeMap<TaskId, Vec<Start>>,
+    done: BTreeSet<TaskId>,
     /// Tasks of which a run has ended as done, whether anybody knows or not.
-    pub(crate) ended: HashSet<TaskId>,
-    failed: HashMap<TaskId, HashSet<(usize, u64)>>,
+    pub(crate) ended: BTreeSet<TaskId>,
+    failed: BTreeMap<TaskId, BTreeSet<(usize, u64)>>,
     pub(crate) acknowledged: u64,
     pub(crate) broken: Vec<String>,
 }
@@ -61,7 +61,7 @@
         if !sent.spec.volatile && self.done.contains(&task) {
             self.fail("TWICE", format!("{task} starts after its end was stored, at {now:?}"));
         }
-        let failed = self.failed.get(&task).map_or(0, HashSet::len);
+        let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
         if !sent.spec.volatile && failed >= sent.attempts as usize {
             self.fail("BUDGET", format!("{task} starts after {failed} failures"));
         }
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -7,16 +7,18 @@
 mod worker;
 mod world;
 
-use world::{Plan, Sabotage, World};
+use world::{ALL_FAULTS, Plan, Sabotage, World};
 
 /// Seeds of the runs in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
+/// Seeds that have failed: runs of a new life of a worker, ends that an old look gave up, a failure reported twice.
+const REGRESSIONS: [u64; 6] = [5, 44, 63, 126, 149, 228];
 /// Seeds that are tried until a broken guard shows.
 const SABOTAGE_SEEDS: std::ops::Range<u64> = 0..60;
 
 fn plan(seed: u64) -> Plan {
     let sabotage = Sabotage::None;
-    Plan { seed, jobs: 150, volatile: 0.5, faults: 6, late: 0.0, sabotage }
+    Plan { seed, jobs: 150, volatile: 0.5, faults: 6, kinds: &ALL_FAULTS, late: 0.0, sabotage }
 }
 
 thread_local! {
@@ -44,13 +46,13 @@
     (world, broken)
 }
 
-fn seeds(default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+fn seeds() -> Vec<u64> {
     // By hand: FIGDEAL_SIM_SEEDS=1000 runs the seeds up to 1000, FIGDEAL_SIM_ONLY=7 one of them.
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
     match (number("FIGDEAL_SIM_ONLY"), number("FIGDEAL_SIM_SEEDS")) {
-        (Some(seed), _) => seed..seed + 1,
-        (None, Some(count)) => 0..count,
-        (None, None) => default,
+        (Some(seed), _) => vec![seed],
+        (None, Some(count)) => (0..count).collect(),
+        (None, None) => SEEDS.chain(REGRESSIONS).collect(),
     }
 }
 
@@ -67,7 +69,7 @@
 /// Guards against lost jobs, double runs, exceeded room, false refusals and configurations that go back.
 #[test]
 fn promises_hold_under_faults() {
-    for seed in seeds(SEEDS) {
+    for seed in seeds() {
         let (_, broken) = play(plan(seed));
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
     }
@@ -76,16 +78,16 @@
 /// Guards against a second run beside one that a worker carries out seconds after the order.
 #[test]
 fn promises_hold_with_late_orders() {
-    for seed in seeds(SEEDS) {
+    for seed in seeds() {
         let (_, broken) = play(Plan { late: 0.04, ..plan(seed) });
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
     }
 }
 
-fn assert_noticed(sabotage: Sabotage, rules: &[&str]) {
+fn assert_noticed(sabotage: Sabotage, kinds: &'static [u32], rules: &[&str]) {
     for seed in SABOTAGE_SEEDS {
         let late = if sabotage == Sabotage::LaxWorkers { 0.05 } else { 0.0 };
-        let (_, broken) = play(Plan { sabotage, late, faults: 14, ..plan(seed) });
+        let (_, broken) = play(Plan { sabotage, kinds, late, faults: 40, ..plan(seed) });
         if broken.iter().any(|b| rules.iter().any(|rule| b.starts_with(rule))) {
             return;
         }
@@ -96,23 +98,24 @@
 /// Guards against a judge that does not see acknowledged state that a power loss takes away.
 #[test]
 fn skipped_sync_is_noticed() {
-    assert_noticed(Sabotage::SkipSync, &["LOST", "CONFIG", "TWICE", "UNASKED"]);
+    assert_noticed(Sabotage::SkipSync, &ALL_FAULTS, &["LOST", "CONFIG", "TWICE", "UNASKED"]);
 }
 
 /// Guards against a judge that does not see late orders that are carried out.
 #[test]
 fn lax_workers_are_noticed() {
-    assert_noticed(Sabotage::LaxWorkers, &["TWICE", "LIMIT", "BUDGET"]);
+    assert_noticed(Sabotage::LaxWorkers, &ALL_FAULTS, &["TWICE", "LIMIT", "BUDGET"]);
 }
 
 /// Guards against a judge that does not see leases that last too long.
 #[test]
 fn slow_agents_are_noticed() {
-    assert_noticed(Sabotage::SlowAgents, &["TWICE", "LIMIT"]);
+    assert_noticed(Sabotage::SlowAgents, &ALL_FAULTS, &["TWICE", "LIMIT"]);
 }
 
 /// Guards against a judge that does not see a wiped voter that votes as if it remembered.
 #[test]
 fn kept_identity_is_noticed() {
-    assert_noticed(Sabotage::KeepIdentity, &["LOST", "CONFIG", "TWICE"]);
+    // Voters that are cut off miss entries, and then one that has them loses its disk.
+    assert_noticed(Sabotage::KeepIdentity, &[4, 4, 9], &["LOST", "CONFIG", "TWICE"]);
 }
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::SocketAddr,
     time::Duration,
 };
@@ -22,6 +22,8 @@
     worker::{Run, Worker},
 };
 
+/// Every kind of fault.
+pub(crate) const ALL_FAULTS: [u32; 10] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
 const POOL: &str = "pool";
 const HOST: &str = "host";
 const PREFIX: &str = "/q/";
@@ -29,6 +31,8 @@
 const STEP: Duration = Duration::from_millis(5);
 const BEAT: Duration = Duration::from_millis(1_500);
 const RESEND: Duration = Duration::from_millis(1_300);
+/// Time after the loss of a disk in which no other is lost.
+const WIPE_GAP: Duration = Duration::from_secs(4);
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
 /// A guard that is broken on purpose, to show that the run notices it.
@@ -50,7 +54,7 @@
     Deliver { from: SocketAddr, to: SocketAddr, peer: Box<Peer>, life: u64 },
     Stored { node: usize, life: u64, writes: usize, last: Position, after: Vec<(SocketAddr, Peer)> },
     Tick,
-    Call { agent: usize, life: u64, call: Call, late: bool },
+    Call { agent: usize, life: u64, call: Call, late: Option<u64> },
     Started { agent: usize, life: u64, call: StartCall, answer: Started },
     Held { agent: usize, life: u64, call: HoldCall, until: Timestamp },
     NotHeld { agent: usize, life: u64, number: u64 },
@@ -113,6 +117,8 @@
     /// Share of volatile jobs.
     pub(crate) volatile: f64,
     pub(crate) faults: u32,
+    /// Kinds of faults to draw from.
+    pub(crate) kinds: &'static [u32],
     /// Share of orders to workers that are carried out seconds later.
     pub(crate) late: f64,
     pub(crate) sabotage: Sabotage,
@@ -123,17 +129,19 @@
     now: Timestamp,
     rng: SmallRng,
     events: BinaryHeap<Reverse<(Timestamp, u64, usize)>>,
-    slots: HashMap<usize, Event>,
+    slots: BTreeMap<usize, Event>,
     next_event: usize,
     machines: Vec<Machine>,
     sides: Vec<Side>,
-    cut: HashSet<SocketAddr>,
+    cut: BTreeSet<SocketAddr>,
     links: BTreeMap<(SocketAddr, SocketAddr), Timestamp>,
-    questions: HashMap<u64, (Question, usize, Timestamp)>,
+    questions: BTreeMap<u64, (Question, usize, Timestamp)>,
     next_token: u64,
     pub(crate) check: Check,
     version: u64,
     quiet: bool,
+    /// When a disk was lost last.
+    wiped: Timestamp,
 }
 
 fn node_address(n: usize) -> SocketAddr {
@@ -151,17 +159,18 @@
             plan,
             now: Timestamp::from_micros(1_000_000),
             events: BinaryHeap::new(),
-            slots: HashMap::new(),
+            slots: BTreeMap::new(),
             next_event: 0,
             machines: Vec::new(),
             sides: Vec::new(),
-            cut: HashSet::new(),
+            cut: BTreeSet::new(),
             links: BTreeMap::new(),
-            questions: HashMap::new(),
+            questions: BTreeMap::new(),
             next_token: 1,
             check: Check::default(),
             version: 0,
             quiet: false,
+            wiped: Timestamp::ZERO,
         };
         for n in 0..5 {
             world.machines.push(Machine {
@@ -315,7 +324,11 @@
             Event::Stored { node, life, writes, last, after } => {
                 self.stored(node, life, writes, last, after);
             }
-            Event::Call { agent, life, call, late } => self.call(agent, life, call, late),
+            // A call that is carried out late ends with the life of the worker that has received it.
+            Event::Call { agent, late: Some(born), .. } if self.sides[agent].worker.born != born => {}
+            Event::Call { agent, life, call, late } => {
+                self.call(agent, life, call, late.is_some());
+            }
             Event::Started { agent: n, life, call, answer } if self.sides[n].frozen > self.now => {
                 let thaw = self.sides[n].frozen - self.now;
                 self.schedule(thaw, Event::Started { agent: n, life, call, answer });
@@ -328,6 +341,10 @@
                 self.drain_agent(agent);
             }
             Event::Held { agent, life, call, until } => self.held(agent, life, call, until),
+            Event::NotHeld { agent: n, life, number } if self.sides[n].frozen > self.now => {
+                let thaw = self.sides[n].frozen - self.now;
+                self.schedule(thaw, Event::NotHeld { agent: n, life, number });
+            }
             Event::NotHeld { agent, life, number } => {
                 let now = self.agent_now();
                 if let Some(agent) = self.agent(agent, life) {
@@ -542,10 +559,11 @@
                     self.schedule(limit, Event::Started { agent: n, life, call, answer });
                 }
                 let after = self.millis(2_000, 6_000);
+                let late = Some(self.sides[n].worker.born);
                 self.schedule(after, Event::Call { agent: n, life, call, late });
             } else {
                 let after = Duration::from_micros(self.rng.random_range(100..800));
-                self.schedule(after, Event::Call { agent: n, life, call, late });
+                self.schedule(after, Event::Call { agent: n, life, call, late: None });
             }
         }
     }
@@ -789,6 +807,7 @@
 
     /// Wipes the disk of a machine whose data others hold, one at a time.
     fn wipe(&mut self, n: usize) {
+        self.wiped = self.now;
         self.stop_node(n, true);
         let machine = &mut self.machines[n];
         machine.written.clear();
@@ -803,7 +822,7 @@
     fn fault(&mut self) {
         let n = self.rng.random_range(0..self.machines.len());
         let side = self.rng.random_range(0..self.sides.len());
-        let kind = self.rng.random_range(0..10);
+        let kind = self.plan.kinds[self.rng.random_range(0..self.plan.kinds.len())];
         log::debug!("fault kind={kind} node={n} side={side}");
         match kind {
             0 | 1 if self.machines[n].node.is_some() => {
@@ -852,9 +871,16 @@
             }
             _ => {
                 let whole = self.machines.iter().all(|m| m.node.is_some() && m.frozen <= self.now);
-                let voters = self.machines.iter().filter_map(|m| m.node.as_ref());
-                let settled = voters.filter(|n| n.is_serving()).any(|n| n.raft().members().len() == 3);
-                if whole && settled && self.cut.is_empty() && self.machines[n].disk {
+                let ids: Vec<NodeId> = self.machines.iter().map(|m| m.id).collect();
+                let leaders = self.machines.iter().filter_map(|m| m.node.as_ref());
+                let replaced = |n: &Node| {
+                    let members = n.raft().members();
+                    members.len() == 3 && members.iter().all(|m| ids.contains(&m.id))
+                };
+                // The loss of one disk is to be borne, the next one only after its replacement.
+                let settled = leaders.filter(|n| n.is_serving()).any(replaced)
+                    && self.wiped + WIPE_GAP <= self.now;
+                if whole && settled && self.machines[n].disk {
                     self.wipe(n);
                 }
             }
