--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -45,10 +45,13 @@
 const ANNOUNCE_GAP: Duration = Duration::from_millis(50);
 /// Time after which events that the leader has not taken are sent again.
 const RESEND: Duration = Duration::from_millis(600);
-/// Time that a worker gets to list an end before the look at its runs returns.
-pub const LOOK_WAIT: Duration = Duration::from_millis(200);
-/// Time that a call to the worker may take beyond what it was asked to wait.
-pub const CALL_LIMIT: Duration = Duration::from_millis(300);
+/// Time that a worker gets to list an end before the look at its runs returns. A look that gets no answer hides ends for
+/// this time and [`CALL_LIMIT`].
+pub const LOOK_WAIT: Duration = Duration::from_millis(60);
+/// Time that a call to the worker may take beyond what it was asked to wait; it runs on the same machine.
+pub const CALL_LIMIT: Duration = Duration::from_millis(60);
+/// Time after which a stop is sent again whose end is not listed.
+const STOP_RETRY: Duration = Duration::from_millis(200);
 /// Bits of the fence below the number of the enrolment, for the agent to raise it by itself.
 const FENCE_BITS: u32 = 12;
 
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -10,7 +10,7 @@
 /// Most ends that a worker lists at once.
 const END_PAGE: usize = 500;
 /// Time between two looks at a worker that does not answer.
-const RETRY: Duration = Duration::from_millis(100);
+const RETRY: Duration = Duration::from_millis(40);
 /// Time after which a call counts as unanswered even if the driver has not said so.
 const CALL_EXPIRY: Duration = Duration::from_millis(1_000);
 /// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -2,7 +2,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{Action, Agent, CALL_LIMIT, Run, StartCall, StopCall};
+use super::{Action, Agent, Run, STOP_RETRY, StartCall, StopCall};
 use crate::{
     job::{Resources, TaskId},
     message::{Ending, Life, Obstacle},
@@ -113,7 +113,7 @@
 
     /// Sends stops again whose end is not listed.
     pub(super) fn retry_stops(&mut self, now: Timestamp) {
-        let due = |run: &Run| run.stopped.is_some_and(|at| at + CALL_LIMIT < now);
+        let due = |run: &Run| run.stopped.is_some_and(|at| at + STOP_RETRY < now);
         let late: Vec<(TaskId, u64)> =
             self.runs.iter().filter(|(_, r)| due(r)).map(|(t, r)| (*t, r.run)).collect();
         for (task, run) in late {
