--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -101,8 +101,8 @@
     Blocked,
     Ready,
     Placed(AgentKey, u64),
-    /// It has ended, and the entry that says so is not committed yet.
-    Ending,
+    /// It has ended as done or not, and the entry that says so is not committed yet.
+    Ending(bool),
     Done,
 }
 
@@ -467,7 +467,7 @@
 
     /// A failed run was committed and the task may be tried again.
     pub fn retry(&mut self, task: TaskId) {
-        if self.task_mut(task).is_some_and(|state| *state == TaskState::Ending) {
+        if self.task_mut(task).is_some_and(|state| *state == TaskState::Ending(false)) {
             self.requeue(task);
         }
     }
@@ -511,7 +511,7 @@
 
     /// Whether every task has ended and the entry that says so is on its way to the disks.
     pub fn is_ending(&self, id: JobId) -> bool {
-        let ended = |t: &TaskState| matches!(t, TaskState::Ending | TaskState::Done);
+        let ended = |t: &TaskState| matches!(t, TaskState::Ending(_) | TaskState::Done);
         self.jobs.get(&id).is_some_and(|job| job.steps.iter().flat_map(|s| &s.tasks).all(ended))
     }
 
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -96,16 +96,18 @@
         self.learn(now, key, task, done, elapsed, placed);
         let Some(held) = self.task_mut(task) else { return false };
         match *held {
-            TaskState::Done | TaskState::Ending => return false,
+            TaskState::Done | TaskState::Ending(true) => return false,
+            // The end of an earlier run counts too if it has done the work.
+            TaskState::Ending(false) if !done => return false,
             TaskState::Placed(other, other_run) if (other, other_run) != (key, run) => {
                 // A run that was given up has ended after all; a failure of it no longer matters.
                 if !done {
                     return false;
                 }
-                *held = TaskState::Ending;
+                *held = TaskState::Ending(true);
                 self.order_stop(other, task, other_run);
             }
-            _ => *held = TaskState::Ending,
+            _ => *held = TaskState::Ending(done),
         }
         let mut volatile = false;
         if let Some(job) = self.jobs.get_mut(&task.job) {
