Shorten elections and leases once more and let new jobs wait briefly for a leader

Change: heartbeat 80 ms, election 330 to 500 ms, lease of a leader 290 ms, of an agent 550 ms, hold 500 ms; a new job waits for a leader for a share of its expected work in place of a fixed time.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -27,18 +27,18 @@
 pub use start::Started;
 
 /// Time after the sending of a report in which the agent may act on the answer to it.
-pub const AGENT_LEASE: Duration = Duration::from_millis(700);
+pub const AGENT_LEASE: Duration = Duration::from_millis(550);
 /// Time for which a worker keeps runs without a renewal. With [`AGENT_LEASE`] it outlasts an election, so runs survive a
 /// change of the leader.
-pub const HOLD: Duration = Duration::from_millis(600);
+pub const HOLD: Duration = Duration::from_millis(500);
 /// Time after the last renewal, sent or not answered, in which every run has ended: [`HOLD`] by a clock that is 2%
 /// slow, and the 50 ms that ending a run takes.
-pub const LAPSE: Duration = Duration::from_millis(662);
+pub const LAPSE: Duration = Duration::from_millis(560);
 /// Time after the last report in which everything at an agent that is out of reach has ended: [`AGENT_LEASE`] by a clock
 /// that is slow, and [`LAPSE`].
-pub const AGENT_GONE: Duration = Duration::from_millis(1_400);
+pub const AGENT_GONE: Duration = Duration::from_millis(1_150);
 /// Time between two reports without news.
-const PING: Duration = Duration::from_millis(200);
+const PING: Duration = Duration::from_millis(150);
 /// Time between two announcements to find a leader.
 const SEARCH: Duration = Duration::from_millis(100);
 /// Shortest time between two announcements, for nodes that name each other as the leader.
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -14,7 +14,7 @@
 /// Time after which a call counts as unanswered even if the driver has not said so.
 const CALL_EXPIRY: Duration = Duration::from_millis(1_000);
 /// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
-const MUTE: Duration = Duration::from_millis(700);
+const MUTE: Duration = Duration::from_millis(500);
 
 /// How a run ended, in the words of the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -48,7 +48,7 @@
 /// Time in which runs without a job are left alone, since their job may come back from its entry.
 const ORPHAN_WAIT: Duration = Duration::from_millis(500);
 /// Time without a report after which an agent gets no new tasks.
-const AGENT_SILENT: Duration = Duration::from_millis(450);
+const AGENT_SILENT: Duration = Duration::from_millis(350);
 /// Time between two searches for runs that take too long.
 const SWEEP: Duration = Duration::from_millis(50);
 /// A run is too long at this many times its estimate and [`OVERRUN_SLACK`].
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -25,8 +25,13 @@
 
 /// Time after which a request that was passed on counts as unanswered. Callers wait for 1.5 s.
 const FORWARD_LIMIT: Duration = Duration::from_millis(1_000);
-/// Time for which a new volatile job waits for a leader; a quarter of the shortest response-time goals.
-const FRESH_WAIT: Duration = Duration::from_millis(35);
+/// Share of its expected work for which a new volatile job waits for a leader. A response-time goal is at least the work,
+/// so this stays well under half of it.
+const FRESH_SHARE: f64 = 0.35;
+/// Time for which a new volatile job of any size waits for a leader.
+const FRESH_WAIT: Duration = Duration::from_millis(15);
+/// Time between two looks for a leader while requests wait for one.
+const OFFER_RETRY: Duration = Duration::from_millis(10);
 /// Bytes of entries after which the state is written and the entries before it are dropped.
 const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
 /// Milliseconds after which a caller may try again when no leader is in reach.
@@ -122,6 +127,17 @@
     offers: u32,
 }
 
+impl Forwarded {
+    /// How long it waits for a first leader.
+    fn fresh_wait(&self) -> Duration {
+        let chain = match &self.again {
+            Some(Request::Submit { spec, .. }) => spec.chains().into_iter().max().unwrap_or(0),
+            _ => 0,
+        };
+        FRESH_WAIT + Duration::from_millis(chain).mul_f64(FRESH_SHARE)
+    }
+}
+
 /// A node of the queue.
 #[derive(Debug)]
 pub struct Node {
@@ -213,7 +229,7 @@
     pub fn next_tick(&self) -> Timestamp {
         let mut next = self.raft.next_tick().min(self.find.next).min(self.group.next);
         if self.forwards.values().any(|f| f.to.is_none()) {
-            next = next.min(self.clock.now + FRESH_WAIT / 2);
+            next = next.min(self.clock.now + OFFER_RETRY);
         }
         if let Some(leading) = &self.leading {
             next = next.min(leading.next_tick());
@@ -443,7 +459,7 @@
         for (token, forwarded) in &self.forwards {
             if forwarded.limit <= now {
                 late.push(*token);
-            } else if forwarded.to.is_none() && forwarded.offers == 0 && forwarded.at + FRESH_WAIT <= now {
+            } else if forwarded.to.is_none() && forwarded.offers == 0 && forwarded.at + forwarded.fresh_wait() <= now {
                 stranded.push(*token);
             } else if forwarded.again.is_some() && current.is_some() && forwarded.to != current {
                 lost.push(*token);
--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -13,12 +13,12 @@
 /// Time between two questions for the leader while none is known.
 const SEARCH: Duration = Duration::from_millis(50);
 /// Time between two greetings of the leader.
-const GREET: Duration = Duration::from_millis(200);
+const GREET: Duration = Duration::from_millis(150);
 /// Time without a greeting after which the volatile jobs of an entry are given up. Callers hand a job in again 1.3 s
 /// after they have lost its entry.
 const ENTRY_SILENT: Duration = Duration::from_millis(800);
 /// Time without an answer of the leader after which it counts as unknown.
-const SILENT: Duration = Duration::from_millis(600);
+const SILENT: Duration = Duration::from_millis(450);
 
 /// What a node knows of the others.
 #[derive(Debug)]
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -21,15 +21,15 @@
 pub mod message;
 
 /// Time between two heartbeats of a leader.
-pub const HEARTBEAT: Duration = Duration::from_millis(100);
+pub const HEARTBEAT: Duration = Duration::from_millis(80);
 /// Shortest time without a leader after which a voter asks for votes. It exceeds [`LEASE`], the delay of a heartbeat
 /// and a pause of a processor whose share is used up.
-pub const ELECTION_MIN: Duration = Duration::from_millis(450);
+pub const ELECTION_MIN: Duration = Duration::from_millis(330);
 /// Longest such time; the spread keeps two voters from splitting the votes again and again.
-pub const ELECTION_MAX: Duration = Duration::from_millis(700);
+pub const ELECTION_MAX: Duration = Duration::from_millis(500);
 /// Time after the sending of a heartbeat, acknowledged by a majority, in which a leader may act. It is shorter than
 /// [`ELECTION_MIN`] by more than the drift of two clocks.
-pub const LEASE: Duration = Duration::from_millis(400);
+pub const LEASE: Duration = Duration::from_millis(290);
 /// Spread of the elections after the process of the leader has ended; about two syncs.
 const ENDED_SPREAD: Duration = Duration::from_millis(40);
 /// Bytes of entries in one message.
