--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -50,7 +50,9 @@
 pub fn run() -> Result<()> {
     let path = Settings::path()?;
     let settings = Settings::read(&path)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(main(path, settings))
 }
 
@@ -69,23 +71,36 @@
     );
     let links = Links::listen(own, events).await?;
     let sender = inputs.clone();
-    http::serve(control, closed.clone(), move |call| heartbeat(call, sender.clone())).await?;
+    http::serve(control, closed.clone(), move |call| {
+        heartbeat(call, sender.clone())
+    })
+    .await?;
     measure::start(settings.ip, closed).await?;
     watch_signals(path, settings.seeds.clone(), inputs.clone())?;
     let agent = Agent::new(own, session, settings.seeds);
-    let mut process = Process { agent, links, worker: Worker::new(worker), inputs };
+    let mut process = Process {
+        agent,
+        links,
+        worker: Worker::new(worker),
+        inputs,
+    };
     process.run(received, messages, settings.grace).await;
     log::info!("E721 stop name={}", settings.name);
     Ok(())
 }
 
 async fn heartbeat(call: Call, inputs: mpsc::Sender<Input>) -> Response {
-    let Some(id) = call.path.strip_prefix(INSTANCES) else { return Response::new(404) };
+    let Some(id) = call.path.strip_prefix(INSTANCES) else {
+        return Response::new(404);
+    };
     let input = match call.method.as_str() {
         "PUT" => match wire::heartbeat(id, &call.body) {
             Some(beat) => Input::Heartbeat(beat),
             None => {
-                log::info!("E722 heartbeat not readable worker={id} bytes={}", call.body.len());
+                log::info!(
+                    "E722 heartbeat not readable worker={id} bytes={}",
+                    call.body.len()
+                );
                 return Response::new(400);
             }
         },
@@ -216,17 +231,19 @@
                     });
                 }
                 Action::Start(call) => {
-                    metrics::counter!("figdeal_agent_starts_total").increment(1);
+                    metrics::counter!("figdeal_queue_starts_total").increment(1);
                     tokio::spawn(async move {
                         let answer = worker.call(wire::start(&call), CALL_LIMIT).await;
                         let started = answer.map_or(Started::Unclear, |(status, body)| {
                             wire::started(status, &body)
                         });
-                        let _ = inputs.send(Input::Started(call.task, call.run, started)).await;
+                        let _ = inputs
+                            .send(Input::Started(call.task, call.run, started))
+                            .await;
                     });
                 }
                 Action::Stop(call) => {
-                    metrics::counter!("figdeal_agent_stops_total").increment(1);
+                    metrics::counter!("figdeal_queue_stops_total").increment(1);
                     tokio::spawn(async move {
                         // Whether it was stopped shows in the list of ends; it is sent again until then.
                         worker.call(wire::stop(&call), CALL_LIMIT).await;
--- a/crates/figdeal-node/src/clock.rs
+++ b/crates/figdeal-node/src/clock.rs
@@ -20,6 +20,11 @@
 /// Both clocks.
 pub fn read() -> Clock {
     // A time of day before 1970 is no time at all; it only ages outcomes.
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Clock { now: now(), wall: wall.as_millis() as u64 }
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Clock {
+        now: now(),
+        wall: wall.as_millis() as u64,
+    }
 }
--- a/crates/figdeal-node/src/http.rs
+++ b/crates/figdeal-node/src/http.rs
@@ -124,9 +124,16 @@
 {
     let method = request.method().as_str().to_owned();
     let path = request.uri().path().to_owned();
-    let host = request.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|h| h.to_str().ok())
+        .unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
-    let patience = request.headers().get(PATIENCE).and_then(|v| v.to_str().ok()?.parse().ok());
+    let patience = request
+        .headers()
+        .get(PATIENCE)
+        .and_then(|v| v.to_str().ok()?.parse().ok());
     let patience = patience.map(Duration::from_millis);
     let body = match Limited::new(request.into_body(), MAX_BODY).collect().await {
         Ok(body) => body.to_bytes(),
@@ -135,7 +142,17 @@
             return render(Answer::new(413), closing);
         }
     };
-    render(handler(Call { method, host, path, patience, body }).await, closing)
+    render(
+        handler(Call {
+            method,
+            host,
+            path,
+            patience,
+            body,
+        })
+        .await,
+        closing,
+    )
 }
 
 fn render(answer: Answer, closing: &watch::Receiver<bool>) -> Response<Full<Bytes>> {
@@ -150,5 +167,7 @@
     if *closing.borrow() {
         builder = builder.header(CONNECTION, "close");
     }
-    builder.body(Full::from(answer.body)).expect("the parts of the response are valid")
+    builder
+        .body(Full::from(answer.body))
+        .expect("the parts of the response are valid")
 }
--- a/crates/figdeal-node/src/link.rs
+++ b/crates/figdeal-node/src/link.rs
@@ -112,21 +112,34 @@
     pub(crate) async fn listen(own: SocketAddr, events: mpsc::Sender<Event>) -> io::Result<Links> {
         let listener = TcpListener::bind(own).await?;
         let shared = Arc::new(Shared::default());
-        let links = Links { own, links: HashMap::new(), events, shared, retired: Vec::new() };
-        tokio::spawn(accept(listener, links.events.clone(), Arc::clone(&links.shared)));
+        let links = Links {
+            own,
+            links: HashMap::new(),
+            events,
+            shared,
+            retired: Vec::new(),
+        };
+        tokio::spawn(accept(
+            listener,
+            links.events.clone(),
+            Arc::clone(&links.shared),
+        ));
         Ok(links)
     }
 
     /// Sends a message, over a new connection if there is none.
     pub(crate) fn send(&mut self, to: SocketAddr, peer: Peer) {
-        let open = self.links.get(&to).is_some_and(|link| !link.queue.is_closed());
+        let open = self
+            .links
+            .get(&to)
+            .is_some_and(|link| !link.queue.is_closed());
         if !open {
             let link = self.dial(to);
             self.links.insert(to, link);
         }
         if self.links[&to].queue.try_send(peer).is_err() {
             log::warn!("E652 message dropped peer={to}");
-            metrics::counter!("figdeal_link_drops_total").increment(1);
+            metrics::counter!("figdeal_queue_link_drops_total").increment(1);
         }
     }
 
@@ -140,7 +153,10 @@
     /// Forgets a lost connection. Returns whether it was the one in use.
     pub(crate) fn lost(&mut self, address: SocketAddr, number: u64) -> bool {
         self.retired.retain(|link| link.number != number);
-        let used = self.links.get(&address).is_some_and(|link| link.number == number);
+        let used = self
+            .links
+            .get(&address)
+            .is_some_and(|link| link.number == number);
         if used {
             self.links.remove(&address);
         }
@@ -155,7 +171,20 @@
         let (events, own) = (self.events.clone(), self.own);
         tokio::spawn(async move {
             match timeout(CONNECT_LIMIT, TcpStream::connect(to)).await {
-                Ok(Ok(stream)) => run(stream, Peering { peer: to, number, traffic }, Some(own), waiting, events).await,
+                Ok(Ok(stream)) => {
+                    run(
+                        stream,
+                        Peering {
+                            peer: to,
+                            number,
+                            traffic,
+                        },
+                        Some(own),
+                        waiting,
+                        events,
+                    )
+                    .await
+                }
                 Ok(Err(e)) => {
                     let refused = e.kind() == io::ErrorKind::ConnectionRefused;
                     lose(to, number, refused, &events, &e.to_string()).await;
@@ -176,7 +205,13 @@
 ) {
     log::info!("E653 connection lost peer={peer} reason={reason:?}");
     // The process ends when nobody takes events any more.
-    let _ = events.send(Event::Lost { peer, number, refused }).await;
+    let _ = events
+        .send(Event::Lost {
+            peer,
+            number,
+            refused,
+        })
+        .await;
 }
 
 async fn accept(listener: TcpListener, events: mpsc::Sender<Event>, shared: Arc<Shared>) {
@@ -200,7 +235,18 @@
             let (number, traffic) = (shared.number(), shared.traffic(peer));
             let link = Link { number, queue };
             if events.send(Event::Accepted(peer, link)).await.is_ok() {
-                run(stream, Peering { peer, number, traffic }, None, waiting, events).await;
+                run(
+                    stream,
+                    Peering {
+                        peer,
+                        number,
+                        traffic,
+                    },
+                    None,
+                    waiting,
+                    events,
+                )
+                .await;
             }
         });
     }
@@ -228,7 +274,11 @@
     waiting: mpsc::Receiver<Peer>,
     events: mpsc::Sender<Event>,
 ) {
-    let Peering { peer, number, traffic } = peering;
+    let Peering {
+        peer,
+        number,
+        traffic,
+    } = peering;
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT));
     if let Some(own) = greeting {
@@ -284,7 +334,9 @@
 }
 
 fn split(buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
-    let Some(header) = buffer.get(..4) else { return Ok(None) };
+    let Some(header) = buffer.get(..4) else {
+        return Ok(None);
+    };
     let length = u32::from_le_bytes(header.try_into().expect("four bytes")) as usize;
     if length > MAX_FRAME {
         return Err(io::Error::other("the message is too long"));
@@ -310,7 +362,9 @@
             append(&mut bytes, &peer)?;
         }
         let now = clock::now().as_micros();
-        let _ = traffic.unanswered.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        let _ = traffic
+            .unanswered
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
         output.write_all(&bytes).await?;
         bytes.clear();
     }
--- a/crates/figdeal-node/src/measure.rs
+++ b/crates/figdeal-node/src/measure.rs
@@ -15,7 +15,10 @@
 ///
 /// # Errors
 /// Fails when the port cannot be listened on or another recorder is installed.
-pub(crate) async fn start(ip: std::net::IpAddr, closing: watch::Receiver<bool>) -> crate::Result<()> {
+pub(crate) async fn start(
+    ip: std::net::IpAddr,
+    closing: watch::Receiver<bool>,
+) -> crate::Result<()> {
     let builder = PrometheusBuilder::new().set_buckets(&BUCKETS)?;
     let handle = builder.install_recorder()?;
     let address = SocketAddr::new(ip, METRICS_PORT);
--- a/crates/figdeal-node/src/output.rs
+++ b/crates/figdeal-node/src/output.rs
@@ -44,12 +44,12 @@
     /// Writes what has been collected.
     fn drain(&self) {
         let buffer = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        if buffer.dropped > 0 {
+            log::warn!("E650 log lines dropped count={}", buffer.dropped);
+        }
         let mut out = io::stdout().lock();
         // Without a reader of the log there is nowhere to report the failure.
         let _ = out.write_all(&buffer.bytes);
-        if buffer.dropped > 0 {
-            let _ = writeln!(out, "E650 log lines dropped count={}", buffer.dropped);
-        }
         let _ = out.flush();
     }
 }
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -3,16 +3,13 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{Arc, atomic::AtomicBool, atomic::Ordering, mpsc as disk},
     thread,
     time::Duration,
 };
 
-use figdeal_platform::{
-    Response, ingress, operator,
-    settings::Settings,
-};
+use figdeal_platform::{Response, ingress, operator, settings::Settings};
 use figdeal_queue::{
     message::{Answer, Peer, Request},
     node::{Action, Clock, Node, Options},
@@ -95,7 +92,9 @@
 pub fn run() -> Result<()> {
     let path = Settings::path()?;
     let settings = Settings::read(&path)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(main(path, settings))
 }
 
@@ -105,9 +104,9 @@
     let (closing, closed) = watch::channel(false);
     let own = SocketAddr::new(settings.ip, settings.node_port);
     log::info!(
-        "E662 start name={} address={own} zone={} disk={} bootstrap={} seeds={:?}",
+        "E662 start name={} address={own} data_centre={} disk={} bootstrap={} seeds={:?}",
         settings.name,
-        settings.zone,
+        settings.data_centre,
         settings.folder.is_some(),
         settings.bootstrap,
         settings.seeds
@@ -152,7 +151,7 @@
     };
     let options = Options {
         address: own,
-        zone: settings.zone.clone(),
+        data_centre: settings.data_centre.clone(),
         disk: settings.folder.is_some(),
         bootstrap: settings.bootstrap,
         seeds: settings.seeds.clone(),
@@ -160,7 +159,10 @@
     };
     let now = clock::read();
     let last = content.log.last_index();
-    log::info!("E664 storage opened node={id} term={} last={last}", content.hard.term);
+    log::info!(
+        "E664 storage opened node={id} term={} last={last}",
+        content.hard.term
+    );
     let raft = Raft::new(id, content.hard, content.log, now.now, rand::random());
     Ok((Node::new(options, raft, content.snapshot, now)?, jobs))
 }
@@ -172,7 +174,10 @@
         while let Ok(job) = waiting.try_recv() {
             jobs.push(job);
         }
-        let writes: Vec<Write> = jobs.iter_mut().flat_map(|j| std::mem::take(&mut j.writes)).collect();
+        let writes: Vec<Write> = jobs
+            .iter_mut()
+            .flat_map(|j| std::mem::take(&mut j.writes))
+            .collect();
         if !writes.is_empty() {
             let start = clock::now();
             if let Err(e) = store.write(&writes) {
@@ -182,10 +187,13 @@
                 std::process::exit(1);
             }
             let took = clock::now().since(start).as_secs_f64();
-            metrics::histogram!("figdeal_store_seconds").record(took);
+            metrics::histogram!("figdeal_queue_store_seconds").record(took);
         }
         for job in jobs {
-            if inputs.blocking_send(Input::Stored(job.last, job.after)).is_err() {
+            if inputs
+                .blocking_send(Input::Stored(job.last, job.after))
+                .is_err()
+            {
                 return;
             }
         }
@@ -193,7 +201,7 @@
 }
 
 async fn serve(
-    path: &PathBuf,
+    path: &Path,
     settings: &Settings,
     inputs: &mpsc::Sender<Input>,
     closed: &watch::Receiver<bool>,
@@ -201,7 +209,10 @@
 ) -> Result<()> {
     let callers = Settings::require(path, settings.callers, "callers")?;
     let sender = inputs.clone();
-    http::serve(callers, closed.clone(), move |call| caller(call, sender.clone())).await?;
+    http::serve(callers, closed.clone(), move |call| {
+        caller(call, sender.clone())
+    })
+    .await?;
     if let Some(address) = settings.ready {
         let ready = Arc::clone(ready);
         // The balancer asks to the end, so this listener does not close its connections.
@@ -219,7 +230,10 @@
     }
     if let Some(address) = settings.control {
         let sender = inputs.clone();
-        http::serve(address, closed.clone(), move |call| operator(call, sender.clone())).await?;
+        http::serve(address, closed.clone(), move |call| {
+            operator(call, sender.clone())
+        })
+        .await?;
     }
     Ok(())
 }
@@ -232,10 +246,17 @@
         ingress::Call::Unsupported(feature) => {
             log::info!("E666 job refused path={} unsupported={feature}", call.path);
             let reason = figdeal_queue::message::Refusal::Unsupported;
-            Answer::Refused { retry: 1_000, reason }
+            Answer::Refused {
+                retry: 1_000,
+                reason,
+            }
         }
         ingress::Call::Invalid => {
-            log::info!("E667 request not readable path={} bytes={}", call.path, call.body.len());
+            log::info!(
+                "E667 request not readable path={} bytes={}",
+                call.path,
+                call.body.len()
+            );
             Answer::Invalid
         }
         ingress::Call::NoMethod => return Response::new(405),
@@ -251,9 +272,9 @@
             took.as_millis()
         );
     }
-    metrics::counter!("figdeal_requests_total", "status" => response.status.to_string())
+    metrics::counter!("figdeal_queue_requests_total", "status" => response.status.to_string())
         .increment(1);
-    metrics::histogram!("figdeal_request_seconds").record(took.as_secs_f64());
+    metrics::histogram!("figdeal_queue_request_seconds").record(took.as_secs_f64());
     response
 }
 
@@ -273,25 +294,37 @@
         _ => return Response::new(405),
     };
     let answer = ask(request, call.patience, &inputs).await;
-    log::info!("E670 operator request method={} status={}", call.method, ingress::encode(&answer).status);
+    log::info!(
+        "E670 operator request method={} status={}",
+        call.method,
+        ingress::encode(&answer).status
+    );
     ingress::encode(&answer)
 }
 
-async fn ask(
-    request: Request,
-    patience: Option<Duration>,
-    inputs: &mpsc::Sender<Input>,
-) -> Answer {
+async fn ask(request: Request, patience: Option<Duration>, inputs: &mpsc::Sender<Input>) -> Answer {
     let (sender, answer) = oneshot::channel();
-    let overload = Answer::Refused { retry: 1_000, reason: figdeal_queue::message::Refusal::Overload };
+    let overload = Answer::Refused {
+        retry: 1_000,
+        reason: figdeal_queue::message::Refusal::Overload,
+    };
     // Numbers of two processes at the same address must differ.
     let token = rand::random();
     let patience = patience.unwrap_or(PATIENCE);
-    let asked = Asked { token, request, patience, answer: sender };
+    let asked = Asked {
+        token,
+        request,
+        patience,
+        answer: sender,
+    };
     if inputs.try_send(Input::Request(asked)).is_err() {
         return overload;
     }
-    let mut waiting = Waiting { token, inputs: inputs.clone(), answered: false };
+    let mut waiting = Waiting {
+        token,
+        inputs: inputs.clone(),
+        answered: false,
+    };
     let answer = answer.await.unwrap_or(Answer::Unclear);
     waiting.answered = true;
     answer
@@ -311,7 +344,9 @@
 fn watch_settings(path: PathBuf, first: Settings, inputs: mpsc::Sender<Input>) {
     tokio::spawn(async move {
         let mut held = first;
-        let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+        let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+            return;
+        };
         loop {
             tokio::select! {
                 _ = hangup.recv() => {}
@@ -354,7 +389,11 @@
         loop {
             let now = clock::now();
             let wait = self.node.next_tick().since(now);
-            let wait = if end.is_some() { wait.min(IDLE_CHECK) } else { wait };
+            let wait = if end.is_some() {
+                wait.min(IDLE_CHECK)
+            } else {
+                wait
+            };
             tokio::select! {
                 Some(input) = inputs.recv() => {
                     if matches!(input, Input::Close) {
@@ -410,7 +449,8 @@
         match input {
             Input::Request(asked) => {
                 self.answers.insert(asked.token, asked.answer);
-                self.node.request(clock, asked.token, asked.request, asked.patience);
+                self.node
+                    .request(clock, asked.token, asked.request, asked.patience);
             }
             Input::Withdrawn(token) => {
                 self.answers.remove(&token);
@@ -432,7 +472,11 @@
         match event {
             Event::Message(peer) => self.node.on_peer(clock, peer),
             Event::Accepted(address, link) => self.links.accepted(address, link),
-            Event::Lost { peer, number, refused } => {
+            Event::Lost {
+                peer,
+                number,
+                refused,
+            } => {
                 if self.links.lost(peer, number) {
                     self.node.link_lost(clock, peer, refused);
                 }
@@ -458,9 +502,16 @@
                     Action::Send(to, peer) => self.send(clock, to, peer),
                     Action::Reply(token, answer) => {
                         // A caller that has left does not take its answer.
-                        let _ = self.answers.remove(&token).map(|sender| sender.send(answer));
+                        let _ = self
+                            .answers
+                            .remove(&token)
+                            .map(|sender| sender.send(answer));
                     }
-                    Action::Store { writes, last, after } => self.store(writes, last, after),
+                    Action::Store {
+                        writes,
+                        last,
+                        after,
+                    } => self.store(writes, last, after),
                 }
             }
         }
@@ -468,10 +519,20 @@
 
     fn store(&mut self, writes: Vec<Write>, last: Position, after: Vec<(SocketAddr, Peer)>) {
         let Some(jobs) = &self.jobs else {
-            log::warn!("E673 records for a node without a disk ignored records={}", writes.len());
+            log::warn!(
+                "E673 records for a node without a disk ignored records={}",
+                writes.len()
+            );
             return;
         };
-        if jobs.send(Job { writes, last, after }).is_err() {
+        if jobs
+            .send(Job {
+                writes,
+                last,
+                after,
+            })
+            .is_err()
+        {
             log::error!("E674 disk thread has ended");
         }
     }
--- a/crates/figdeal-node/src/store.rs
+++ b/crates/figdeal-node/src/store.rs
@@ -105,7 +105,9 @@
         for entry in fs::read_dir(folder).map_err(failed("listing", folder))? {
             let entry = entry.map_err(failed("listing", folder))?;
             let name = entry.file_name();
-            let number = name.to_str().and_then(|n| n.strip_prefix("log-")?.parse::<u64>().ok());
+            let number = name
+                .to_str()
+                .and_then(|n| n.strip_prefix("log-")?.parse::<u64>().ok());
             numbers.extend(number);
         }
         numbers.sort_unstable();
@@ -134,7 +136,8 @@
             .open(&path)
             .map_err(failed("opening", &path))?;
         let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(failed("reading", &path))?;
+        file.read_to_end(&mut bytes)
+            .map_err(failed("reading", &path))?;
         let (mut id, mut content) = (None, Content::default());
         let mut rest = &bytes[..];
         while let Some((record, after)) = split(rest) {
@@ -158,7 +161,16 @@
             file.sync_data().map_err(failed("sync", &path))?;
         }
         let hard = content.hard;
-        Ok((Store { folder: folder.to_owned(), number, file, id, hard }, content))
+        Ok((
+            Store {
+                folder: folder.to_owned(),
+                number,
+                file,
+                id,
+                hard,
+            },
+            content,
+        ))
     }
 
     /// Writes a new file under a temporary name and makes it the current one.
@@ -182,9 +194,17 @@
         fs::rename(&draft, &path).map_err(failed("renaming", &path))?;
         let directory = File::open(folder).map_err(failed("opening", folder))?;
         directory.sync_all().map_err(failed("sync", folder))?;
-        let file =
-            OpenOptions::new().append(true).open(&path).map_err(failed("opening", &path))?;
-        Ok(Store { folder: folder.to_owned(), number, file, id, hard })
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&path)
+            .map_err(failed("opening", &path))?;
+        Ok(Store {
+            folder: folder.to_owned(),
+            number,
+            file,
+            id,
+            hard,
+        })
     }
 
     /// Stores records and syncs them.
@@ -199,7 +219,9 @@
         let mut bytes = Vec::new();
         self.encode_all(writes, &mut bytes);
         let path = path_of(&self.folder, self.number);
-        self.file.write_all(&bytes).map_err(failed("writing", &path))?;
+        self.file
+            .write_all(&bytes)
+            .map_err(failed("writing", &path))?;
         self.file.sync_data().map_err(failed("sync", &path))
     }
 
--- a/crates/figdeal-node/src/worker.rs
+++ b/crates/figdeal-node/src/worker.rs
@@ -39,7 +39,11 @@
             .pool_idle_timeout(None)
             .pool_max_idle_per_host(IDLE)
             .build(connector);
-        Worker { address, client, calls: Arc::new(Semaphore::new(CALLS)) }
+        Worker {
+            address,
+            client,
+            calls: Arc::new(Semaphore::new(CALLS)),
+        }
     }
 
     /// Makes a call. Returns status and body, or nothing without an answer in time.
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -14,8 +14,7 @@
 use crate::{
     job::{Resources, TaskId},
     message::{
-        Announce, Directory, Ending, Event, Life, Order, Orders, Peer, Report, Running,
-        Worker,
+        Announce, Directory, Ending, Event, Life, Order, Orders, Peer, Report, Running, Worker,
     },
     raft::Term,
 };
@@ -232,7 +231,9 @@
 
     /// Whether a leader stands behind this agent.
     pub fn is_leased(&self, now: Timestamp) -> bool {
-        self.lease.as_ref().is_some_and(|l| l.start + AGENT_LEASE > now)
+        self.lease
+            .as_ref()
+            .is_some_and(|l| l.start + AGENT_LEASE > now)
     }
 
     /// Number of runs that may be on the worker.
@@ -286,7 +287,10 @@
         if !same {
             let older = beat.born.is_some() && self.born.is_some() && beat.born < self.born;
             if older {
-                log::info!("E702 heartbeat of an earlier life ignored worker={}", beat.id);
+                log::info!(
+                    "E702 heartbeat of an earlier life ignored worker={}",
+                    beat.id
+                );
                 return;
             }
             let adopted = known.is_none() && self.born.is_some() && self.born == beat.born;
@@ -317,7 +321,11 @@
         let changed = self.worker.as_ref().is_none_or(|(_, held)| *held != worker);
         if changed {
             if worker.draining {
-                log::info!("E704 worker drains worker={} runs={}", beat.id, self.runs.len());
+                log::info!(
+                    "E704 worker drains worker={} runs={}",
+                    beat.id,
+                    self.runs.len()
+                );
             }
             self.news = true;
         }
@@ -342,8 +350,9 @@
         self.worker = None;
         self.hold.forget_worker();
         let runs = std::mem::take(&mut self.runs);
-        let (lost, unclear): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            runs.into_iter().partition(|(_, run)| run.listed == Some(before));
+        let (lost, unclear): (BTreeMap<_, _>, BTreeMap<_, _>) = runs
+            .into_iter()
+            .partition(|(_, run)| run.listed == Some(before));
         log::warn!(
             "E706 worker has a new life born={born:?} lost_runs={} unclear_runs={}",
             lost.len(),
@@ -380,7 +389,13 @@
     ) {
         self.last_event += 1;
         let elapsed = now.since(since).as_millis() as u32;
-        self.events.push_back(Event { seq: self.last_event, task, run, ending, elapsed });
+        self.events.push_back(Event {
+            seq: self.last_event,
+            task,
+            run,
+            ending,
+            elapsed,
+        });
         self.news = true;
         log::info!("E707 run ended task={task} run={run} how={ending:?} elapsed_ms={elapsed}");
     }
@@ -437,12 +452,22 @@
         }
         self.orders = orders.number;
         let start = self.lease.as_ref().map_or(start, |l| l.start.max(start));
-        self.lease = Some(Lease { leader: orders.leader, term: orders.term, start });
+        self.lease = Some(Lease {
+            leader: orders.leader,
+            term: orders.term,
+            start,
+        });
         self.raise_fence(now, orders.fence << FENCE_BITS);
         self.take(orders.taken);
         for order in orders.orders {
             match order {
-                Order::Start { task, run, life, needs, payload } => {
+                Order::Start {
+                    task,
+                    run,
+                    life,
+                    needs,
+                    payload,
+                } => {
                     self.start(now, task, run, life, needs, payload);
                 }
                 Order::Stop { task, run } => self.stop(now, task, run),
@@ -481,8 +506,16 @@
         let ping = now >= self.next_report;
         let resend = now >= self.resend;
         let from = if resend { 0 } else { self.sent_event };
-        let events: Vec<Event> = self.events.iter().filter(|e| e.seq > from).copied().collect();
-        let running = self.runs.iter().map(|(task, r)| Running { task: *task, run: r.run });
+        let events: Vec<Event> = self
+            .events
+            .iter()
+            .filter(|e| e.seq > from)
+            .copied()
+            .collect();
+        let running = self.runs.iter().map(|(task, r)| Running {
+            task: *task,
+            run: r.run,
+        });
         let worker = self.worker.as_ref().map(|(_, w)| Worker {
             draining: w.draining || self.closing,
             ..w.clone()
@@ -500,7 +533,8 @@
             events,
         };
         let leader = lease.leader;
-        self.actions.push(Action::Send(leader, Peer::Report(report)));
+        self.actions
+            .push(Action::Send(leader, Peer::Report(report)));
         self.sent_event = self.last_event;
         self.news = false;
         if ping {
@@ -512,9 +546,13 @@
     }
 
     fn announce(&mut self, now: Timestamp, peer: SocketAddr) {
-        let announce =
-            Announce { address: self.address, session: self.session, sent: now.as_micros() };
+        let announce = Announce {
+            address: self.address,
+            session: self.session,
+            sent: now.as_micros(),
+        };
         self.next_announce = now + ANNOUNCE_GAP;
-        self.actions.push(Action::Send(peer, Peer::Announce(announce)));
+        self.actions
+            .push(Action::Send(peer, Peer::Announce(announce)));
     }
 }
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -72,11 +72,15 @@
 
     /// Whether runs and ends are known under `fence` or the enrolment that it belongs to.
     pub(super) fn is_current(&self, fence: u64) -> bool {
-        self.looked.is_some_and(|looked| looked >> super::FENCE_BITS == fence >> super::FENCE_BITS)
+        self.looked
+            .is_some_and(|looked| looked >> super::FENCE_BITS == fence >> super::FENCE_BITS)
     }
 
     pub(super) fn forget_worker(&mut self) {
-        *self = HoldState { number: self.number, ..HoldState::default() };
+        *self = HoldState {
+            number: self.number,
+            ..HoldState::default()
+        };
     }
 
     /// Ends whose events the leader has taken may be forgotten by the worker.
@@ -112,7 +116,9 @@
             return;
         }
         self.hold.answered.get_or_insert(now);
-        self.hold.calls.retain(|(_, _, sent)| *sent + CALL_EXPIRY > now);
+        self.hold
+            .calls
+            .retain(|(_, _, sent)| *sent + CALL_EXPIRY > now);
         self.check_lapse(now);
         if now >= self.hold.next && !self.hold.calls.iter().any(|(_, f, _)| *f == self.fence) {
             self.look(now, LOOK_WAIT);
@@ -144,18 +150,31 @@
             self.hold.granted(now);
         }
         self.hold.number += 1;
-        let taken = if self.hold.trusted { self.hold.taken } else { 0 };
+        let taken = if self.hold.trusted {
+            self.hold.taken
+        } else {
+            0
+        };
         let (number, fence) = (self.hold.number, self.fence);
         self.hold.calls.push((number, fence, now));
         self.hold.next = now + wait + CALL_LIMIT;
         let worker = self.worker_id();
-        let call = HoldCall { number, fence, taken, expiry, wait, worker };
+        let call = HoldCall {
+            number,
+            fence,
+            taken,
+            expiry,
+            wait,
+            worker,
+        };
         self.actions.push(Action::Hold(call));
     }
 
     /// Takes the worker's answer to a look, or nothing if there was none.
     pub fn held(&mut self, now: Timestamp, number: u64, answer: Option<Held>) {
-        let Some(at) = self.hold.calls.iter().position(|(n, ..)| *n == number) else { return };
+        let Some(at) = self.hold.calls.iter().position(|(n, ..)| *n == number) else {
+            return;
+        };
         let (_, fence, sent) = self.hold.calls.swap_remove(at);
         let Some(held) = answer else {
             log::info!("E716 worker did not answer a look number={number}");
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -40,18 +40,28 @@
         let expiry = self.expiry(now).expect("the clock of the worker is known");
         let (fence, worker) = (self.fence, self.worker_id());
         let needs = Some(needs);
-        self.runs.insert(task, Run {
+        self.runs.insert(
+            task,
+            Run {
+                run,
+                needs,
+                fence,
+                since: now,
+                confirmed: None,
+                listed: None,
+                unclear: false,
+                stopped: None,
+            },
+        );
+        self.hold.granted(now);
+        let call = StartCall {
+            task,
             run,
-            needs,
+            payload,
+            expiry,
             fence,
-            since: now,
-            confirmed: None,
-            listed: None,
-            unclear: false,
-            stopped: None,
-        });
-        self.hold.granted(now);
-        let call = StartCall { task, run, payload, expiry, fence, worker };
+            worker,
+        };
         self.actions.push(Action::Start(call));
     }
 
@@ -62,7 +72,9 @@
         life: Life,
         needs: Resources,
     ) -> Option<Obstacle> {
-        let Some((_, worker)) = &self.worker else { return Some(Obstacle::Worker) };
+        let Some((_, worker)) = &self.worker else {
+            return Some(Obstacle::Worker);
+        };
         if worker.life != life || worker.draining || self.closing {
             return Some(Obstacle::Worker);
         }
@@ -82,7 +94,9 @@
 
     /// Takes the worker's answer to a start.
     pub fn started(&mut self, now: Timestamp, task: TaskId, run: u64, answer: Started) {
-        let Some(held) = self.runs.get_mut(&task).filter(|held| held.run == run) else { return };
+        let Some(held) = self.runs.get_mut(&task).filter(|held| held.run == run) else {
+            return;
+        };
         match answer {
             Started::Yes => {
                 held.confirmed.get_or_insert(now);
@@ -105,17 +119,28 @@
     pub(super) fn stop(&mut self, now: Timestamp, task: TaskId, run: u64) {
         let fence = self.fence;
         let worker = self.worker_id();
-        let Some(held) = self.runs.get_mut(&task).filter(|held| held.run == run) else { return };
+        let Some(held) = self.runs.get_mut(&task).filter(|held| held.run == run) else {
+            return;
+        };
         held.stopped = Some(now);
         log::info!("E714 stop sent task={task} run={run}");
-        self.actions.push(Action::Stop(StopCall { task, run, fence, worker }));
+        self.actions.push(Action::Stop(StopCall {
+            task,
+            run,
+            fence,
+            worker,
+        }));
     }
 
     /// Sends stops again whose end is not listed.
     pub(super) fn retry_stops(&mut self, now: Timestamp) {
         let due = |run: &Run| run.stopped.is_some_and(|at| at + STOP_RETRY < now);
-        let late: Vec<(TaskId, u64)> =
-            self.runs.iter().filter(|(_, r)| due(r)).map(|(t, r)| (*t, r.run)).collect();
+        let late: Vec<(TaskId, u64)> = self
+            .runs
+            .iter()
+            .filter(|(_, r)| due(r))
+            .map(|(t, r)| (*t, r.run))
+            .collect();
         for (task, run) in late {
             self.stop(now, task, run);
         }
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -145,7 +145,12 @@
 
 impl Goal {
     fn new(policy: &Policy, age: Duration) -> Goal {
-        Goal { priority: policy.priority, stretch: policy.stretch, slack: policy.goal, age }
+        Goal {
+            priority: policy.priority,
+            stretch: policy.stretch,
+            slack: policy.goal,
+            age,
+        }
     }
 }
 
@@ -286,7 +291,12 @@
         }
         let goal = Goal::new(&queue.policy, age);
         let mut view = self.view(now, &queue.name, &queue.pool, spec, goal);
-        let past = self.past_runs.iter().rev().find(|(job, _)| *job == id).map(|(_, run)| *run);
+        let past = self
+            .past_runs
+            .iter()
+            .rev()
+            .find(|(job, _)| *job == id)
+            .map(|(_, run)| *run);
         // An earlier leader may have started runs of the same job, so its numbers are left out.
         let young = now < self.since + FOREIGN_RUNS;
         view.base = past.unwrap_or(if young { self.term * RUNS_PER_TERM } else { 0 });
@@ -311,14 +321,18 @@
             let slack = limit.saturating_sub((chain as f64 * bias) as u64);
             now + Duration::from_millis(slack) - goal.age
         };
-        let steps = spec.steps.iter().zip(&chains).map(|(step, chain)| StepView {
-            tasks: vec![TaskState::Blocked; step.count as usize],
-            ready: VecDeque::new(),
-            open: step.count,
-            after: step.after.clone(),
-            latest: latest(*chain),
-            class: goal.priority.min(LATE - 1),
-        });
+        let steps = spec
+            .steps
+            .iter()
+            .zip(&chains)
+            .map(|(step, chain)| StepView {
+                tasks: vec![TaskState::Blocked; step.count as usize],
+                ready: VecDeque::new(),
+                open: step.count,
+                after: step.after.clone(),
+                latest: latest(*chain),
+                class: goal.priority.min(LATE - 1),
+            });
         JobView {
             queue: queue.to_owned(),
             pool: pool.to_owned(),
@@ -336,7 +350,11 @@
     }
 
     fn add_job(&mut self, now: Timestamp, id: JobId, mut view: JobView) {
-        let first = TaskId { job: id, step: 0, index: 0 };
+        let first = TaskId {
+            job: id,
+            step: 0,
+            index: 0,
+        };
         // Runs that are still being stopped, or that were found before their job, are its runs again.
         for (key, agent) in &self.agents {
             for (task, placed) in agent.placed.range(first..).take_while(|(t, _)| t.job == id) {
@@ -349,7 +367,9 @@
         let held = view.held;
         self.jobs.insert(id, view);
         let orphans = self.orphans.range(first..).take_while(|(t, _)| t.job == id);
-        let orphans: Vec<_> = orphans.map(|(task, (key, run))| (*task, *key, *run)).collect();
+        let orphans: Vec<_> = orphans
+            .map(|(task, (key, run))| (*task, *key, *run))
+            .collect();
         for (task, key, run) in orphans {
             self.orphans.remove(&task);
             self.adopt(now, key, Running { task, run });
@@ -381,7 +401,9 @@
 
     /// Makes the tasks ready whose earlier steps are done.
     fn unblock(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         if job.held {
             return;
         }
@@ -397,7 +419,8 @@
                 }
             }
             if !step.ready.is_empty() {
-                self.ready.insert((step.class, step.latest, id, number as u16));
+                self.ready
+                    .insert((step.class, step.latest, id, number as u16));
             }
         }
     }
@@ -421,7 +444,9 @@
 
     /// A task's end was committed.
     pub fn done(&mut self, task: TaskId) {
-        let Some(state) = self.task_mut(task) else { return };
+        let Some(state) = self.task_mut(task) else {
+            return;
+        };
         if *state == TaskState::Done {
             return;
         }
@@ -456,7 +481,9 @@
 
     /// A run of a volatile job has failed.
     fn fail_volatile(&mut self, task: TaskId) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let failures = job.failures.entry((task.step, task.index)).or_default();
         *failures += 1;
         match *failures >= job.attempts {
@@ -467,14 +494,19 @@
 
     /// A failed run was committed and the task may be tried again.
     pub fn retry(&mut self, task: TaskId) {
-        if self.task_mut(task).is_some_and(|state| *state == TaskState::Ending(false)) {
+        if self
+            .task_mut(task)
+            .is_some_and(|state| *state == TaskState::Ending(false))
+        {
             self.requeue(task);
         }
     }
 
     /// A job has ended; what still runs of it is stopped.
     pub fn ended(&mut self, id: JobId) {
-        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
         if job.spec.volatile {
             let last = job.starts.values().max().copied().unwrap_or(0);
             self.past_runs.push_back((id, job.base + last));
@@ -487,7 +519,11 @@
             self.ready.remove(&(step.class, step.latest, id, number));
             for (index, state) in step.tasks.into_iter().enumerate() {
                 if let TaskState::Placed(key, run) = state {
-                    let task = TaskId { job: id, step: number, index: index as u32 };
+                    let task = TaskId {
+                        job: id,
+                        step: number,
+                        index: index as u32,
+                    };
                     self.order_stop(key, task, run);
                 }
             }
@@ -495,7 +531,9 @@
     }
 
     fn order_stop(&mut self, key: AgentKey, task: TaskId, run: u64) {
-        let Some(agent) = self.agents.get_mut(key) else { return };
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
         if let Some(placed) = agent.placed.get_mut(&task).filter(|p| p.run == run) {
             placed.stopping = true;
             agent.outbox.push(Order::Stop { task, run });
@@ -506,18 +544,27 @@
     /// The state of a job that has not ended.
     pub fn state_of(&self, id: JobId) -> Option<JobState> {
         let job = self.jobs.get(&id)?;
-        Some(if job.started { JobState::Running } else { JobState::Queued })
+        Some(if job.started {
+            JobState::Running
+        } else {
+            JobState::Queued
+        })
     }
 
     /// Whether every task has ended and the entry that says so is on its way to the disks.
     pub fn is_ending(&self, id: JobId) -> bool {
         let ended = |t: &TaskState| matches!(t, TaskState::Ending(_) | TaskState::Done);
-        self.jobs.get(&id).is_some_and(|job| job.steps.iter().flat_map(|s| &s.tasks).all(ended))
+        self.jobs
+            .get(&id)
+            .is_some_and(|job| job.steps.iter().flat_map(|s| &s.tasks).all(ended))
     }
 
     /// Jobs of a queue of which no task has started.
     pub fn waiting(&self, queue: &str) -> u32 {
-        self.jobs.values().filter(|j| !j.started && j.queue == queue).count() as u32
+        self.jobs
+            .values()
+            .filter(|j| !j.started && j.queue == queue)
+            .count() as u32
     }
 
     /// Jobs that have not ended, and tasks that wait for room.
@@ -585,7 +632,9 @@
 
     /// The enrolment of an agent was committed.
     pub fn enrolled(&mut self, address: SocketAddr, session: u64, fence: u64) {
-        let Some(&key) = self.by_address.get(&address) else { return };
+        let Some(&key) = self.by_address.get(&address) else {
+            return;
+        };
         let agent = &mut self.agents[key];
         if agent.session != session || agent.enrolled {
             return;
@@ -605,7 +654,9 @@
 
     /// The dismissal of an agent was committed.
     pub fn dismissed(&mut self, address: SocketAddr) {
-        let Some(&key) = self.by_address.get(&address) else { return };
+        let Some(&key) = self.by_address.get(&address) else {
+            return;
+        };
         if self.agents[key].dismissing {
             self.agents.remove(key);
             self.by_address.remove(&address);
@@ -620,7 +671,10 @@
         self.sweep = now + SWEEP;
         self.drop_silent(now);
         if !self.unresolved.is_empty() && now >= self.since + AGENT_GONE {
-            log::warn!("E605 agents of earlier terms did not report agents={:?}", self.unresolved);
+            log::warn!(
+                "E605 agents of earlier terms did not report agents={:?}",
+                self.unresolved
+            );
             for address in std::mem::take(&mut self.unresolved) {
                 if !self.by_address.contains_key(&address) {
                     self.commands.push(Command::Dismiss { address });
@@ -639,8 +693,12 @@
 
     fn drop_silent(&mut self, now: Timestamp) {
         let gone = |a: &AgentView| !a.dismissing && a.heard + AGENT_GONE < now;
-        let keys: Vec<AgentKey> =
-            self.agents.iter().filter(|(_, a)| gone(a)).map(|(key, _)| key).collect();
+        let keys: Vec<AgentKey> = self
+            .agents
+            .iter()
+            .filter(|(_, a)| gone(a))
+            .map(|(key, _)| key)
+            .collect();
         for key in keys {
             let agent = &mut self.agents[key];
             agent.dismissing = true;
@@ -664,7 +722,10 @@
 
     /// A run has ended without a result.
     fn lost(&mut self, key: AgentKey, task: TaskId, run: u64) {
-        if self.task_mut(task).is_some_and(|state| *state == TaskState::Placed(key, run)) {
+        if self
+            .task_mut(task)
+            .is_some_and(|state| *state == TaskState::Placed(key, run))
+        {
             self.requeue(task);
         }
     }
--- a/crates/figdeal-queue/src/dispatch/admit.rs
+++ b/crates/figdeal-queue/src/dispatch/admit.rs
@@ -31,11 +31,18 @@
     /// Why a job should not be accepted, if so: no worker can hold a task, or a volatile job would miss its goal.
     pub fn rejection(&self, now: Timestamp, queue: &Queue, spec: &JobSpec) -> Option<Rejection> {
         let of_pool = |a: &&AgentView| a.worker.as_ref().is_some_and(|w| w.pool == queue.pool);
-        let workers = self.agents.values().filter(of_pool).filter_map(|a| a.worker.as_ref());
+        let workers = self
+            .agents
+            .values()
+            .filter(of_pool)
+            .filter_map(|a| a.worker.as_ref());
         let rooms: Vec<Resources> = workers.map(|w| w.capacity).collect();
         let fits = |needs: Resources| rooms.iter().any(|room| needs.fits(*room));
         if !rooms.is_empty() && !spec.steps.iter().all(|step| fits(step.needs)) {
-            return Some(Rejection { reason: Refusal::TooLarge, retry: RETRY_LARGE });
+            return Some(Rejection {
+                reason: Refusal::TooLarge,
+                retry: RETRY_LARGE,
+            });
         }
         let cpu: u64 = rooms.iter().map(|room| u64::from(room.cpu)).sum();
         if !spec.volatile || cpu == 0 {
@@ -46,7 +53,10 @@
         let slack = chain * f64::from(queue.policy.stretch - 1.0) + f64::from(queue.policy.goal);
         let wait = self.backlog(queue) / cpu as f64 + self.held_for(now).as_millis() as f64;
         let retry = RETRY_MIN.max(Duration::from_secs_f64(wait / 1_000.0));
-        (wait > slack).then_some(Rejection { reason: Refusal::Overload, retry })
+        (wait > slack).then_some(Rejection {
+            reason: Refusal::Overload,
+            retry,
+        })
     }
 
     /// Time for which nothing starts, once the agents in reach have told what they run and others have not.
@@ -60,7 +70,10 @@
 
     /// Work that waits before a new job of the queue, in thousandths of a core times milliseconds.
     fn backlog(&self, queue: &Queue) -> f64 {
-        let ahead = self.ready.iter().take_while(|(class, ..)| *class <= queue.policy.priority);
+        let ahead = self
+            .ready
+            .iter()
+            .take_while(|(class, ..)| *class <= queue.policy.priority);
         let work = ahead.filter_map(|(_, _, id, number)| {
             let job = self.jobs.get(id).filter(|job| job.pool == queue.pool)?;
             let step = &job.spec.steps[usize::from(*number)];
@@ -73,10 +86,15 @@
 
     /// Refuses waiting jobs that can no longer meet their goal, and puts those behind the others that must be kept.
     pub(super) fn shed(&mut self, now: Timestamp) {
-        let late = self.ready.iter().filter(|(class, latest, ..)| *class < LATE && *latest < now);
+        let late = self
+            .ready
+            .iter()
+            .filter(|(class, latest, ..)| *class < LATE && *latest < now);
         let late: Vec<_> = late.copied().collect();
         for key @ (_, latest, id, number) in late {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             if job.spec.volatile && !job.started && !job.again {
                 self.finish(id, Finish::Refused);
                 continue;
@@ -89,8 +107,9 @@
         }
         let useless = |job: &JobView| job.spec.volatile && job.expiry < now;
         let waiting = self.ready.iter().map(|(.., id, _)| *id);
-        let mut expired: Vec<JobId> =
-            waiting.filter(|id| self.jobs.get(id).is_some_and(useless)).collect();
+        let mut expired: Vec<JobId> = waiting
+            .filter(|id| self.jobs.get(id).is_some_and(useless))
+            .collect();
         expired.dedup();
         for id in expired {
             if self.jobs.contains_key(&id) {
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -40,14 +40,26 @@
 
     /// Places tasks of one step. Returns whether all of them found room.
     fn place_step(&mut self, now: Timestamp, id: JobId, number: u16) -> bool {
-        let Some(spec) = self.jobs.get(&id).map(|j| Arc::clone(&j.spec)) else { return true };
+        let Some(spec) = self.jobs.get(&id).map(|j| Arc::clone(&j.spec)) else {
+            return true;
+        };
         let step = &spec.steps[usize::from(number)];
         loop {
-            let Some(job) = self.jobs.get(&id) else { return true };
-            let Some(&index) = job.steps[usize::from(number)].ready.front() else { return true };
+            let Some(job) = self.jobs.get(&id) else {
+                return true;
+            };
+            let Some(&index) = job.steps[usize::from(number)].ready.front() else {
+                return true;
+            };
             let pool = job.pool.clone();
-            let Some(key) = self.choose(now, id, number, &pool, step) else { return false };
-            let task = TaskId { job: id, step: number, index };
+            let Some(key) = self.choose(now, id, number, &pool, step) else {
+                return false;
+            };
+            let task = TaskId {
+                job: id,
+                step: number,
+                index,
+            };
             self.place_task(now, key, task, step, spec.payload.clone());
         }
     }
@@ -70,18 +82,27 @@
         job.started = true;
         let agent = &mut self.agents[key];
         let needs = step.needs;
-        agent.placed.insert(task, Placed {
-            run,
-            needs,
-            at: now,
-            number: agent.number + 1,
-            estimate: step.estimate,
-            stopping: false,
-        });
+        agent.placed.insert(
+            task,
+            Placed {
+                run,
+                needs,
+                at: now,
+                number: agent.number + 1,
+                estimate: step.estimate,
+                stopping: false,
+            },
+        );
         agent.used = agent.used.with(needs);
         agent.health.placed(now);
         let life = agent.worker.as_ref().expect("the worker is known").life;
-        agent.outbox.push(Order::Start { task, run, life, needs, payload });
+        agent.outbox.push(Order::Start {
+            task,
+            run,
+            life,
+            needs,
+            payload,
+        });
         agent.due = true;
     }
 
@@ -94,8 +115,13 @@
         step: &Step,
     ) -> Option<AgentKey> {
         let fits = |agent: &AgentView| {
-            let Some(worker) = agent.worker.as_ref() else { return false };
-            let label = step.label.as_ref().is_none_or(|l| worker.labels.contains(l));
+            let Some(worker) = agent.worker.as_ref() else {
+                return false;
+            };
+            let label = step
+                .label
+                .as_ref()
+                .is_none_or(|l| worker.labels.contains(l));
             let open = agent.enrolled
                 && agent.current
                 && agent.heard + AGENT_SILENT > now
@@ -106,16 +132,23 @@
                 && step.needs.fits(worker.capacity.without(agent.used))
         };
         let spread = |agent: &AgentView| {
-            let same = agent.placed.keys().filter(|t| t.job == id && t.step == number);
+            let same = agent
+                .placed
+                .keys()
+                .filter(|t| t.job == id && t.step == number);
             step.spread == 0 || same.count() < step.spread as usize
         };
         let score = |agent: &AgentView| {
             let worker = agent.worker.as_ref().expect("the worker is known");
-            let far = step.rack.as_ref().is_some_and(|r| !worker.labels.contains(r));
+            let far = step
+                .rack
+                .as_ref()
+                .is_some_and(|r| !worker.labels.contains(r));
             agent.health.score() * if far { FAR } else { 1.0 }
         };
         let open = self.agents.iter().filter(|(_, a)| fits(a) && spread(a));
-        open.min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b))).map(|(key, _)| key)
+        open.min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
+            .map(|(key, _)| key)
     }
 
     /// Stops runs that take far longer than expected; they are started elsewhere once they have ended.
@@ -123,7 +156,10 @@
         let mut late = Vec::new();
         for (key, agent) in &self.agents {
             for (task, placed) in &agent.placed {
-                let bias = self.jobs.get(&task.job).and_then(|j| self.bias.get(&j.queue));
+                let bias = self
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|j| self.bias.get(&j.queue));
                 let expected = f64::from(placed.estimate) * bias.copied().unwrap_or(1.0).max(1.0);
                 let limit = std::time::Duration::from_secs_f64(expected / 1_000.0) * OVERRUN;
                 if !placed.stopping && placed.at + limit + OVERRUN_SLACK < now {
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -21,7 +21,9 @@
 impl Dispatch {
     /// Takes a report. Returns whether its sender is enrolled; others have to announce themselves.
     pub fn report(&mut self, now: Timestamp, report: Report) -> bool {
-        let Some(&key) = self.by_address.get(&report.address) else { return false };
+        let Some(&key) = self.by_address.get(&report.address) else {
+            return false;
+        };
         let agent = &mut self.agents[key];
         if report.term != self.term || report.session != agent.session || !agent.enrolled {
             return false;
@@ -50,7 +52,11 @@
             return;
         }
         agent.received = Some(event.seq);
-        let placed = agent.placed.get(&event.task).copied().filter(|p| p.run == event.run);
+        let placed = agent
+            .placed
+            .get(&event.task)
+            .copied()
+            .filter(|p| p.run == event.run);
         if let Some(placed) = placed {
             agent.placed.remove(&event.task);
             agent.used = agent.used.without(placed.needs);
@@ -91,10 +97,18 @@
         event: Event,
         placed: Option<Placed>,
     ) -> bool {
-        let Event { task, run, ending, elapsed, .. } = event;
+        let Event {
+            task,
+            run,
+            ending,
+            elapsed,
+            ..
+        } = event;
         let done = ending == Ending::Done;
         self.learn(now, key, task, done, elapsed, placed);
-        let Some(held) = self.task_mut(task) else { return false };
+        let Some(held) = self.task_mut(task) else {
+            return false;
+        };
         match *held {
             TaskState::Done | TaskState::Ending(true) => return false,
             // The end of an earlier run counts too if it has done the work.
@@ -135,7 +149,9 @@
         elapsed: u32,
         placed: Option<Placed>,
     ) {
-        let (Some(job), Some(placed)) = (self.jobs.get(&task.job), placed) else { return };
+        let (Some(job), Some(placed)) = (self.jobs.get(&task.job), placed) else {
+            return;
+        };
         if !done {
             self.agents[key].health.failed(now);
             return;
@@ -167,9 +183,10 @@
         let agent = &mut self.agents[key];
         if agent.received == Some(last_event) {
             let listed = |task: TaskId, run| running.contains(&Running { task, run });
-            let missing = agent.placed.iter().filter(|(task, p)| {
-                p.number <= orders && !listed(**task, p.run)
-            });
+            let missing = agent
+                .placed
+                .iter()
+                .filter(|(task, p)| p.number <= orders && !listed(**task, p.run));
             let missing: Vec<(TaskId, u64)> = missing.map(|(t, p)| (*t, p.run)).collect();
             for (task, run) in missing {
                 let agent = &mut self.agents[key];
@@ -196,23 +213,37 @@
             return;
         }
         let spec = self.jobs.get(&task.job).map(|j| Arc::clone(&j.spec));
-        let step = spec.as_ref().and_then(|s| s.steps.get(usize::from(task.step)));
+        let step = spec
+            .as_ref()
+            .and_then(|s| s.steps.get(usize::from(task.step)));
         let free = matches!(
             self.task_mut(task),
             Some(TaskState::Blocked | TaskState::Ready)
         );
-        let Some(agent) = self.agents.get_mut(key) else { return };
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
         agent.due = true;
         let Some(step) = step.filter(|_| free && !agent.placed.contains_key(&task)) else {
             log::info!("E610 unexpected run is stopped task={task} run={run}");
             agent.outbox.push(Order::Stop { task, run });
             return;
         };
-        log::info!("E611 run taken over task={task} run={run} agent={}", agent.address);
+        log::info!(
+            "E611 run taken over task={task} run={run} agent={}",
+            agent.address
+        );
         let needs = step.needs;
         let estimate = step.estimate;
         let number = agent.number;
-        let placed = Placed { run, needs, at: now, number, estimate, stopping: false };
+        let placed = Placed {
+            run,
+            needs,
+            at: now,
+            number,
+            estimate,
+            stopping: false,
+        };
         agent.placed.insert(task, placed);
         agent.used = agent.used.with(needs);
         agent.outbox.push(Order::Keep { task, run, needs });
--- a/crates/figdeal-queue/src/dispatch/worker.rs
+++ b/crates/figdeal-queue/src/dispatch/worker.rs
@@ -28,7 +28,11 @@
 
 impl Default for Health {
     fn default() -> Health {
-        Health { speed: 1.0, failures: 0.0, rest: Timestamp::ZERO }
+        Health {
+            speed: 1.0,
+            failures: 0.0,
+            rest: Timestamp::ZERO,
+        }
     }
 }
 
--- a/crates/figdeal-queue/src/job.rs
+++ b/crates/figdeal-queue/src/job.rs
@@ -35,7 +35,8 @@
     type Err = BadId;
 
     fn from_str(text: &str) -> std::result::Result<JobId, BadId> {
-        let digits = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        let digits =
+            text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         match digits {
             true => u64::from_str_radix(text, 16).map(JobId).map_err(|_| BadId),
             false => Err(BadId),
@@ -129,7 +130,9 @@
 impl JobSpec {
     /// Number of tasks.
     pub fn task_count(&self) -> u32 {
-        self.steps.iter().fold(0, |sum, step| sum.saturating_add(step.count))
+        self.steps
+            .iter()
+            .fold(0, |sum, step| sum.saturating_add(step.count))
     }
 
     /// Whether the steps can be run at all: tasks exist, and steps wait only for earlier ones.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -247,8 +247,8 @@
     pub node: NodeId,
     /// Where it listens for other processes.
     pub address: SocketAddr,
-    /// Zone of its machine.
-    pub zone: String,
+    /// Data centre of its machine.
+    pub data_centre: String,
     /// It can store the log.
     pub disk: bool,
     /// The whole system starts for the first time.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -227,7 +227,11 @@
 
     /// When [`Node::tick`] has something to do at the latest.
     pub fn next_tick(&self) -> Timestamp {
-        let mut next = self.raft.next_tick().min(self.find.next).min(self.group.next);
+        let mut next = self
+            .raft
+            .next_tick()
+            .min(self.find.next)
+            .min(self.group.next);
         if self.forwards.values().any(|f| f.to.is_none()) {
             next = next.min(self.clock.now + OFFER_RETRY);
         }
@@ -258,7 +262,11 @@
     pub fn request(&mut self, clock: Clock, token: u64, request: Request, patience: Duration) {
         self.clock = clock;
         let volatile = matches!(&request, Request::Submit { spec, .. } if spec.volatile);
-        let limit = if volatile { patience } else { patience.min(FORWARD_LIMIT) };
+        let limit = if volatile {
+            patience
+        } else {
+            patience.min(FORWARD_LIMIT)
+        };
         let forwarded = Forwarded {
             to: None,
             at: clock.now,
@@ -280,12 +288,21 @@
             true => Some(own),
             false => self.leader_address().filter(|to| *to != own),
         };
-        let (Some(to), Some(forwarded)) = (to, self.forwards.get_mut(&token)) else { return false };
+        let (Some(to), Some(forwarded)) = (to, self.forwards.get_mut(&token)) else {
+            return false;
+        };
         forwarded.to = Some(to);
         forwarded.offers += 1;
         match to == own {
             true => self.serve(Origin::Local(token), request),
-            false => self.send(to, Peer::Forward { origin: own, token, request }),
+            false => self.send(
+                to,
+                Peer::Forward {
+                    origin: own,
+                    token,
+                    request,
+                },
+            ),
         }
         true
     }
@@ -298,8 +315,12 @@
     }
 
     fn drop_forward(&mut self, token: u64) {
-        let Some(forwarded) = self.forwards.remove(&token) else { return };
-        let Some(to) = forwarded.to.filter(|_| forwarded.again.is_some()) else { return };
+        let Some(forwarded) = self.forwards.remove(&token) else {
+            return;
+        };
+        let Some(to) = forwarded.to.filter(|_| forwarded.again.is_some()) else {
+            return;
+        };
         let origin = self.options.address;
         match to == origin {
             true => self.on_withdraw(Origin::Local(token)),
@@ -332,7 +353,9 @@
 
     /// The leader of a request is lost: a volatile job waits for the next one, the outcome of others is not known.
     fn forward_lost(&mut self, token: u64) {
-        let Some(forwarded) = self.forwards.get_mut(&token) else { return };
+        let Some(forwarded) = self.forwards.get_mut(&token) else {
+            return;
+        };
         forwarded.to = None;
         if forwarded.again.is_none() {
             self.answer(Origin::Local(token), Answer::Unclear);
@@ -372,7 +395,12 @@
     pub fn on_peer(&mut self, clock: Clock, peer: Peer) {
         self.clock = clock;
         match peer {
-            Peer::Raft { from, address, to, message } => {
+            Peer::Raft {
+                from,
+                address,
+                to,
+                message,
+            } => {
                 self.find.met(from, address);
                 if to == self.raft.id() {
                     self.raft.step(clock.now, from, message);
@@ -382,7 +410,11 @@
             Peer::Directory(directory) => self.on_directory(&directory),
             Peer::Found(members) => self.on_found(members),
             Peer::Withdraw { origin, token } => self.on_withdraw(Origin::Remote(origin, token)),
-            Peer::Forward { origin, token, request } => {
+            Peer::Forward {
+                origin,
+                token,
+                request,
+            } => {
                 self.find.entry_heard(origin, clock.now);
                 let origin = Origin::Remote(origin, token);
                 match self.is_serving() {
@@ -390,8 +422,16 @@
                     false => self.answer(origin, no_leader()),
                 }
             }
-            Peer::Reply { from, token, answer } => {
-                if self.forwards.get(&token).is_some_and(|f| f.to == Some(from)) {
+            Peer::Reply {
+                from,
+                token,
+                answer,
+            } => {
+                if self
+                    .forwards
+                    .get(&token)
+                    .is_some_and(|f| f.to == Some(from))
+                {
                     self.answer(Origin::Local(token), answer);
                 }
             }
@@ -429,7 +469,9 @@
     fn answer(&mut self, origin: Origin, answer: Answer) {
         match origin {
             Origin::Local(token) => {
-                let Some(forwarded) = self.forwards.get(&token) else { return };
+                let Some(forwarded) = self.forwards.get(&token) else {
+                    return;
+                };
                 let volatile = forwarded.again.is_some();
                 let refused = matches!(answer, Answer::Refused { .. });
                 if volatile && answer == no_leader() {
@@ -445,7 +487,14 @@
             }
             Origin::Remote(address, token) => {
                 let from = self.options.address;
-                self.send(address, Peer::Reply { from, token, answer });
+                self.send(
+                    address,
+                    Peer::Reply {
+                        from,
+                        token,
+                        answer,
+                    },
+                );
             }
         }
     }
@@ -454,12 +503,19 @@
     fn tick_forwards(&mut self) {
         let now = self.clock.now;
         let own = self.options.address;
-        let current = if self.is_serving() { Some(own) } else { self.leader_address() };
+        let current = if self.is_serving() {
+            Some(own)
+        } else {
+            self.leader_address()
+        };
         let (mut lost, mut late, mut stranded) = (Vec::new(), Vec::new(), Vec::new());
         for (token, forwarded) in &self.forwards {
             if forwarded.limit <= now {
                 late.push(*token);
-            } else if forwarded.to.is_none() && forwarded.offers == 0 && forwarded.at + forwarded.fresh_wait() <= now {
+            } else if forwarded.to.is_none()
+                && forwarded.offers == 0
+                && forwarded.at + forwarded.fresh_wait() <= now
+            {
                 stranded.push(*token);
             } else if forwarded.again.is_some() && current.is_some() && forwarded.to != current {
                 lost.push(*token);
@@ -469,7 +525,11 @@
             log::warn!("E614 no answer in time token={token} leader={current:?}");
             let offered = self.forwards.get(&token).is_some_and(|f| f.offers > 0);
             self.drop_forward(token);
-            let answer = if offered { Answer::Unclear } else { no_leader() };
+            let answer = if offered {
+                Answer::Unclear
+            } else {
+                no_leader()
+            };
             self.actions.push(Action::Reply(token, answer));
         }
         for token in stranded {
@@ -479,8 +539,19 @@
         for token in lost {
             let forwarded = &self.forwards[&token];
             let waited = now.since(forwarded.at).as_millis() as u32;
-            if let Some(Request::Submit { host, path, spec, .. }) = forwarded.again.clone() {
-                self.offer(token, Request::Submit { host, path, spec, age: waited });
+            if let Some(Request::Submit {
+                host, path, spec, ..
+            }) = forwarded.again.clone()
+            {
+                self.offer(
+                    token,
+                    Request::Submit {
+                        host,
+                        path,
+                        spec,
+                        age: waited,
+                    },
+                );
             }
         }
     }
@@ -489,7 +560,7 @@
         Hello {
             node: self.raft.id(),
             address: self.options.address,
-            zone: self.options.zone.clone(),
+            data_centre: self.options.data_centre.clone(),
             disk: self.options.disk,
             bootstrap: self.options.bootstrap,
         }
@@ -511,14 +582,20 @@
 
     fn address_of(&self, id: NodeId) -> Option<SocketAddr> {
         let member = self.raft.members().iter().find(|m: &&Member| m.id == id);
-        member.map(|m| m.address).or_else(|| self.find.address_of(id))
+        member
+            .map(|m| m.address)
+            .or_else(|| self.find.address_of(id))
     }
 }
 
 fn no_leader() -> Answer {
-    Answer::Refused { retry: RETRY_LEADER, reason: Refusal::NoLeader }
+    Answer::Refused {
+        retry: RETRY_LEADER,
+        reason: Refusal::NoLeader,
+    }
 }
 
 fn decode(data: &[u8]) -> Batch {
-    postcard::from_bytes(data).expect("an entry of the log was written by a leader of the same format")
+    postcard::from_bytes(data)
+        .expect("an entry of the log was written by a leader of the same format")
 }
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -1,6 +1,8 @@
 //! Committed entries, changes of the leader, and what goes to the log and out of it.
 
-use super::{serve::RETRY_OVERLOAD, Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode, no_leader};
+use super::{
+    Action, Answer, Node, Origin, SNAPSHOT_BYTES, decode, no_leader, serve::RETRY_OVERLOAD,
+};
 use crate::{
     dispatch::{Dispatch, Finish},
     job::JobState,
@@ -21,10 +23,15 @@
     }
 
     fn restore(&mut self) {
-        let Some(snapshot) = self.raft.take_restored() else { return };
+        let Some(snapshot) = self.raft.take_restored() else {
+            return;
+        };
         match postcard::from_bytes(&snapshot.data) {
             Ok(state) => {
-                log::info!("E615 state taken from the leader index={}", snapshot.last.index);
+                log::info!(
+                    "E615 state taken from the leader index={}",
+                    snapshot.last.index
+                );
                 self.state = state;
                 self.applied = snapshot.last.index;
                 self.snapshot = Some(snapshot);
@@ -36,7 +43,11 @@
     fn apply(&mut self) {
         while self.applied < self.raft.commit() {
             let index = self.applied + 1;
-            let entry = self.raft.log().get(index).expect("a committed entry is held");
+            let entry = self
+                .raft
+                .log()
+                .get(index)
+                .expect("a committed entry is held");
             let changes = match &entry.payload {
                 Payload::Data(data) => self.state.apply(index, decode(data)),
                 Payload::Members(members) => {
@@ -61,7 +72,9 @@
     fn on_change(&mut self, change: Change) {
         self.stirred = true;
         let (now, wall) = (self.clock.now, self.clock.wall);
-        let Some(leading) = &mut self.leading else { return };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
         match change {
             Change::Accepted(id) => {
                 // The job may have been cancelled later in the same entry.
@@ -125,7 +138,10 @@
                 let volatile = waiters.volatile.into_values().flatten().collect();
                 // Their entries hand them in again at the next leader.
                 self.answer_all(Some(volatile), &no_leader());
-                let jobs = waiters.submits.into_values().chain(waiters.cancels.into_values());
+                let jobs = waiters
+                    .submits
+                    .into_values()
+                    .chain(waiters.cancels.into_values());
                 let jobs = jobs.chain(waiters.queries.into_values());
                 let configs = waiters.configs.into_iter().map(|(_, origin)| origin);
                 let all = jobs.flatten().chain(configs).collect();
@@ -150,7 +166,9 @@
     fn lead(&mut self) {
         let now = self.clock.now;
         self.drop_silent_entries();
-        let Some(leading) = &mut self.leading else { return };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
         let finished = leading.take_finished();
         for (id, how) in finished {
             log::info!("E630 volatile job ended job={id} how={how:?}");
@@ -158,26 +176,33 @@
             let answer = match how {
                 Finish::Done => Answer::Ended(true),
                 Finish::Failed => Answer::Ended(false),
-                Finish::Refused => {
-                    Answer::Refused { retry: RETRY_OVERLOAD, reason: Refusal::Overload }
-                }
+                Finish::Refused => Answer::Refused {
+                    retry: RETRY_OVERLOAD,
+                    reason: Refusal::Overload,
+                },
                 Finish::GivenUp => Answer::Unclear,
             };
             self.answer_all(Some(waiters), &answer);
         }
-        let Some(leading) = &mut self.leading else { return };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
         if self.raft.is_serving(now) {
             if std::mem::take(&mut self.stirred) {
                 leading.place(now);
             }
             for (address, orders) in leading.take_orders() {
-                self.actions.push(Action::Send(address, Peer::Orders(orders)));
+                self.actions
+                    .push(Action::Send(address, Peer::Orders(orders)));
             }
         }
         // One entry at a time is on its way to the own disk, so that commands of the meantime share the next one.
         if leading.has_commands() && self.raft.is_synced() {
             let (batch, commands) = leading.take_commands().expect("commands wait");
-            let entry = Batch { time: self.clock.wall, commands };
+            let entry = Batch {
+                time: self.clock.wall,
+                commands,
+            };
             let data = postcard::to_stdvec(&entry).expect("commands can be encoded");
             if let Some(index) = self.raft.propose(now, data) {
                 self.batches.push_back((index, batch));
@@ -191,13 +216,20 @@
             return;
         }
         let index = self.applied;
-        let term = self.raft.log().term(index).expect("an applied entry is held");
+        let term = self
+            .raft
+            .log()
+            .term(index)
+            .expect("an applied entry is held");
         let snapshot = Snapshot {
             last: Position { term, index },
             members: self.raft.log().members_at(index),
             data: postcard::to_stdvec(&self.state).expect("the state can be encoded"),
         };
-        log::info!("E621 log compacted index={index} bytes={}", snapshot.data.len());
+        log::info!(
+            "E621 log compacted index={index} bytes={}",
+            snapshot.data.len()
+        );
         self.raft.compact(snapshot.clone());
         self.snapshot = Some(snapshot);
     }
@@ -210,14 +242,23 @@
                 self.actions.push(Action::Send(action.0, action.1));
             }
         }
-        let after: Vec<_> =
-            out.after.into_iter().filter_map(|(id, m)| self.envelope(id, m)).collect();
+        let after: Vec<_> = out
+            .after
+            .into_iter()
+            .filter_map(|(id, m)| self.envelope(id, m))
+            .collect();
         if !out.writes.is_empty() || (!after.is_empty() && self.storing > 0) {
             self.storing += 1;
             let last = self.raft.log().last();
-            self.actions.push(Action::Store { writes: out.writes, last, after });
+            self.actions.push(Action::Store {
+                writes: out.writes,
+                last,
+                after,
+            });
         } else {
-            let sends = after.into_iter().map(|(address, peer)| Action::Send(address, peer));
+            let sends = after
+                .into_iter()
+                .map(|(address, peer)| Action::Send(address, peer));
             self.actions.extend(sends);
         }
     }
@@ -232,13 +273,23 @@
             false => self.address_of(to)?,
         };
         let message = match message {
-            Message::Install { term, sent, .. } => {
-                Message::Install { term, sent, snapshot: self.snapshot.clone()? }
-            }
+            Message::Install { term, sent, .. } => Message::Install {
+                term,
+                sent,
+                snapshot: self.snapshot.clone()?,
+            },
             other => other,
         };
         let (from, own) = (self.raft.id(), self.options.address);
-        Some((address, Peer::Raft { from, address: own, to, message }))
+        Some((
+            address,
+            Peer::Raft {
+                from,
+                address: own,
+                to,
+                message,
+            },
+        ))
     }
 
     /// The state of a job, if it is known.
--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -38,9 +38,22 @@
 impl Find {
     pub(super) fn new(options: &Options, now: Timestamp) -> Find {
         let own = options.address;
-        let contacts = options.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        let contacts = options
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != own)
+            .collect();
         let (addresses, heard) = (HashMap::new(), HashMap::new());
-        Find { contacts, turn: 0, leader: None, term: 0, next: now, addresses, heard }
+        Find {
+            contacts,
+            turn: 0,
+            leader: None,
+            term: 0,
+            next: now,
+            addresses,
+            heard,
+        }
     }
 
     /// A node has sent a message from its address.
@@ -142,13 +155,20 @@
     pub(super) fn drop_silent_entries(&mut self) {
         let now = self.clock.now;
         let silent = |o: &Origin| match o {
-            Origin::Remote(address, _) => {
-                self.find.heard.get(address).is_none_or(|at| *at + ENTRY_SILENT < now)
-            }
+            Origin::Remote(address, _) => self
+                .find
+                .heard
+                .get(address)
+                .is_none_or(|at| *at + ENTRY_SILENT < now),
             Origin::Local(_) => false,
         };
-        let silent: Vec<Origin> =
-            self.waiters.by_origin.keys().filter(|o| silent(o)).copied().collect();
+        let silent: Vec<Origin> = self
+            .waiters
+            .by_origin
+            .keys()
+            .filter(|o| silent(o))
+            .copied()
+            .collect();
         for origin in silent {
             self.on_withdraw(origin);
         }
@@ -174,10 +194,18 @@
             self.find.term = directory.term;
             let before = self.find.leader.map(|(address, _)| address);
             if before != Some(directory.from) {
-                log::info!("E625 leader found leader={} term={}", directory.from, directory.term);
+                log::info!(
+                    "E625 leader found leader={} term={}",
+                    directory.from,
+                    directory.term
+                );
             }
             self.find.leader = Some((directory.from, now));
-        } else if self.find.leader.is_some_and(|(leader, _)| leader == directory.from) {
+        } else if self
+            .find
+            .leader
+            .is_some_and(|(leader, _)| leader == directory.from)
+        {
             self.find.leader = None;
         }
         if self.find.leader.is_none()
@@ -187,7 +215,12 @@
         {
             // Asks the named leader itself with the next question.
             self.find.learn(own, leader);
-            let at = self.find.contacts.iter().position(|c| *c == leader).unwrap_or(0);
+            let at = self
+                .find
+                .contacts
+                .iter()
+                .position(|c| *c == leader)
+                .unwrap_or(0);
             let count = self.find.contacts.len();
             self.find.turn = (at + count - 1) % count;
             self.find.next = now;
--- a/crates/figdeal-queue/src/node/group.rs
+++ b/crates/figdeal-queue/src/node/group.rs
@@ -24,8 +24,8 @@
 pub struct Options {
     /// Where it listens for other processes.
     pub address: SocketAddr,
-    /// Zone of its machine.
-    pub zone: String,
+    /// Data centre of its machine.
+    pub data_centre: String,
     /// It can store the log.
     pub disk: bool,
     /// The whole system starts for the first time.
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 struct Standby {
     id: NodeId,
-    zone: String,
+    data_centre: String,
     bootstrap: bool,
     heard: Timestamp,
 }
@@ -56,7 +56,12 @@
 
 impl Group {
     pub(super) fn new(now: Timestamp) -> Group {
-        Group { start: now, next: now + REVIEW, standbys: BTreeMap::new(), chosen: None }
+        Group {
+            start: now,
+            next: now + REVIEW,
+            standbys: BTreeMap::new(),
+            chosen: None,
+        }
     }
 }
 
@@ -64,8 +69,21 @@
     pub(super) fn note_standby(&mut self, hello: Hello) {
         if hello.disk {
             let heard = self.clock.now;
-            let Hello { node: id, zone, bootstrap, .. } = hello;
-            self.group.standbys.insert(hello.address, Standby { id, zone, bootstrap, heard });
+            let Hello {
+                node: id,
+                data_centre,
+                bootstrap,
+                ..
+            } = hello;
+            self.group.standbys.insert(
+                hello.address,
+                Standby {
+                    id,
+                    data_centre,
+                    bootstrap,
+                    heard,
+                },
+            );
         }
     }
 
@@ -83,9 +101,11 @@
 
     /// The first seed founds the group. It does so in one process only, so two groups cannot arise.
     fn found(&mut self) {
-        let founder = self.options.bootstrap && self.options.seeds.first() == Some(&self.options.address);
+        let founder =
+            self.options.bootstrap && self.options.seeds.first() == Some(&self.options.address);
         let early = self.clock.now < self.group.start + FOUND_WAIT;
-        if !founder || early || self.leader_address().is_some() || self.raft.log().last_index() > 1 {
+        if !founder || early || self.leader_address().is_some() || self.raft.log().last_index() > 1
+        {
             return;
         }
         if self.group.chosen.is_none() {
@@ -93,25 +113,33 @@
             self.note_standby(own);
             self.group.chosen = self.choose_founders();
         }
-        let Some(members) = self.group.chosen.clone() else { return };
+        let Some(members) = self.group.chosen.clone() else {
+            return;
+        };
         for member in &members {
             self.send(member.address, Peer::Found(members.clone()));
         }
     }
 
-    /// Spreads the voters over the zones.
+    /// Spreads the voters over the data centres.
     fn choose_founders(&self) -> Option<Vec<Member>> {
-        let mut by_zone: BTreeMap<&str, Vec<Member>> = BTreeMap::new();
+        let mut by_centre: BTreeMap<&str, Vec<Member>> = BTreeMap::new();
         for (address, standby) in self.group.standbys.iter().filter(|(_, s)| s.bootstrap) {
-            let member = Member { id: standby.id, address: *address };
-            by_zone.entry(&standby.zone).or_default().push(member);
+            let member = Member {
+                id: standby.id,
+                address: *address,
+            };
+            by_centre
+                .entry(&standby.data_centre)
+                .or_default()
+                .push(member);
         }
         let mut members = Vec::new();
         while members.len() < self.options.voters {
             let before = members.len();
-            for zone in by_zone.values_mut() {
+            for centre in by_centre.values_mut() {
                 if members.len() < self.options.voters
-                    && let Some(member) = zone.pop()
+                    && let Some(member) = centre.pop()
                 {
                     members.push(member);
                 }
@@ -138,18 +166,22 @@
         let own = self.raft.id();
         let members = self.raft.members().to_vec();
         let wiped = |m: &Member| {
-            self.group.standbys.get(&m.address).is_some_and(|s| s.id != m.id && s.heard + STALE > now)
-        };
-        let gone = |m: &Member| {
-            m.id != own && (wiped(m) || self.raft.silence(now, m.id) > REPLACE)
+            self.group
+                .standbys
+                .get(&m.address)
+                .is_some_and(|s| s.id != m.id && s.heard + STALE > now)
         };
+        let gone = |m: &Member| m.id != own && (wiped(m) || self.raft.silence(now, m.id) > REPLACE);
         let lost: Vec<Member> = members.iter().filter(|m| gone(m)).cloned().collect();
         let healthy = members.len() - lost.len();
         let missing = healthy < self.options.voters;
         let is_member = |id: NodeId| members.iter().any(|m| m.id == id);
         let standbys = self.group.standbys.iter();
         let mut fresh = standbys.filter(|(_, s)| s.heard + STALE > now && !is_member(s.id));
-        let learner = fresh.next().map(|(a, s)| Member { id: s.id, address: *a });
+        let learner = fresh.next().map(|(a, s)| Member {
+            id: s.id,
+            address: *a,
+        });
         match learner {
             Some(learner) if missing => {
                 self.raft.forget_others(&[learner.id]);
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -18,9 +18,12 @@
     /// Serves a request. This node leads and no other leader can exist.
     pub(super) fn serve(&mut self, origin: Origin, request: Request) {
         let answer = match request {
-            Request::Submit { host, path, spec, age } => {
-                self.submit(origin, &host, &path, spec, age)
-            }
+            Request::Submit {
+                host,
+                path,
+                spec,
+                age,
+            } => self.submit(origin, &host, &path, spec, age),
             Request::Query { host, path } => self.query(origin, &host, &path),
             Request::Cancel { host, path } => self.cancel(origin, &host, &path),
             Request::Configure(set) => {
@@ -51,9 +54,15 @@
         spec: JobSpec,
         age: u32,
     ) -> Option<Answer> {
-        let Some(queues) = &self.state.queues else { return Some(no_config()) };
-        let Some((queue, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
-        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::Invalid) };
+        let Some(queues) = &self.state.queues else {
+            return Some(no_config());
+        };
+        let Some((queue, rest)) = queues.route(host, path) else {
+            return Some(Answer::NoQueue);
+        };
+        let Ok(id) = rest.parse::<JobId>() else {
+            return Some(Answer::Invalid);
+        };
         if self.state.knows(id) {
             return Some(Answer::Accepted);
         }
@@ -105,7 +114,10 @@
         spec: JobSpec,
         age: u32,
     ) {
-        log::info!("E632 volatile job taken job={id} queue={} age_ms={age}", queue.name);
+        log::info!(
+            "E632 volatile job taken job={id} queue={} age_ms={age}",
+            queue.name
+        );
         let (now, age) = (self.clock.now, Duration::from_millis(u64::from(age)));
         let leading = self.leading.as_mut().expect("a serving node leads");
         leading.submit(now, id, queue, &Arc::new(spec), age);
@@ -114,13 +126,19 @@
     }
 
     fn query(&mut self, origin: Origin, host: &str, path: &str) -> Option<Answer> {
-        let Some(queues) = &self.state.queues else { return Some(no_config()) };
-        let Some((queue, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
+        let Some(queues) = &self.state.queues else {
+            return Some(no_config());
+        };
+        let Some((queue, rest)) = queues.route(host, path) else {
+            return Some(Answer::NoQueue);
+        };
         let leading = self.leading.as_ref().expect("a serving node leads");
         if rest.is_empty() {
             return Some(Answer::Waiting(leading.waiting(&queue.name)));
         }
-        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::NoJob) };
+        let Ok(id) = rest.parse::<JobId>() else {
+            return Some(Answer::NoJob);
+        };
         if leading.is_ending(id) {
             // The outcome is known once the sync that is under way ends, a few milliseconds from now.
             self.waiters.queries.entry(id).or_default().push(origin);
@@ -130,9 +148,15 @@
     }
 
     fn cancel(&mut self, origin: Origin, host: &str, path: &str) -> Option<Answer> {
-        let Some(queues) = &self.state.queues else { return Some(no_config()) };
-        let Some((_, rest)) = queues.route(host, path) else { return Some(Answer::NoQueue) };
-        let Ok(id) = rest.parse::<JobId>() else { return Some(Answer::NoJob) };
+        let Some(queues) = &self.state.queues else {
+            return Some(no_config());
+        };
+        let Some((_, rest)) = queues.route(host, path) else {
+            return Some(Answer::NoQueue);
+        };
+        let Ok(id) = rest.parse::<JobId>() else {
+            return Some(Answer::NoJob);
+        };
         if self.state.outcome(id).is_some() {
             return Some(Answer::Cancelled);
         }
@@ -148,5 +172,8 @@
 }
 
 fn no_config() -> Answer {
-    Answer::Refused { retry: RETRY_CONFIG, reason: Refusal::NoConfig }
+    Answer::Refused {
+        retry: RETRY_CONFIG,
+        reason: Refusal::NoConfig,
+    }
 }
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -9,11 +9,11 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
+use self::{leader::Leading, log::Snapshot};
 pub use self::{
     log::{Entry, Log, Payload},
     message::{Member, Message, NodeId},
 };
-use self::{leader::Leading, log::Snapshot};
 
 mod follower;
 mod leader;
@@ -141,7 +141,11 @@
         }
         self.hard.term = 1;
         self.out.writes.push(Write::Hard(self.hard));
-        let entry = Entry { index: 1, term: 1, payload: Payload::Members(voters) };
+        let entry = Entry {
+            index: 1,
+            term: 1,
+            payload: Payload::Members(voters),
+        };
         self.store(entry);
     }
 
@@ -222,7 +226,10 @@
 
     /// Replaces the entries up to the end of `snapshot`, which is committed, and stores what remains anew.
     pub fn compact(&mut self, snapshot: Snapshot) {
-        assert!(snapshot.last.index <= self.commit, "a snapshot covers committed entries only");
+        assert!(
+            snapshot.last.index <= self.commit,
+            "a snapshot covers committed entries only"
+        );
         self.log.compact(snapshot.last.index);
         let first = snapshot.last.index + 1;
         self.out.writes.push(Write::Snapshot(snapshot));
@@ -255,13 +262,21 @@
             Message::PreVoteReply { term, granted } => {
                 self.on_pre_vote_reply(now, from, term, granted);
             }
-            Message::Vote { term, last, transfer } => {
+            Message::Vote {
+                term,
+                last,
+                transfer,
+            } => {
                 self.on_vote(now, from, term, last, transfer);
             }
             Message::VoteReply { term, granted } => self.on_vote_reply(now, from, term, granted),
             Message::Append(append) => self.on_append(now, from, append),
             Message::AppendReply(reply) => self.on_append_reply(now, from, reply),
-            Message::Install { term, snapshot, sent } => {
+            Message::Install {
+                term,
+                snapshot,
+                sent,
+            } => {
                 self.on_install(now, from, term, snapshot, sent);
             }
             Message::TimeoutNow { term } => {
@@ -284,7 +299,8 @@
 
     fn reset_election(&mut self, now: Timestamp) {
         let spread = (ELECTION_MAX - ELECTION_MIN).as_micros() as u64;
-        self.election = now + ELECTION_MIN + Duration::from_micros(self.rng.random_range(0..spread));
+        self.election =
+            now + ELECTION_MIN + Duration::from_micros(self.rng.random_range(0..spread));
     }
 
     fn majority(&self) -> usize {
@@ -293,12 +309,20 @@
 
     /// Counts the voters among `granted`; a node that was removed meanwhile does not count.
     fn has_majority(&self, granted: &[NodeId]) -> bool {
-        let votes = self.members().iter().filter(|m| granted.contains(&m.id)).count();
+        let votes = self
+            .members()
+            .iter()
+            .filter(|m| granted.contains(&m.id))
+            .count();
         votes >= self.majority()
     }
 
     fn peers(&self) -> Vec<NodeId> {
-        self.members().iter().map(|m| m.id).filter(|id| *id != self.id).collect()
+        self.members()
+            .iter()
+            .map(|m| m.id)
+            .filter(|id| *id != self.id)
+            .collect()
     }
 
     fn store(&mut self, entry: Entry) {
@@ -320,7 +344,9 @@
     fn campaign(&mut self, now: Timestamp) {
         self.leader = None;
         self.reset_election(now);
-        self.role = Role::PreCandidate { granted: vec![self.id] };
+        self.role = Role::PreCandidate {
+            granted: vec![self.id],
+        };
         let (term, last) = (self.hard.term + 1, self.log.last());
         for peer in self.peers() {
             self.out.send.push((peer, Message::PreVote { term, last }));
@@ -331,17 +357,35 @@
     }
 
     fn start_election(&mut self, now: Timestamp, transfer: bool) {
-        self.hard = HardState { term: self.hard.term + 1, vote: Some(self.id) };
+        self.hard = HardState {
+            term: self.hard.term + 1,
+            vote: Some(self.id),
+        };
         self.out.writes.push(Write::Hard(self.hard));
         self.leader = None;
         self.reset_election(now);
-        self.role = Role::Candidate { granted: Vec::new() };
+        self.role = Role::Candidate {
+            granted: Vec::new(),
+        };
         let (term, last) = (self.hard.term, self.log.last());
         for peer in self.peers() {
-            self.out.after.push((peer, Message::Vote { term, last, transfer }));
+            self.out.after.push((
+                peer,
+                Message::Vote {
+                    term,
+                    last,
+                    transfer,
+                },
+            ));
         }
         // The own vote counts once it is durable: the driver hands this message back.
-        self.out.after.push((self.id, Message::VoteReply { term, granted: true }));
+        self.out.after.push((
+            self.id,
+            Message::VoteReply {
+                term,
+                granted: true,
+            },
+        ));
     }
 
     fn on_pre_vote(&mut self, now: Timestamp, from: NodeId, term: Term, last: log::Position) {
@@ -356,7 +400,9 @@
     }
 
     fn on_pre_vote_reply(&mut self, now: Timestamp, from: NodeId, term: Term, yes: bool) {
-        let Role::PreCandidate { granted } = &mut self.role else { return };
+        let Role::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
         if !yes || term != self.hard.term + 1 {
             return;
         }
@@ -390,7 +436,10 @@
             self.out.writes.push(Write::Hard(self.hard));
             self.reset_election(now);
         }
-        let reply = Message::VoteReply { term: self.hard.term, granted };
+        let reply = Message::VoteReply {
+            term: self.hard.term,
+            granted,
+        };
         self.out.after.push((from, reply));
     }
 
@@ -399,7 +448,9 @@
             self.become_follower(now, term, None);
             return;
         }
-        let Role::Candidate { granted } = &mut self.role else { return };
+        let Role::Candidate { granted } = &mut self.role else {
+            return;
+        };
         if !yes || term != self.hard.term {
             return;
         }
--- a/crates/figdeal-queue/src/raft/follower.rs
+++ b/crates/figdeal-queue/src/raft/follower.rs
@@ -21,12 +21,15 @@
                 Some(_) => append.prev.index.saturating_sub(1),
                 None => self.log.last_index(),
             };
-            self.reply(from, AppendReply {
-                term: self.hard.term,
-                index: index.max(self.commit),
-                conflict: true,
-                sent: append.sent,
-            });
+            self.reply(
+                from,
+                AppendReply {
+                    term: self.hard.term,
+                    index: index.max(self.commit),
+                    conflict: true,
+                    sent: append.sent,
+                },
+            );
             return;
         }
         let last = append.prev.index + append.entries.len() as u64;
@@ -40,19 +43,27 @@
             }
         }
         self.commit = self.commit.max(append.commit.min(last));
-        self.reply(from, AppendReply {
-            term: self.hard.term,
-            index: last,
-            conflict: false,
-            sent: append.sent,
-        });
+        self.reply(
+            from,
+            AppendReply {
+                term: self.hard.term,
+                index: last,
+                conflict: false,
+                sent: append.sent,
+            },
+        );
     }
 
     /// Whether the sender leads the current term; the vote is withheld from others for a while.
     fn accept_leader(&mut self, now: Timestamp, from: NodeId, term: Term, sent: u64) -> bool {
         if term < self.hard.term {
             let index: Index = 0;
-            let reply = AppendReply { term: self.hard.term, index, conflict: true, sent };
+            let reply = AppendReply {
+                term: self.hard.term,
+                index,
+                conflict: true,
+                sent,
+            };
             self.out.send.push((from, Message::AppendReply(reply)));
             return false;
         }
@@ -91,7 +102,15 @@
             self.restored = Some(snapshot);
         }
         let index = last.index;
-        self.reply(from, AppendReply { term: self.hard.term, index, conflict: false, sent });
+        self.reply(
+            from,
+            AppendReply {
+                term: self.hard.term,
+                index,
+                conflict: false,
+                sent,
+            },
+        );
     }
 
     /// Whether this node follows a leader that it heard within an election timeout.
--- a/crates/figdeal-queue/src/raft/leader.rs
+++ b/crates/figdeal-queue/src/raft/leader.rs
@@ -46,8 +46,17 @@
 impl Raft {
     pub(super) fn become_leader(&mut self, now: Timestamp) {
         let first = self.log.last_index() + 1;
-        let progress = Progress { next: first, matched: 0, acked: None, installing: None };
-        let progress = self.peers().into_iter().map(|id| (id, progress.clone())).collect();
+        let progress = Progress {
+            next: first,
+            matched: 0,
+            acked: None,
+            installing: None,
+        };
+        let progress = self
+            .peers()
+            .into_iter()
+            .map(|id| (id, progress.clone()))
+            .collect();
         self.role = Role::Leader(Leading {
             progress,
             first,
@@ -69,7 +78,11 @@
 
     fn push(&mut self, payload: Payload) -> Index {
         let index = self.log.last_index() + 1;
-        self.store(Entry { index, term: self.hard.term, payload });
+        self.store(Entry {
+            index,
+            term: self.hard.term,
+            payload,
+        });
         index
     }
 
@@ -93,7 +106,10 @@
             return None;
         }
         let changed = |a: &[Member], b: &[Member]| a.iter().filter(|m| !b.contains(m)).count();
-        let (gone, new) = (changed(self.members(), &members), changed(&members, self.members()));
+        let (gone, new) = (
+            changed(self.members(), &members),
+            changed(&members, self.members()),
+        );
         assert!(gone + new <= 1, "voters change one at a time");
         let index = self.push(Payload::Members(members));
         self.add_progress();
@@ -103,9 +119,16 @@
 
     fn add_progress(&mut self) {
         let (peers, next) = (self.peers(), self.log.last_index() + 1);
-        let Some(leading) = self.leading() else { return };
+        let Some(leading) = self.leading() else {
+            return;
+        };
         for peer in peers {
-            let fresh = Progress { next, matched: 0, acked: None, installing: None };
+            let fresh = Progress {
+                next,
+                matched: 0,
+                acked: None,
+                installing: None,
+            };
             leading.progress.entry(peer).or_insert(fresh);
         }
     }
@@ -113,8 +136,15 @@
     /// Sends the log to a node that is to become a voter. Returns whether it holds every committed entry.
     pub fn teach(&mut self, now: Timestamp, id: NodeId) -> bool {
         let (next, commit) = (self.log.last_index() + 1, self.commit);
-        let Some(leading) = self.leading() else { return false };
-        let fresh = Progress { next, matched: 0, acked: None, installing: None };
+        let Some(leading) = self.leading() else {
+            return false;
+        };
+        let fresh = Progress {
+            next,
+            matched: 0,
+            acked: None,
+            installing: None,
+        };
         let progress = leading.progress.entry(id).or_insert(fresh);
         let taught = progress.matched >= commit && progress.matched > 0;
         if progress.matched == 0 {
@@ -127,7 +157,9 @@
     pub fn forget_others(&mut self, learners: &[NodeId]) {
         let peers = self.peers();
         if let Some(leading) = self.leading() {
-            leading.progress.retain(|id, _| peers.contains(id) || learners.contains(id));
+            leading
+                .progress
+                .retain(|id, _| peers.contains(id) || learners.contains(id));
         }
     }
 
@@ -146,7 +178,10 @@
     pub fn hand_over(&mut self, now: Timestamp) -> Option<NodeId> {
         let (term, peers) = (self.hard.term, self.peers());
         let leading = self.leading()?;
-        let recent = leading.progress.iter().filter(|(id, p)| peers.contains(id) && p.matched > 0);
+        let recent = leading
+            .progress
+            .iter()
+            .filter(|(id, p)| peers.contains(id) && p.matched > 0);
         let (&id, _) = recent.max_by_key(|(_, p)| (p.matched, p.acked))?;
         leading.closing = Some(now);
         self.out.after.push((id, Message::TimeoutNow { term }));
@@ -154,7 +189,9 @@
     }
 
     pub(super) fn tick_leader(&mut self, now: Timestamp) {
-        let Role::Leader(leading) = &self.role else { return };
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
         let start = self.lease_start(leading, now).max(leading.since);
         let unanswered = leading.closing.is_some_and(|at| at + HEARTBEAT < now);
         if start + ELECTION_MIN + LEASE < now || unanswered {
@@ -175,16 +212,28 @@
 
     /// The newest time at which a majority is known to have followed this leader.
     pub(super) fn lease_start(&self, leading: &Leading, now: Timestamp) -> Timestamp {
-        let acked = |id| leading.progress.get(&id).and_then(|p| p.acked).unwrap_or(Timestamp::ZERO);
+        let acked = |id| {
+            leading
+                .progress
+                .get(&id)
+                .and_then(|p| p.acked)
+                .unwrap_or(Timestamp::ZERO)
+        };
         let voters = self.members().iter().map(|m| m.id);
-        let mut times: Vec<Timestamp> =
-            voters.map(|id| if id == self.id { now } else { acked(id) }).collect();
+        let mut times: Vec<Timestamp> = voters
+            .map(|id| if id == self.id { now } else { acked(id) })
+            .collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
-        times.get(self.majority() - 1).copied().unwrap_or(Timestamp::ZERO)
+        times
+            .get(self.majority() - 1)
+            .copied()
+            .unwrap_or(Timestamp::ZERO)
     }
 
     fn replicate(&mut self, now: Timestamp) {
-        let Some(leading) = self.leading() else { return };
+        let Some(leading) = self.leading() else {
+            return;
+        };
         let ids: Vec<NodeId> = leading.progress.keys().copied().collect();
         for id in ids {
             self.send_append(now, id, false);
@@ -195,16 +244,32 @@
     fn send_append(&mut self, now: Timestamp, id: NodeId, heartbeat: bool) {
         let (term, commit) = (self.hard.term, self.commit);
         let (base, last) = (self.log.base(), self.log.last_index());
-        let Role::Leader(leading) = &mut self.role else { return };
-        let Some(progress) = leading.progress.get_mut(&id) else { return };
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leading.progress.get_mut(&id) else {
+            return;
+        };
         if progress.next <= base.index {
             // The driver fills in the state when it sends this.
-            let waits = progress.installing.is_some_and(|at| at + ELECTION_MIN > now);
+            let waits = progress
+                .installing
+                .is_some_and(|at| at + ELECTION_MIN > now);
             if !waits {
                 progress.installing = Some(now);
-                let snapshot = Snapshot { last: base, ..Snapshot::default() };
+                let snapshot = Snapshot {
+                    last: base,
+                    ..Snapshot::default()
+                };
                 let sent = stamp(now);
-                self.out.send.push((id, Message::Install { term, snapshot, sent }));
+                self.out.send.push((
+                    id,
+                    Message::Install {
+                        term,
+                        snapshot,
+                        sent,
+                    },
+                ));
             }
             return;
         }
@@ -217,11 +282,17 @@
             return;
         }
         let prev = progress.next - 1;
-        let prev_term = self.log.term(prev).expect("the entry before is held or the base");
+        let prev_term = self
+            .log
+            .term(prev)
+            .expect("the entry before is held or the base");
         progress.next += entries.len() as u64;
         let append = Append {
             term,
-            prev: Position { term: prev_term, index: prev },
+            prev: Position {
+                term: prev_term,
+                index: prev,
+            },
             entries,
             commit,
             sent: stamp(now),
@@ -235,8 +306,12 @@
             return;
         }
         let (last, term) = (self.log.last_index(), self.hard.term);
-        let Some(leading) = self.leading() else { return };
-        let Some(progress) = leading.progress.get_mut(&from) else { return };
+        let Some(leading) = self.leading() else {
+            return;
+        };
+        let Some(progress) = leading.progress.get_mut(&from) else {
+            return;
+        };
         if reply.term < term {
             return;
         }
@@ -260,13 +335,24 @@
     }
 
     pub(super) fn advance_commit(&mut self) {
-        let Role::Leader(leading) = &self.role else { return };
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
         let matched = |id| leading.progress.get(&id).map_or(0, |p| p.matched);
         let voters = self.members().iter().map(|m| m.id);
-        let mut indexes: Vec<Index> =
-            voters.map(|id| if id == self.id { self.synced } else { matched(id) }).collect();
+        let mut indexes: Vec<Index> = voters
+            .map(|id| {
+                if id == self.id {
+                    self.synced
+                } else {
+                    matched(id)
+                }
+            })
+            .collect();
         indexes.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = indexes.get(self.majority() - 1) else { return };
+        let Some(&index) = indexes.get(self.majority() - 1) else {
+            return;
+        };
         // Only an entry of the own term proves that the entries before it stay.
         if index > self.commit && self.log.term(index) == Some(self.hard.term) {
             self.commit = index;
--- a/crates/figdeal-queue/src/raft/log.rs
+++ b/crates/figdeal-queue/src/raft/log.rs
@@ -103,7 +103,10 @@
 
     /// The position of the last entry.
     pub fn last(&self) -> Position {
-        self.entries.back().map_or(self.base, |e| Position { term: e.term, index: e.index })
+        self.entries.back().map_or(self.base, |e| Position {
+            term: e.term,
+            index: e.index,
+        })
     }
 
     /// The index of the last entry.
@@ -123,7 +126,12 @@
 
     /// The voters at `index`.
     pub fn members_at(&self, index: Index) -> Vec<Member> {
-        let found = self.entries.iter().rev().filter(|e| e.index <= index).find_map(voters);
+        let found = self
+            .entries
+            .iter()
+            .rev()
+            .filter(|e| e.index <= index)
+            .find_map(voters);
         found.unwrap_or_else(|| self.base_members.clone())
     }
 
@@ -171,14 +179,23 @@
     }
 
     fn truncate(&mut self, index: Index) {
-        assert!(index > self.base.index, "entries below the snapshot are committed");
+        assert!(
+            index > self.base.index,
+            "entries below the snapshot are committed"
+        );
         while self.last_index() >= index {
-            let Some(entry) = self.entries.pop_back() else { break };
+            let Some(entry) = self.entries.pop_back() else {
+                break;
+            };
             self.bytes -= weight(&entry);
         }
         if self.members.0 >= index {
             let last = self.last_index();
-            let found = self.entries.iter().rev().find_map(|e| Some((e.index, voters(e)?)));
+            let found = self
+                .entries
+                .iter()
+                .rev()
+                .find_map(|e| Some((e.index, voters(e)?)));
             self.members =
                 found.unwrap_or_else(|| (self.base.index.min(last), self.base_members.clone()));
         }
--- a/crates/figdeal-queue/src/state.rs
+++ b/crates/figdeal-queue/src/state.rs
@@ -162,7 +162,9 @@
         let time = batch.time;
         self.forget(time);
         let commands = batch.commands.into_iter();
-        commands.filter_map(|command| self.apply_command(index, time, command)).collect()
+        commands
+            .filter_map(|command| self.apply_command(index, time, command))
+            .collect()
     }
 
     /// The state of a job as its caller sees it; queued or running is for the placement to say.
@@ -178,11 +180,34 @@
     fn apply_command(&mut self, index: u64, time: u64, command: Command) -> Option<Change> {
         match command {
             Command::Accept { id, .. } if self.knows(id) => Some(Change::Known(id)),
-            Command::Accept { id, queue, pool, policy, spec, term } => {
+            Command::Accept {
+                id,
+                queue,
+                pool,
+                policy,
+                spec,
+                term,
+            } => {
                 let record = TaskRecord::default();
-                let tasks = spec.steps.iter().map(|s| vec![record; s.count as usize]).collect();
+                let tasks = spec
+                    .steps
+                    .iter()
+                    .map(|s| vec![record; s.count as usize])
+                    .collect();
                 let open = spec.task_count();
-                self.jobs.insert(id, Job { queue, pool, policy, spec, term, time, tasks, open });
+                self.jobs.insert(
+                    id,
+                    Job {
+                        queue,
+                        pool,
+                        policy,
+                        spec,
+                        term,
+                        time,
+                        tasks,
+                        open,
+                    },
+                );
                 Some(Change::Accepted(id))
             }
             Command::End { task, run, done } => self.apply_end(time, task, run, done),
@@ -207,7 +232,11 @@
 
     fn configure(&mut self, set: QueueSet) -> Change {
         let version = set.version;
-        if self.queues.as_ref().is_none_or(|held| held.version < version) {
+        if self
+            .queues
+            .as_ref()
+            .is_none_or(|held| held.version < version)
+        {
             self.queues = Some(set);
         }
         let held = self.queues.as_ref().map_or(0, |held| held.version);
--- a/crates/figdeal-queue/tests/sim/check.rs
+++ b/crates/figdeal-queue/tests/sim/check.rs
@@ -55,11 +55,17 @@
         };
         for (other, worker) in workers.iter().enumerate() {
             if worker.up && worker.runs.contains_key(&task) {
-                self.fail("TWICE", format!("{task} on workers {other} and {at} at {now:?}"));
+                self.fail(
+                    "TWICE",
+                    format!("{task} on workers {other} and {at} at {now:?}"),
+                );
             }
         }
         if !sent.spec.volatile && self.done.contains(&task) {
-            self.fail("TWICE", format!("{task} starts after its end was stored, at {now:?}"));
+            self.fail(
+                "TWICE",
+                format!("{task} starts after its end was stored, at {now:?}"),
+            );
         }
         let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
         if !sent.spec.volatile && failed >= sent.attempts as usize {
@@ -69,11 +75,18 @@
         for before in &step.after {
             let count = sent.spec.steps[usize::from(*before)].count;
             let all = (0..count).all(|index| {
-                let earlier = TaskId { step: *before, index, ..task };
+                let earlier = TaskId {
+                    step: *before,
+                    index,
+                    ..task
+                };
                 self.ended.contains(&earlier)
             });
             if !all && !sent.spec.volatile {
-                self.fail("ORDER", format!("{task} starts before step {before} is done"));
+                self.fail(
+                    "ORDER",
+                    format!("{task} starts before step {before} is done"),
+                );
             }
         }
         self.starts.entry(task).or_default().push(Start { at: now });
@@ -81,7 +94,9 @@
 
     /// An agent tells its worker to forget an end, so it is taken note of.
     pub(crate) fn noted(&mut self, at: usize, worker: &Worker, end: End) {
-        let Some(sent) = self.jobs.get(&end.task.job) else { return };
+        let Some(sent) = self.jobs.get(&end.task.job) else {
+            return;
+        };
         if sent.spec.volatile {
             return;
         }
@@ -92,11 +107,17 @@
                 let lapsed = |s: &Start| worker.lapses.iter().any(|l| *l > end.at && *l <= s.at);
                 let bad = later.filter(|s| s.at > end.at && !lapsed(s)).count();
                 if bad > 0 {
-                    self.fail("TWICE", format!("{} started after an end noted later", end.task));
+                    self.fail(
+                        "TWICE",
+                        format!("{} started after an end noted later", end.task),
+                    );
                 }
             }
             HoldEnd::Failed => {
-                self.failed.entry(end.task).or_default().insert((at, end.run));
+                self.failed
+                    .entry(end.task)
+                    .or_default()
+                    .insert((at, end.run));
             }
             HoldEnd::Lost => {}
         }
@@ -108,7 +129,11 @@
         match answer {
             Answer::Accepted => sent.accepted = true,
             Answer::Ended(done) => {
-                let state = if *done { JobState::Completed } else { JobState::Failed };
+                let state = if *done {
+                    JobState::Completed
+                } else {
+                    JobState::Failed
+                };
                 sent.ended = Some(state);
             }
             Answer::Refused { .. } | Answer::Invalid | Answer::NoQueue => sent.refused += 1,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -19,7 +19,15 @@
 
 fn plan(seed: u64) -> Plan {
     let sabotage = Sabotage::None;
-    Plan { seed, jobs: 150, volatile: 0.5, faults: 6, kinds: &ALL_FAULTS, late: 0.0, sabotage }
+    Plan {
+        seed,
+        jobs: 150,
+        volatile: 0.5,
+        faults: 6,
+        kinds: &ALL_FAULTS,
+        late: 0.0,
+        sabotage,
+    }
 }
 
 thread_local! {
@@ -60,9 +68,17 @@
 /// Guards against a path that serves nothing without any fault.
 #[test]
 fn calm_run_ends_every_job() {
-    let (world, broken) = play(Plan { faults: 0, ..plan(1) });
+    let (world, broken) = play(Plan {
+        faults: 0,
+        ..plan(1)
+    });
     assert!(broken.is_empty(), "{broken:?}");
-    let ended = world.check.jobs.values().filter(|s| s.ended.is_some() || s.cancelled).count();
+    let ended = world
+        .check
+        .jobs
+        .values()
+        .filter(|s| s.ended.is_some() || s.cancelled)
+        .count();
     assert_eq!(ended, world.check.jobs.len());
     assert!(world.check.start_count() >= 150);
 }
@@ -80,18 +96,36 @@
 #[test]
 fn promises_hold_with_late_orders() {
     for seed in seeds() {
-        let (_, broken) = play(Plan { late: 0.04, ..plan(seed) });
+        let (_, broken) = play(Plan {
+            late: 0.04,
+            ..plan(seed)
+        });
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
     }
 }
 
 fn assert_noticed(sabotage: Sabotage, kinds: &'static [u32], rules: &[&str]) {
     for seed in SABOTAGE_SEEDS {
-        let late = if sabotage == Sabotage::LaxWorkers { 0.05 } else { 0.0 };
-        let plan = Plan { sabotage, kinds, late, faults: 40, ..plan(seed) };
+        let late = if sabotage == Sabotage::LaxWorkers {
+            0.05
+        } else {
+            0.0
+        };
+        let plan = Plan {
+            sabotage,
+            kinds,
+            late,
+            faults: 40,
+            ..plan(seed)
+        };
         // An assertion of the program itself notices it too.
-        let Ok((_, broken)) = std::panic::catch_unwind(|| play(plan)) else { return };
-        if broken.iter().any(|b| rules.iter().any(|rule| b.starts_with(rule))) {
+        let Ok((_, broken)) = std::panic::catch_unwind(|| play(plan)) else {
+            return;
+        };
+        if broken
+            .iter()
+            .any(|b| rules.iter().any(|rule| b.starts_with(rule)))
+        {
             return;
         }
     }
@@ -101,13 +135,21 @@
 /// Guards against a judge that does not see acknowledged state that a power loss takes away.
 #[test]
 fn skipped_sync_is_noticed() {
-    assert_noticed(Sabotage::SkipSync, &ALL_FAULTS, &["LOST", "CONFIG", "TWICE", "UNASKED"]);
+    assert_noticed(
+        Sabotage::SkipSync,
+        &ALL_FAULTS,
+        &["LOST", "CONFIG", "TWICE", "UNASKED"],
+    );
 }
 
 /// Guards against a judge that does not see late orders that are carried out.
 #[test]
 fn lax_workers_are_noticed() {
-    assert_noticed(Sabotage::LaxWorkers, &ALL_FAULTS, &["TWICE", "LIMIT", "BUDGET"]);
+    assert_noticed(
+        Sabotage::LaxWorkers,
+        &ALL_FAULTS,
+        &["TWICE", "LIMIT", "BUDGET"],
+    );
 }
 
 /// Guards against a judge that does not see leases that last too long.
@@ -120,5 +162,9 @@
 #[test]
 fn kept_identity_is_noticed() {
     // Voters that are cut off miss entries, and then one that has them loses its disk.
-    assert_noticed(Sabotage::KeepIdentity, &[4, 4, 9], &["LOST", "CONFIG", "TWICE"]);
+    assert_noticed(
+        Sabotage::KeepIdentity,
+        &[4, 4, 9],
+        &["LOST", "CONFIG", "TWICE"],
+    );
 }
--- a/crates/figdeal-queue/tests/sim/worker.rs
+++ b/crates/figdeal-queue/tests/sim/worker.rs
@@ -60,7 +60,11 @@
             up: true,
             born,
             start: now,
-            capacity: Resources { cpu, memory: 100_000, gpu: 0 },
+            capacity: Resources {
+                cpu,
+                memory: 100_000,
+                gpu: 0,
+            },
             runs: BTreeMap::new(),
             ends: VecDeque::new(),
             next: 1,
@@ -79,8 +83,12 @@
 
     /// Ends what is due by now.
     pub(crate) fn advance(&mut self, now: Timestamp) {
-        let due: Vec<TaskId> =
-            self.runs.iter().filter(|(_, r)| r.end <= now).map(|(t, _)| *t).collect();
+        let due: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, r)| r.end <= now)
+            .map(|(t, _)| *t)
+            .collect();
         for task in due {
             let run = self.runs.remove(&task).unwrap();
             self.end(run.end, task, run.run, run.how);
@@ -96,13 +104,22 @@
     }
 
     fn end(&mut self, at: Timestamp, task: TaskId, run: u64, how: HoldEnd) {
-        log::debug!("worker lists end={} task={task} run={run} how={how:?}", self.next);
+        log::debug!(
+            "worker lists end={} task={task} run={run} how={how:?}",
+            self.next
+        );
         let past = self.past.entry(task).or_default();
         *past = (*past).max(run);
         if how == HoldEnd::Done {
             self.done.push(task);
         }
-        self.ends.push_back(End { number: self.next, task, run, how, at });
+        self.ends.push_back(End {
+            number: self.next,
+            task,
+            run,
+            how,
+            at,
+        });
         self.next += 1;
     }
 
@@ -118,7 +135,10 @@
         if self.runs.get(&call.task).is_some_and(|r| r.run == call.run) {
             return Started::Yes;
         }
-        let old = self.past.get(&call.task).is_some_and(|past| call.run <= *past);
+        let old = self
+            .past
+            .get(&call.task)
+            .is_some_and(|past| call.run <= *past);
         let fenced = call.fence < self.fence || call.expiry <= self.clock(now);
         if !self.lax && (fenced || old || self.runs.contains_key(&call.task)) {
             return Started::No(Obstacle::Stale);
@@ -167,7 +187,11 @@
             clock: self.clock(now),
             born: Some(self.born),
             running: self.runs.iter().map(|(t, r)| (*t, r.run)).collect(),
-            ended: self.ends.iter().map(|e| (e.number, e.task, e.run, e.how)).collect(),
+            ended: self
+                .ends
+                .iter()
+                .map(|e| (e.number, e.task, e.run, e.how))
+                .collect(),
         }
     }
 }
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -9,7 +9,10 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Action as AgentAction, Agent, CALL_LIMIT, Heartbeat, HoldCall, HoldEnd, StartCall, Started, StopCall},
+    agent::{
+        Action as AgentAction, Agent, CALL_LIMIT, Heartbeat, HoldCall, HoldEnd, StartCall, Started,
+        StopCall,
+    },
     job::{JobId, JobSpec, Policy, Queue, QueueSet, Resources, Step},
     message::{Answer, Peer, Request},
     node::{Action, Clock, Node, Options},
@@ -51,13 +54,43 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    Deliver { from: SocketAddr, to: SocketAddr, peer: Box<Peer>, life: u64 },
-    Stored { node: usize, life: u64, writes: usize, last: Position, after: Vec<(SocketAddr, Peer)> },
+    Deliver {
+        from: SocketAddr,
+        to: SocketAddr,
+        peer: Box<Peer>,
+        life: u64,
+    },
+    Stored {
+        node: usize,
+        life: u64,
+        writes: usize,
+        last: Position,
+        after: Vec<(SocketAddr, Peer)>,
+    },
     Tick,
-    Call { agent: usize, life: u64, call: Call, late: Option<u64> },
-    Started { agent: usize, life: u64, call: StartCall, answer: Started },
-    Held { agent: usize, life: u64, call: HoldCall, until: Timestamp },
-    NotHeld { agent: usize, life: u64, number: u64 },
+    Call {
+        agent: usize,
+        life: u64,
+        call: Call,
+        late: Option<u64>,
+    },
+    Started {
+        agent: usize,
+        life: u64,
+        call: StartCall,
+        answer: Started,
+    },
+    Held {
+        agent: usize,
+        life: u64,
+        call: HoldCall,
+        until: Timestamp,
+    },
+    NotHeld {
+        agent: usize,
+        life: u64,
+        number: u64,
+    },
     Submit(JobId),
     Ask(JobId),
     Cancel(JobId),
@@ -190,7 +223,13 @@
             let mut worker = Worker::new(world.now, 1, 8_000);
             worker.lax = world.plan.sabotage == Sabotage::LaxWorkers;
             let frozen = Timestamp::ZERO;
-            world.sides.push(Side { agent: None, life: 0, worker, beat: 0, frozen });
+            world.sides.push(Side {
+                agent: None,
+                life: 0,
+                worker,
+                beat: 0,
+                frozen,
+            });
             world.start_agent(n);
             world.schedule(Duration::from_millis(20 * n as u64), Event::Heartbeat(n));
         }
@@ -211,7 +250,10 @@
     }
 
     fn clock(&self) -> Clock {
-        Clock { now: self.now, wall: 1_700_000_000_000 + self.now.as_micros() / 1_000 }
+        Clock {
+            now: self.now,
+            wall: 1_700_000_000_000 + self.now.as_micros() / 1_000,
+        }
     }
 
     /// The agents' clock, which a sabotaged run slows down.
@@ -242,7 +284,7 @@
         }
         let options = Options {
             address: node_address(n),
-            zone: format!("z{n}"),
+            data_centre: format!("z{n}"),
             disk: machine.disk,
             bootstrap: machine.first,
             seeds,
@@ -250,7 +292,8 @@
         };
         machine.first = false;
         let raft = Raft::new(machine.id, hard, log, clock.now, seed);
-        machine.node = Some(Node::new(options, raft, snapshot, clock).expect("the state is readable"));
+        machine.node =
+            Some(Node::new(options, raft, snapshot, clock).expect("the state is readable"));
     }
 
     fn start_agent(&mut self, n: usize) {
@@ -305,8 +348,13 @@
         self.run(self.now + 24 * second);
         self.quiet = true;
         self.run(self.now + 16 * second);
-        let stored: Vec<JobId> =
-            self.check.jobs.iter().filter(|(_, s)| !s.spec.volatile).map(|(id, _)| *id).collect();
+        let stored: Vec<JobId> = self
+            .check
+            .jobs
+            .iter()
+            .filter(|(_, s)| !s.spec.volatile)
+            .map(|(id, _)| *id)
+            .collect();
         for id in stored {
             self.schedule(Duration::ZERO, Event::Ask(id));
         }
@@ -320,32 +368,90 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick => self.tick(),
-            Event::Deliver { from, to, peer, life } => self.deliver(from, to, *peer, life),
-            Event::Stored { node, life, writes, last, after } => {
+            Event::Deliver {
+                from,
+                to,
+                peer,
+                life,
+            } => self.deliver(from, to, *peer, life),
+            Event::Stored {
+                node,
+                life,
+                writes,
+                last,
+                after,
+            } => {
                 self.stored(node, life, writes, last, after);
             }
             // A call that is carried out late ends with the life of the worker that has received it.
-            Event::Call { agent, late: Some(born), .. } if self.sides[agent].worker.born != born => {}
-            Event::Call { agent, life, call, late } => {
+            Event::Call {
+                agent,
+                late: Some(born),
+                ..
+            } if self.sides[agent].worker.born != born => {}
+            Event::Call {
+                agent,
+                life,
+                call,
+                late,
+            } => {
                 self.call(agent, life, call, late.is_some());
             }
-            Event::Started { agent: n, life, call, answer } if self.sides[n].frozen > self.now => {
+            Event::Started {
+                agent: n,
+                life,
+                call,
+                answer,
+            } if self.sides[n].frozen > self.now => {
                 let thaw = self.sides[n].frozen - self.now;
-                self.schedule(thaw, Event::Started { agent: n, life, call, answer });
+                self.schedule(
+                    thaw,
+                    Event::Started {
+                        agent: n,
+                        life,
+                        call,
+                        answer,
+                    },
+                );
             }
-            Event::Started { agent, life, call, answer } => {
+            Event::Started {
+                agent,
+                life,
+                call,
+                answer,
+            } => {
                 let now = self.agent_now();
                 if let Some(agent) = self.agent(agent, life) {
                     agent.started(now, call.task, call.run, answer);
                 }
                 self.drain_agent(agent);
             }
-            Event::Held { agent, life, call, until } => self.held(agent, life, call, until),
-            Event::NotHeld { agent: n, life, number } if self.sides[n].frozen > self.now => {
+            Event::Held {
+                agent,
+                life,
+                call,
+                until,
+            } => self.held(agent, life, call, until),
+            Event::NotHeld {
+                agent: n,
+                life,
+                number,
+            } if self.sides[n].frozen > self.now => {
                 let thaw = self.sides[n].frozen - self.now;
-                self.schedule(thaw, Event::NotHeld { agent: n, life, number });
+                self.schedule(
+                    thaw,
+                    Event::NotHeld {
+                        agent: n,
+                        life,
+                        number,
+                    },
+                );
             }
-            Event::NotHeld { agent, life, number } => {
+            Event::NotHeld {
+                agent,
+                life,
+                number,
+            } => {
                 let now = self.agent_now();
                 if let Some(agent) = self.agent(agent, life) {
                     agent.held(now, number, None);
@@ -355,12 +461,28 @@
             Event::Submit(id) => self.submit(id),
             Event::Ask(id) => {
                 let path = format!("{PREFIX}{id}");
-                self.ask(Question::Query(id), Request::Query { host: HOST.to_owned(), path });
+                self.ask(
+                    Question::Query(id),
+                    Request::Query {
+                        host: HOST.to_owned(),
+                        path,
+                    },
+                );
             }
             Event::Cancel(id) => {
-                self.check.jobs.get_mut(&id).expect("the job was sent").cancelled = true;
+                self.check
+                    .jobs
+                    .get_mut(&id)
+                    .expect("the job was sent")
+                    .cancelled = true;
                 let path = format!("{PREFIX}{id}");
-                self.ask(Question::Cancel, Request::Cancel { host: HOST.to_owned(), path });
+                self.ask(
+                    Question::Cancel,
+                    Request::Cancel {
+                        host: HOST.to_owned(),
+                        path,
+                    },
+                );
             }
             Event::Configure(version) => self.configure(version),
             Event::ReadConfig => {
@@ -386,7 +508,10 @@
 
     fn agent(&mut self, n: usize, life: u64) -> Option<&mut Agent> {
         let now = self.now;
-        let side = self.sides.get_mut(n).filter(|s| s.life == life && s.frozen <= now)?;
+        let side = self
+            .sides
+            .get_mut(n)
+            .filter(|s| s.life == life && s.frozen <= now)?;
         side.agent.as_mut()
     }
 
@@ -431,7 +556,12 @@
         let at = (self.now + delay).max(*link + Duration::from_micros(1));
         *link = at;
         let life = self.life_of(to);
-        let event = Event::Deliver { from, to, peer: Box::new(peer), life };
+        let event = Event::Deliver {
+            from,
+            to,
+            peer: Box::new(peer),
+            life,
+        };
         self.schedule(at - self.now, event);
     }
 
@@ -452,7 +582,12 @@
             let frozen = self.machines[n].frozen;
             if frozen > self.now {
                 // What arrives meanwhile waits in the socket.
-                let event = Event::Deliver { from, to, peer: Box::new(peer), life };
+                let event = Event::Deliver {
+                    from,
+                    to,
+                    peer: Box::new(peer),
+                    life,
+                };
                 return self.schedule(frozen - self.now, event);
             }
             if let Some(node) = &mut self.machines[n].node {
@@ -460,10 +595,17 @@
             }
             self.drain_node(n);
         } else {
-            let n = (0..self.sides.len()).find(|n| agent_address(*n) == to).expect("an agent");
+            let n = (0..self.sides.len())
+                .find(|n| agent_address(*n) == to)
+                .expect("an agent");
             let frozen = self.sides[n].frozen;
             if frozen > self.now {
-                let event = Event::Deliver { from, to, peer: Box::new(peer), life };
+                let event = Event::Deliver {
+                    from,
+                    to,
+                    peer: Box::new(peer),
+                    life,
+                };
                 return self.schedule(frozen - self.now, event);
             }
             let now = self.agent_now();
@@ -476,7 +618,9 @@
 
     fn drain_node(&mut self, n: usize) {
         loop {
-            let Some(node) = &mut self.machines[n].node else { return };
+            let Some(node) = &mut self.machines[n].node else {
+                return;
+            };
             let actions = node.take_actions();
             if actions.is_empty() {
                 return;
@@ -489,7 +633,11 @@
                     }
                     Action::Send(to, peer) => self.send(node_address(n), to, peer),
                     Action::Reply(token, answer) => self.answered(token, &answer, false),
-                    Action::Store { writes, last, after } => {
+                    Action::Store {
+                        writes,
+                        last,
+                        after,
+                    } => {
                         let now = self.now;
                         let machine = &mut self.machines[n];
                         machine.written.extend(writes);
@@ -498,7 +646,16 @@
                         let (life, writes) = (machine.life, machine.written.len());
                         let early = self.plan.sabotage == Sabotage::SkipSync;
                         let delay = if early { Duration::ZERO } else { free - now };
-                        self.schedule(delay, Event::Stored { node: n, life, writes, last, after });
+                        self.schedule(
+                            delay,
+                            Event::Stored {
+                                node: n,
+                                life,
+                                writes,
+                                last,
+                                after,
+                            },
+                        );
                     }
                 }
             }
@@ -535,7 +692,9 @@
 
     fn drain_agent(&mut self, n: usize) {
         let life = self.sides[n].life;
-        let Some(agent) = &mut self.sides[n].agent else { return };
+        let Some(agent) = &mut self.sides[n].agent else {
+            return;
+        };
         for action in agent.take_actions() {
             let call = match action {
                 AgentAction::Send(to, peer) => {
@@ -549,21 +708,52 @@
             if let Call::Hold(call) = &call {
                 // Without effect if the answer comes before.
                 let (number, limit) = (call.number, call.wait + CALL_LIMIT);
-                self.schedule(limit, Event::NotHeld { agent: n, life, number });
+                self.schedule(
+                    limit,
+                    Event::NotHeld {
+                        agent: n,
+                        life,
+                        number,
+                    },
+                );
             }
             let late = self.rng.random_bool(self.plan.late) && !self.quiet;
             if late {
                 if let Call::Start(start) = &call {
                     let (call, answer) = (start.clone(), Started::Unclear);
                     let limit = CALL_LIMIT;
-                    self.schedule(limit, Event::Started { agent: n, life, call, answer });
+                    self.schedule(
+                        limit,
+                        Event::Started {
+                            agent: n,
+                            life,
+                            call,
+                            answer,
+                        },
+                    );
                 }
                 let after = self.millis(2_000, 6_000);
                 let late = Some(self.sides[n].worker.born);
-                self.schedule(after, Event::Call { agent: n, life, call, late });
+                self.schedule(
+                    after,
+                    Event::Call {
+                        agent: n,
+                        life,
+                        call,
+                        late,
+                    },
+                );
             } else {
                 let after = Duration::from_micros(self.rng.random_range(100..800));
-                self.schedule(after, Event::Call { agent: n, life, call, late: None });
+                self.schedule(
+                    after,
+                    Event::Call {
+                        agent: n,
+                        life,
+                        call,
+                        late: None,
+                    },
+                );
             }
         }
     }
@@ -574,11 +764,23 @@
             // The connection is reset.
             if let Call::Hold(call) = &call {
                 let number = call.number;
-                return self.handle(Event::NotHeld { agent: n, life, number });
+                return self.handle(Event::NotHeld {
+                    agent: n,
+                    life,
+                    number,
+                });
             }
             if let (Call::Start(call), false) = (call, late) {
                 let answer = Started::Unclear;
-                self.schedule(CALL_LIMIT, Event::Started { agent: n, life, call, answer });
+                self.schedule(
+                    CALL_LIMIT,
+                    Event::Started {
+                        agent: n,
+                        life,
+                        call,
+                        answer,
+                    },
+                );
             }
             return;
         }
@@ -587,12 +789,22 @@
                 let answer = self.begin(n, &call);
                 if !late {
                     let after = Duration::from_micros(300);
-                    self.schedule(after, Event::Started { agent: n, life, call, answer });
+                    self.schedule(
+                        after,
+                        Event::Started {
+                            agent: n,
+                            life,
+                            call,
+                            answer,
+                        },
+                    );
                 }
             }
             Call::Stop(call) => self.sides[n].worker.stop(self.now, &call),
             Call::Hold(call) => {
-                let Some(taken) = self.sides[n].worker.hold(self.now, &call) else { return };
+                let Some(taken) = self.sides[n].worker.hold(self.now, &call) else {
+                    return;
+                };
                 for end in taken {
                     self.check.noted(n, &self.sides[n].worker, end);
                 }
@@ -605,24 +817,41 @@
     }
 
     fn begin(&mut self, n: usize, call: &StartCall) -> Started {
-        let known = self.sides[n].worker.runs.get(&call.task).is_some_and(|r| r.run == call.run);
+        let known = self.sides[n]
+            .worker
+            .runs
+            .get(&call.task)
+            .is_some_and(|r| r.run == call.run);
         let answer = self.sides[n].worker.check(self.now, call);
         if answer != Started::Yes || known {
             return answer;
         }
         let workers: Vec<&Worker> = self.sides.iter().map(|s| &s.worker).collect();
         self.check.start(self.now, n, &workers, call.task);
-        let Some(sent) = self.check.jobs.get(&call.task.job) else { return answer };
+        let Some(sent) = self.check.jobs.get(&call.task.job) else {
+            return answer;
+        };
         let needs = sent.spec.steps[usize::from(call.task.step)].needs;
-        let how = if self.rng.random_bool(0.03) { HoldEnd::Failed } else { HoldEnd::Done };
+        let how = if self.rng.random_bool(0.03) {
+            HoldEnd::Failed
+        } else {
+            HoldEnd::Done
+        };
         let end = self.now + self.millis(20, 400);
-        let run = Run { run: call.run, end, how, needs };
+        let run = Run {
+            run: call.run,
+            end,
+            how,
+            needs,
+        };
         let worker = &mut self.sides[n].worker;
         log::debug!("worker {n} begins task={} run={}", call.task, call.run);
         worker.begin(self.now, call, run);
         let used: u32 = worker.runs.values().map(|r| r.needs.cpu).sum();
         if used > worker.capacity.cpu {
-            self.check.broken.push(format!("LIMIT: worker {n} uses {used}"));
+            self.check
+                .broken
+                .push(format!("LIMIT: worker {n} uses {used}"));
         }
         answer
     }
@@ -632,14 +861,34 @@
         let worker = &self.sides[n].worker;
         if !worker.up {
             let number = call.number;
-            return self.handle(Event::NotHeld { agent: n, life, number });
+            return self.handle(Event::NotHeld {
+                agent: n,
+                life,
+                number,
+            });
         }
         if worker.ends.is_empty() && self.now < until {
-            return self.schedule(STEP, Event::Held { agent: n, life, call, until });
+            return self.schedule(
+                STEP,
+                Event::Held {
+                    agent: n,
+                    life,
+                    call,
+                    until,
+                },
+            );
         }
         let frozen = self.sides[n].frozen;
         if frozen > self.now {
-            return self.schedule(frozen - self.now, Event::Held { agent: n, life, call, until });
+            return self.schedule(
+                frozen - self.now,
+                Event::Held {
+                    agent: n,
+                    life,
+                    call,
+                    until,
+                },
+            );
         }
         let view = self.sides[n].worker.view(self.now);
         let now = self.agent_now();
@@ -706,19 +955,35 @@
         }
         let spec = self.check.jobs[&id].spec.clone();
         let (host, path) = (HOST.to_owned(), format!("{PREFIX}{id}"));
-        self.ask(Question::Submit(id), Request::Submit { host, path, spec, age: 0 });
+        self.ask(
+            Question::Submit(id),
+            Request::Submit {
+                host,
+                path,
+                spec,
+                age: 0,
+            },
+        );
     }
 
     fn draw_job(&mut self, volatile: bool) -> JobSpec {
         let steps = self.rng.random_range(1..3u16);
         let steps = (0..steps).map(|n| Step {
             count: self.rng.random_range(1..6),
-            needs: Resources { cpu: self.rng.random_range(500..3_000), memory: 64, gpu: 0 },
+            needs: Resources {
+                cpu: self.rng.random_range(500..3_000),
+                memory: 64,
+                gpu: 0,
+            },
             estimate: 200,
             after: if n > 0 { vec![n - 1] } else { Vec::new() },
             ..Step::default()
         });
-        JobSpec { payload: "work".to_owned(), steps: steps.collect(), volatile }
+        JobSpec {
+            payload: "work".to_owned(),
+            steps: steps.collect(),
+            volatile,
+        }
     }
 
     fn configure(&mut self, version: u64) {
@@ -728,14 +993,25 @@
             host: HOST.to_owned(),
             prefix: PREFIX.to_owned(),
             pool: POOL.to_owned(),
-            policy: Policy { priority: 0, attempts: 3, stretch: 20.0, goal: 20_000 },
+            policy: Policy {
+                priority: 0,
+                attempts: 3,
+                stretch: 20.0,
+                goal: 20_000,
+            },
+        };
+        let set = QueueSet {
+            version,
+            queues: vec![queue],
+            text: version.to_string(),
         };
-        let set = QueueSet { version, queues: vec![queue], text: version.to_string() };
         self.ask(Question::Configure(version), Request::Configure(set));
     }
 
     fn answered(&mut self, token: u64, answer: &Answer, gone: bool) {
-        let Some((question, n, _)) = self.questions.remove(&token) else { return };
+        let Some((question, n, _)) = self.questions.remove(&token) else {
+            return;
+        };
         if gone {
             let clock = self.clock();
             let machine = &mut self.machines[n];
@@ -791,8 +1067,12 @@
             machine.durable = machine.written.len();
         }
         machine.disk_free = Timestamp::ZERO;
-        let gone: Vec<u64> =
-            self.questions.iter().filter(|(_, (_, at, _))| *at == n).map(|(t, _)| *t).collect();
+        let gone: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, (_, at, _))| *at == n)
+            .map(|(t, _)| *t)
+            .collect();
         for token in gone {
             self.answered(token, &Answer::Unclear, false);
         }
@@ -870,7 +1150,10 @@
                 self.schedule(after, Event::StartWorker(side));
             }
             _ => {
-                let whole = self.machines.iter().all(|m| m.node.is_some() && m.frozen <= self.now);
+                let whole = self
+                    .machines
+                    .iter()
+                    .all(|m| m.node.is_some() && m.frozen <= self.now);
                 let ids: Vec<NodeId> = self.machines.iter().map(|m| m.id).collect();
                 let leaders = self.machines.iter().filter_map(|m| m.node.as_ref());
                 let replaced = |n: &Node| {
