--- a/crates/figdeal-node/tests/store.rs
+++ b/crates/figdeal-node/tests/store.rs
@@ -9,7 +9,11 @@
 };
 
 fn entry(index: u64, term: u64) -> Write {
-    Write::Entry(Entry { index, term, payload: Payload::Data(vec![index as u8; 100]) })
+    Write::Entry(Entry {
+        index,
+        term,
+        payload: Payload::Data(vec![index as u8; 100]),
+    })
 }
 
 fn open(folder: &Path) -> (Store, Content) {
@@ -18,17 +22,25 @@
 
 fn newest(folder: &Path) -> std::path::PathBuf {
     let files = fs::read_dir(folder).unwrap().map(|e| e.unwrap().path());
-    files.filter(|p| p.to_string_lossy().contains("log-")).max().unwrap()
+    files
+        .filter(|p| p.to_string_lossy().contains("log-"))
+        .max()
+        .unwrap()
 }
 
 /// Guards against a restart that forgets term, vote, entries or identity.
 #[test]
 fn restart_keeps_everything() {
     let folder = tempfile::tempdir().unwrap();
-    let hard = HardState { term: 3, vote: Some(NodeId(9)) };
+    let hard = HardState {
+        term: 3,
+        vote: Some(NodeId(9)),
+    };
     let (mut store, empty) = open(folder.path());
     assert_eq!(empty.log.last_index(), 0);
-    store.write(&[Write::Hard(hard), entry(1, 1), entry(2, 3)]).unwrap();
+    store
+        .write(&[Write::Hard(hard), entry(1, 1), entry(2, 3)])
+        .unwrap();
     // A later leader replaces an entry.
     store.write(&[entry(2, 4)]).unwrap();
     drop(store);
@@ -70,7 +82,11 @@
         store.write(&[entry(2, 2)]).unwrap();
         drop(store);
         let (_, content) = open(folder.path());
-        assert_eq!(content.log.last(), Position { term: 2, index: 2 }, "cut at {length}");
+        assert_eq!(
+            content.log.last(),
+            Position { term: 2, index: 2 },
+            "cut at {length}"
+        );
     }
 }
 
@@ -79,14 +95,21 @@
 fn snapshot_replaces_the_file() {
     let folder = tempfile::tempdir().unwrap();
     let (mut store, _) = open(folder.path());
-    let hard = HardState { term: 2, vote: None };
-    store.write(&[Write::Hard(hard), entry(1, 1), entry(2, 2), entry(3, 2)]).unwrap();
+    let hard = HardState {
+        term: 2,
+        vote: None,
+    };
+    store
+        .write(&[Write::Hard(hard), entry(1, 1), entry(2, 2), entry(3, 2)])
+        .unwrap();
     let snapshot = Snapshot {
         last: Position { term: 2, index: 2 },
         members: Vec::new(),
         data: vec![5; 10],
     };
-    store.write(&[Write::Snapshot(snapshot.clone()), entry(3, 2)]).unwrap();
+    store
+        .write(&[Write::Snapshot(snapshot.clone()), entry(3, 2)])
+        .unwrap();
     store.write(&[entry(4, 2)]).unwrap();
     drop(store);
     assert_eq!(fs::read_dir(folder.path()).unwrap().count(), 1);
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     agent::AGENT_GONE,
-    job::{JobId, JobSpec, JobState, Policy, Queue, Resources, TaskId},
-    message::{Announce, Order, Orders, Report, Running, Worker},
+    job::{JobId, JobSpec, JobState, Queue, Resources, TaskId},
+    message::{Announce, Order, Orders, Report, Running},
     raft::Term,
     state::{Command, Job, State},
 };
@@ -24,9 +24,12 @@
 mod admit;
 mod place;
 mod report;
+mod view;
 mod worker;
 
 pub use admit::Rejection;
+pub use view::Finish;
+use view::{AgentView, Goal, JobView, LATE, Placed, TaskState};
 use worker::Health;
 
 new_key_type! {
@@ -36,10 +39,6 @@
 
 /// Numbers of runs of a task that one term may use. The number of a run is unique without a record of the starts.
 const RUNS_PER_TERM: u64 = 1_000;
-/// Place of the steps that have missed their goal, after every priority.
-const LATE: u8 = 128;
-/// A late outcome is of use up to this many times the goal.
-const USEFUL: u64 = 3;
 /// Time in which a job may come again that an earlier leader has started. Callers send a job again after 1.3 s, and
 /// wait for an answer before that.
 const FOREIGN_RUNS: Duration = Duration::from_secs(10);
@@ -56,133 +55,6 @@
 /// Time that a run of any estimate gets.
 const OVERRUN_SLACK: Duration = Duration::from_millis(300);
 
-/// A run that the leader has ordered.
-#[derive(Debug, Clone, Copy)]
-struct Placed {
-    run: u64,
-    needs: Resources,
-    at: Timestamp,
-    /// Number of the orders that carried the start.
-    number: u64,
-    /// Estimate of the caller in milliseconds.
-    estimate: u32,
-    stopping: bool,
-}
-
-/// What the leader knows of an agent.
-#[derive(Debug)]
-struct AgentView {
-    address: SocketAddr,
-    session: u64,
-    fence: u64,
-    /// Enrolled in the log under `session`; an entry for it is on its way otherwise.
-    enrolled: bool,
-    dismissing: bool,
-    grant: u64,
-    heard: Timestamp,
-    /// The runs of the session are known.
-    current: bool,
-    number: u64,
-    received: Option<u64>,
-    /// Events that are not taken for good, with the batch that must be committed first.
-    events: VecDeque<(u64, u64)>,
-    taken: u64,
-    worker: Option<Worker>,
-    placed: BTreeMap<TaskId, Placed>,
-    used: Resources,
-    health: Health,
-    outbox: Vec<Order>,
-    due: bool,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum TaskState {
-    /// Waits for earlier steps, or for the agents after a change of the leader.
-    Blocked,
-    Ready,
-    Placed(AgentKey, u64),
-    /// It has ended as done or not, and the entry that says so is not committed yet.
-    Ending(bool),
-    Done,
-}
-
-#[derive(Debug)]
-struct StepView {
-    tasks: Vec<TaskState>,
-    ready: VecDeque<u32>,
-    open: u32,
-    after: Vec<u16>,
-    /// Latest time to start a task of this step that still meets the goal.
-    latest: Timestamp,
-    /// Its place among the ready steps.
-    class: u8,
-}
-
-/// How a volatile job ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Finish {
-    /// All tasks are done.
-    Done,
-    /// A task has failed as often as its queue allows.
-    Failed,
-    /// It would miss its goal, and no task of it has started.
-    Refused,
-    /// It is of no use any more, and tasks of it may have run.
-    GivenUp,
-}
-
-/// How long a job may take.
-struct Goal {
-    /// 0 comes first.
-    priority: u8,
-    /// The goal allows this many times the chain of work.
-    stretch: f32,
-    /// Milliseconds that it allows besides.
-    slack: u32,
-    /// Time since the job arrived.
-    age: Duration,
-}
-
-impl Goal {
-    fn new(policy: &Policy, age: Duration) -> Goal {
-        Goal {
-            priority: policy.priority,
-            stretch: policy.stretch,
-            slack: policy.goal,
-            age,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct JobView {
-    queue: String,
-    pool: String,
-    spec: Arc<JobSpec>,
-    /// Failed runs after which the job has failed.
-    attempts: u32,
-    /// Failed runs of a volatile job by task; those of other jobs are in the log.
-    failures: HashMap<(u16, u32), u32>,
-    /// Starts in this term by task.
-    starts: HashMap<(u16, u32), u64>,
-    /// The number before the first run of this leader.
-    base: u64,
-    steps: Vec<StepView>,
-    started: bool,
-    held: bool,
-    /// It has been at a leader before, so tasks of it may have run.
-    again: bool,
-    /// From then on its outcome is of no use.
-    expiry: Timestamp,
-}
-
-impl JobView {
-    fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
-        let step = self.steps.get_mut(usize::from(task.step))?;
-        step.tasks.get_mut(task.index as usize)
-    }
-}
-
 /// The volatile state of a leader.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -261,7 +133,14 @@
         let age = Duration::from_millis(wall.saturating_sub(job.time));
         let base = self.term.saturating_sub(job.term) * RUNS_PER_TERM;
         let goal = Goal::new(&job.policy, age);
-        let mut view = self.view(now, &job.queue, &job.pool, &job.spec, goal);
+        let mut view = JobView::new(
+            now,
+            &job.queue,
+            &job.pool,
+            &job.spec,
+            goal,
+            self.bias_of(&job.queue),
+        );
         view.base = base;
         view.attempts = job.policy.attempts;
         for (step, records) in view.steps.iter_mut().zip(&job.tasks) {
@@ -290,7 +169,14 @@
             return;
         }
         let goal = Goal::new(&queue.policy, age);
-        let mut view = self.view(now, &queue.name, &queue.pool, spec, goal);
+        let mut view = JobView::new(
+            now,
+            &queue.name,
+            &queue.pool,
+            spec,
+            goal,
+            self.bias_of(&queue.name),
+        );
         let past = self
             .past_runs
             .iter()
@@ -305,48 +191,9 @@
         self.add_job(now, id, view);
     }
 
-    fn view(
-        &self,
-        now: Timestamp,
-        queue: &str,
-        pool: &str,
-        spec: &Arc<JobSpec>,
-        goal: Goal,
-    ) -> JobView {
-        let chains = spec.chains();
-        let total = chains.iter().copied().max().unwrap_or(0);
-        let bias = self.bias.get(queue).copied().unwrap_or(1.0);
-        let limit = (total as f64 * bias * f64::from(goal.stretch)) as u64 + u64::from(goal.slack);
-        let latest = |chain: u64| {
-            let slack = limit.saturating_sub((chain as f64 * bias) as u64);
-            now + Duration::from_millis(slack) - goal.age
-        };
-        let steps = spec
-            .steps
-            .iter()
-            .zip(&chains)
-            .map(|(step, chain)| StepView {
-                tasks: vec![TaskState::Blocked; step.count as usize],
-                ready: VecDeque::new(),
-                open: step.count,
-                after: step.after.clone(),
-                latest: latest(*chain),
-                class: goal.priority.min(LATE - 1),
-            });
-        JobView {
-            queue: queue.to_owned(),
-            pool: pool.to_owned(),
-            spec: Arc::clone(spec),
-            attempts: 1,
-            failures: HashMap::new(),
-            starts: HashMap::new(),
-            base: 0,
-            steps: steps.collect(),
-            started: false,
-            held: false,
-            again: !goal.age.is_zero(),
-            expiry: now + Duration::from_millis(limit * USEFUL) - goal.age,
-        }
+    /// Run time of tasks against their estimates.
+    fn bias_of(&self, queue: &str) -> f64 {
+        self.bias.get(queue).copied().unwrap_or(1.0)
     }
 
     fn add_job(&mut self, now: Timestamp, id: JobId, mut view: JobView) {
--- /dev/null
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -0,0 +1,192 @@
+//! What the leader knows of agents, jobs and tasks.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use figdeal_core::time::Timestamp;
+
+use super::{AgentKey, worker::Health};
+use crate::{
+    job::{JobSpec, Policy, Resources, TaskId},
+    message::{Order, Worker},
+};
+
+/// Place of the steps that have missed their goal, after every priority.
+pub(super) const LATE: u8 = 128;
+/// A late outcome is of use up to this many times the goal.
+const USEFUL: u64 = 3;
+
+/// A run that the leader has ordered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Placed {
+    pub(super) run: u64,
+    pub(super) needs: Resources,
+    pub(super) at: Timestamp,
+    /// Number of the orders that carried the start.
+    pub(super) number: u64,
+    /// Estimate of the caller in milliseconds.
+    pub(super) estimate: u32,
+    pub(super) stopping: bool,
+}
+
+/// What the leader knows of an agent.
+#[derive(Debug)]
+pub(super) struct AgentView {
+    pub(super) address: SocketAddr,
+    pub(super) session: u64,
+    pub(super) fence: u64,
+    /// Enrolled in the log under `session`; an entry for it is on its way otherwise.
+    pub(super) enrolled: bool,
+    pub(super) dismissing: bool,
+    pub(super) grant: u64,
+    pub(super) heard: Timestamp,
+    /// The runs of the session are known.
+    pub(super) current: bool,
+    pub(super) number: u64,
+    pub(super) received: Option<u64>,
+    /// Events that are not taken for good, with the batch that must be committed first.
+    pub(super) events: VecDeque<(u64, u64)>,
+    pub(super) taken: u64,
+    pub(super) worker: Option<Worker>,
+    pub(super) placed: BTreeMap<TaskId, Placed>,
+    pub(super) used: Resources,
+    pub(super) health: Health,
+    pub(super) outbox: Vec<Order>,
+    pub(super) due: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum TaskState {
+    /// Waits for earlier steps, or for the agents after a change of the leader.
+    Blocked,
+    Ready,
+    Placed(AgentKey, u64),
+    /// It has ended as done or not, and the entry that says so is not committed yet.
+    Ending(bool),
+    Done,
+}
+
+#[derive(Debug)]
+pub(super) struct StepView {
+    pub(super) tasks: Vec<TaskState>,
+    pub(super) ready: VecDeque<u32>,
+    pub(super) open: u32,
+    pub(super) after: Vec<u16>,
+    /// Latest time to start a task of this step that still meets the goal.
+    pub(super) latest: Timestamp,
+    /// Its place among the ready steps.
+    pub(super) class: u8,
+}
+
+/// How a volatile job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// All tasks are done.
+    Done,
+    /// A task has failed as often as its queue allows.
+    Failed,
+    /// It would miss its goal, and no task of it has started.
+    Refused,
+    /// It is of no use any more, and tasks of it may have run.
+    GivenUp,
+}
+
+/// How long a job may take.
+pub(super) struct Goal {
+    /// 0 comes first.
+    pub(super) priority: u8,
+    /// The goal allows this many times the chain of work.
+    pub(super) stretch: f32,
+    /// Milliseconds that it allows besides.
+    pub(super) slack: u32,
+    /// Time since the job arrived.
+    pub(super) age: Duration,
+}
+
+impl Goal {
+    pub(super) fn new(policy: &Policy, age: Duration) -> Goal {
+        Goal {
+            priority: policy.priority,
+            stretch: policy.stretch,
+            slack: policy.goal,
+            age,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct JobView {
+    pub(super) queue: String,
+    pub(super) pool: String,
+    pub(super) spec: Arc<JobSpec>,
+    /// Failed runs after which the job has failed.
+    pub(super) attempts: u32,
+    /// Failed runs of a volatile job by task; those of other jobs are in the log.
+    pub(super) failures: HashMap<(u16, u32), u32>,
+    /// Starts in this term by task.
+    pub(super) starts: HashMap<(u16, u32), u64>,
+    /// The number before the first run of this leader.
+    pub(super) base: u64,
+    pub(super) steps: Vec<StepView>,
+    pub(super) started: bool,
+    pub(super) held: bool,
+    /// It has been at a leader before, so tasks of it may have run.
+    pub(super) again: bool,
+    /// From then on its outcome is of no use.
+    pub(super) expiry: Timestamp,
+}
+
+impl JobView {
+    pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
+        let step = self.steps.get_mut(usize::from(task.step))?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// A job whose tasks all wait. `bias` is the run time of tasks of its queue against their estimates.
+    pub(super) fn new(
+        now: Timestamp,
+        queue: &str,
+        pool: &str,
+        spec: &Arc<JobSpec>,
+        goal: Goal,
+        bias: f64,
+    ) -> JobView {
+        let chains = spec.chains();
+        let total = chains.iter().copied().max().unwrap_or(0);
+        let limit = (total as f64 * bias * f64::from(goal.stretch)) as u64 + u64::from(goal.slack);
+        let latest = |chain: u64| {
+            let slack = limit.saturating_sub((chain as f64 * bias) as u64);
+            now + Duration::from_millis(slack) - goal.age
+        };
+        let steps = spec
+            .steps
+            .iter()
+            .zip(&chains)
+            .map(|(step, chain)| StepView {
+                tasks: vec![TaskState::Blocked; step.count as usize],
+                ready: VecDeque::new(),
+                open: step.count,
+                after: step.after.clone(),
+                latest: latest(*chain),
+                class: goal.priority.min(LATE - 1),
+            });
+        JobView {
+            queue: queue.to_owned(),
+            pool: pool.to_owned(),
+            spec: Arc::clone(spec),
+            attempts: 1,
+            failures: HashMap::new(),
+            starts: HashMap::new(),
+            base: 0,
+            steps: steps.collect(),
+            started: false,
+            held: false,
+            again: !goal.age.is_zero(),
+            expiry: now + Duration::from_millis(limit * USEFUL) - goal.age,
+        }
+    }
+}
