Send the log again only once for each point of conflict

Ruled out: a panic, the log itself (under 12 MB). Change: conflicts of messages from before the last one that counted are ignored; the messages that wait for a connection are bounded to 8 MB.

--- a/crates/figdeal-node/src/link.rs
+++ b/crates/figdeal-node/src/link.rs
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -36,8 +36,12 @@
 const CHECK: Duration = Duration::from_millis(300);
 /// Messages that wait for a connection; further ones are dropped, as on a lost connection.
 const QUEUE: usize = 4_096;
+/// Bytes that wait for a connection, which a peer behind a cut does not take.
+const QUEUE_BYTES: usize = 8 * 1024 * 1024;
 /// Longest message. A snapshot of the state is the longest.
 const MAX_FRAME: usize = 64 * 1024 * 1024;
+/// Bytes before a message, which give its length.
+const HEADER: usize = 4;
 /// Bytes that are read at once.
 const READ: usize = 64 * 1024;
 /// Time for which a new connection that tells nothing is kept.
@@ -65,7 +69,42 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Link {
     number: u64,
-    queue: mpsc::Sender<Peer>,
+    queue: mpsc::Sender<Vec<u8>>,
+    /// Bytes in the queue.
+    queued: Arc<AtomicUsize>,
+}
+
+/// Encoded messages that wait for a connection.
+struct Waiting {
+    frames: mpsc::Receiver<Vec<u8>>,
+    queued: Arc<AtomicUsize>,
+}
+
+impl Link {
+    fn new(number: u64) -> (Link, Waiting) {
+        let (queue, frames) = mpsc::channel(QUEUE);
+        let queued = Arc::new(AtomicUsize::new(0));
+        let link = Link {
+            number,
+            queue,
+            queued: Arc::clone(&queued),
+        };
+        (link, Waiting { frames, queued })
+    }
+
+    /// Adds a message. Returns whether there was room for it.
+    fn push(&self, peer: &Peer) -> bool {
+        let frame = postcard::to_stdvec(peer).expect("messages can be encoded");
+        let size = frame.len() + HEADER;
+        let queued = self.queued.fetch_add(size, Ordering::Relaxed);
+        // A message that is larger than the limit by itself still goes out alone.
+        let pushed =
+            (queued == 0 || queued + size <= QUEUE_BYTES) && self.queue.try_send(frame).is_ok();
+        if !pushed {
+            self.queued.fetch_sub(size, Ordering::Relaxed);
+        }
+        pushed
+    }
 }
 
 /// What is known of the connections to one process, which may be two if both sides have connected.
@@ -137,7 +176,7 @@
             let link = self.dial(to);
             self.links.insert(to, link);
         }
-        if self.links[&to].queue.try_send(peer).is_err() {
+        if !self.links[&to].push(&peer) {
             log::warn!("E652 message dropped peer={to}");
             metrics::counter!("figdeal_queue_link_drops_total").increment(1);
         }
@@ -164,8 +203,8 @@
     }
 
     fn dial(&self, to: SocketAddr) -> Link {
-        let (queue, waiting) = mpsc::channel(QUEUE);
-        let number = self.shared.number();
+        let (link, waiting) = Link::new(self.shared.number());
+        let number = link.number;
         let traffic = self.shared.traffic(to);
         traffic.unanswered.store(0, Ordering::Relaxed);
         let (events, own) = (self.events.clone(), self.own);
@@ -192,7 +231,7 @@
                 Err(_) => lose(to, number, false, &events, "no connection in time").await,
             }
         });
-        Link { number, queue }
+        link
     }
 }
 
@@ -231,9 +270,8 @@
             let Ok(Ok(peer)) = timeout(GREETING_LIMIT, read_greeting(&mut stream)).await else {
                 return;
             };
-            let (queue, waiting) = mpsc::channel(QUEUE);
-            let (number, traffic) = (shared.number(), shared.traffic(peer));
-            let link = Link { number, queue };
+            let (link, waiting) = Link::new(shared.number());
+            let (number, traffic) = (link.number, shared.traffic(peer));
             if events.send(Event::Accepted(peer, link)).await.is_ok() {
                 run(
                     stream,
@@ -271,7 +309,7 @@
     mut stream: TcpStream,
     peering: Peering,
     greeting: Option<SocketAddr>,
-    waiting: mpsc::Receiver<Peer>,
+    waiting: Waiting,
     events: mpsc::Sender<Event>,
 ) {
     let Peering {
@@ -334,46 +372,46 @@
 }
 
 fn split(buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
-    let Some(header) = buffer.get(..4) else {
+    let Some(header) = buffer.get(..HEADER) else {
         return Ok(None);
     };
     let length = u32::from_le_bytes(header.try_into().expect("four bytes")) as usize;
     if length > MAX_FRAME {
         return Err(io::Error::other("the message is too long"));
     }
-    if buffer.len() < 4 + length {
-        buffer.reserve(4 + length - buffer.len());
+    if buffer.len() < HEADER + length {
+        buffer.reserve(HEADER + length - buffer.len());
         return Ok(None);
     }
-    buffer.advance(4);
+    buffer.advance(HEADER);
     Ok(Some(buffer.split_to(length)))
 }
 
 async fn write(
     mut output: OwnedWriteHalf,
     traffic: &Traffic,
-    mut waiting: mpsc::Receiver<Peer>,
+    mut waiting: Waiting,
 ) -> io::Result<&'static str> {
     let mut bytes = BytesMut::new();
-    while let Some(peer) = waiting.recv().await {
-        append(&mut bytes, &peer)?;
+    while let Some(frame) = waiting.frames.recv().await {
+        append(&mut bytes, &frame);
         // What has collected meanwhile goes out in the same call.
-        while let Ok(peer) = waiting.try_recv() {
-            append(&mut bytes, &peer)?;
+        while let Ok(frame) = waiting.frames.try_recv() {
+            append(&mut bytes, &frame);
         }
         let now = clock::now().as_micros();
         let _ = traffic
             .unanswered
             .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        let size = bytes.len();
         output.write_all(&bytes).await?;
+        waiting.queued.fetch_sub(size, Ordering::Relaxed);
         bytes.clear();
     }
     Ok("replaced")
 }
 
-fn append(bytes: &mut BytesMut, peer: &Peer) -> io::Result<()> {
-    let frame = postcard::to_stdvec(peer).map_err(io::Error::other)?;
+fn append(bytes: &mut BytesMut, frame: &[u8]) {
     bytes.put_u32_le(frame.len() as u32);
-    bytes.extend_from_slice(&frame);
-    Ok(())
+    bytes.extend_from_slice(frame);
 }
--- a/crates/figdeal-queue/src/raft/leader.rs
+++ b/crates/figdeal-queue/src/raft/leader.rs
@@ -21,10 +21,24 @@
     matched: Index,
     /// The leader's clock in the newest message that was acknowledged.
     acked: Option<Timestamp>,
+    /// When `next` was set back last. Conflicts of messages before that tell nothing new.
+    rewound: Timestamp,
     /// A snapshot was sent at this time and not acknowledged yet.
     installing: Option<Timestamp>,
 }
 
+impl Progress {
+    fn new(next: Index) -> Progress {
+        Progress {
+            next,
+            matched: 0,
+            acked: None,
+            rewound: Timestamp::ZERO,
+            installing: None,
+        }
+    }
+}
+
 /// State of a leader.
 #[derive(Debug)]
 pub(super) struct Leading {
@@ -46,12 +60,7 @@
 impl Raft {
     pub(super) fn become_leader(&mut self, now: Timestamp) {
         let first = self.log.last_index() + 1;
-        let progress = Progress {
-            next: first,
-            matched: 0,
-            acked: None,
-            installing: None,
-        };
+        let progress = Progress::new(first);
         let progress = self
             .peers()
             .into_iter()
@@ -123,12 +132,7 @@
             return;
         };
         for peer in peers {
-            let fresh = Progress {
-                next,
-                matched: 0,
-                acked: None,
-                installing: None,
-            };
+            let fresh = Progress::new(next);
             leading.progress.entry(peer).or_insert(fresh);
         }
     }
@@ -139,12 +143,7 @@
         let Some(leading) = self.leading() else {
             return false;
         };
-        let fresh = Progress {
-            next,
-            matched: 0,
-            acked: None,
-            installing: None,
-        };
+        let fresh = Progress::new(next);
         let progress = leading.progress.entry(id).or_insert(fresh);
         let taught = progress.matched >= commit && progress.matched > 0;
         if progress.matched == 0 {
@@ -318,7 +317,8 @@
         let sent = Timestamp::from_micros(reply.sent);
         progress.acked = progress.acked.max(Some(sent));
         if reply.conflict {
-            if reply.index + 1 < progress.next {
+            if reply.index + 1 < progress.next && sent >= progress.rewound {
+                progress.rewound = now;
                 progress.next = (reply.index + 1).max(progress.matched + 1);
                 self.send_append(now, from, false);
             }
