--- a/crates/figdeal/src/report.rs
+++ b/crates/figdeal/src/report.rs
@@ -1,6 +1,6 @@
 //! Service-level burn: which objectives lose their budget, how fast, and to what.
 //!
-//! Decisions without I/O: ends of tasks and the time go in, a [`View`] comes out. `docs/operations.md` has the
+//! Decisions without I/O: ends of tasks and the time go in, a [`View`] comes out. `docs/OPERATIONS.md` has the
 //! definitions.
 
 use std::{
--- a/crates/figdeal/tests/metrics.rs
+++ b/crates/figdeal/tests/metrics.rs
@@ -39,7 +39,7 @@
             }
         }
     }
-    let text = fs::read_to_string(root.join("docs/operations.md")).unwrap();
+    let text = fs::read_to_string(root.join("docs/OPERATIONS.md")).unwrap();
     let rows = text.lines().filter(|line| line.starts_with("| `figdeal_"));
     let listed: BTreeSet<(String, String)> = rows
         .map(|row| {
--- a/extra/completions/figdeal-agent.bash
+++ b/extra/completions/figdeal-agent.bash
@@ -23,7 +23,7 @@
 
     case "${cmd}" in
         figdeal__agent)
-            opts="-h -V --settings --help --version"
+            opts="-h -V --settings --queue --help --version"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
--- a/extra/completions/figdeal.bash
+++ b/extra/completions/figdeal.bash
@@ -58,6 +58,9 @@
             figdeal,man)
                 cmd="figdeal__subcmd__man"
                 ;;
+            figdeal,queue)
+                cmd="figdeal__subcmd__queue"
+                ;;
             figdeal,report)
                 cmd="figdeal__subcmd__report"
                 ;;
@@ -184,6 +187,9 @@
             figdeal__subcmd__help,man)
                 cmd="figdeal__subcmd__help__subcmd__man"
                 ;;
+            figdeal__subcmd__help,queue)
+                cmd="figdeal__subcmd__help__subcmd__queue"
+                ;;
             figdeal__subcmd__help,report)
                 cmd="figdeal__subcmd__help__subcmd__report"
                 ;;
@@ -257,7 +263,7 @@
 
     case "${cmd}" in
         figdeal)
-            opts="-h -V --help --version demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
+            opts="-h -V --help --version demo entry queue stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -883,7 +889,7 @@
             return 0
             ;;
         figdeal__subcmd__help)
-            opts="demo entry stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
+            opts="demo entry queue stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -1260,6 +1266,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__help__subcmd__queue)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__help__subcmd__report)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -1486,6 +1506,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__queue)
+            opts="-h --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__report)
             opts="-h --entry --json --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
