Share settings, signals and runtime of both processes

Cause: the node and the agent had the same code for signals and settings, and the log its own codec for bytes. Change: process.rs holds both, serde_bytes encodes bytes, an unused function is gone.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -12,7 +12,6 @@
     job::TaskId,
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
     time::Instant,
 };
@@ -22,6 +21,7 @@
     http::{self, Call},
     link::{Event, Links},
     measure,
+    process::{self, Notice},
     worker::Worker,
 };
 
@@ -31,16 +31,13 @@
 const BURST: usize = 64;
 /// Time before SIGKILL at which the process ends in any case.
 const MARGIN: Duration = Duration::from_millis(800);
-/// Time between two looks at the settings file, which may change without a signal.
-const RELOAD: Duration = Duration::from_secs(2);
 
 enum Input {
     Heartbeat(Heartbeat),
     Left(String),
     Held(u64, Option<Held>),
     Started(TaskId, u64, Started),
-    Seeds(Vec<SocketAddr>),
-    Close,
+    Notice(Notice),
 }
 
 /// Runs the process until SIGTERM.
@@ -48,12 +45,7 @@
 /// # Errors
 /// Fails on wrong settings and when an address cannot be listened on.
 pub fn run() -> Result<()> {
-    let path = Settings::path()?;
-    let settings = Settings::read(&path)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(main(path, settings))
+    process::run(main)
 }
 
 async fn main(path: PathBuf, settings: Settings) -> Result<()> {
@@ -76,7 +68,7 @@
     })
     .await?;
     measure::start(settings.ip, closed).await?;
-    watch_signals(path, settings.seeds.clone(), inputs.clone())?;
+    process::watch(path, settings.clone(), inputs.clone(), Input::Notice)?;
     let agent = Agent::new(own, session, settings.seeds);
     let mut process = Process {
         agent,
@@ -113,37 +105,6 @@
     }
 }
 
-fn watch_signals(path: PathBuf, seeds: Vec<SocketAddr>, inputs: mpsc::Sender<Input>) -> Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    let mut held = seeds;
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                _ = stop.recv() => {
-                    // The process ends when nobody takes inputs any more.
-                    let _ = inputs.send(Input::Close).await;
-                    return;
-                }
-                _ = hangup.recv() => {}
-                () = tokio::time::sleep(RELOAD) => {}
-            }
-            match Settings::read(&path) {
-                Ok(settings) if settings.seeds != held => {
-                    log::info!("E723 settings changed seeds={:?}", settings.seeds);
-                    held = settings.seeds.clone();
-                    if inputs.send(Input::Seeds(settings.seeds)).await.is_err() {
-                        return;
-                    }
-                }
-                Ok(_) => {}
-                Err(e) => log::warn!("E724 settings not read, the former ones stay error=\"{e}\""),
-            }
-        }
-    });
-    Ok(())
-}
-
 struct Process {
     agent: Agent,
     links: Links,
@@ -163,7 +124,7 @@
             let wait = self.agent.next_tick().since(clock::now());
             tokio::select! {
                 Some(input) = inputs.recv() => {
-                    if matches!(input, Input::Close) {
+                    if matches!(input, Input::Notice(Notice::Close)) {
                         end = Some(Instant::now() + grace.saturating_sub(MARGIN));
                     }
                     self.input(input);
@@ -198,8 +159,8 @@
             Input::Left(id) => self.agent.left(now, &id),
             Input::Held(number, held) => self.agent.held(now, number, held),
             Input::Started(task, run, answer) => self.agent.started(now, task, run, answer),
-            Input::Seeds(seeds) => self.agent.learn(&seeds),
-            Input::Close => {
+            Input::Notice(Notice::Settings(settings)) => self.agent.learn(&settings.seeds),
+            Input::Notice(Notice::Close) => {
                 log::info!("E725 shutting down runs={}", self.agent.run_count());
                 self.agent.close();
             }
--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod link;
 mod measure;
 pub mod output;
+mod process;
 pub mod queue;
 pub mod store;
 mod worker;
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -16,7 +16,6 @@
     raft::{NodeId, Raft, Write, log::Position},
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
     sync::{mpsc, oneshot, watch},
     time::Instant,
 };
@@ -26,6 +25,7 @@
     http::{self, Call},
     link::{Event, Links},
     measure,
+    process::{self, Notice},
     store::{Content, Store},
 };
 
@@ -39,8 +39,8 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Time before SIGKILL at which the process ends in any case.
 const MARGIN: Duration = Duration::from_millis(800);
-/// Time between two looks at the settings file, which may change without a signal.
-const RELOAD: Duration = Duration::from_secs(2);
+/// Milliseconds after which a caller may try again whose job is not supported or found no place in the inputs.
+const RETRY: u32 = 1_000;
 /// Pause before a failed write to the disk is tried again.
 const DISK_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two checks whether everything is answered.
@@ -51,8 +51,7 @@
     Request(Asked),
     Withdrawn(u64),
     Stored(Position, Vec<(SocketAddr, Peer)>),
-    Settings(Settings),
-    Close,
+    Notice(Notice),
 }
 
 /// A request with its answer's way back.
@@ -90,12 +89,7 @@
 /// # Errors
 /// Fails on wrong settings, on storage that cannot be read, and when an address cannot be listened on.
 pub fn run() -> Result<()> {
-    let path = Settings::path()?;
-    let settings = Settings::read(&path)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(main(path, settings))
+    process::run(main)
 }
 
 async fn main(path: PathBuf, settings: Settings) -> Result<()> {
@@ -116,8 +110,7 @@
     let ready = Arc::new(AtomicBool::new(false));
     serve(&path, &settings, &inputs, &closed, &ready).await?;
     measure::start(settings.ip, closed.clone()).await?;
-    watch_signals(inputs.clone())?;
-    watch_settings(path, settings.clone(), inputs);
+    process::watch(path, settings.clone(), inputs, Input::Notice)?;
     let mut process = Process {
         node,
         links,
@@ -247,7 +240,7 @@
             log::info!("E666 job refused path={} unsupported={feature}", call.path);
             let reason = figdeal_queue::message::Refusal::Unsupported;
             Answer::Refused {
-                retry: 1_000,
+                retry: RETRY,
                 reason,
             }
         }
@@ -305,7 +298,7 @@
 async fn ask(request: Request, patience: Option<Duration>, inputs: &mpsc::Sender<Input>) -> Answer {
     let (sender, answer) = oneshot::channel();
     let overload = Answer::Refused {
-        retry: 1_000,
+        retry: RETRY,
         reason: figdeal_queue::message::Refusal::Overload,
     };
     // Numbers of two processes at the same address must differ.
@@ -330,43 +323,6 @@
     answer
 }
 
-fn watch_signals(inputs: mpsc::Sender<Input>) -> Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
-    tokio::spawn(async move {
-        stop.recv().await;
-        // The process ends when nobody takes inputs any more.
-        let _ = inputs.send(Input::Close).await;
-    });
-    Ok(())
-}
-
-/// Reports changes of the settings file, with and without SIGHUP.
-fn watch_settings(path: PathBuf, first: Settings, inputs: mpsc::Sender<Input>) {
-    tokio::spawn(async move {
-        let mut held = first;
-        let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-            return;
-        };
-        loop {
-            tokio::select! {
-                _ = hangup.recv() => {}
-                () = tokio::time::sleep(RELOAD) => {}
-            }
-            match Settings::read(&path) {
-                Ok(settings) if settings != held => {
-                    log::info!("E671 settings changed seeds={:?}", settings.seeds);
-                    held = settings.clone();
-                    if inputs.send(Input::Settings(settings)).await.is_err() {
-                        return;
-                    }
-                }
-                Ok(_) => {}
-                Err(e) => log::warn!("E672 settings not read, the former ones stay error=\"{e}\""),
-            }
-        }
-    });
-}
-
 /// The decisions with their connections.
 struct Process {
     node: Node,
@@ -396,7 +352,7 @@
             };
             tokio::select! {
                 Some(input) = inputs.recv() => {
-                    if matches!(input, Input::Close) {
+                    if matches!(input, Input::Notice(Notice::Close)) {
                         let start = Instant::now();
                         end = Some((start + NOTICE, start + self.grace.saturating_sub(MARGIN)));
                     }
@@ -462,8 +418,8 @@
                     self.send(clock, address, peer);
                 }
             }
-            Input::Settings(settings) => self.node.learn(&settings.seeds),
-            Input::Close => self.node.close(clock),
+            Input::Notice(Notice::Settings(settings)) => self.node.learn(&settings.seeds),
+            Input::Notice(Notice::Close) => self.node.close(clock),
         }
     }
 
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    job::{JobId, JobSpec, JobState, QueueSet, Resources, TaskId},
+    job::{JobSpec, JobState, QueueSet, Resources, TaskId},
     raft::{Member, Message, NodeId, Term},
 };
 
@@ -151,7 +151,7 @@
     pub elapsed: u32,
 }
 
-/// A run on a worker with its progress in percent, if the worker tells it.
+/// A run on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
@@ -333,8 +333,3 @@
     /// The leader orders.
     Orders(Orders),
 }
-
-/// The job that a path names, after the prefix of its queue.
-pub fn job_of(rest: &str) -> Option<JobId> {
-    rest.parse().ok()
-}
--- a/crates/figdeal-queue/src/raft/log.rs
+++ b/crates/figdeal-queue/src/raft/log.rs
@@ -14,33 +14,7 @@
     /// The voters from here on.
     Members(Vec<Member>),
     /// Commands for the state machine.
-    Data(#[serde(with = "bytes")] Vec<u8>),
-}
-
-mod bytes {
-    use serde::{Deserializer, Serializer, de::Visitor};
-
-    pub(super) fn serialize<S: Serializer>(data: &[u8], s: S) -> Result<S::Ok, S::Error> {
-        s.serialize_bytes(data)
-    }
-
-    struct Bytes;
-
-    impl Visitor<'_> for Bytes {
-        type Value = Vec<u8>;
-
-        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-            f.write_str("bytes")
-        }
-
-        fn visit_bytes<E>(self, v: &[u8]) -> Result<Vec<u8>, E> {
-            Ok(v.to_vec())
-        }
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<u8>, D::Error> {
-        d.deserialize_bytes(Bytes)
-    }
+    Data(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
 /// One entry of the log.
@@ -71,6 +45,7 @@
     /// The voters at that entry.
     pub members: Vec<Member>,
     /// The encoded state.
+    #[serde(with = "serde_bytes")]
     pub data: Vec<u8>,
 }
 
