Notice SIGTERM wherever it stands among the inputs

Ruled out: requests that took longer than the grace time. Change: the input itself sets the end, at nodes and agents. The test of real processes stops a node under twelve callers.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -75,8 +75,10 @@
         links,
         worker: Worker::new(worker),
         inputs,
+        grace: settings.grace,
+        end: None,
     };
-    process.run(received, messages, settings.grace).await;
+    process.run(received, messages).await;
     log::info!("E721 stop name={}", settings.name);
     Ok(())
 }
@@ -110,6 +112,9 @@
     links: Links,
     worker: Worker,
     inputs: mpsc::Sender<Input>,
+    grace: Duration,
+    /// When the process ends in any case, once it shuts down.
+    end: Option<Instant>,
 }
 
 impl Process {
@@ -117,16 +122,11 @@
         &mut self,
         mut inputs: mpsc::Receiver<Input>,
         mut messages: mpsc::Receiver<Event>,
-        grace: Duration,
     ) {
-        let mut end: Option<Instant> = None;
         loop {
             let wait = self.agent.next_tick().since(clock::now());
             tokio::select! {
                 Some(input) = inputs.recv() => {
-                    if matches!(input, Input::Notice(Notice::Close)) {
-                        end = Some(Instant::now() + grace.saturating_sub(MARGIN));
-                    }
                     self.input(input);
                     for _ in 1..BURST {
                         let Ok(input) = inputs.try_recv() else { break };
@@ -144,7 +144,7 @@
             }
             self.agent.tick(clock::now());
             self.carry_out();
-            if let Some(last) = end
+            if let Some(last) = self.end
                 && (Instant::now() >= last || self.agent.is_finished())
             {
                 return;
@@ -162,6 +162,7 @@
             Input::Notice(Notice::Settings(settings)) => self.agent.learn(&settings.seeds),
             Input::Notice(Notice::Close) => {
                 log::info!("E725 shutting down runs={}", self.agent.run_count());
+                self.end = Some(Instant::now() + self.grace.saturating_sub(MARGIN));
                 self.agent.close();
             }
         }
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -119,6 +119,7 @@
         own,
         answers: HashMap::new(),
         grace: settings.grace,
+        end: None,
     };
     process.run(received, messages, closing).await;
     log::info!("E663 stop name={}", settings.name);
@@ -332,6 +333,8 @@
     own: SocketAddr,
     answers: HashMap<u64, oneshot::Sender<Answer>>,
     grace: Duration,
+    /// When connections are closed and when the process ends, once it shuts down.
+    end: Option<(Instant, Instant)>,
 }
 
 impl Process {
@@ -341,21 +344,16 @@
         mut messages: mpsc::Receiver<Event>,
         closing: watch::Sender<bool>,
     ) {
-        let mut end: Option<(Instant, Instant)> = None;
         loop {
             let now = clock::now();
             let wait = self.node.next_tick().since(now);
-            let wait = if end.is_some() {
+            let wait = if self.end.is_some() {
                 wait.min(IDLE_CHECK)
             } else {
                 wait
             };
             tokio::select! {
                 Some(input) = inputs.recv() => {
-                    if matches!(input, Input::Notice(Notice::Close)) {
-                        let start = Instant::now();
-                        end = Some((start + NOTICE, start + self.grace.saturating_sub(MARGIN)));
-                    }
                     self.input(input);
                     for _ in 1..BURST {
                         let Ok(input) = inputs.try_recv() else { break };
@@ -378,7 +376,7 @@
             }
             self.carry_out(clock);
             self.ready.store(self.node.is_ready(), Ordering::Relaxed);
-            if let Some((notice, last)) = end {
+            if let Some((notice, last)) = self.end {
                 let now = Instant::now();
                 if now >= notice {
                     closing.send_replace(true);
@@ -419,7 +417,11 @@
                 }
             }
             Input::Notice(Notice::Settings(settings)) => self.node.learn(&settings.seeds),
-            Input::Notice(Notice::Close) => self.node.close(clock),
+            Input::Notice(Notice::Close) => {
+                let start = Instant::now();
+                self.end = Some((start + NOTICE, start + self.grace.saturating_sub(MARGIN)));
+                self.node.close(clock);
+            }
         }
     }
 
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -22,6 +22,8 @@
 const FRONT: u16 = 18_161;
 const CONTROL: u16 = 18_166;
 const WORKER: u16 = 18_165;
+/// Callers at once while a node stops.
+const CALLERS: u64 = 12;
 
 /// Becomes a process if the parent asks for it; nothing otherwise.
 #[test]
@@ -85,7 +87,8 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.0.kill().unwrap();
+        // It may have ended already.
+        let _ = self.0.kill();
         self.0.wait().unwrap();
     }
 }
@@ -180,8 +183,50 @@
     until("bad job", 400, "", || {
         ask(1, FRONT, "POST", "/q/00000000000000ee", "{")
     });
-    until("volatile job", 200, "completed", || {
-        let job = JOB.replacen('{', "{\"best_effort\":true,", 1);
-        ask(2, FRONT, "POST", "/q/00000000000000dd", &job)
+    until("volatile job", 200, "completed", || volatile(0xdd));
+    stop_under_load(&mut nodes);
+}
+
+fn volatile(id: u64) -> Option<(u16, String)> {
+    let job = JOB.replacen('{', "{\"best_effort\":true,", 1);
+    ask(2, FRONT, "POST", &format!("/q/{id:016x}"), &job)
+}
+
+/// SIGTERM among many other inputs must end the process in its grace time.
+fn stop_under_load(nodes: &mut [Option<Process>]) {
+    let stopped = std::sync::atomic::AtomicBool::new(false);
+    let node = &mut nodes[1].as_mut().unwrap().0;
+    thread::scope(|scope| {
+        for thread in 0..CALLERS {
+            let stopped = &stopped;
+            scope.spawn(move || {
+                let mut id = thread << 32;
+                while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+                    id += 1;
+                    volatile(id);
+                }
+            });
+        }
+        thread::sleep(Duration::from_millis(500));
+        let pid = node.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args(["-TERM", &pid])
+                .status()
+                .unwrap()
+                .success()
+        );
+        let start = Instant::now();
+        let mut status = None;
+        while status.is_none() && start.elapsed() < LIMIT {
+            status = node.try_wait().unwrap();
+            thread::sleep(PAUSE);
+        }
+        stopped.store(true, std::sync::atomic::Ordering::Relaxed);
+        assert!(
+            status.is_some_and(|s| s.success()),
+            "the process has not ended: {status:?}"
+        );
     });
+    nodes[1] = None;
 }
