Remove an unused query and share the thaw of the simulation

Cause: a second read of the whole change. Node::is_idle had no caller, and deliver in the simulation had the same code for a frozen node and a frozen agent. Change: the query is gone; one branch puts off what arrives at a frozen machine.

--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -382,15 +382,6 @@
         self.advance();
     }
 
-    /// Whether nothing waits for an answer.
-    pub fn is_idle(&self) -> bool {
-        let w = &self.waiters;
-        self.forwards.is_empty()
-            && w.submits.is_empty()
-            && w.cancels.is_empty()
-            && w.configs.is_empty()
-    }
-
     /// Handles a message of another process.
     pub fn on_peer(&mut self, clock: Clock, peer: Peer) {
         self.clock = clock;
--- a/crates/figdeal-queue/tests/sim/world/machines.rs
+++ b/crates/figdeal-queue/tests/sim/world/machines.rs
@@ -31,37 +31,30 @@
         if self.cut.contains(&from) || self.cut.contains(&to) || self.life_of(to) != life {
             return;
         }
-        let clock = self.clock();
-        if let Some(n) = (0..self.machines.len()).find(|n| node_address(*n) == to) {
-            let frozen = self.machines[n].frozen;
-            if frozen > self.now {
-                // What arrives meanwhile waits in the socket.
-                let event = Event::Deliver {
-                    from,
-                    to,
-                    peer: Box::new(peer),
-                    life,
-                };
-                return self.schedule(frozen - self.now, event);
-            }
+        let node = (0..self.machines.len()).find(|n| node_address(*n) == to);
+        let side = (0..self.sides.len()).find(|n| agent_address(*n) == to);
+        let frozen = match node {
+            Some(n) => self.machines[n].frozen,
+            None => self.sides[side.expect("an agent")].frozen,
+        };
+        if frozen > self.now {
+            // What arrives meanwhile waits in the socket.
+            let peer = Box::new(peer);
+            let event = Event::Deliver {
+                from,
+                to,
+                peer,
+                life,
+            };
+            return self.schedule(frozen - self.now, event);
+        }
+        if let Some(n) = node {
+            let clock = self.clock();
             if let Some(node) = &mut self.machines[n].node {
                 node.on_peer(clock, peer);
             }
             self.drain_node(n);
-        } else {
-            let n = (0..self.sides.len())
-                .find(|n| agent_address(*n) == to)
-                .expect("an agent");
-            let frozen = self.sides[n].frozen;
-            if frozen > self.now {
-                let event = Event::Deliver {
-                    from,
-                    to,
-                    peer: Box::new(peer),
-                    life,
-                };
-                return self.schedule(frozen - self.now, event);
-            }
+        } else if let Some(n) = side {
             let now = self.agent_now();
             if let Some(agent) = &mut self.sides[n].agent {
                 agent.on_peer(now, peer);
