--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -8,7 +8,7 @@
     worker::{self as wire, INSTANCES},
 };
 use figdeal_queue::{
-    agent::{Action, Agent, CALL_LIMIT, Heartbeat, Held, Started},
+    agent::{Action, Agent, CALL_LIMIT, Heartbeat, Held, START_LIMIT, Started},
     job::TaskId,
 };
 use tokio::{
@@ -29,6 +29,8 @@
 const INPUTS: usize = 1_024;
 /// Inputs that are handled before the actions are carried out.
 const BURST: usize = 64;
+/// Time that a start may take for each call that is out, all of which share a small part of a core.
+const EACH_START: Duration = Duration::from_micros(1_500);
 /// Time before SIGKILL at which the process ends in any case.
 const MARGIN: Duration = Duration::from_millis(800);
 
@@ -195,7 +197,8 @@
                 Action::Start(call) => {
                     metrics::counter!("figdeal_queue_starts_total").increment(1);
                     tokio::spawn(async move {
-                        let answer = worker.call(wire::start(&call), CALL_LIMIT).await;
+                        let limit = START_LIMIT + EACH_START * worker.calls();
+                        let answer = worker.call(wire::start(&call), limit).await;
                         let started = answer.map_or(Started::Unclear, |(status, body)| {
                             wire::started(status, &body)
                         });
--- a/crates/figdeal-node/src/http.rs
+++ b/crates/figdeal-node/src/http.rs
@@ -164,7 +164,7 @@
     if let Some(retry) = answer.retry {
         builder = builder.header(RETRY_AFTER, retry.div_ceil(1_000).max(1));
     }
-    if *closing.borrow() {
+    if answer.close || *closing.borrow() {
         builder = builder.header(CONNECTION, "close");
     }
     builder
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -203,8 +203,9 @@
 ) -> Result<()> {
     let callers = Settings::require(path, settings.callers, "callers")?;
     let sender = inputs.clone();
+    let serving = Arc::clone(ready);
     http::serve(callers, closed.clone(), move |call| {
-        caller(call, sender.clone())
+        caller(call, sender.clone(), Arc::clone(&serving))
     })
     .await?;
     if let Some(address) = settings.ready {
@@ -232,7 +233,7 @@
     Ok(())
 }
 
-async fn caller(call: Call, inputs: mpsc::Sender<Input>) -> Response {
+async fn caller(call: Call, inputs: mpsc::Sender<Input>, ready: Arc<AtomicBool>) -> Response {
     let start = clock::now();
     let decoded = ingress::decode(&call.method, &call.host, &call.path, &call.body);
     let answer = match decoded {
@@ -255,7 +256,9 @@
         }
         ingress::Call::NoMethod => return Response::new(405),
     };
-    let response = ingress::encode(&answer);
+    let mut response = ingress::encode(&answer);
+    // An open connection stays with this node, and the balancer sends new ones elsewhere while it is not ready.
+    response.close = response.status >= 500 && !ready.load(Ordering::Relaxed);
     let took = clock::now().since(start);
     if response.status >= 400 {
         log::info!(
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -14,16 +14,19 @@
 use crate::{
     job::{Resources, TaskId},
     message::{
-        Announce, Directory, Ending, Event, Life, Order, Orders, Peer, Report, Running, Worker,
+        Announce, Directory, Ending, Event, Life, Order, Orders, Peer, Report, Running, Slow,
+        Worker,
     },
     raft::Term,
 };
 
 mod hold;
+mod pace;
 mod start;
 
-pub use hold::{Held, HoldEnd};
+pub use hold::{Held, HoldEnd, Listed};
 pub use start::Started;
+use start::Wanted;
 
 /// Time after the sending of a report in which the agent may act on the answer to it.
 pub const AGENT_LEASE: Duration = Duration::from_millis(550);
@@ -44,11 +47,12 @@
 const ANNOUNCE_GAP: Duration = Duration::from_millis(50);
 /// Time after which events that the leader has not taken are sent again.
 const RESEND: Duration = Duration::from_millis(600);
-/// Time that a worker gets to list an end before the look at its runs returns. A look that gets no answer hides ends for
-/// this time and [`CALL_LIMIT`].
+/// Time that a worker gets to list an end before the look at its runs returns.
 pub const LOOK_WAIT: Duration = Duration::from_millis(60);
-/// Time that a call to the worker may take beyond what it was asked to wait; it runs on the same machine.
+/// Time that a look or a stop may take beyond what the worker was asked to wait; it runs on the same machine.
 pub const CALL_LIMIT: Duration = Duration::from_millis(60);
+/// Time that a start may take. A start that is only late is found by the look that follows.
+pub const START_LIMIT: Duration = Duration::from_millis(25);
 /// Time after which a stop is sent again whose end is not listed.
 const STOP_RETRY: Duration = Duration::from_millis(200);
 /// Bits of the fence below the number of the enrolment, for the agent to raise it by itself.
@@ -147,6 +151,7 @@
     listed: Option<Life>,
     /// The start got no answer; a look under a higher fence decides.
     unclear: bool,
+    pace: pace::Pace,
     /// When a stop was sent last.
     stopped: Option<Timestamp>,
 }
@@ -178,6 +183,8 @@
     fence: u64,
     runs: BTreeMap<TaskId, Run>,
     events: VecDeque<Event>,
+    /// Runs that have fallen behind and are not reported yet.
+    slow: Vec<Slow>,
     last_event: u64,
     sent_event: u64,
     hold: hold::HoldState,
@@ -207,6 +214,7 @@
             fence: 0,
             runs: BTreeMap::new(),
             events: VecDeque::new(),
+            slow: Vec::new(),
             last_event: 0,
             sent_event: 0,
             hold: hold::HoldState::default(),
@@ -466,9 +474,18 @@
                     run,
                     life,
                     needs,
+                    expected,
                     payload,
                 } => {
-                    self.start(now, task, run, life, needs, payload);
+                    let expected = Duration::from_millis(u64::from(expected));
+                    let wanted = Wanted {
+                        task,
+                        run,
+                        life,
+                        needs,
+                        expected,
+                    };
+                    self.start(now, wanted, payload);
                 }
                 Order::Stop { task, run } => self.stop(now, task, run),
                 Order::Keep { task, run, needs } => {
@@ -531,6 +548,7 @@
             worker,
             running: (ping && known).then(|| running.collect()),
             events,
+            slow: std::mem::take(&mut self.slow),
         };
         let leader = lease.leader;
         self.actions
--- a/crates/figdeal-queue/src/agent/hold.rs
+++ b/crates/figdeal-queue/src/agent/hold.rs
@@ -1,16 +1,24 @@
 //! Renewal of the hold on the worker, and the runs and ends that it lists.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use figdeal_core::time::Timestamp;
 
-use super::{Action, Agent, CALL_LIMIT, HOLD, HoldCall, LAPSE, LOOK_WAIT, Run};
+use super::{Action, Agent, HOLD, HoldCall, LAPSE, LOOK_WAIT, Run, pace::Pace};
 use crate::{job::TaskId, message::Ending};
 
 /// Most ends that a worker lists at once.
 const END_PAGE: usize = 500;
 /// Time between two looks at a worker that does not answer.
 const RETRY: Duration = Duration::from_millis(40);
+/// Time by which an answer may be late before a second look is sent beside the first: a look that is lost hides ends.
+const HEDGE: Duration = Duration::from_millis(15);
+/// Time after a look without an answer in which looks wait for [`SHORT_WAIT`] only.
+const TROUBLE: Duration = Duration::from_secs(3);
+/// Time that a worker gets to list an end while looks stay without an answer.
+const SHORT_WAIT: Duration = Duration::from_millis(20);
+/// Looks that may be out at once.
+const LOOKS: usize = 6;
 /// Time after which a call counts as unanswered even if the driver has not said so.
 const CALL_EXPIRY: Duration = Duration::from_millis(1_000);
 /// Time without an answer after which the hold is not renewed any more, so that it runs out at a known time.
@@ -27,6 +35,17 @@
     Lost,
 }
 
+/// A run that the worker lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listed {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Share of its work that is done in percent, if the worker tells it.
+    pub progress: Option<u8>,
+}
+
 /// What the worker answered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Held {
@@ -34,19 +53,30 @@
     pub clock: u64,
     /// Unix milliseconds of the worker's start, if it tells them.
     pub born: Option<u64>,
-    /// Runs by task and number.
-    pub running: Vec<(TaskId, u64)>,
+    /// Runs.
+    pub running: Vec<Listed>,
     /// Ends that were not taken yet, by their number.
     pub ended: Vec<(u64, TaskId, u64, HoldEnd)>,
 }
 
+/// A look that is out.
+#[derive(Debug, Clone, Copy)]
+struct Look {
+    number: u64,
+    fence: u64,
+    sent: Timestamp,
+    /// When its answer is due.
+    due: Timestamp,
+}
+
 /// State of the calls.
 #[derive(Debug, Default)]
 pub(super) struct HoldState {
     number: u64,
-    /// Calls that are out: number, fence, and when they were sent.
-    calls: Vec<(u64, u64, Timestamp)>,
+    looks: Vec<Look>,
     pub(super) next: Timestamp,
+    /// When a look was found to have no answer.
+    unanswered: Option<Timestamp>,
     /// The worker's clock in milliseconds and when it was read.
     clock: Option<(Timestamp, u64)>,
     /// When a call with a new end of the hold was sent last.
@@ -116,18 +146,32 @@
             return;
         }
         self.hold.answered.get_or_insert(now);
-        self.hold
-            .calls
-            .retain(|(_, _, sent)| *sent + CALL_EXPIRY > now);
+        self.hold.looks.retain(|look| look.sent + CALL_EXPIRY > now);
         self.check_lapse(now);
-        if now >= self.hold.next && !self.hold.calls.iter().any(|(_, f, _)| *f == self.fence) {
-            self.look(now, LOOK_WAIT);
+        if now < self.hold.next {
+            return;
         }
-        if now >= self.hold.next {
+        let overdue = self.last_due().is_none_or(|due| due + HEDGE <= now);
+        if overdue && self.hold.looks.len() < LOOKS {
+            let troubled = self.hold.unanswered.is_some_and(|at| at + TROUBLE > now);
+            self.look(now, if troubled { SHORT_WAIT } else { LOOK_WAIT });
+        } else {
             self.hold.next = now + RETRY;
         }
     }
 
+    /// When the answer to the newest look under the present fence is due, if one is out.
+    fn last_due(&self) -> Option<Timestamp> {
+        let looks = self.hold.looks.iter();
+        let own = looks.filter(|look| look.fence == self.fence);
+        own.map(|look| look.due).max()
+    }
+
+    /// A look is due at once if none is out, else when the newest is overdue.
+    fn next_look(&self, now: Timestamp) -> Timestamp {
+        self.last_due().map_or(now, |due| due + HEDGE)
+    }
+
     /// Once the hold must have run out, everything on the worker is over.
     fn check_lapse(&mut self, now: Timestamp) {
         let lapsed = self.hold.grant.is_some_and(|at| at + LAPSE < now);
@@ -156,8 +200,14 @@
             0
         };
         let (number, fence) = (self.hold.number, self.fence);
-        self.hold.calls.push((number, fence, now));
-        self.hold.next = now + wait + CALL_LIMIT;
+        let due = now + wait;
+        self.hold.looks.push(Look {
+            number,
+            fence,
+            sent: now,
+            due,
+        });
+        self.hold.next = due + HEDGE;
         let worker = self.worker_id();
         let call = HoldCall {
             number,
@@ -172,14 +222,15 @@
 
     /// Takes the worker's answer to a look, or nothing if there was none.
     pub fn held(&mut self, now: Timestamp, number: u64, answer: Option<Held>) {
-        let Some(at) = self.hold.calls.iter().position(|(n, ..)| *n == number) else {
+        let Some(at) = self.hold.looks.iter().position(|l| l.number == number) else {
             return;
         };
-        let (_, fence, sent) = self.hold.calls.swap_remove(at);
+        let Look { fence, sent, .. } = self.hold.looks.swap_remove(at);
         let Some(held) = answer else {
             log::info!("E716 worker did not answer a look number={number}");
             self.hold.trusted = false;
-            self.hold.next = now + RETRY;
+            self.hold.unanswered = Some(now);
+            self.hold.next = self.next_look(now + RETRY);
             return;
         };
         if self.born.is_some() && held.born.is_some() && held.born != self.born {
@@ -204,7 +255,7 @@
                 self.next_report = now;
             }
             self.hold.looked = Some(fence);
-            self.hold.next = now;
+            self.hold.next = self.next_look(now);
         }
     }
 
@@ -234,8 +285,7 @@
 
     /// Compares the runs that the worker lists with those that were ordered before the look was sent.
     fn read_runs(&mut self, now: Timestamp, sent: Timestamp, fence: u64, held: &Held) {
-        let listed = |task: TaskId, run: u64| held.running.contains(&(task, run));
-        for &(task, run) in &held.running {
+        for &Listed { task, run, .. } in &held.running {
             let known = self.runs.get(&task).is_some_and(|r| r.run >= run);
             let ended = self.events.iter().any(|e| e.task == task && e.run >= run);
             if !known && !ended {
@@ -247,6 +297,7 @@
                     confirmed: Some(now),
                     listed: Some(self.life),
                     unclear: false,
+                    pace: Pace::new(Duration::ZERO, now),
                     stopped: None,
                 };
                 log::info!("E717 run found on the worker task={task} run={run}");
@@ -257,11 +308,19 @@
             return;
         }
         let mut gone = Vec::new();
+        let listed: HashMap<(TaskId, u64), Option<u8>> = held
+            .running
+            .iter()
+            .map(|l| ((l.task, l.run), l.progress))
+            .collect();
         for (task, run) in &mut self.runs {
-            if listed(*task, run.run) {
+            if let Some(progress) = listed.get(&(*task, run.run)) {
                 run.confirmed.get_or_insert(now);
                 run.listed = Some(self.life);
                 run.unclear = false;
+                if let Some(progress) = progress {
+                    run.pace.note(now, *progress);
+                }
                 continue;
             }
             let vanished = run.confirmed.is_some_and(|at| at < sent);
@@ -274,5 +333,6 @@
             log::warn!("E718 run is not on the worker task={task} run={}", run.run);
             self.push_event(now, task, run.run, Ending::Lost, run.since);
         }
+        self.find_slow(now);
     }
 }
--- /dev/null
+++ b/crates/figdeal-queue/src/agent/pace.rs
@@ -0,0 +1,98 @@
+//! How fast runs advance, and which of them have fallen behind.
+//!
+//! An estimate may be wrong by a factor of two and a worker a little slow, so a run counts as behind only far below its
+//! expected speed, and beside others that keep theirs only if it stands still.
+
+use std::time::Duration;
+
+use figdeal_core::time::Timestamp;
+
+use super::Agent;
+use crate::message::Slow;
+
+/// Shortest time over which a speed is measured: half of the shortest tasks.
+const SPAN_MIN: Duration = Duration::from_millis(40);
+/// Part of the expected run time over which a speed is measured, so that steps of one percent do not matter.
+const SPAN_SHARE: u32 = 8;
+/// Percent of the expected speed below which a run is behind.
+const BEHIND: u8 = 30;
+/// Percent of the expected speed below which a run stands still.
+const STILL: u8 = 8;
+/// Percent of the expected speed of another run that clears the worker.
+const SOUND: u8 = 50;
+/// Time in which the speed of another run counts.
+const RECENT: Duration = Duration::from_millis(250);
+
+/// The speed of one run.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pace {
+    expected: Duration,
+    /// When the present measurement began, and the percent done then.
+    mark: (Timestamp, u8),
+    /// Newest percent done.
+    progress: u8,
+    /// The last speed in percent of the expected one, and when it was measured.
+    speed: Option<(Timestamp, u8)>,
+    /// The newest speed is reported if it is behind.
+    reported: bool,
+}
+
+impl Pace {
+    /// A run that starts now. Without an expected run time it is never behind.
+    pub(super) fn new(expected: Duration, now: Timestamp) -> Pace {
+        Pace {
+            expected,
+            mark: (now, 0),
+            progress: 0,
+            speed: None,
+            reported: false,
+        }
+    }
+
+    /// Takes the percent done.
+    pub(super) fn note(&mut self, now: Timestamp, progress: u8) {
+        self.progress = progress;
+        let (since, before) = self.mark;
+        let span = now.since(since);
+        if self.expected.is_zero() || span < SPAN_MIN.max(self.expected / SPAN_SHARE) {
+            return;
+        }
+        let done = u64::from(progress.saturating_sub(before)) * self.expected.as_micros() as u64;
+        let speed = done / span.as_micros().max(1) as u64;
+        self.speed = Some((now, speed.min(u64::from(u8::MAX)) as u8));
+        self.mark = (now, progress);
+        self.reported = false;
+    }
+}
+
+impl Agent {
+    /// Collects the runs that are behind for the next report.
+    pub(super) fn find_slow(&mut self, now: Timestamp) {
+        let speeds = self.runs.values().filter_map(|run| run.pace.speed);
+        let recent = speeds.filter(|(at, _)| *at + RECENT > now);
+        let sound = recent.map(|(_, speed)| speed).max().unwrap_or(0) >= SOUND;
+        let limit = if sound { STILL } else { BEHIND };
+        for (task, run) in &mut self.runs {
+            let pace = &mut run.pace;
+            let Some((_, speed)) = pace.speed else {
+                continue;
+            };
+            if pace.reported || speed >= limit || run.stopped.is_some() {
+                continue;
+            }
+            pace.reported = true;
+            let progress = pace.progress;
+            log::info!(
+                "E726 run is behind task={task} run={} progress={progress} pace={speed} sound={sound}",
+                run.run
+            );
+            self.slow.push(Slow {
+                task: *task,
+                run: run.run,
+                progress,
+                pace: speed,
+            });
+            self.news = true;
+        }
+    }
+}
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -1,8 +1,10 @@
 //! Starts and stops of runs.
 
+use std::time::Duration;
+
 use figdeal_core::time::Timestamp;
 
-use super::{Action, Agent, Run, STOP_RETRY, StartCall, StopCall};
+use super::{Action, Agent, Run, STOP_RETRY, StartCall, StopCall, pace::Pace};
 use crate::{
     job::{Resources, TaskId},
     message::{Ending, Life, Obstacle},
@@ -19,16 +21,26 @@
     Unclear,
 }
 
+/// The run that an order asks for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wanted {
+    pub(super) task: TaskId,
+    pub(super) run: u64,
+    pub(super) life: Life,
+    pub(super) needs: Resources,
+    /// Run time that the leader expects.
+    pub(super) expected: Duration,
+}
+
 impl Agent {
-    pub(super) fn start(
-        &mut self,
-        now: Timestamp,
-        task: TaskId,
-        run: u64,
-        life: Life,
-        needs: Resources,
-        payload: String,
-    ) {
+    pub(super) fn start(&mut self, now: Timestamp, wanted: Wanted, payload: String) {
+        let Wanted {
+            task,
+            run,
+            life,
+            needs,
+            expected,
+        } = wanted;
         if self.runs.get(&task).is_some_and(|held| held.run == run) {
             return;
         }
@@ -50,6 +62,7 @@
                 confirmed: None,
                 listed: None,
                 unclear: false,
+                pace: Pace::new(expected, now),
                 stopped: None,
             },
         );
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -24,6 +24,7 @@
 mod admit;
 mod place;
 mod report;
+mod slow;
 mod view;
 mod worker;
 
@@ -50,10 +51,6 @@
 const AGENT_SILENT: Duration = Duration::from_millis(350);
 /// Time between two searches for runs that take too long.
 const SWEEP: Duration = Duration::from_millis(50);
-/// A run is too long at this many times its estimate and [`OVERRUN_SLACK`].
-const OVERRUN: u32 = 4;
-/// Time that a run of any estimate gets.
-const OVERRUN_SLACK: Duration = Duration::from_millis(300);
 
 /// The volatile state of a leader.
 #[derive(Debug)]
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -4,9 +4,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{
-    AGENT_SILENT, AgentKey, AgentView, Dispatch, OVERRUN, OVERRUN_SLACK, Placed, TaskState,
-};
+use super::{AGENT_SILENT, AgentKey, AgentView, Dispatch, Placed, TaskState};
 use crate::{
     job::{JobId, Step, TaskId},
     message::Order,
@@ -73,6 +71,7 @@
         payload: String,
     ) {
         let job = self.jobs.get_mut(&task.job).expect("the job is known");
+        let bias = self.bias.get(&job.queue).copied().unwrap_or(1.0);
         let starts = job.starts.entry((task.step, task.index)).or_default();
         *starts += 1;
         let run = job.base + *starts;
@@ -101,12 +100,13 @@
             run,
             life,
             needs,
+            expected: (f64::from(step.estimate) * bias) as u32,
             payload,
         });
         agent.due = true;
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         now: Timestamp,
         id: JobId,
@@ -150,30 +150,4 @@
         open.min_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)))
             .map(|(key, _)| key)
     }
-
-    /// Stops runs that take far longer than expected; they are started elsewhere once they have ended.
-    pub(super) fn stop_overruns(&mut self, now: Timestamp) {
-        let mut late = Vec::new();
-        for (key, agent) in &self.agents {
-            for (task, placed) in &agent.placed {
-                let bias = self
-                    .jobs
-                    .get(&task.job)
-                    .and_then(|j| self.bias.get(&j.queue));
-                let expected = f64::from(placed.estimate) * bias.copied().unwrap_or(1.0).max(1.0);
-                let limit = std::time::Duration::from_secs_f64(expected / 1_000.0) * OVERRUN;
-                if !placed.stopping && placed.at + limit + OVERRUN_SLACK < now {
-                    late.push((key, *task, placed.run));
-                }
-            }
-        }
-        for (key, task, run) in late {
-            log::warn!(
-                "E607 run takes too long task={task} run={run} agent={}",
-                self.agents[key].address
-            );
-            self.agents[key].health.failed(now);
-            self.order_stop(key, task, run);
-        }
-    }
 }
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -40,6 +40,7 @@
         for event in report.events {
             self.take_event(now, key, event);
         }
+        self.take_slow(now, key, &report.slow);
         if let Some(running) = report.running {
             self.compare(now, key, report.orders, report.last_event, &running);
         }
--- a/crates/figdeal-queue/src/dispatch/worker.rs
+++ b/crates/figdeal-queue/src/dispatch/worker.rs
@@ -12,6 +12,8 @@
 const EJECT: f64 = 0.55;
 /// Time between two trials of an ejected worker.
 const TRIAL: Duration = Duration::from_millis(1_500);
+/// Run time over estimate of a run after which a slow worker counts as recovered.
+const RECOVERED: f64 = 2.0;
 /// How much a worker with failures is shunned.
 const SHUN: f64 = 8.0;
 
@@ -22,6 +24,8 @@
     speed: f64,
     /// Share of failures, averaged.
     failures: f64,
+    /// Its runs were far behind, and none has ended in about its time since.
+    slow: bool,
     /// When the worker may get a task again.
     rest: Timestamp,
 }
@@ -31,6 +35,7 @@
         Health {
             speed: 1.0,
             failures: 0.0,
+            slow: false,
             rest: Timestamp::ZERO,
         }
     }
@@ -43,9 +48,20 @@
         if expected > 0.0 {
             let ratio = (f64::from(elapsed) / expected).clamp(0.2, 5.0);
             self.speed += SPEED_WEIGHT * (ratio - self.speed);
+            if self.slow && ratio < RECOVERED {
+                self.slow = false;
+                self.speed = ratio;
+            }
         }
     }
 
+    /// A run advances at `pace` percent of its expected speed.
+    pub(super) fn slowed(&mut self, now: Timestamp, pace: u8) {
+        self.slow = true;
+        self.speed = self.speed.max(100.0 / f64::from(pace.max(1)));
+        self.rest = now + TRIAL;
+    }
+
     /// A run has failed or takes far too long.
     pub(super) fn failed(&mut self, now: Timestamp) {
         self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
@@ -66,9 +82,9 @@
         }
     }
 
-    /// Whether its failures keep it out.
+    /// Whether its failures or its speed keep it out.
     pub(super) fn is_ejected(&self) -> bool {
-        self.failures > EJECT
+        self.slow || self.failures > EJECT
     }
 
     /// Whether it may get a task.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -183,6 +183,21 @@
     pub running: Option<Vec<Running>>,
     /// Events that the leader has not taken yet, in order.
     pub events: Vec<Event>,
+    /// Runs that have fallen behind since the last report.
+    pub slow: Vec<Slow>,
+}
+
+/// A run that advances far slower than expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slow {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Share of its work that is done, in percent.
+    pub progress: u8,
+    /// Its present speed, in percent of the expected one.
+    pub pace: u8,
 }
 
 /// An order to an agent.
@@ -198,6 +213,8 @@
         life: Life,
         /// What the task takes.
         needs: Resources,
+        /// Run time that the leader expects, in milliseconds; 0 if it is not known.
+        expected: u32,
         /// What the task does.
         payload: String,
     },
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -32,6 +32,9 @@
 const FRESH_WAIT: Duration = Duration::from_millis(15);
 /// Time between two looks for a leader while requests wait for one.
 const OFFER_RETRY: Duration = Duration::from_millis(10);
+/// Time without any leader in reach after which the outcome of the volatile jobs that one had is given up: an election
+/// takes half of it, and callers hand a job in again at another node.
+const LEADERLESS: Duration = Duration::from_millis(1_200);
 /// Bytes of entries after which the state is written and the entries before it are dropped.
 const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
 /// Milliseconds after which a caller may try again when no leader is in reach.
@@ -154,6 +157,8 @@
     forwards: BTreeMap<u64, Forwarded>,
     find: find::Find,
     group: group::Group,
+    /// Since when no leader is known.
+    leaderless: Option<Timestamp>,
     /// Stores that the driver has not reported.
     storing: usize,
     /// Something happened that may let a task start.
@@ -188,6 +193,7 @@
             batches: VecDeque::new(),
             waiters: Waiters::default(),
             forwards: BTreeMap::new(),
+            leaderless: None,
             storing: 0,
             stirred: false,
             closing: false,
@@ -499,9 +505,17 @@
         } else {
             self.leader_address()
         };
+        match current {
+            Some(_) => self.leaderless = None,
+            None => {
+                self.leaderless.get_or_insert(now);
+            }
+        }
+        let cut_off = self.leaderless.is_some_and(|at| at + LEADERLESS <= now);
         let (mut lost, mut late, mut stranded) = (Vec::new(), Vec::new(), Vec::new());
         for (token, forwarded) in &self.forwards {
-            if forwarded.limit <= now {
+            let had_leader = forwarded.again.is_some() && forwarded.offers > 0;
+            if forwarded.limit <= now || (cut_off && had_leader) {
                 late.push(*token);
             } else if forwarded.to.is_none()
                 && forwarded.offers == 0
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -165,7 +165,6 @@
 
     fn lead(&mut self) {
         let now = self.clock.now;
-        self.drop_silent_entries();
         let Some(leading) = &mut self.leading else {
             return;
         };
--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -12,6 +12,8 @@
 
 /// Time between two questions for the leader while none is known.
 const SEARCH: Duration = Duration::from_millis(50);
+/// Shortest time between two questions, also while connections are refused.
+const ASK_GAP: Duration = Duration::from_millis(10);
 /// Time between two greetings of the leader.
 const GREET: Duration = Duration::from_millis(150);
 /// Time without a greeting after which the volatile jobs of an entry are given up. Callers hand a job in again 1.3 s
@@ -122,6 +124,7 @@
         let hello = Peer::Hello(self.hello());
         if self.raft.is_leader() {
             self.find.next = now + GREET;
+            self.drop_silent_entries();
         } else if let Some(leader) = self.leader_address() {
             self.find.next = now + GREET;
             self.send(leader, hello);
@@ -148,11 +151,11 @@
             self.send(address, hello);
         }
         self.find.lost(address);
-        self.find.next = self.clock.now;
+        self.find.next = self.find.next.min(self.clock.now + ASK_GAP);
     }
 
     /// Withdraws the volatile jobs of entries that are silent: their callers hand them in elsewhere.
-    pub(super) fn drop_silent_entries(&mut self) {
+    fn drop_silent_entries(&mut self) {
         let now = self.clock.now;
         let silent = |o: &Origin| match o {
             Origin::Remote(address, _) => self
--- a/crates/figdeal-queue/tests/sim/worker.rs
+++ b/crates/figdeal-queue/tests/sim/worker.rs
@@ -4,7 +4,7 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Held, HoldCall, HoldEnd, StartCall, Started, StopCall},
+    agent::{Held, HoldCall, HoldEnd, Listed, StartCall, Started, StopCall},
     job::{Resources, TaskId},
     message::Obstacle,
 };
@@ -16,11 +16,24 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
     pub(crate) run: u64,
+    pub(crate) start: Timestamp,
     pub(crate) end: Timestamp,
     pub(crate) how: HoldEnd,
     pub(crate) needs: Resources,
 }
 
+impl Run {
+    fn listed(&self, task: TaskId, now: Timestamp) -> Listed {
+        let whole = self.end.since(self.start).as_micros().max(1);
+        let done = 100 * now.since(self.start).as_micros() / whole;
+        Listed {
+            task,
+            run: self.run,
+            progress: Some(done.min(100) as u8),
+        }
+    }
+}
+
 /// An end that has not been taken.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct End {
@@ -186,7 +199,7 @@
         Held {
             clock: self.clock(now),
             born: Some(self.born),
-            running: self.runs.iter().map(|(t, r)| (*t, r.run)).collect(),
+            running: self.runs.iter().map(|(t, r)| r.listed(*t, now)).collect(),
             ended: self
                 .ends
                 .iter()
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -10,8 +10,8 @@
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
     agent::{
-        Action as AgentAction, Agent, CALL_LIMIT, Heartbeat, HoldCall, HoldEnd, StartCall, Started,
-        StopCall,
+        Action as AgentAction, Agent, CALL_LIMIT, Heartbeat, HoldCall, HoldEnd, START_LIMIT,
+        StartCall, Started, StopCall,
     },
     job::{JobId, JobSpec, Policy, Queue, QueueSet, Resources, Step},
     message::{Answer, Peer, Request},
--- a/crates/figdeal-queue/tests/sim/world/machines.rs
+++ b/crates/figdeal-queue/tests/sim/world/machines.rs
@@ -168,9 +168,8 @@
             if late {
                 if let Call::Start(start) = &call {
                     let (call, answer) = (start.clone(), Started::Unclear);
-                    let limit = CALL_LIMIT;
                     self.schedule(
-                        limit,
+                        START_LIMIT,
                         Event::Started {
                             agent: n,
                             life,
@@ -220,7 +219,7 @@
             if let (Call::Start(call), false) = (call, late) {
                 let answer = Started::Unclear;
                 self.schedule(
-                    CALL_LIMIT,
+                    START_LIMIT,
                     Event::Started {
                         agent: n,
                         life,
@@ -287,6 +286,7 @@
         let end = self.now + self.millis(20, 400);
         let run = Run {
             run: call.run,
+            start: self.now,
             end,
             how,
             needs,
