Start new jobs beside runs that a new leader does not know

Cause: after a change of the leader with agents out of reach every job waited up to 1.15 s, and invitations were ignored for 50 ms after an announcement, so agents in reach reported up to 0.3 s late.

Change: the leader tells its voters with each heartbeat which volatile jobs it has taken; a job that no earlier leader can have had is not held back. The proof is in node/recent.rs. An agent answers an invitation at once. Whether a job was at a leader before travels as a flag instead of its age.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -150,6 +150,7 @@
         bootstrap: settings.bootstrap,
         seeds: settings.seeds.clone(),
         voters: 2 * settings.tolerance + 1,
+        resubmission: settings.resubmission,
     };
     let now = clock::read();
     let last = content.log.last_index();
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -421,9 +421,9 @@
         let addresses: Vec<SocketAddr> = directory.members.iter().map(|m| m.address).collect();
         self.learn(&addresses);
         let invited = directory.serving && directory.term > self.term;
+        let named = !self.is_leased(now) && now >= self.next_announce;
         if let Some(leader) = directory.leader
-            && (invited || (!self.is_leased(now) && leader != directory.from))
-            && now >= self.next_announce
+            && (invited || (named && leader != directory.from))
         {
             self.announce(now, leader);
         }
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -17,6 +17,7 @@
     agent::AGENT_GONE,
     job::{JobId, JobSpec, JobState, Queue, Resources, TaskId},
     message::{Announce, Order, Orders, Report, Running},
+    node::Earlier,
     raft::Term,
     state::{Command, Job, State},
 };
@@ -29,8 +30,8 @@
 mod worker;
 
 pub use admit::Rejection;
-pub use view::Finish;
 use view::{AgentView, Goal, JobView, LATE, Placed, TaskState};
+pub use view::{Finish, Handed};
 use worker::Health;
 
 new_key_type! {
@@ -63,6 +64,8 @@
     jobs: HashMap<JobId, JobView>,
     /// Steps with ready tasks: by priority, those that have missed their goal last, then by their latest start.
     ready: BTreeSet<(u8, Timestamp, JobId, u16)>,
+    /// Volatile jobs of earlier leaders.
+    earlier: Earlier,
     /// Agents of earlier terms whose runs are not known yet.
     unresolved: BTreeSet<SocketAddr>,
     held: Vec<JobId>,
@@ -83,8 +86,9 @@
 
 impl Dispatch {
     /// Starts to lead with the state of all earlier entries.
-    pub fn new(
+    pub(crate) fn new(
         state: &State,
+        earlier: Earlier,
         address: SocketAddr,
         term: Term,
         now: Timestamp,
@@ -98,6 +102,7 @@
             by_address: HashMap::new(),
             jobs: HashMap::new(),
             ready: BTreeSet::new(),
+            earlier,
             unresolved: state.agents.clone(),
             held: Vec::new(),
             orphans: BTreeMap::new(),
@@ -160,12 +165,12 @@
         id: JobId,
         queue: &Queue,
         spec: &Arc<JobSpec>,
-        age: Duration,
+        handed: Handed,
     ) {
         if self.jobs.contains_key(&id) {
             return;
         }
-        let goal = Goal::new(&queue.policy, age);
+        let goal = Goal::new(&queue.policy, handed.age);
         let mut view = JobView::new(
             now,
             &queue.name,
@@ -184,10 +189,22 @@
         let young = now < self.since + FOREIGN_RUNS;
         view.base = past.unwrap_or(if young { self.term * RUNS_PER_TERM } else { 0 });
         view.attempts = queue.policy.attempts;
-        view.held = !self.unresolved.is_empty();
+        view.held = self.is_held(now, id, handed.again);
+        view.again = handed.again;
         self.add_job(now, id, view);
     }
 
+    /// Whether a run of the job may be at an agent of an earlier term that has not reported.
+    fn is_held(&self, now: Timestamp, id: JobId, again: bool) -> bool {
+        !self.unresolved.is_empty() && (again || !self.earlier.is_new(now, id))
+    }
+
+    /// Whether every run of earlier leaders is known and no volatile job is older than `limit`.
+    pub(crate) fn is_settled(&self, now: Timestamp, limit: Duration) -> bool {
+        let old = |job: &JobView| job.spec.volatile && job.since + limit < now;
+        self.unresolved.is_empty() && !self.jobs.values().any(old)
+    }
+
     /// Run time of tasks against their estimates.
     fn bias_of(&self, queue: &str) -> f64 {
         self.bias.get(queue).copied().unwrap_or(1.0)
--- a/crates/figdeal-queue/src/dispatch/admit.rs
+++ b/crates/figdeal-queue/src/dispatch/admit.rs
@@ -29,7 +29,14 @@
 
 impl Dispatch {
     /// Why a job should not be accepted, if so: no worker can hold a task, or a volatile job would miss its goal.
-    pub fn rejection(&self, now: Timestamp, queue: &Queue, spec: &JobSpec) -> Option<Rejection> {
+    pub fn rejection(
+        &self,
+        now: Timestamp,
+        queue: &Queue,
+        id: JobId,
+        spec: &JobSpec,
+        age: Duration,
+    ) -> Option<Rejection> {
         let of_pool = |a: &&AgentView| a.worker.as_ref().is_some_and(|w| w.pool == queue.pool);
         let workers = self
             .agents
@@ -51,7 +58,11 @@
         let bias = self.bias.get(&queue.name).copied().unwrap_or(1.0);
         let chain = spec.chains().into_iter().max().unwrap_or(0) as f64 * bias;
         let slack = chain * f64::from(queue.policy.stretch - 1.0) + f64::from(queue.policy.goal);
-        let wait = self.backlog(queue) / cpu as f64 + self.held_for(now).as_millis() as f64;
+        let held = match self.is_held(now, id, false) {
+            true => self.held_for(now),
+            false => Duration::ZERO,
+        };
+        let wait = self.backlog(queue) / cpu as f64 + held.max(age).as_millis() as f64;
         let retry = RETRY_MIN.max(Duration::from_secs_f64(wait / 1_000.0));
         (wait > slack).then_some(Rejection {
             reason: Refusal::Overload,
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -95,6 +95,15 @@
     GivenUp,
 }
 
+/// How a volatile job came to this leader.
+#[derive(Debug, Clone, Copy)]
+pub struct Handed {
+    /// Time since it arrived at its node.
+    pub age: Duration,
+    /// Its node has handed it to a leader before, so tasks of it may have run.
+    pub again: bool,
+}
+
 /// How long a job may take.
 pub(super) struct Goal {
     /// 0 comes first.
@@ -136,6 +145,8 @@
     pub(super) held: bool,
     /// It has been at a leader before, so tasks of it may have run.
     pub(super) again: bool,
+    /// When this leader took it.
+    pub(super) since: Timestamp,
     /// From then on its outcome is of no use.
     pub(super) expiry: Timestamp,
 }
@@ -185,7 +196,8 @@
             steps: steps.collect(),
             started: false,
             held: false,
-            again: !goal.age.is_zero(),
+            again: false,
+            since: now,
             expiry: now + Duration::from_millis(limit * USEFUL) - goal.age,
         }
     }
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    job::{JobSpec, JobState, QueueSet, Resources, TaskId},
+    job::{JobId, JobSpec, JobState, QueueSet, Resources, TaskId},
     raft::{Member, Message, NodeId, Term},
 };
 
@@ -22,6 +22,8 @@
         spec: JobSpec,
         /// Milliseconds since its arrival at the first node.
         age: u32,
+        /// The node that sends it has handed it to a leader before.
+        again: bool,
     },
     /// Asks for the state of a job, or of a queue.
     Query {
@@ -298,6 +300,24 @@
     pub sent: u64,
 }
 
+/// A leader tells its voters which volatile jobs it has taken, so that the next leader knows which jobs no earlier one had.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    /// Term of the leader.
+    pub term: Term,
+    /// Number of the first of `ids` within the term.
+    pub first: u64,
+    /// The list begins anew with all jobs that may still run.
+    pub begins: bool,
+    /// Jobs in the order in which they were taken.
+    pub ids: Vec<JobId>,
+    /// Newest heartbeat of the log that the receiver has answered, by the leader's clock in microseconds. Every job that
+    /// was taken before that answer was sent is listed.
+    pub answered: u64,
+    /// No run of an earlier leader is unknown, and no listed job is old enough to have left the list.
+    pub complete: bool,
+}
+
 /// Any message between two processes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Peer {
@@ -318,6 +338,8 @@
         /// The message.
         message: Message,
     },
+    /// The volatile jobs of a leader.
+    Taken(Taken),
     /// An entry passes a request to the leader.
     Forward {
         /// Where to answer.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -12,16 +12,18 @@
     dispatch::Dispatch,
     job::JobId,
     message::{Answer, Directory, Hello, Peer, Refusal, Request},
-    raft::{Index, Member, NodeId, Raft, Write, log::Position, log::Snapshot},
+    raft::{Index, Member, Message, NodeId, Raft, Write, log::Position, log::Snapshot},
     state::{Batch, State},
 };
 
 mod apply;
 mod find;
 mod group;
+mod recent;
 mod serve;
 
 pub use group::Options;
+pub(crate) use recent::Earlier;
 
 /// Time after which a request that was passed on counts as unanswered. Callers wait for 1.5 s.
 const FORWARD_LIMIT: Duration = Duration::from_millis(1_000);
@@ -157,6 +159,7 @@
     forwards: BTreeMap<u64, Forwarded>,
     find: find::Find,
     group: group::Group,
+    recent: recent::Recent,
     /// Since when no leader is known.
     leaderless: Option<Timestamp>,
     /// Stores that the driver has not reported.
@@ -193,6 +196,7 @@
             batches: VecDeque::new(),
             waiters: Waiters::default(),
             forwards: BTreeMap::new(),
+            recent: recent::Recent::default(),
             leaderless: None,
             storing: 0,
             stirred: false,
@@ -349,6 +353,7 @@
     pub fn link_lost(&mut self, clock: Clock, address: SocketAddr, refused: bool) {
         self.clock = clock;
         self.lose_leader(address, refused);
+        self.recent.link_lost(address);
         let lost = self.forwards.iter().filter(|(_, f)| f.to == Some(address));
         let tokens: Vec<u64> = lost.map(|(token, _)| *token).collect();
         for token in tokens {
@@ -400,12 +405,21 @@
             } => {
                 self.find.met(from, address);
                 if to == self.raft.id() {
+                    if let Message::Append(append) = &message
+                        && append.term >= self.raft.term()
+                    {
+                        self.recent.heartbeat(append.term, append.sent, clock.now);
+                    }
                     self.raft.step(clock.now, from, message);
                 }
             }
             Peer::Hello(hello) => self.on_hello(hello),
             Peer::Directory(directory) => self.on_directory(&directory),
             Peer::Found(members) => self.on_found(members),
+            Peer::Taken(taken) => {
+                let current = taken.term == self.raft.term();
+                self.recent.take(clock.now, taken, current);
+            }
             Peer::Withdraw { origin, token } => self.on_withdraw(Origin::Remote(origin, token)),
             Peer::Forward {
                 origin,
@@ -544,6 +558,7 @@
         for token in lost {
             let forwarded = &self.forwards[&token];
             let waited = now.since(forwarded.at).as_millis() as u32;
+            let again = forwarded.offers > 0;
             if let Some(Request::Submit {
                 host, path, spec, ..
             }) = forwarded.again.clone()
@@ -555,6 +570,7 @@
                         path,
                         spec,
                         age: waited,
+                        again,
                     },
                 );
             }
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -153,7 +153,9 @@
             return;
         }
         let term = self.raft.term();
-        let leading = Dispatch::new(&self.state, self.options.address, term, now, wall);
+        let earlier = self.recent.earlier(self.options.resubmission);
+        let address = self.options.address;
+        let leading = Dispatch::new(&self.state, earlier, address, term, now, wall);
         let agents = leading.unresolved();
         self.leading = Some(leading);
         self.stirred = true;
@@ -237,9 +239,13 @@
     fn drain(&mut self) {
         let out = self.raft.take_output();
         for (id, message) in out.send {
+            let append = matches!(message, Message::Append(_));
             if let Some(action) = self.envelope(id, message) {
                 self.actions.push(Action::Send(action.0, action.1));
             }
+            if append {
+                self.tell_taken(id);
+            }
         }
         let after: Vec<_> = out
             .after
--- a/crates/figdeal-queue/src/node/group.rs
+++ b/crates/figdeal-queue/src/node/group.rs
@@ -34,6 +34,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Number of voters to have: twice the losses to be borne, and one.
     pub voters: usize,
+    /// Shortest time after which a caller hands a volatile job in again; zero if that is not known.
+    pub resubmission: Duration,
 }
 
 #[derive(Debug)]
--- /dev/null
+++ b/crates/figdeal-queue/src/node/recent.rs
@@ -0,0 +1,181 @@
+//! Volatile jobs that the leader has taken lately, told to the voters with the heartbeats of the log.
+//!
+//! Volatile jobs are not in the log, so a new leader does not know which of them run at agents out of reach. A job that
+//! no earlier leader can have had needs no wait for these agents. The proof: the leader lists every job taken before the
+//! voter's last answer that the leader has seen, while it still holds its lease. Any other job was taken after that
+//! answer, and its caller hands it in again only after the resubmission gap.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use figdeal_core::time::Timestamp;
+
+use super::Node;
+use crate::{
+    job::JobId,
+    message::{Peer, Taken},
+    raft::{NodeId, Term},
+};
+
+/// Time for which a leader lists a job. A job that lasts longer makes the list incomplete.
+const LISTED: Duration = Duration::from_secs(10);
+/// Age of a volatile job from which on the list is incomplete, since the job may leave it while it runs.
+const OLD: Duration = Duration::from_secs(5);
+/// Time for which a voter keeps a job. It exceeds [`LISTED`] by more than any message takes.
+const KEPT: Duration = Duration::from_secs(20);
+/// Time between two complete lists for a voter, which replace one with a lost message.
+const ANEW: Duration = Duration::from_secs(10);
+/// Heartbeats whose arrival is remembered.
+const ARRIVALS: usize = 64;
+/// Share of the resubmission gap that counts; the rest is for clocks that differ by 2% and for rounding.
+const GAP_SHARE: f64 = 0.95;
+
+/// Jobs that earlier leaders had, as far as a new leader knows.
+#[derive(Debug, Default)]
+pub(crate) struct Earlier {
+    ids: HashSet<JobId>,
+    /// Until then a job that is not listed was at no earlier leader.
+    until: Option<Timestamp>,
+}
+
+impl Earlier {
+    /// Whether no earlier leader can have had the job, which its node hands in for the first time.
+    pub(crate) fn is_new(&self, now: Timestamp, id: JobId) -> bool {
+        self.until.is_some_and(|until| now < until) && !self.ids.contains(&id)
+    }
+}
+
+/// How far a voter has been told.
+#[derive(Debug)]
+struct Cursor {
+    address: SocketAddr,
+    next: u64,
+    anew: Timestamp,
+}
+
+/// Both sides of the list.
+#[derive(Debug, Default)]
+pub(super) struct Recent {
+    /// Jobs taken by this node as the leader, and the number of the first of them.
+    own: VecDeque<(Timestamp, JobId)>,
+    first: u64,
+    cursors: HashMap<NodeId, Cursor>,
+    /// Jobs of other leaders, the oldest first.
+    heard: VecDeque<(Timestamp, JobId)>,
+    /// Term of the list, and the number that comes next; nothing after a lost message.
+    term: Term,
+    next: Option<u64>,
+    arrivals: VecDeque<(u64, Timestamp)>,
+    /// Every job that was taken before this time is listed.
+    covered: Option<Timestamp>,
+}
+
+impl Recent {
+    /// The leader has taken a volatile job.
+    pub(super) fn add(&mut self, now: Timestamp, id: JobId) {
+        self.own.push_back((now, id));
+        while self.own.front().is_some_and(|(at, _)| *at + LISTED < now) {
+            self.own.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// What was on its way to `address` is lost.
+    pub(super) fn link_lost(&mut self, address: SocketAddr) {
+        self.cursors.retain(|_, cursor| cursor.address != address);
+    }
+
+    /// A heartbeat of the log has arrived; its answer goes out later than now.
+    pub(super) fn heartbeat(&mut self, term: Term, sent: u64, now: Timestamp) {
+        if term != self.term {
+            self.term = term;
+            self.next = None;
+            self.arrivals.clear();
+        }
+        self.arrivals.push_back((sent, now));
+        if self.arrivals.len() > ARRIVALS {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Takes a list. `current` means that no newer term is known.
+    pub(super) fn take(&mut self, now: Timestamp, taken: Taken, current: bool) {
+        if !current || taken.term != self.term {
+            return;
+        }
+        let follows = self.next == Some(taken.first);
+        let count = taken.ids.len() as u64;
+        self.heard.extend(taken.ids.iter().map(|id| (now, *id)));
+        while self.heard.front().is_some_and(|(at, _)| *at + KEPT < now) {
+            self.heard.pop_front();
+        }
+        if !taken.begins && !follows {
+            self.next = None;
+            return;
+        }
+        self.next = Some(taken.first + count);
+        let arrival = self
+            .arrivals
+            .iter()
+            .find(|(sent, _)| *sent == taken.answered);
+        match arrival {
+            Some((_, at)) if taken.complete => self.covered = Some(*at),
+            _ => {}
+        }
+    }
+
+    /// What this node knows when it begins to lead. `gap` is the shortest time after which a caller hands a job in again.
+    pub(super) fn earlier(&mut self, gap: Duration) -> Earlier {
+        self.own.clear();
+        self.first = 0;
+        self.cursors.clear();
+        Earlier {
+            ids: self.heard.iter().map(|(_, id)| *id).collect(),
+            until: self.covered.map(|at| at + gap.mul_f64(GAP_SHARE)),
+        }
+    }
+}
+
+impl Node {
+    /// Tells a voter which jobs this leader has taken since the last time.
+    pub(super) fn tell_taken(&mut self, to: NodeId) {
+        let now = self.clock.now;
+        let (Some(leading), Some(address)) = (&self.leading, self.address_of(to)) else {
+            return;
+        };
+        if !self.raft.is_serving(now) || self.options.resubmission.is_zero() {
+            return;
+        }
+        let complete = leading.is_settled(now, OLD);
+        let Some(answered) = self.raft.answered(to) else {
+            return;
+        };
+        let recent = &mut self.recent;
+        let (first, end) = (recent.first, recent.first + recent.own.len() as u64);
+        let cursor = recent.cursors.entry(to).or_insert(Cursor {
+            address,
+            next: 0,
+            anew: now,
+        });
+        let begins = cursor.next < first || cursor.anew <= now;
+        if begins {
+            cursor.anew = now + ANEW;
+        }
+        let from = if begins { first } else { cursor.next };
+        cursor.next = end;
+        let skip = (from - first) as usize;
+        let ids = recent.own.iter().skip(skip).map(|(_, id)| *id);
+        let taken = Taken {
+            term: self.raft.term(),
+            first: from,
+            begins,
+            ids: ids.collect(),
+            answered,
+            complete,
+        };
+        self.send(address, Peer::Taken(taken));
+    }
+}
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -4,6 +4,7 @@
 
 use super::{Answer, Node, Origin};
 use crate::{
+    dispatch::Handed,
     job::{JobId, JobSpec, Queue},
     message::{Refusal, Request},
     state::Command,
@@ -23,7 +24,14 @@
                 path,
                 spec,
                 age,
-            } => self.submit(origin, &host, &path, spec, age),
+                again,
+            } => {
+                let handed = Handed {
+                    age: Duration::from_millis(u64::from(age)),
+                    again,
+                };
+                self.submit(origin, &host, &path, spec, handed)
+            }
             Request::Query { host, path } => self.query(origin, &host, &path),
             Request::Cancel { host, path } => self.cancel(origin, &host, &path),
             Request::Configure(set) => {
@@ -52,7 +60,7 @@
         host: &str,
         path: &str,
         spec: JobSpec,
-        age: u32,
+        handed: Handed,
     ) -> Option<Answer> {
         let Some(queues) = &self.state.queues else {
             return Some(no_config());
@@ -75,9 +83,9 @@
         }
         let leading = self.leading.as_ref().expect("a serving node leads");
         let known = leading.state_of(id).is_some();
-        if age == 0
+        if !handed.again
             && !known
-            && let Some(rejection) = leading.rejection(self.clock.now, queue, &spec)
+            && let Some(rejection) = leading.rejection(self.clock.now, queue, id, &spec, handed.age)
         {
             let retry = rejection.retry.as_millis() as u32;
             let reason = rejection.reason;
@@ -89,7 +97,7 @@
         }
         if spec.volatile {
             let queue = queue.clone();
-            self.submit_volatile(origin, id, &queue, spec, age);
+            self.submit_volatile(origin, id, &queue, spec, handed);
             return None;
         }
         let command = Command::Accept {
@@ -112,15 +120,18 @@
         id: JobId,
         queue: &Queue,
         spec: JobSpec,
-        age: u32,
+        handed: Handed,
     ) {
         log::info!(
-            "E632 volatile job taken job={id} queue={} age_ms={age}",
-            queue.name
+            "E632 volatile job taken job={id} queue={} age_ms={} again={}",
+            queue.name,
+            handed.age.as_millis(),
+            handed.again
         );
-        let (now, age) = (self.clock.now, Duration::from_millis(u64::from(age)));
+        let now = self.clock.now;
         let leading = self.leading.as_mut().expect("a serving node leads");
-        leading.submit(now, id, queue, &Arc::new(spec), age);
+        leading.submit(now, id, queue, &Arc::new(spec), handed);
+        self.recent.add(now, id);
         self.waiters.add_volatile(id, origin);
         self.stirred = true;
     }
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -201,6 +201,14 @@
         }
     }
 
+    /// The newest heartbeat of this leader that `id` has answered, by the own clock in microseconds.
+    pub fn answered(&self, id: NodeId) -> Option<u64> {
+        match &self.role {
+            Role::Leader(leading) => leading.answered(id).map(Timestamp::as_micros),
+            _ => None,
+        }
+    }
+
     /// Whether everything up to the last entry is durable here.
     pub fn is_synced(&self) -> bool {
         self.synced >= self.log.last_index()
--- a/crates/figdeal-queue/src/raft/leader.rs
+++ b/crates/figdeal-queue/src/raft/leader.rs
@@ -55,6 +55,11 @@
     pub(super) fn is_open(&self) -> bool {
         self.closing.is_none()
     }
+
+    /// The newest heartbeat that `id` has answered.
+    pub(super) fn answered(&self, id: NodeId) -> Option<Timestamp> {
+        self.progress.get(&id)?.acked
+    }
 }
 
 impl Raft {
--- a/crates/figdeal-queue/tests/sim/check.rs
+++ b/crates/figdeal-queue/tests/sim/check.rs
@@ -178,6 +178,10 @@
         }
     }
 
+    pub(crate) fn has_started(&self, id: JobId) -> bool {
+        self.starts.keys().any(|task| task.job == id)
+    }
+
     pub(crate) fn start_count(&self) -> usize {
         self.starts.values().map(Vec::len).sum()
     }
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -7,7 +7,7 @@
 mod worker;
 mod world;
 
-use world::{ALL_FAULTS, Plan, Sabotage, World};
+use world::{ALL_FAULTS, Lost, Plan, Sabotage, World};
 
 /// Seeds of the runs in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -168,3 +168,40 @@
         &["LOST", "CONFIG", "TWICE"],
     );
 }
+
+/// Plays the loss of a leader over several seeds. Returns how many runs broke a promise, how many new jobs began before
+/// the agents out of reach were given up, and how many runs there were.
+fn lose_leaders(sabotage: Sabotage) -> (usize, usize, usize) {
+    init_log();
+    let (mut broken, mut began, mut played) = (0, 0, 0);
+    for seed in 0..300 {
+        let mut world = World::new(Plan {
+            volatile: 1.0,
+            faults: 0,
+            sabotage,
+            ..plan(seed)
+        });
+        let Lost::New { began: new } = world.lose_leader() else {
+            continue;
+        };
+        played += 1;
+        began += usize::from(new);
+        broken += usize::from(!world.check.broken.is_empty());
+    }
+    (broken, began, played)
+}
+
+/// Guards against new jobs that wait for agents out of reach, and against a second run of one that an earlier leader had.
+#[test]
+fn new_jobs_start_beside_unknown_runs() {
+    let (broken, began, played) = lose_leaders(Sabotage::None);
+    assert_eq!(broken, 0);
+    assert!(played >= 20 && began * 2 > played, "{began} of {played}");
+}
+
+/// Guards against a judge that does not see a job that a new leader takes for new while an earlier one's run goes on.
+#[test]
+fn hasty_callers_are_noticed() {
+    let (broken, ..) = lose_leaders(Sabotage::HastyCallers);
+    assert!(broken > 0);
+}
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -27,14 +27,19 @@
 
 mod callers;
 mod faults;
+mod lost;
 mod machines;
 
+pub(crate) use lost::Lost;
+
 /// Every kind of fault.
 pub(crate) const ALL_FAULTS: [u32; 10] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
 const POOL: &str = "pool";
 const HOST: &str = "host";
 const PREFIX: &str = "/q/";
 const SYNC: Duration = Duration::from_millis(9);
+/// Usual estimate of a task in milliseconds.
+const ESTIMATE: u32 = 200;
 const STEP: Duration = Duration::from_millis(5);
 const BEAT: Duration = Duration::from_millis(1_500);
 const RESEND: Duration = Duration::from_millis(1_300);
@@ -52,6 +57,8 @@
     KeepIdentity,
     /// Workers carry out orders whose hold or fence is over.
     LaxWorkers,
+    /// Callers hand jobs in again long before the time that the nodes are told.
+    HastyCallers,
     /// Agents believe that less time passes than does, so their leases last too long.
     SlowAgents,
 }
@@ -293,6 +300,7 @@
             bootstrap: machine.first,
             seeds,
             voters: 3,
+            resubmission: RESEND,
         };
         machine.first = false;
         let raft = Raft::new(machine.id, hard, log, clock.now, seed);
--- a/crates/figdeal-queue/tests/sim/world/callers.rs
+++ b/crates/figdeal-queue/tests/sim/world/callers.rs
@@ -25,16 +25,7 @@
         if !self.check.jobs.contains_key(&id) {
             let volatile = self.rng.random_bool(self.plan.volatile);
             let spec = self.draw_job(volatile);
-            let sent = Sent {
-                spec,
-                attempts: 3,
-                unclear: 0,
-                refused: 0,
-                accepted: false,
-                cancelled: false,
-                ended: None,
-            };
-            self.check.jobs.insert(id, sent);
+            self.introduce(id, spec);
         }
         let spec = self.check.jobs[&id].spec.clone();
         let (host, path) = (HOST.to_owned(), format!("{PREFIX}{id}"));
@@ -45,10 +36,25 @@
                 path,
                 spec,
                 age: 0,
+                again: false,
             },
         );
     }
 
+    /// Tells the judge of a job before it is handed in.
+    pub(super) fn introduce(&mut self, id: JobId, spec: JobSpec) {
+        let sent = Sent {
+            spec,
+            attempts: 3,
+            unclear: 0,
+            refused: 0,
+            accepted: false,
+            cancelled: false,
+            ended: None,
+        };
+        self.check.jobs.insert(id, sent);
+    }
+
     pub(super) fn draw_job(&mut self, volatile: bool) -> JobSpec {
         let steps = self.rng.random_range(1..3u16);
         let steps = (0..steps).map(|n| Step {
@@ -58,7 +64,7 @@
                 memory: 64,
                 gpu: 0,
             },
-            estimate: 200,
+            estimate: ESTIMATE,
             after: if n > 0 { vec![n - 1] } else { Vec::new() },
             ..Step::default()
         });
@@ -110,7 +116,11 @@
                 let sent = &self.check.jobs[&id];
                 let open = !sent.accepted && sent.ended.is_none();
                 if matches!(answer, Answer::Unclear) && open {
-                    self.schedule(RESEND, Event::Submit(id));
+                    let gap = match self.plan.sabotage {
+                        Sabotage::HastyCallers => RESEND / 10,
+                        _ => RESEND,
+                    };
+                    self.schedule(gap, Event::Submit(id));
                 }
                 if matches!(answer, Answer::Accepted) && self.rng.random_bool(0.05) {
                     let after = self.millis(1, 300);
--- a/crates/figdeal-queue/tests/sim/world/machines.rs
+++ b/crates/figdeal-queue/tests/sim/world/machines.rs
@@ -277,13 +277,14 @@
         let Some(sent) = self.check.jobs.get(&call.task.job) else {
             return answer;
         };
-        let needs = sent.spec.steps[usize::from(call.task.step)].needs;
+        let step = &sent.spec.steps[usize::from(call.task.step)];
+        let (needs, estimate) = (step.needs, step.estimate);
         let how = if self.rng.random_bool(0.03) {
             HoldEnd::Failed
         } else {
             HoldEnd::Done
         };
-        let end = self.now + self.millis(20, 400);
+        let end = self.now + self.millis(20, 400) * estimate / ESTIMATE;
         let run = Run {
             run: call.run,
             start: self.now,
