Add a fault soak of real processes with one stand-in and one judge

Cause: the promises were checked over the decisions and by the users' bench, not over the real programs with their connections, signals and disks.

Change: crates/figdeal-stand-in has the worker and the judge of the randomised runs, and serves workers over HTTP; the platform folder has the formats of the other side. tests/soak plays seeds: nodes and agents as processes, proxies before them that delay, cut, silence and reset, signals, lost disks, workers that crash, leave, are slow or leave calls without an answer. A setting for the listening address lets a forwarder stand before a process.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -63,7 +63,7 @@
         settings.name,
         settings.seeds
     );
-    let links = Links::listen(own, events).await?;
+    let links = Links::listen(own, settings.behind, events).await?;
     let sender = inputs.clone();
     http::serve(control, closed.clone(), move |call| {
         heartbeat(call, sender.clone())
--- a/crates/figdeal-node/src/link.rs
+++ b/crates/figdeal-node/src/link.rs
@@ -144,12 +144,16 @@
 }
 
 impl Links {
-    /// Listens on `own` and reports to `events`.
+    /// Listens for the address `own`, at `behind` if a forwarder stands before it, and reports to `events`.
     ///
     /// # Errors
     /// Fails when the address cannot be listened on.
-    pub(crate) async fn listen(own: SocketAddr, events: mpsc::Sender<Event>) -> io::Result<Links> {
-        let listener = TcpListener::bind(own).await?;
+    pub(crate) async fn listen(
+        own: SocketAddr,
+        behind: Option<SocketAddr>,
+        events: mpsc::Sender<Event>,
+    ) -> io::Result<Links> {
+        let listener = TcpListener::bind(behind.unwrap_or(own)).await?;
         let shared = Arc::new(Shared::default());
         let links = Links {
             own,
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -106,7 +106,7 @@
         settings.seeds
     );
     let (node, jobs) = open(&settings, own, inputs.clone())?;
-    let links = Links::listen(own, events).await?;
+    let links = Links::listen(own, settings.behind, events).await?;
     let ready = Arc::new(AtomicBool::new(false));
     serve(&path, &settings, &inputs, &closed, &ready).await?;
     measure::start(settings.ip, closed.clone()).await?;
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -1,120 +1,52 @@
 //! Real processes on loopback: three nodes with a disk, an agent, and a stand-in for its worker.
 
-mod stand_in;
+#[path = "../fleet/processes.rs"]
+mod processes;
 
 use std::{
-    fs,
     net::SocketAddr,
-    path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    path::Path,
     thread,
     time::{Duration, Instant},
 };
 
-use stand_in::StandIn;
+use figdeal_platform::stand_in as wire;
+use figdeal_queue::job::{JobId, JobSpec, Resources, Step};
+use figdeal_stand_in::{
+    check::Sent,
+    server::{Shared, Yard},
+};
+use processes::{Layout, Process};
 
-/// The test program runs itself with this variable to become one of the processes.
-const ROLE: &str = "FIGDEAL_TEST_ROLE";
 /// Time after which a step counts as failed; it only ends a broken run.
 const LIMIT: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(50);
 const NODES: u8 = 3;
-const FRONT: u16 = 18_161;
-const CONTROL: u16 = 18_166;
-const WORKER: u16 = 18_165;
+/// Third part of the addresses.
+const NET: u8 = 7;
 /// Callers at once while a node stops.
 const CALLERS: u64 = 12;
 
 /// Becomes a process if the parent asks for it; nothing otherwise.
 #[test]
 fn child_process() {
-    match std::env::var(ROLE).as_deref() {
-        Ok("queue") => figdeal_node::queue::run().unwrap(),
-        Ok(_) => figdeal_node::agent::run().unwrap(),
-        Err(_) => {}
-    }
-}
-
-fn ip(machine: u8) -> String {
-    format!("127.0.7.{machine}")
-}
-
-fn settings(folder: &Path, machine: u8, bootstrap: bool) -> PathBuf {
-    let seeds: Vec<String> = (1..=NODES)
-        .map(|n| format!("\"{}:{CONTROL}\"", ip(n)))
-        .collect();
-    let own = ip(machine);
-    let node = machine <= NODES;
-    let place = match node {
-        true => format!(
-            "data_directory = {:?}",
-            folder.join(format!("data-{machine}"))
-        ),
-        false => format!("app = \"{own}:{WORKER}\""),
-    };
-    let front = if node {
-        format!("front = \"{own}:{FRONT}\"")
-    } else {
-        String::new()
-    };
-    let text = format!(
-        "node_name = \"m{machine}\"\nip = \"{own}\"\nzone = \"a\"\ninternal_ports = [18170, 18180]\n\
-         seeds = [{}]\nbootstrap = {bootstrap}\n{place}\n[listen]\n{front}\n\
-         control = \"{own}:{CONTROL}\"\n[fault_tolerance]\nmachines = 1\n",
-        seeds.join(",")
-    );
-    let path = folder.join(format!("settings-{machine}.toml"));
-    fs::write(&path, text).unwrap();
-    path
-}
-
-/// A child process that ends with the test.
-struct Process(Child);
-
-impl Process {
-    fn start(folder: &Path, machine: u8, bootstrap: bool) -> Process {
-        let role = if machine <= NODES { "queue" } else { "agent" };
-        let child = Command::new(std::env::current_exe().unwrap())
-            .args(["child_process", "--exact", "--nocapture"])
-            .env(ROLE, role)
-            .env("FIGDEAL_BOOT", settings(folder, machine, bootstrap))
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn();
-        Process(child.unwrap())
-    }
+    processes::become_child();
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.0.kill();
-        self.0.wait().unwrap();
+fn layout(folder: &Path) -> Layout {
+    Layout {
+        net: NET,
+        disks: NODES,
+        nodes: NODES,
+        folder: folder.to_owned(),
+        proxied: false,
     }
 }
 
-/// Status and body of an exchange, if there was an answer.
-fn exchange(request: ureq::http::Request<String>) -> Option<(u16, String)> {
-    let config = ureq::Agent::config_builder().http_status_as_error(false);
-    let agent: ureq::Agent = config
-        .timeout_global(Some(Duration::from_secs(2)))
-        .build()
-        .into();
-    let mut answer = agent.run(request).ok()?;
-    let body = answer.body_mut().read_to_string().ok()?;
-    Some((answer.status().as_u16(), body))
-}
-
-fn ask(machine: u8, port: u16, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-    let request = ureq::http::Request::builder()
-        .method(method)
-        .uri(format!("http://{}:{port}{path}", ip(machine)))
-        .header("host", "caller")
-        .body(body.to_owned())
-        .unwrap();
-    exchange(request)
+fn ask(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let client = processes::client(Duration::from_secs(2));
+    processes::exchange(&client, to, method, path, body.to_owned())
 }
-
 /// Repeats a question until its answer has the status and the text.
 fn until(what: &str, status: u16, text: &str, mut question: impl FnMut() -> Option<(u16, String)>) {
     let start = Instant::now();
@@ -135,67 +67,100 @@
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r","host":"caller","path_prefix":"/q/",
     "kind":"non_idempotent","timeout_ms":1500,"target_duration_ms":60,"priority":0,
     "service":"pool","max_attempts":4,"stretch":1.6}],"services":[{"name":"pool"}]}"#;
-const JOB: &str = r#"{"specification":"x","steps":[{"count":3,"cpu":500,"estimated_ms":30}]}"#;
+const TASKS: u32 = 3;
+
+/// Tells the judge of a job and returns the text to hand in.
+fn introduce(yard: &Shared, id: JobId, volatile: bool) -> String {
+    let step = Step {
+        count: TASKS,
+        needs: Resources {
+            cpu: 500,
+            ..Resources::default()
+        },
+        estimate: 30,
+        ..Step::default()
+    };
+    let spec = JobSpec {
+        payload: "x".to_owned(),
+        steps: vec![step],
+        volatile,
+    };
+    let text = wire::job(&spec);
+    yard.lock().check.jobs.insert(id, Sent::new(spec, 4));
+    text
+}
 
 /// Guards against jobs and a configuration that are lost when any one node is killed and starts again.
 #[test]
 fn nothing_is_lost_when_nodes_are_killed() {
     let folder = tempfile::tempdir().unwrap();
-    let address = |machine: u8, port| SocketAddr::new(ip(machine).parse().unwrap(), port);
+    let layout = layout(folder.path());
     let side = NODES + 1;
-    let worker = StandIn::start(address(side, WORKER), address(side, CONTROL));
+    let yard = Shared::new(Yard::new(1));
+    yard.add_worker(layout.worker(side), layout.control(side), 8_000)
+        .unwrap();
     let mut nodes: Vec<Option<Process>> = (1..=NODES)
-        .map(|n| Some(Process::start(folder.path(), n, true)))
+        .map(|n| Some(Process::start(&layout, n, true)))
         .collect();
-    let _agent = Process::start(folder.path(), side, true);
+    let _agent = Process::start(&layout, side, true);
+    let (front, control) = (|n| layout.front(n), |n| layout.control(n));
     until("configuration", 200, "", || {
-        ask(1, CONTROL, "PUT", "/figdeal/config", CONFIG)
+        ask(control(1), "PUT", "/figdeal/config", CONFIG)
     });
 
     for round in 0..NODES {
         let killed = round + 1;
         let other = killed % NODES + 1;
-        let path = format!("/q/00000000000000a{round}");
+        let id = JobId(0xa0 + u64::from(round));
+        let (path, job) = (format!("/q/{id}"), introduce(&yard, id, false));
         until("job accepted", 200, "", || {
-            ask(killed, FRONT, "POST", &path, JOB)
+            ask(front(killed), "POST", &path, &job)
         });
         // Killed with the job just accepted, whether it leads or not.
         nodes[usize::from(round)] = None;
         until("job completed", 200, "completed", || {
-            ask(other, FRONT, "GET", &path, "")
+            ask(front(other), "GET", &path, "")
         });
         until("configuration kept", 200, "\"version\":7", || {
-            ask(other, CONTROL, "GET", "/figdeal/config", "")
+            ask(control(other), "GET", "/figdeal/config", "")
         });
-        nodes[usize::from(round)] = Some(Process::start(folder.path(), killed, false));
+        nodes[usize::from(round)] = Some(Process::start(&layout, killed, false));
         until("node back", 200, "completed", || {
-            ask(killed, FRONT, "GET", &path, "")
+            ask(front(killed), "GET", &path, "")
         });
     }
-    let (runs, twice) = worker.runs();
-    assert_eq!((runs, twice.len()), (9, 0), "{twice:?}");
+    {
+        let check = &yard.lock().check;
+        let tasks = u32::from(NODES) * TASKS;
+        assert_eq!(check.start_count(), tasks as usize, "a task has run twice");
+        assert!(check.broken.is_empty(), "{:?}", check.broken);
+    }
     until("unknown job", 410, "", || {
-        ask(1, FRONT, "GET", "/q/00000000000000ff", "")
+        ask(front(1), "GET", "/q/00000000000000ff", "")
     });
     until("unknown queue", 404, "", || {
-        ask(1, FRONT, "GET", "/other/", "")
+        ask(front(1), "GET", "/other/", "")
     });
     until("bad job", 400, "", || {
-        ask(1, FRONT, "POST", "/q/00000000000000ee", "{")
+        ask(front(1), "POST", "/q/00000000000000ee", "{")
     });
+    let volatile = |id| volatile(&layout, &yard, JobId(id));
     until("volatile job", 200, "completed", || volatile(0xdd));
-    stop_under_load(&mut nodes);
+    stop_under_load(&mut nodes, &volatile);
 }
 
-fn volatile(id: u64) -> Option<(u16, String)> {
-    let job = JOB.replacen('{', "{\"best_effort\":true,", 1);
-    ask(2, FRONT, "POST", &format!("/q/{id:016x}"), &job)
+fn volatile(layout: &Layout, yard: &Shared, id: JobId) -> Option<(u16, String)> {
+    let job = introduce(yard, id, true);
+    ask(layout.front(2), "POST", &format!("/q/{id}"), &job)
 }
 
 /// SIGTERM among many other inputs must end the process in its grace time.
-fn stop_under_load(nodes: &mut [Option<Process>]) {
+fn stop_under_load(
+    nodes: &mut [Option<Process>],
+    volatile: &(impl Fn(u64) -> Option<(u16, String)> + Sync),
+) {
     let stopped = std::sync::atomic::AtomicBool::new(false);
-    let node = &mut nodes[1].as_mut().unwrap().0;
+    let node = nodes[1].as_mut().unwrap();
     thread::scope(|scope| {
         for thread in 0..CALLERS {
             let stopped = &stopped;
@@ -208,18 +173,11 @@
             });
         }
         thread::sleep(Duration::from_millis(500));
-        let pid = node.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args(["-TERM", &pid])
-                .status()
-                .unwrap()
-                .success()
-        );
+        node.signal("TERM");
         let start = Instant::now();
         let mut status = None;
         while status.is_none() && start.elapsed() < LIMIT {
-            status = node.try_wait().unwrap();
+            status = node.0.try_wait().unwrap();
             thread::sleep(PAUSE);
         }
         stopped.store(true, std::sync::atomic::Ordering::Relaxed);
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -3,8 +3,6 @@
 //! Each seed gives one run that repeats. Every promise is judged by what callers and workers see. Runs in which a guard is
 //! broken on purpose show that the judge notices it.
 
-mod check;
-mod worker;
 mod world;
 
 use world::{ALL_FAULTS, Lost, Plan, Sabotage, World};
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -18,12 +18,11 @@
     node::{Action, Clock, Node, Options},
     raft::{HardState, Log, NodeId, Raft, Write, log::Position, log::Snapshot},
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-
-use crate::{
+use figdeal_stand_in::{
     check::{Check, Sent},
     worker::{Run, Worker},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 mod callers;
 mod faults;
--- a/crates/figdeal-queue/tests/sim/world/callers.rs
+++ b/crates/figdeal-queue/tests/sim/world/callers.rs
@@ -43,16 +43,7 @@
 
     /// Tells the judge of a job before it is handed in.
     pub(super) fn introduce(&mut self, id: JobId, spec: JobSpec) {
-        let sent = Sent {
-            spec,
-            attempts: 3,
-            unclear: 0,
-            refused: 0,
-            accepted: false,
-            cancelled: false,
-            ended: None,
-        };
-        self.check.jobs.insert(id, sent);
+        self.check.jobs.insert(id, Sent::new(spec, 3));
     }
 
     pub(super) fn draw_job(&mut self, volatile: bool) -> JobSpec {
--- a/crates/figdeal-queue/tests/sim/check.rs
+++ b/crates/figdeal-stand-in/src/check.rs
@@ -13,15 +13,21 @@
 
 /// What a caller saw of one job.
 #[derive(Debug, Clone)]
-pub(crate) struct Sent {
-    pub(crate) spec: JobSpec,
-    pub(crate) attempts: u32,
+pub struct Sent {
+    /// What was handed in.
+    pub spec: JobSpec,
+    /// Failed runs of a task after which the job has failed.
+    pub attempts: u32,
     /// Tries without an answer or with an unclear one.
-    pub(crate) unclear: u32,
-    pub(crate) refused: u32,
-    pub(crate) accepted: bool,
-    pub(crate) cancelled: bool,
-    pub(crate) ended: Option<JobState>,
+    pub unclear: u32,
+    /// Tries that were refused.
+    pub refused: u32,
+    /// It was acknowledged as stored.
+    pub accepted: bool,
+    /// Its caller has cancelled it.
+    pub cancelled: bool,
+    /// How it has ended, as its caller was told.
+    pub ended: Option<JobState>,
 }
 
 /// A start that a worker carried out.
@@ -32,15 +38,33 @@
 
 /// Everything that was seen.
 #[derive(Debug, Default)]
-pub(crate) struct Check {
-    pub(crate) jobs: BTreeMap<JobId, Sent>,
+pub struct Check {
+    /// Jobs that callers have handed in.
+    pub jobs: BTreeMap<JobId, Sent>,
     starts: BTreeMap<TaskId, Vec<Start>>,
     done: BTreeSet<TaskId>,
     /// Tasks of which a run has ended as done, whether anybody knows or not.
-    pub(crate) ended: BTreeSet<TaskId>,
+    pub ended: BTreeSet<TaskId>,
     failed: BTreeMap<TaskId, BTreeSet<(usize, u64)>>,
-    pub(crate) acknowledged: u64,
-    pub(crate) broken: Vec<String>,
+    /// Newest version of the configuration that was acknowledged.
+    pub acknowledged: u64,
+    /// Broken promises.
+    pub broken: Vec<String>,
+}
+
+impl Sent {
+    /// A job that is about to be handed in.
+    pub fn new(spec: JobSpec, attempts: u32) -> Sent {
+        Sent {
+            spec,
+            attempts,
+            unclear: 0,
+            refused: 0,
+            accepted: false,
+            cancelled: false,
+            ended: None,
+        }
+    }
 }
 
 impl Check {
@@ -49,7 +73,7 @@
     }
 
     /// A worker is about to begin a run.
-    pub(crate) fn start(&mut self, now: Timestamp, at: usize, workers: &[&Worker], task: TaskId) {
+    pub fn start(&mut self, now: Timestamp, at: usize, workers: &[&Worker], task: TaskId) {
         let Some(sent) = self.jobs.get(&task.job).cloned() else {
             return self.fail("UNASKED", format!("{task}"));
         };
@@ -93,7 +117,7 @@
     }
 
     /// An agent tells its worker to forget an end, so it is taken note of.
-    pub(crate) fn noted(&mut self, at: usize, worker: &Worker, end: End) {
+    pub fn noted(&mut self, at: usize, worker: &Worker, end: End) {
         let Some(sent) = self.jobs.get(&end.task.job) else {
             return;
         };
@@ -124,7 +148,7 @@
     }
 
     /// What a caller got for a job that it handed in.
-    pub(crate) fn answered(&mut self, id: JobId, answer: &Answer) {
+    pub fn answered(&mut self, id: JobId, answer: &Answer) {
         let sent = self.jobs.get_mut(&id).expect("the job was handed in");
         match answer {
             Answer::Accepted => sent.accepted = true,
@@ -142,7 +166,7 @@
     }
 
     /// What a caller was told of a stored job.
-    pub(crate) fn shown(&mut self, id: JobId, answer: &Answer) {
+    pub fn shown(&mut self, id: JobId, answer: &Answer) {
         let sent = self.jobs[&id].clone();
         match answer {
             Answer::NoJob if sent.accepted => self.fail("LOST", format!("{id} is not known")),
@@ -165,7 +189,7 @@
     }
 
     /// Judges the whole run.
-    pub(crate) fn finish(&mut self) {
+    pub fn finish(&mut self) {
         for (id, sent) in self.jobs.clone() {
             let started = self.starts.keys().any(|t| t.job == id);
             let rejected = sent.refused > 0 && sent.unclear == 0 && !sent.accepted;
@@ -178,11 +202,13 @@
         }
     }
 
-    pub(crate) fn has_started(&self, id: JobId) -> bool {
+    /// Whether a task of the job has started.
+    pub fn has_started(&self, id: JobId) -> bool {
         self.starts.keys().any(|task| task.job == id)
     }
 
-    pub(crate) fn start_count(&self) -> usize {
+    /// Number of starts.
+    pub fn start_count(&self) -> usize {
         self.starts.values().map(Vec::len).sum()
     }
 }
--- a/crates/figdeal-queue/tests/sim/worker.rs
+++ b/crates/figdeal-stand-in/src/worker.rs
@@ -14,12 +14,17 @@
 
 /// One run that has begun.
 #[derive(Debug, Clone)]
-pub(crate) struct Run {
-    pub(crate) run: u64,
-    pub(crate) start: Timestamp,
-    pub(crate) end: Timestamp,
-    pub(crate) how: HoldEnd,
-    pub(crate) needs: Resources,
+pub struct Run {
+    /// Number of the run.
+    pub run: u64,
+    /// When it began.
+    pub start: Timestamp,
+    /// When it ends.
+    pub end: Timestamp,
+    /// How it ends.
+    pub how: HoldEnd,
+    /// What it takes.
+    pub needs: Resources,
 }
 
 impl Run {
@@ -36,39 +41,50 @@
 
 /// An end that has not been taken.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct End {
-    pub(crate) number: u64,
-    pub(crate) task: TaskId,
-    pub(crate) run: u64,
-    pub(crate) how: HoldEnd,
-    pub(crate) at: Timestamp,
+pub struct End {
+    /// Number of the end.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// How it ends.
+    pub how: HoldEnd,
+    /// When it ended.
+    pub at: Timestamp,
 }
 
 /// One worker.
 #[derive(Debug)]
-pub(crate) struct Worker {
-    pub(crate) up: bool,
-    pub(crate) born: u64,
+pub struct Worker {
+    /// It runs.
+    pub up: bool,
+    /// Number of its life.
+    pub born: u64,
     /// Zero of its clock.
     start: Timestamp,
-    pub(crate) capacity: Resources,
-    pub(crate) runs: BTreeMap<TaskId, Run>,
-    pub(crate) ends: VecDeque<End>,
+    /// What it offers.
+    pub capacity: Resources,
+    /// What runs.
+    pub runs: BTreeMap<TaskId, Run>,
+    /// Ends that were not taken note of.
+    pub ends: VecDeque<End>,
     next: u64,
     lease: u64,
     /// When the lease ran out.
-    pub(crate) lapses: Vec<Timestamp>,
+    pub lapses: Vec<Timestamp>,
     /// Tasks that have ended as done since the judge looked.
-    pub(crate) done: Vec<TaskId>,
+    pub done: Vec<TaskId>,
     fence: u64,
     /// Highest run of a task that has ended or was stopped.
     past: BTreeMap<TaskId, u64>,
     /// Breaks the rule on fences and ends of holds, for a test that must notice it.
-    pub(crate) lax: bool,
+    pub lax: bool,
 }
 
 impl Worker {
-    pub(crate) fn new(now: Timestamp, born: u64, cpu: u32) -> Worker {
+    /// A worker that starts now.
+    pub fn new(now: Timestamp, born: u64, cpu: u32) -> Worker {
         Worker {
             up: true,
             born,
@@ -90,12 +106,13 @@
         }
     }
 
-    pub(crate) fn clock(&self, now: Timestamp) -> u64 {
+    /// Its clock in milliseconds.
+    pub fn clock(&self, now: Timestamp) -> u64 {
         now.since(self.start).as_millis() as u64
     }
 
     /// Ends what is due by now.
-    pub(crate) fn advance(&mut self, now: Timestamp) {
+    pub fn advance(&mut self, now: Timestamp) {
         let due: Vec<TaskId> = self
             .runs
             .iter()
@@ -108,7 +125,7 @@
         }
         if self.lease > 0 && self.clock(now) >= self.lease {
             self.lease = 0;
-            log::debug!("worker lease ran out born={}", self.born);
+            log::debug!("E690 worker lease ran out born={}", self.born);
             self.lapses.push(now);
             for (task, run) in std::mem::take(&mut self.runs) {
                 self.end(now, task, run.run, HoldEnd::Lost);
@@ -118,7 +135,7 @@
 
     fn end(&mut self, at: Timestamp, task: TaskId, run: u64, how: HoldEnd) {
         log::debug!(
-            "worker lists end={} task={task} run={run} how={how:?}",
+            "E691 worker lists end={} task={task} run={run} how={how:?}",
             self.next
         );
         let past = self.past.entry(task).or_default();
@@ -144,7 +161,7 @@
     }
 
     /// Whether a start would begin a run, or why not.
-    pub(crate) fn check(&mut self, now: Timestamp, call: &StartCall) -> Started {
+    pub fn check(&mut self, now: Timestamp, call: &StartCall) -> Started {
         if self.runs.get(&call.task).is_some_and(|r| r.run == call.run) {
             return Started::Yes;
         }
@@ -161,12 +178,13 @@
     }
 
     /// Begins a run that [`Worker::check`] has allowed.
-    pub(crate) fn begin(&mut self, now: Timestamp, call: &StartCall, run: Run) {
+    pub fn begin(&mut self, now: Timestamp, call: &StartCall, run: Run) {
         self.grant(now, if self.lax { u64::MAX } else { call.expiry });
         self.runs.insert(call.task, run);
     }
 
-    pub(crate) fn stop(&mut self, now: Timestamp, call: &StopCall) {
+    /// Stops a run and refuses it from now on.
+    pub fn stop(&mut self, now: Timestamp, call: &StopCall) {
         if call.fence < self.fence {
             return;
         }
@@ -180,7 +198,7 @@
     }
 
     /// Renews the hold. Returns the ends that are taken note of, or nothing for a low fence.
-    pub(crate) fn hold(&mut self, now: Timestamp, call: &HoldCall) -> Option<Vec<End>> {
+    pub fn hold(&mut self, now: Timestamp, call: &HoldCall) -> Option<Vec<End>> {
         if call.fence < self.fence {
             return None;
         }
@@ -195,7 +213,8 @@
         Some(taken)
     }
 
-    pub(crate) fn view(&self, now: Timestamp) -> Held {
+    /// What it lists.
+    pub fn view(&self, now: Timestamp) -> Held {
         Held {
             clock: self.clock(now),
             born: Some(self.born),
