Elect at once when no voter can lead after a restart

Change: a restarted voter asks the others whether they lead; once all have said no, the wait ends. Connections to a worker are kept open as many as there may be calls, since new ones are priced.

Ruled out: skipping the wait without asking, since a heartbeat may have been acknowledged just before the restart.

--- a/crates/figdeal-node/src/worker.rs
+++ b/crates/figdeal-node/src/worker.rs
@@ -20,8 +20,8 @@
     task::AbortHandle,
 };
 
-/// Connections to the worker that are kept open; its connections are limited and cost to open.
-const IDLE: usize = 8;
+/// Connections to the worker that are kept open, since each new one costs: as many as there may be calls.
+const IDLE: usize = CALLS;
 /// Calls that may be out at once, of the 64 connections that a worker takes.
 const CALLS: usize = 48;
 /// Turns of the other tasks before a late answer counts as none.
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -19,6 +19,7 @@
 mod leader;
 pub mod log;
 pub mod message;
+mod restart;
 
 /// Time between two heartbeats of a leader.
 pub const HEARTBEAT: Duration = Duration::from_millis(80);
@@ -98,6 +99,8 @@
     /// When a leader was heard last; votes are refused for [`ELECTION_MIN`] after it.
     heard: Timestamp,
     election: Timestamp,
+    /// What is known since the restart, until a leader is heard or cannot exist.
+    restart: Option<restart::Restart>,
     rng: SmallRng,
     out: Output,
     /// A snapshot from the leader that the driver has not taken yet.
@@ -126,11 +129,13 @@
             // A restarted node may have acknowledged a heartbeat just before, so it counts as one heard now.
             heard: now,
             election: now,
+            restart: None,
             rng: SmallRng::seed_from_u64(seed ^ id.0),
             out: Output::default(),
             restored: None,
         };
         raft.reset_election(now);
+        raft.begin_restart(now);
         raft
     }
 
@@ -250,6 +255,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         match &self.role {
             Role::Leader(_) => self.tick_leader(now),
+            _ if self.is_probe_due(now) => self.probe(now),
             _ if now >= self.election && self.is_voter() => self.campaign(now),
             _ => {}
         }
@@ -259,7 +265,9 @@
     pub fn next_tick(&self) -> Timestamp {
         match &self.role {
             Role::Leader(leading) => leading.heartbeat,
-            _ => self.election,
+            _ => self
+                .next_probe()
+                .map_or(self.election, |at| at.min(self.election)),
         }
     }
 
@@ -267,7 +275,12 @@
     pub fn step(&mut self, now: Timestamp, from: NodeId, message: Message) {
         match message {
             Message::PreVote { term, last } => self.on_pre_vote(now, from, term, last),
-            Message::PreVoteReply { term, granted } => {
+            Message::PreVoteReply {
+                term,
+                granted,
+                leading,
+            } => {
+                self.note_probe(now, from, leading);
                 self.on_pre_vote_reply(now, from, term, granted);
             }
             Message::Vote {
@@ -345,6 +358,9 @@
             self.out.writes.push(Write::Hard(self.hard));
         }
         self.role = Role::Follower;
+        if leader.is_some() {
+            self.restart = None;
+        }
         self.leader = leader;
         self.reset_election(now);
     }
@@ -352,6 +368,7 @@
     fn campaign(&mut self, now: Timestamp) {
         self.leader = None;
         self.reset_election(now);
+        self.hasten_election(now);
         self.role = Role::PreCandidate {
             granted: vec![self.id],
         };
@@ -398,7 +415,12 @@
 
     fn on_pre_vote(&mut self, now: Timestamp, from: NodeId, term: Term, last: log::Position) {
         let granted = term > self.hard.term && last >= self.log.last() && !self.is_loyal(now);
-        let reply = Message::PreVoteReply { term, granted };
+        let leading = self.is_leader();
+        let reply = Message::PreVoteReply {
+            term,
+            granted,
+            leading,
+        };
         self.out.send.push((from, reply));
     }
 
--- a/crates/figdeal-queue/src/raft/message.rs
+++ b/crates/figdeal-queue/src/raft/message.rs
@@ -74,6 +74,8 @@
         term: Term,
         /// Whether the vote would be granted.
         granted: bool,
+        /// Whether the sender leads.
+        leading: bool,
     },
     /// Asks for a vote.
     Vote {
--- a/crates/figdeal-queue/tests/raft.rs
+++ b/crates/figdeal-queue/tests/raft.rs
@@ -30,6 +30,7 @@
         Message::PreVoteReply {
             term,
             granted: true,
+            leading: false,
         },
     );
     raft.step(
@@ -155,3 +156,85 @@
         "a repeated request gets the same answer"
     );
 }
+
+/// A voter of three that has restarted with a log of the newest term.
+fn restarted(id: u64, now: Timestamp) -> Raft {
+    let mut first = Raft::new(NodeId(id), HardState::default(), Log::default(), now, 7);
+    first.found((1..=3).map(member).collect());
+    let hard = HardState {
+        term: first.term(),
+        vote: None,
+    };
+    let mut log = Log::default();
+    for entry in first.log().range(1, usize::MAX) {
+        log.append(entry);
+    }
+    Raft::new(NodeId(id), hard, log, now, id)
+}
+
+/// Passes messages between voters that store at once, until one leads. Returns the milliseconds that it took.
+fn elect(voters: &mut [Raft], start: Timestamp) -> Option<u64> {
+    for milli in 0..1_000 {
+        let now = start + Duration::from_millis(milli);
+        for n in 0..voters.len() {
+            voters[n].tick(now);
+            let last = voters[n].log().last();
+            voters[n].synced(last.index, last.term);
+            let from = voters[n].id();
+            let out = voters[n].take_output();
+            for (to, message) in out.send.into_iter().chain(out.after) {
+                if let Some(voter) = voters.iter_mut().find(|v| v.id() == to) {
+                    voter.step(now, from, message);
+                }
+            }
+        }
+        if voters.iter().any(Raft::is_leader) {
+            return Some(milli);
+        }
+    }
+    None
+}
+
+/// Guards against an outage of an election timeout after the loss of all processes.
+#[test]
+fn voters_elect_at_once_when_all_have_restarted() {
+    let now = Timestamp::from_micros(10_000_000);
+    let mut voters: Vec<Raft> = (1..=3).map(|id| restarted(id, now)).collect();
+    let took = elect(&mut voters, now).expect("a voter leads");
+    assert!(took < 150, "the election took {took} ms");
+}
+
+/// Guards against a vote beside a lease: a voter that has not answered may be the leader.
+#[test]
+fn voters_wait_when_one_has_not_answered() {
+    let now = Timestamp::from_micros(10_000_000);
+    let mut voters: Vec<Raft> = (1..=2).map(|id| restarted(id, now)).collect();
+    let took = elect(&mut voters, now).expect("a voter leads");
+    assert!(took >= 330, "the election took {took} ms");
+}
+
+/// Guards against a restarted voter that takes part in an election beside a leader that it has followed before.
+#[test]
+fn voters_wait_when_one_leads() {
+    let now = Timestamp::from_micros(10_000_000);
+    let mut voter = restarted(1, now);
+    let reply = |leading| Message::PreVoteReply {
+        term: 2,
+        granted: false,
+        leading,
+    };
+    voter.step(now, NodeId(2), reply(false));
+    voter.step(now, NodeId(3), reply(true));
+    let ask = Message::PreVote {
+        term: 2,
+        last: voter.log().last(),
+    };
+    voter.take_output();
+    voter.step(now, NodeId(2), ask);
+    let refused = voter
+        .take_output()
+        .send
+        .into_iter()
+        .all(|(_, message)| matches!(message, Message::PreVoteReply { granted: false, .. }));
+    assert!(refused);
+}
