Follow the leader that a node without a log names to an agent

Cause: an agent dropped an answer that came within 50 ms of its question, so a named leader was asked only if the search in turn reached it through the voters.

Change: the pause holds between two redirections only.

Ruled out: lost connections (one in the logs), and workers that were gone.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -43,8 +43,8 @@
 const PING: Duration = Duration::from_millis(150);
 /// Time between two announcements to find a leader.
 const SEARCH: Duration = Duration::from_millis(100);
-/// Shortest time between two announcements, for nodes that name each other as the leader.
-const ANNOUNCE_GAP: Duration = Duration::from_millis(50);
+/// Shortest time between two announcements to a leader that another node names, since nodes may name each other.
+const REDIRECT_GAP: Duration = Duration::from_millis(50);
 /// Time after which events that the leader has not taken are sent again.
 const RESEND: Duration = Duration::from_millis(600);
 /// Time that a worker gets to list an end before the look at its runs returns.
@@ -177,7 +177,7 @@
     /// Newest term of which orders were taken, and the number of the last of them.
     term: Term,
     orders: u64,
-    next_announce: Timestamp,
+    next_redirect: Timestamp,
     /// The agent shuts down and takes no new tasks.
     closing: bool,
     fence: u64,
@@ -209,7 +209,7 @@
             lease: None,
             term: 0,
             orders: 0,
-            next_announce: Timestamp::ZERO,
+            next_redirect: Timestamp::ZERO,
             closing: false,
             fence: 0,
             runs: BTreeMap::new(),
@@ -421,10 +421,11 @@
         let addresses: Vec<SocketAddr> = directory.members.iter().map(|m| m.address).collect();
         self.learn(&addresses);
         let invited = directory.serving && directory.term > self.term;
-        let named = !self.is_leased(now) && now >= self.next_announce;
+        let named = !self.is_leased(now) && now >= self.next_redirect;
         if let Some(leader) = directory.leader
             && (invited || (named && leader != directory.from))
         {
+            self.next_redirect = now + REDIRECT_GAP;
             self.announce(now, leader);
         }
     }
@@ -569,7 +570,6 @@
             session: self.session,
             sent: now.as_micros(),
         };
-        self.next_announce = now + ANNOUNCE_GAP;
         self.actions
             .push(Action::Send(peer, Peer::Announce(announce)));
     }
