Let a leader call nodes and agents that it has not heard of

Cause: a new leader named itself once to the nodes it knows.

Ruled out: the dropped redirection, mended before; it left the race.

--- a/crates/figdeal-queue/src/node/find.rs
+++ b/crates/figdeal-queue/src/node/find.rs
@@ -22,6 +22,11 @@
 /// Time without an answer of the leader after which it counts as unknown.
 const SILENT: Duration = Duration::from_millis(450);
 
+/// Time without a greeting after which a leader tells a node that it leads.
+const CONTACT_SILENT: Duration = Duration::from_millis(600);
+/// Such nodes that are told at once; some of them may be gone for good.
+const SILENT_CALLS: usize = 3;
+
 /// What a node knows of the others.
 #[derive(Debug)]
 pub(super) struct Find {
@@ -125,6 +130,7 @@
         if self.raft.is_leader() {
             self.find.next = now + GREET;
             self.drop_silent_entries();
+            self.call_silent();
         } else if let Some(leader) = self.leader_address() {
             self.find.next = now + GREET;
             self.send(leader, hello);
@@ -154,6 +160,30 @@
         self.find.next = self.find.next.min(self.clock.now + ASK_GAP);
     }
 
+    /// Tells nodes that have not greeted this leader, and agents that have not reported, who leads. They may have started
+    /// after the first word, and may know only seeds that are in the same position.
+    fn call_silent(&mut self) {
+        let now = self.clock.now;
+        if !self.is_serving() {
+            return;
+        }
+        let find = &mut self.find;
+        let is_silent = |address: &SocketAddr| {
+            let heard = find.heard.get(address);
+            heard.is_none_or(|at| *at + CONTACT_SILENT < now)
+        };
+        let silent: Vec<SocketAddr> = find.contacts.iter().copied().filter(is_silent).collect();
+        find.turn = find.turn.wrapping_add(SILENT_CALLS);
+        let turn = find.turn;
+        let count = silent.len();
+        let called = (0..count.min(SILENT_CALLS)).map(|n| silent[(turn + n) % count]);
+        let agents = self.leading.as_ref().map(|l| l.unresolved());
+        let all: Vec<SocketAddr> = called.chain(agents.into_iter().flatten()).collect();
+        for address in all {
+            self.send_directory(address);
+        }
+    }
+
     /// Withdraws the volatile jobs of entries that are silent: their callers hand them in elsewhere.
     fn drop_silent_entries(&mut self) {
         let now = self.clock.now;
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -204,3 +204,19 @@
     let (broken, ..) = lose_leaders(Sabotage::HastyCallers);
     assert!(broken > 0);
 }
+
+/// Guards against nodes and agents that find nobody when the seeds of all restarted processes are no voters: the seeds
+/// knew only each other (kuorotee-rota `scale-2`, seed 87028824851).
+#[test]
+fn leader_finds_seeds_that_are_no_voters() {
+    init_log();
+    for seed in 0..10 {
+        let mut world = World::new(Plan {
+            volatile: 1.0,
+            faults: 0,
+            ..plan(seed)
+        });
+        let (jobs, ended) = world.exchange_seeds();
+        assert_eq!(ended, jobs, "seed {seed}: {:?}", world.check.broken);
+    }
+}
--- a/crates/figdeal-queue/tests/sim/world.rs
+++ b/crates/figdeal-queue/tests/sim/world.rs
@@ -28,6 +28,7 @@
 mod faults;
 mod lost;
 mod machines;
+mod seeds;
 
 pub(crate) use lost::Lost;
 
@@ -183,6 +184,8 @@
     pub(crate) check: Check,
     version: u64,
     quiet: bool,
+    /// Nodes that processes are told of at their start.
+    seeds: Vec<usize>,
     /// When a disk was lost last.
     wiped: Timestamp,
 }
@@ -213,6 +216,7 @@
             check: Check::default(),
             version: 0,
             quiet: false,
+            seeds: vec![0, 1, 2],
             wiped: Timestamp::ZERO,
         };
         for n in 0..5 {
@@ -275,7 +279,7 @@
     }
 
     fn start_node(&mut self, n: usize) {
-        let seeds = (0..3).map(node_address).collect();
+        let seeds = self.seeds.iter().copied().map(node_address).collect();
         let clock = self.clock();
         let seed = self.rng.random();
         let machine = &mut self.machines[n];
@@ -308,7 +312,7 @@
     }
 
     fn start_agent(&mut self, n: usize) {
-        let seeds = (0..3).map(node_address).collect();
+        let seeds = self.seeds.iter().copied().map(node_address).collect();
         let session = self.rng.random();
         let side = &mut self.sides[n];
         side.life += 1;
