--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -1,11 +1,12 @@
-//! An agent by itself: its search for the leader.
+//! An agent by itself: its search for the leader, and the progress of runs.
 
 use std::{net::SocketAddr, time::Duration};
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Action, Agent},
-    message::{Directory, Peer},
+    agent::{Action, Agent, Heartbeat, Held, Listed, Started},
+    job::{JobId, Resources, TaskId},
+    message::{Directory, Order, Orders, Peer, Slow},
 };
 
 fn address(host: u8) -> SocketAddr {
@@ -64,3 +65,111 @@
     }
     assert!((3..=10).contains(&asked), "asked {asked} times in 200 ms");
 }
+
+/// An agent with a leader and a worker that runs one task, expected to take 100 ms.
+fn busy_agent(now: Timestamp) -> (Agent, TaskId) {
+    let leader = address(3);
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let needs = Resources {
+        cpu: 1_000,
+        ..Resources::default()
+    };
+    let mut agent = Agent::new(address(9), 7, vec![leader]);
+    agent.heartbeat(
+        now,
+        Heartbeat {
+            id: "w".to_owned(),
+            born: Some(1),
+            sequence: 1,
+            pool: "pool".to_owned(),
+            capacity: needs,
+            labels: Vec::new(),
+            draining: false,
+        },
+    );
+    let orders = |number, orders| {
+        Peer::Orders(Orders {
+            leader,
+            term: 1,
+            session: 7,
+            fence: 5,
+            grant: now.as_micros(),
+            number,
+            taken: 0,
+            orders,
+        })
+    };
+    agent.on_peer(now, orders(1, Vec::new()));
+    look(&mut agent, now, &[]);
+    let start = Order::Start {
+        task,
+        run: 1,
+        life: 1,
+        needs,
+        expected: 100,
+        payload: "x".to_owned(),
+    };
+    agent.on_peer(now, orders(2, vec![start]));
+    agent.started(now, task, 1, Started::Yes);
+    (agent, task)
+}
+
+/// Answers the looks that are out and returns the runs that the agent reports as behind.
+fn look(agent: &mut Agent, now: Timestamp, running: &[Listed]) -> Vec<Slow> {
+    agent.tick(now);
+    let mut slow = Vec::new();
+    for _ in 0..2 {
+        for action in agent.take_actions() {
+            match action {
+                Action::Hold(call) => {
+                    let held = Held {
+                        clock: now.as_micros() / 1_000,
+                        born: Some(1),
+                        running: running.to_vec(),
+                        ended: Vec::new(),
+                    };
+                    agent.held(now, call.number, Some(held));
+                }
+                Action::Send(_, Peer::Report(report)) => slow.extend(report.slow),
+                _ => {}
+            }
+        }
+        agent.tick(now);
+    }
+    slow
+}
+
+/// Plays a run that has done `percent` at each tenth of its time. Returns whether it was reported.
+fn is_reported(percent: impl Fn(u64) -> u8) -> bool {
+    let start = Timestamp::from_micros(5_000_000);
+    let (mut agent, task) = busy_agent(start);
+    (1..8).any(|tenth| {
+        let now = start + Duration::from_millis(10 * tenth);
+        let listed = Listed {
+            task,
+            run: 1,
+            progress: Some(percent(tenth)),
+        };
+        !look(&mut agent, now, &[listed]).is_empty()
+    })
+}
+
+/// Guards against a run that stands still, or lags far behind, until four times its time have passed.
+#[test]
+fn runs_that_lag_are_reported() {
+    assert!(is_reported(|_| 0), "it stands still");
+    assert!(
+        is_reported(|tenth| tenth as u8 * 2),
+        "it takes five times its time"
+    );
+}
+
+/// Guards against a run that is taken from a sound worker since its estimate was too low.
+#[test]
+fn runs_that_take_twice_their_estimate_are_not_reported() {
+    assert!(!is_reported(|tenth| tenth as u8 * 5));
+}
