Let nodes without a vote rest until something is due

Change: elections count for the next tick of voters and leaders only.

Test: tests/node.rs, node_without_a_vote_rests, failed before.

--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -242,11 +242,11 @@
 
     /// When [`Node::tick`] has something to do at the latest.
     pub fn next_tick(&self) -> Timestamp {
-        let mut next = self
-            .raft
-            .next_tick()
-            .min(self.find.next)
-            .min(self.group.next);
+        let mut next = self.find.next.min(self.group.next);
+        // Without a vote no election is due.
+        if self.raft.is_voter() || self.raft.is_leader() {
+            next = next.min(self.raft.next_tick());
+        }
         if self.forwards.values().any(|f| f.to.is_none()) {
             next = next.min(self.clock.now + OFFER_RETRY);
         }
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -108,3 +108,16 @@
     assert_eq!(refused.len(), 1);
     assert_eq!(reason(&refused[0].1), Some(Refusal::NoLeader));
 }
+
+/// Guards against a node without a vote that is woken a thousand times a second: its election was always due.
+#[test]
+fn node_without_a_vote_rests() {
+    let mut node = node();
+    for at in [600, 1_000, 2_000] {
+        node.tick(clock(at));
+        assert!(
+            node.next_tick() > clock(at).now,
+            "due again at once at {at} ms"
+        );
+    }
+}
