Share the bound for runs that stand still and the lookup of run times

Cause: the agent and the leader each had the bound, and three places looked the ratio of run times up by hand. Change: one constant, and bias_of where the borrow allows it.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -25,6 +25,7 @@
 mod start;
 
 pub use hold::{Held, HoldEnd, Listed};
+pub(crate) use pace::STILL;
 pub use start::Started;
 use start::Wanted;
 
--- a/crates/figdeal-queue/src/agent/pace.rs
+++ b/crates/figdeal-queue/src/agent/pace.rs
@@ -16,8 +16,8 @@
 const SPAN_SHARE: u32 = 8;
 /// Percent of the expected speed below which a run is behind.
 const BEHIND: u8 = 30;
-/// Percent of the expected speed below which a run stands still.
-const STILL: u8 = 8;
+/// Percent of the expected speed below which a run stands still, which the leader counts as a failure of the worker.
+pub(crate) const STILL: u8 = 8;
 /// Percent of the expected speed of another run that clears the worker.
 const SOUND: u8 = 50;
 /// Time in which the speed of another run counts.
--- a/crates/figdeal-queue/src/dispatch/admit.rs
+++ b/crates/figdeal-queue/src/dispatch/admit.rs
@@ -55,7 +55,7 @@
         if !spec.volatile || cpu == 0 {
             return None;
         }
-        let bias = self.bias.get(&queue.name).copied().unwrap_or(1.0);
+        let bias = self.bias_of(&queue.name);
         let chain = spec.chains().into_iter().max().unwrap_or(0) as f64 * bias;
         let slack = chain * f64::from(queue.policy.stretch - 1.0) + f64::from(queue.policy.goal);
         let held = match self.is_held(now, id, false) {
@@ -89,7 +89,7 @@
             let job = self.jobs.get(id).filter(|job| job.pool == queue.pool)?;
             let step = &job.spec.steps[usize::from(*number)];
             let tasks = job.steps[usize::from(*number)].ready.len() as f64;
-            let bias = self.bias.get(&job.queue).copied().unwrap_or(1.0);
+            let bias = self.bias_of(&job.queue);
             Some(tasks * f64::from(step.needs.cpu) * f64::from(step.estimate) * bias)
         });
         work.sum()
--- a/crates/figdeal-queue/src/dispatch/slow.rs
+++ b/crates/figdeal-queue/src/dispatch/slow.rs
@@ -5,7 +5,7 @@
 use figdeal_core::time::Timestamp;
 
 use super::{AgentKey, Dispatch};
-use crate::message::Slow;
+use crate::{agent::STILL, message::Slow};
 
 /// A run is too long at this many times its estimate and [`OVERRUN_SLACK`].
 const OVERRUN: u32 = 4;
@@ -13,8 +13,6 @@
 const OVERRUN_SLACK: Duration = Duration::from_millis(300);
 /// Milliseconds that stopping a run and starting it on another worker takes.
 const MOVE_COST: f64 = 80.0;
-/// Percent of the expected speed below which a run stands still, which counts as a failure of its worker.
-const STILL: u8 = 8;
 
 impl Dispatch {
     /// Moves runs that are behind to another worker if they end earlier there.
