--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -309,6 +309,14 @@
     /// Handles a heartbeat of the worker. A heartbeat of an earlier incarnation or out of order has no effect.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         let known_id = self.worker.as_ref().map(|(id, _)| id.as_str());
+        if self.is_foreign(&heartbeat) {
+            log::warn!(
+                "E727 ignored a heartbeat that the worker cannot have sent worker={} pool={}",
+                heartbeat.id,
+                heartbeat.pool
+            );
+            return;
+        }
         let same_worker = known_id == Some(heartbeat.id.as_str())
             && (self.worker_started_at_ms == heartbeat.started_at_ms);
         if !same_worker {
@@ -366,6 +374,19 @@
         self.worker = Some((heartbeat.id, worker));
     }
 
+    /// Returns whether a heartbeat cannot be from the known worker or its successor: a worker that has told its start
+    /// tells it always, and its pool stays the same as long as it runs.
+    fn is_foreign(&self, heartbeat: &Heartbeat) -> bool {
+        let Some((id, worker)) = &self.worker else {
+            return false;
+        };
+        let start_missing =
+            self.worker_started_at_ms.is_some() && heartbeat.started_at_ms.is_none();
+        let same_incarnation =
+            *id == heartbeat.id && self.worker_started_at_ms == heartbeat.started_at_ms;
+        start_missing || (same_incarnation && worker.pool != heartbeat.pool)
+    }
+
     /// Handles the final departure of a worker.
     pub fn worker_left(&mut self, now: Timestamp, id: &str) {
         if self
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -178,3 +178,30 @@
 fn runs_that_take_twice_their_estimate_are_not_reported() {
     assert!(!is_reported(|tenth| tenth as u8 * 5));
 }
+
+/// Guards against an entry of another writer that takes the worker away: with another pool, or without the start that
+/// the worker tells, it counted as a new incarnation whose predecessor had lost its runs.
+#[test]
+fn foreign_heartbeats_leave_the_worker_in_use() {
+    let now = Timestamp::from_micros(1_000_000);
+    let (mut agent, _) = busy_agent(now);
+    let foreign = |id: &str, started_at_ms, pool: &str| Heartbeat {
+        id: id.to_owned(),
+        started_at_ms,
+        sequence: 9,
+        pool: pool.to_owned(),
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        draining: true,
+    };
+    let runs = agent.run_count();
+    for heartbeat in [
+        foreign("w", Some(1), "other"),
+        foreign("x", None, "pool"),
+        foreign("w", None, "pool"),
+    ] {
+        agent.on_heartbeat(now, heartbeat);
+        assert_eq!(agent.run_count(), runs);
+    }
+    assert!(runs > 0);
+}
