Free the address of a control replica before its stop returns

Cause: ReplicaHandle::stop aborted the listener task and returned before the runtime had dropped it with its socket, so a replica that was started again at once found its address in use.

Change: the task holds a channel that is dropped after its socket, and stop waits for that, at most 1 s (E406). The test of foreign heartbeats now looks at what the agent reports.

--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -58,6 +58,8 @@
 /// Time after which a connection without a request is closed. Peers send every 500 ms and entries poll at least every
 /// [`POLL_TIMEOUT`], so this closes only silent connections, which would otherwise use up [`MAX_CONNECTIONS`].
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long [`ReplicaHandle::stop`] waits for the listener. Only a runtime that is blocked needs longer.
+const LISTENER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for connecting to a replica, and for delivering one message to it.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -102,6 +104,8 @@
     inputs: Option<mpsc::Sender<Input>>,
     thread: Option<JoinHandle<Result<()>>>,
     listener: tokio::task::AbortHandle,
+    /// Disconnected once the listener task has released its socket.
+    listener_end: std_mpsc::Receiver<()>,
 }
 
 impl ReplicaHandle {
@@ -110,12 +114,22 @@
         self.thread.as_ref().is_some_and(|t| !t.is_finished())
     }
 
-    /// Stops the replica after its current write and blocks until the control thread has ended.
+    /// Stops the replica after its current write and blocks until the control thread has ended and the address is free.
+    /// Call it outside the runtime, or on a runtime with several threads, which ends the listener meanwhile.
     ///
     /// # Errors
     /// The storage error that stopped the replica before, if any.
     pub fn stop(mut self) -> Result<()> {
-        self.shut_down()
+        let result = self.shut_down();
+        if let Err(std_mpsc::RecvTimeoutError::Timeout) =
+            self.listener_end.recv_timeout(LISTENER_TIMEOUT)
+        {
+            log::warn!(
+                "E406 address of the stopped replica is not free yet address={}",
+                self.address
+            );
+        }
+        result
     }
 
     fn shut_down(&mut self) -> Result<()> {
@@ -184,6 +198,14 @@
             requests.for_each_concurrent(MAX_CONCURRENT_REQUESTS, |request| request)
         })
         .for_each_concurrent(MAX_CONNECTIONS, |connection| connection);
+    let (end, listener_end) = std_mpsc::channel::<()>();
+    // Fields are dropped in this order, so the socket is closed before the receiver is told, even if the task is aborted
+    // before its first poll.
+    let task = (Box::pin(accept), end);
+    let accept = async move {
+        let mut task = task;
+        task.0.as_mut().await
+    };
     let listener = tokio::spawn(accept).abort_handle();
     log::info!("E402 control replica is listening on {address}");
     Ok(ReplicaHandle {
@@ -191,6 +213,7 @@
         inputs: Some(inputs),
         thread: Some(thread),
         listener,
+        listener_end,
     })
 }
 
--- a/crates/figdeal-control/tests/tcp.rs
+++ b/crates/figdeal-control/tests/tcp.rs
@@ -156,6 +156,21 @@
     assert!(!state.members.contains(ReplicaId(1)));
 }
 
+/// Guards against a replica that cannot start at the address of the one that was just stopped: `stop` returned before
+/// the listener had released its socket.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_replica_has_released_its_address() {
+    let root = tempfile::tempdir().unwrap();
+    let address = free_address();
+    for round in 0..200 {
+        let node = open(&root.path().join(round.to_string()), round);
+        let replica = serve(node, address).await.unwrap();
+        replica.stop().unwrap();
+        let bound = std::net::TcpListener::bind(address);
+        assert!(bound.is_ok(), "round {round}: {bound:?}");
+    }
+}
+
 /// Guards against an isolated replica that reports that there is no newer version. Entries would keep polling it and
 /// miss changes.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -194,14 +194,29 @@
         labels: Vec::new(),
         draining: true,
     };
-    let runs = agent.run_count();
-    for heartbeat in [
+    let odd = [
         foreign("w", Some(1), "other"),
         foreign("x", None, "pool"),
         foreign("w", None, "pool"),
-    ] {
-        agent.on_heartbeat(now, heartbeat);
-        assert_eq!(agent.run_count(), runs);
+    ];
+    for (number, heartbeat) in odd.into_iter().enumerate() {
+        let at = now + Duration::from_millis(160) * (number as u32 + 1);
+        agent.take_actions();
+        agent.on_heartbeat(at, heartbeat.clone());
+        agent.tick(at);
+        let reported = agent
+            .take_actions()
+            .into_iter()
+            .find_map(|action| match action {
+                Action::Send(_, PeerMessage::Report(report)) => report.worker,
+                _ => None,
+            });
+        let worker = reported.unwrap_or_else(|| panic!("no worker after {heartbeat:?}"));
+        assert_eq!(
+            (worker.pool.as_str(), worker.draining),
+            ("pool", false),
+            "{heartbeat:?}"
+        );
+        assert_eq!(worker.incarnation, 1, "{heartbeat:?}");
     }
-    assert!(runs > 0);
 }
