Recount the scheduler's summaries in debug builds

Cause: counters that each change keeps up to date can drift without a test that notices it. Seen: tests/overload.rs and tests/sim pass with it, with faults.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -25,6 +25,7 @@
 
 mod admission;
 mod agents;
+mod audit;
 mod backlog;
 mod overload;
 mod place;
@@ -465,6 +466,9 @@
         }
         self.stop_overruns(now);
         self.shed_load(now);
+        if cfg!(debug_assertions) {
+            self.assert_summaries();
+        }
     }
 
     /// Returns when [`Dispatcher::tick`] has to be called next.
--- /dev/null
+++ b/crates/figdeal-queue/src/dispatch/audit.rs
@@ -0,0 +1,77 @@
+//! Recounts the summaries that the scheduler keeps up to date with each change, as an invariant of debug builds.
+
+use super::Dispatcher;
+use crate::job::Resources;
+
+impl Dispatcher {
+    /// Compares all summaries with a count over all agents and jobs.
+    ///
+    /// # Panics
+    /// Panics if one differs.
+    pub(super) fn assert_summaries(&self) {
+        self.assert_pools();
+        self.assert_backlogs();
+        let placed: usize = self.agents.values().map(|a| a.placed.len()).sum();
+        assert_eq!(self.placed_tasks.len(), placed, "number of placed runs");
+    }
+
+    fn assert_pools(&self) {
+        for agent in self.agents.values() {
+            let needs = agent.placed.values().map(|p| p.needs);
+            let used = needs.fold(Resources::default(), Resources::saturating_add);
+            assert_eq!(agent.used, used, "used room of agent {}", agent.address);
+        }
+        for (name, pool) in &self.pools {
+            let mut total = 0;
+            let mut free = 0;
+            let mut count = 0;
+            for agent in self.agents.values() {
+                let Some(worker) = agent.worker.as_ref().filter(|w| w.pool == *name) else {
+                    continue;
+                };
+                if !agent.registered || !agent.runs_known || worker.draining {
+                    continue;
+                }
+                count += 1;
+                total += u64::from(worker.capacity.millicores);
+                free += u64::from(worker.capacity.saturating_sub(agent.used).millicores);
+            }
+            assert_eq!(pool.totals(), (count, total, free), "room of pool {name}");
+        }
+    }
+
+    fn assert_backlogs(&self) {
+        for (key, backlog) in &self.backlogs {
+            let mut ready = 0;
+            let mut work = 0;
+            let mut steps = 0;
+            for job in self.jobs.values().filter(|job| job.backlog == key) {
+                for (step, spec) in job.steps.iter().zip(&job.spec.steps) {
+                    let count = step.ready_tasks.len();
+                    ready += count;
+                    steps += usize::from(count > 0);
+                    work += u128::from(spec.needs.millicores)
+                        * u128::from(spec.estimate_ms)
+                        * count as u128;
+                }
+            }
+            let placed = self.agents.values().flat_map(|a| a.placed.values());
+            let used: u64 = placed
+                .filter(|p| p.backlog == key)
+                .map(|p| u64::from(p.needs.millicores))
+                .sum();
+            let counted = (
+                backlog.ready_tasks,
+                backlog.steps.len(),
+                backlog.waiting_work,
+                backlog.used_millicores,
+            );
+            assert_eq!(
+                counted,
+                (ready, steps, work, used),
+                "backlog of queue {}",
+                backlog.queue
+            );
+        }
+    }
+}
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Returns the number of workers that take tasks, and their total and free millicores.
+    pub(super) fn totals(&self) -> (u64, u64, u64) {
+        (
+            self.worker_count,
+            self.total_millicores,
+            self.free_millicores,
+        )
+    }
+
     /// Returns the number of workers that take tasks.
     pub(super) fn worker_count(&self) -> u64 {
         self.worker_count
