--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -58,13 +58,13 @@
         let load = backlog.map_or(QueueLoad::idle(queue.policy.priority), |b| b.load());
         let wait = predicted_wait(load, room);
         let slack = self.slack(queue, spec);
-        let usual_slack = backlog.and_then(|b| b.usual_slack).unwrap_or(slack);
+        let mean_slack = backlog.and_then(|b| b.mean_slack).unwrap_or(slack);
         let hold_time = match self.is_held(now, id, false) {
             true => self.remaining_hold_time(now),
             false => Duration::ZERO,
         };
         let spent = hold_time.max(age);
-        let refused = spent + wait > slack || is_overloaded(wait, slack, usual_slack);
+        let refused = spent + wait > slack || is_overloaded(wait, slack, mean_slack);
         refused.then(|| Rejection {
             reason: RefusalReason::Overload,
             retry_after: retry_after(wait + spent, id.0),
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -63,7 +63,7 @@
     /// Average ratio of run time to estimate.
     pub(super) run_time_ratio: f64,
     /// Average slack of the accepted jobs; `None` before the first.
-    pub(super) usual_slack: Option<Duration>,
+    pub(super) mean_slack: Option<Duration>,
 }
 
 impl Backlog {
@@ -79,7 +79,7 @@
             peak_millicores: 0,
             used_millicores: 0,
             run_time_ratio: 1.0,
-            usual_slack: None,
+            mean_slack: None,
         }
     }
 
@@ -110,8 +110,8 @@
 
     /// Records the slack of an accepted job.
     pub(super) fn record_slack(&mut self, slack: Duration) {
-        let usual = self.usual_slack.get_or_insert(slack);
-        *usual = usual.mul_f64(1.0 - SLACK_WEIGHT) + slack.mul_f64(SLACK_WEIGHT);
+        let mean = self.mean_slack.get_or_insert(slack);
+        *mean = mean.mul_f64(1.0 - SLACK_WEIGHT) + slack.mul_f64(SLACK_WEIGHT);
     }
 
     /// Returns the load of the queue for the decisions under overload.
@@ -120,7 +120,7 @@
             priority: self.priority,
             used_millicores: self.used_millicores,
             peak_millicores: self.peak_millicores,
-            usual_slack: self.usual_slack.unwrap_or_default(),
+            mean_slack: self.mean_slack.unwrap_or_default(),
             waiting_work: self.waiting_work as f64 * self.run_time_ratio,
         }
     }
--- a/crates/figdeal-queue/src/dispatch/overload.rs
+++ b/crates/figdeal-queue/src/dispatch/overload.rs
@@ -13,7 +13,7 @@
 
 /// Weight of a queue that has the highest priority among the active queues of its pool; all others weigh 1.
 const URGENT_WEIGHT: u64 = 2;
-/// Part of the usual slack of a queue's jobs that may pass before the first task of a job starts. The rest covers
+/// Part of the mean slack of a queue's jobs that may pass before the first task of a job starts. The rest covers
 /// estimates that are off and the time until the last task starts.
 const MAX_WAIT_FRACTION: f64 = 0.6;
 /// Part of the slack of the job itself that may pass.
@@ -41,7 +41,7 @@
     /// Most millicores that its runs used and its tasks waited for recently.
     pub peak_millicores: u64,
     /// Average slack of its jobs, which grows with their run time.
-    pub usual_slack: Duration,
+    pub mean_slack: Duration,
     /// Work of its waiting tasks by expected run times, in millicores times milliseconds.
     pub waiting_work: f64,
 }
@@ -53,7 +53,7 @@
             priority,
             used_millicores: 0,
             peak_millicores: 0,
-            usual_slack: Duration::ZERO,
+            mean_slack: Duration::ZERO,
             waiting_work: 0.0,
         }
     }
@@ -146,10 +146,10 @@
     Duration::from_secs_f64(ms.max(0.0).min(limit) / 1_000.0)
 }
 
-/// Returns whether a job should be refused because it would wait for too long. `slack` is its own, `usual_slack` the
+/// Returns whether a job should be refused because it would wait for too long. `slack` is its own, `mean_slack` the
 /// average of its queue.
-pub fn is_overloaded(wait: Duration, slack: Duration, usual_slack: Duration) -> bool {
-    wait > usual_slack.mul_f64(MAX_WAIT_FRACTION) || wait > slack.mul_f64(MAX_OWN_WAIT_FRACTION)
+pub fn is_overloaded(wait: Duration, slack: Duration, mean_slack: Duration) -> bool {
+    wait > mean_slack.mul_f64(MAX_WAIT_FRACTION) || wait > slack.mul_f64(MAX_OWN_WAIT_FRACTION)
 }
 
 /// Returns the recent peak demand after a sweep in which the queue used or waited for `demand` millicores.
@@ -169,7 +169,7 @@
     let reserves = urgent.map(|other| {
         let peak = other.peak_millicores.min(room.share(other.priority));
         let unused = peak.saturating_sub(other.used_millicores);
-        match load.usual_slack >= other.usual_slack * LONG_SLACK_FACTOR {
+        match load.mean_slack >= other.mean_slack * LONG_SLACK_FACTOR {
             true => unused,
             false => unused / RESERVE_DIVISOR,
         }
