--- a/crates/figdeal-queue/src/dispatch/overload.rs
+++ b/crates/figdeal-queue/src/dispatch/overload.rs
@@ -26,7 +26,7 @@
 /// Jobs with this many times the slack of others run so long that their room returns too late for these, so the others
 /// get a reserve for their whole peak.
 const LONG_SLACK_FACTOR: u32 = 3;
-/// Longest wait or slack of a job that is told from a longer one.
+/// Longest wait or slack of a job; longer ones count as this.
 const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 /// Minimum delay before a refused job should be resubmitted.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -109,6 +109,15 @@
 
 /// Position of a queue among those that wait for room of the same pool; the lowest is served first. Queues within
 /// their share come first, by priority; the others follow by what they use.
+///
+/// ```
+/// use figdeal_queue::dispatch::{PoolRoom, QueueLoad, service_order};
+///
+/// let room = PoolRoom::new(8_000, 0, &[0, 1]);
+/// let urgent = QueueLoad { used_millicores: 5_000, ..QueueLoad::idle(0) };
+/// let flooding = QueueLoad { used_millicores: 3_000, ..QueueLoad::idle(1) };
+/// assert!(service_order(urgent, room) < service_order(flooding, room));
+/// ```
 pub fn service_order(load: QueueLoad, room: PoolRoom) -> (u64, u8) {
     let weight = weight(load.priority, room.top_priority);
     match load.used_millicores < room.share(load.priority) {
@@ -148,17 +157,44 @@
 
 /// Returns whether a job should be refused because it would wait for too long. `slack` is its own, `mean_slack` the
 /// average of its queue.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use figdeal_queue::dispatch::is_overloaded;
+///
+/// let slack = Duration::from_millis(100);
+/// assert!(!is_overloaded(Duration::from_millis(50), slack, slack));
+/// assert!(is_overloaded(Duration::from_millis(90), slack, slack));
+/// ```
 pub fn is_overloaded(wait: Duration, slack: Duration, mean_slack: Duration) -> bool {
     wait > mean_slack.mul_f64(MAX_WAIT_FRACTION) || wait > slack.mul_f64(MAX_OWN_WAIT_FRACTION)
 }
 
 /// Returns the recent peak demand after a sweep in which the queue used or waited for `demand` millicores.
+///
+/// ```
+/// use figdeal_queue::dispatch::decayed_peak;
+///
+/// assert_eq!(decayed_peak(1_000, 200), 900);
+/// assert_eq!(decayed_peak(1_000, 1_200), 1_200);
+/// ```
 pub fn decayed_peak(peak: u64, demand: u64) -> u64 {
     demand.max((peak as f64 * PEAK_DECAY) as u64)
 }
 
 /// Returns the millicores that a queue has to leave free: none within its share, otherwise a part of what more urgent
 /// queues within theirs needed recently and do not use now. The part grows until the queue uses twice its share.
+///
+/// ```
+/// use figdeal_queue::dispatch::{PoolRoom, QueueLoad, reserve};
+///
+/// let room = PoolRoom::new(6_000, 0, &[0, 1]);
+/// let urgent = QueueLoad { used_millicores: 1_000, peak_millicores: 2_000, ..QueueLoad::idle(0) };
+/// let flooding = QueueLoad { used_millicores: 4_000, ..QueueLoad::idle(1) };
+/// assert_eq!(reserve(flooding, [urgent, flooding].into_iter(), room), 1_000);
+/// assert_eq!(reserve(urgent, [urgent, flooding].into_iter(), room), 0);
+/// ```
 pub fn reserve(load: QueueLoad, others: impl Iterator<Item = QueueLoad>, room: PoolRoom) -> u64 {
     let share = room.share(load.priority);
     let excess = load.used_millicores.saturating_sub(share).min(share);
@@ -179,6 +215,16 @@
 
 /// Returns after which delay a refused caller may be served: when the present backlog has drained. Callers are spread
 /// over the same time again, by `seed`, so that they do not return together.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use figdeal_queue::dispatch::retry_after;
+///
+/// let wait = Duration::from_secs(1);
+/// assert_eq!(retry_after(wait, 0), wait);
+/// assert_eq!(retry_after(wait, 512), wait.mul_f64(1.5));
+/// ```
 pub fn retry_after(wait: Duration, seed: u64) -> Duration {
     let base = MIN_RETRY_DELAY.max(wait);
     let spread = (seed % 1_024) as f64 / 1_024.0;
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -559,6 +559,31 @@
     assert!((400..600).contains(&early), "{early} of 1,024");
 }
 
+/// Guards against a new leader that ends when it has a job before the first agent has reported: the pool of the job was
+/// not known then (large `trouble-1`, two leaders in a row).
+#[test]
+fn a_leader_without_workers_keeps_its_jobs() {
+    let mut fleet = Fleet::new(0, 53);
+    let step = Step {
+        count: 3,
+        estimate_ms: 60,
+        ..Step::default()
+    };
+    let spec = Arc::new(JobSpec {
+        steps: vec![step],
+        volatile: true,
+        ..JobSpec::default()
+    });
+    let submission = Submission {
+        age: Duration::ZERO,
+        resubmitted: false,
+    };
+    let dispatcher = &mut fleet.dispatcher;
+    dispatcher.submit(fleet.now, JobId(1), &queue(0), &spec, submission);
+    dispatcher.place(fleet.now);
+    assert_eq!(dispatcher.load(), (1, 3));
+}
+
 /// Guards against numbers of a caller that end the leader, and every leader that gets the job after it.
 #[test]
 fn the_largest_numbers_of_a_job_are_served() {
