Find the first task's run when a job is submitted again

Cause: the search for the placed runs of a job began after the null key of an agent, which sorts last, so it left out the run of the first task. A job that came back while its runs were being stopped could start that task a second time. Found by reading the change; no play showed it.

Change: the runs are listed by task, and the range begins with the first task.

Test: a_job_that_returns_waits_for_the_runs_that_are_being_stopped. cargo test -p figdeal-queue passes.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -6,7 +6,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
-    ops::Bound,
     sync::Arc,
     time::Duration,
 };
@@ -82,8 +81,8 @@
     pools: Pools,
     /// Waiting steps and used room, for each queue.
     backlogs: SlotMap<BacklogKey, Backlog>,
-    /// All placed runs, so that the runs of a job are found without a look at each agent.
-    placed_tasks: BTreeSet<(TaskId, AgentKey)>,
+    /// Agents with a placed run of each task, so that the runs of a job are found without a look at each agent.
+    placed_tasks: BTreeMap<TaskId, Vec<AgentKey>>,
     /// Volatile jobs of earlier leaders.
     earlier_jobs: EarlierJobs,
     /// Agents registered in earlier terms that have not reported their runs yet.
@@ -127,7 +126,7 @@
             due_agents: Vec::new(),
             pools: Pools::new(),
             backlogs: SlotMap::with_key(),
-            placed_tasks: BTreeSet::new(),
+            placed_tasks: BTreeMap::new(),
             earlier_jobs: EarlierJobs::default(),
             agents_with_unknown_runs: state.agents.clone(),
             held_jobs: Vec::new(),
@@ -239,14 +238,13 @@
             index: 0,
         };
         // Runs that are still being stopped, or that were found before the job, belong to the job again.
-        let from = (first, AgentKey::default());
-        let known = self
-            .placed_tasks
-            .range((Bound::Excluded(from), Bound::Unbounded));
-        for (task, key) in known.take_while(|(t, _)| t.job == id) {
-            if let Some(state) = view.task_mut(*task) {
-                *state = TaskState::Placed(*key, self.agents[*key].placed[task].run);
-                view.started = true;
+        let known = self.placed_tasks.range(first..);
+        for (task, agents) in known.take_while(|(t, _)| t.job == id) {
+            for key in agents {
+                if let Some(state) = view.task_mut(*task) {
+                    *state = TaskState::Placed(*key, self.agents[*key].placed[task].run);
+                    view.started = true;
+                }
             }
         }
         let held = view.is_held;
--- a/crates/figdeal-queue/src/dispatch/audit.rs
+++ b/crates/figdeal-queue/src/dispatch/audit.rs
@@ -12,7 +12,8 @@
         self.assert_pools();
         self.assert_backlogs();
         let placed: usize = self.agents.values().map(|a| a.placed.len()).sum();
-        assert_eq!(self.placed_tasks.len(), placed, "number of placed runs");
+        let listed: usize = self.placed_tasks.values().map(Vec::len).sum();
+        assert_eq!(listed, placed, "number of placed runs");
     }
 
     fn assert_pools(&self) {
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -245,7 +245,10 @@
         let agent = &mut self.agents[key];
         agent.used = agent.used.saturating_add(placed.needs);
         agent.placed.insert(task, placed);
-        self.placed_tasks.insert((task, key));
+        let agents = self.placed_tasks.entry(task).or_default();
+        if !agents.contains(&key) {
+            agents.push(key);
+        }
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores += u64::from(placed.needs.millicores);
         }
@@ -259,7 +262,12 @@
             return;
         };
         agent.used = agent.used.saturating_sub(placed.needs);
-        self.placed_tasks.remove(&(task, key));
+        if let Some(agents) = self.placed_tasks.get_mut(&task) {
+            agents.retain(|k| *k != key);
+            if agents.is_empty() {
+                self.placed_tasks.remove(&task);
+            }
+        }
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores -= u64::from(placed.needs.millicores);
         }
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -584,6 +584,52 @@
     assert_eq!(dispatcher.load(), (1, 3));
 }
 
+/// Guards against a second run of the first task of a job that is submitted again while its runs are being stopped: the
+/// search for the runs of a job began after its first task.
+#[test]
+fn a_job_that_returns_waits_for_the_runs_that_are_being_stopped() {
+    let mut fleet = Fleet::new(4, 54);
+    fleet.run();
+    let step = Step {
+        count: 3,
+        needs: Resources {
+            millicores: 1_000,
+            ..Resources::default()
+        },
+        estimate_ms: 60,
+        ..Step::default()
+    };
+    let spec = Arc::new(JobSpec {
+        steps: vec![step],
+        volatile: true,
+        ..JobSpec::default()
+    });
+    let submission = Submission {
+        age: Duration::ZERO,
+        resubmitted: false,
+    };
+    let starts = |fleet: &mut Fleet| {
+        fleet.dispatcher.place(fleet.now);
+        let orders = fleet.dispatcher.take_orders().into_iter();
+        let orders = orders.flat_map(|(_, orders)| orders.orders);
+        orders.filter(|o| matches!(o, Order::Start { .. })).count()
+    };
+    // The agents report once more, so that they count as reachable.
+    for agent in 0..4 {
+        fleet.report(agent, None);
+    }
+    let now = fleet.now;
+    fleet
+        .dispatcher
+        .submit(now, JobId(1), &queue(0), &spec, submission);
+    assert_eq!(starts(&mut fleet), 3);
+    fleet.dispatcher.job_ended(JobId(1));
+    fleet
+        .dispatcher
+        .submit(now, JobId(1), &queue(0), &spec, submission);
+    assert_eq!(starts(&mut fleet), 0, "its runs have not ended");
+}
+
 /// Guards against numbers of a caller that end the leader, and every leader that gets the job after it.
 #[test]
 fn the_largest_numbers_of_a_job_are_served() {
