--- a/review/stand-ins/src/cases/cancel.rs
+++ b/review/stand-ins/src/cases/cancel.rs
@@ -12,7 +12,11 @@
     record::Record,
 };
 
-const ROUTE: Route = Route { prefix: "/orders/", priority: 2, max_attempts: 3 };
+const ROUTE: Route = Route {
+    prefix: "/orders/",
+    priority: 2,
+    max_attempts: 3,
+};
 const RUNNERS: usize = 3;
 const JOBS: u64 = 6;
 /// Duration of each task, and its estimate.
@@ -31,31 +35,48 @@
 
 pub fn run(trouble: bool, record: &Record) -> Result<Verdict> {
     let mut cluster = Cluster::start(RUNNERS, &[ROUTE], record)?;
-    let paths: Vec<String> = (0..JOBS).map(|n| format!("{}{:016x}", ROUTE.prefix, 0x3000 + n)).collect();
+    let paths: Vec<String> = (0..JOBS)
+        .map(|n| format!("{}{:016x}", ROUTE.prefix, 0x3000 + n))
+        .collect();
     for path in &paths {
         let body = cluster::job(TASK_MS, 1, TASK_CPU, TASK_MS, false).to_string();
-        let status = cluster.client(EDGES - 1, "POST", path, &body, CLIENT_TIMEOUT).map(|answer| answer.status);
+        let status = cluster
+            .client(EDGES - 1, "POST", path, &body, CLIENT_TIMEOUT)
+            .map(|answer| answer.status);
         record.line(format!("POST {path} -> {status:?}"));
         if status != Some(200) {
             return Err("a job was not accepted".to_owned());
         }
     }
     let start = Instant::now();
-    let running = |cluster: &Cluster| -> usize { cluster.workers.iter().map(|worker| worker.running().len()).sum() };
+    let running = |cluster: &Cluster| -> usize {
+        cluster
+            .workers
+            .iter()
+            .map(|worker| worker.running().len())
+            .sum()
+    };
     while running(&cluster) < JOBS as usize {
         if start.elapsed() > START_TIMEOUT {
             return Err("not all jobs have started".to_owned());
         }
         thread::sleep(Duration::from_millis(20));
     }
-    let busiest = (0..RUNNERS).max_by_key(|n| cluster.workers[*n].running().len()).unwrap_or(0);
-    record.line(format!("worker-{busiest} runs {:?}", cluster.workers[busiest].running()));
+    let busiest = (0..RUNNERS)
+        .max_by_key(|n| cluster.workers[*n].running().len())
+        .unwrap_or(0);
+    record.line(format!(
+        "worker-{busiest} runs {:?}",
+        cluster.workers[busiest].running()
+    ));
     if trouble {
         cluster.kill(EDGES + busiest);
     }
     let killed_at = Instant::now();
     for path in &paths {
-        let status = cluster.client(EDGES - 1, "DELETE", path, "", CLIENT_TIMEOUT).map(|answer| answer.status);
+        let status = cluster
+            .client(EDGES - 1, "DELETE", path, "", CLIENT_TIMEOUT)
+            .map(|answer| answer.status);
         record.line(format!("DELETE {path} -> {status:?}"));
         if status != Some(200) {
             return Err("a cancelling was not acknowledged".to_owned());
@@ -69,15 +90,29 @@
     thread::sleep(CONTACT_WINDOW + CANCEL_BOUND + MARGIN);
     let mut left = Vec::new();
     for (n, worker) in cluster.workers.iter().enumerate() {
-        left.extend(worker.running().into_iter().map(|task| format!("worker-{n} still runs {task}")));
+        left.extend(
+            worker
+                .running()
+                .into_iter()
+                .map(|task| format!("worker-{n} still runs {task}")),
+        );
     }
     for line in &left {
-        record.print(format!("{line}, {} ms after the kill", killed_at.elapsed().as_millis()));
+        record.print(format!(
+            "{line}, {} ms after the kill",
+            killed_at.elapsed().as_millis()
+        ));
     }
     for path in &paths {
-        let state = cluster.client(EDGES - 1, "GET", path, "", CLIENT_TIMEOUT).map(|answer| answer.body);
+        let state = cluster
+            .client(EDGES - 1, "GET", path, "", CLIENT_TIMEOUT)
+            .map(|answer| answer.body);
         record.line(format!("GET {path} -> {state:?}"));
     }
     cluster.stop();
-    Ok(if left.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if left.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
--- a/review/stand-ins/src/cases/hopeless.rs
+++ b/review/stand-ins/src/cases/hopeless.rs
@@ -11,7 +11,11 @@
     record::Record,
 };
 
-const ROUTE: Route = Route { prefix: "/quotes/", priority: 0, max_attempts: 4 };
+const ROUTE: Route = Route {
+    prefix: "/quotes/",
+    priority: 0,
+    max_attempts: 4,
+};
 const RUNNERS: usize = 3;
 /// Duration of the traffic, as long as the disruption.
 const TRAFFIC_MS: u64 = 3_000;
@@ -44,7 +48,14 @@
     let jobs = Arc::new(jobs.collect::<Vec<_>>());
     let accepted = traffic::submit(&cluster, &jobs);
     let lost = traffic::count_lost(&cluster, &jobs, &accepted)?;
-    record.print(format!("{} of {JOBS} jobs accepted, {lost} lost", accepted.len()));
+    record.print(format!(
+        "{} of {JOBS} jobs accepted, {lost} lost",
+        accepted.len()
+    ));
     cluster.stop();
-    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins/src/cases/malformed.rs
+++ b/review/stand-ins/src/cases/malformed.rs
@@ -13,7 +13,11 @@
     record::Record,
 };
 
-const ROUTE: Route = Route { prefix: "/quotes/", priority: 0, max_attempts: 4 };
+const ROUTE: Route = Route {
+    prefix: "/quotes/",
+    priority: 0,
+    max_attempts: 4,
+};
 const RUNNERS: usize = 3;
 /// Duration of the traffic, as long as the disruption.
 const TRAFFIC_MS: u64 = 3_000;
@@ -45,24 +49,37 @@
             job["steps"][0]["after"] = json!([1]);
         }
         // A client stays with its node for some requests.
-        let (machine, path) = ((n / CLIENT_REQUESTS) as usize % EDGES, format!("{}{:016x}", ROUTE.prefix, 0x4000 + n));
+        let (machine, path) = (
+            (n / CLIENT_REQUESTS) as usize % EDGES,
+            format!("{}{:016x}", ROUTE.prefix, 0x4000 + n),
+        );
         let status = cluster
             .client(machine, "POST", &path, &job.to_string(), CLIENT_TIMEOUT)
             .map(|answer| answer.status);
-        record.line(format!("POST {path} to machine {machine} {job} -> {status:?}"));
+        record.line(format!(
+            "POST {path} to machine {machine} {job} -> {status:?}"
+        ));
         answered += usize::from(status.is_some());
         for (machine, ends) in own_ends.iter_mut().enumerate() {
             if let Some(status) = cluster.own_end(machine) {
                 *ends += 1;
                 let reason = cluster.logged(machine, "panicked at");
-                record.print(format!("process of machine {machine} ended by itself: {status}, {reason:?}"));
+                record.print(format!(
+                    "process of machine {machine} ended by itself: {status}, {reason:?}"
+                ));
                 thread::sleep(RESTART_DELAY);
                 cluster.start_process(machine, false)?;
             }
         }
     }
-    record.print(format!("{answered} of {JOBS} requests answered; ends by themselves by machine: {own_ends:?}"));
+    record.print(format!(
+        "{answered} of {JOBS} requests answered; ends by themselves by machine: {own_ends:?}"
+    ));
     let machines = own_ends.iter().filter(|ends| **ends >= OWN_ENDS).count();
     cluster.stop();
-    Ok(if machines >= MACHINES { Verdict::Broken } else { Verdict::Held })
+    Ok(if machines >= MACHINES {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins/src/cases/overlong.rs
+++ b/review/stand-ins/src/cases/overlong.rs
@@ -9,7 +9,11 @@
     record::Record,
 };
 
-const ROUTE: Route = Route { prefix: "/slots/", priority: 1, max_attempts: 4 };
+const ROUTE: Route = Route {
+    prefix: "/slots/",
+    priority: 1,
+    max_attempts: 4,
+};
 const RUNNERS: usize = 3;
 /// Duration of the traffic, as long as the disruption.
 const TRAFFIC_MS: u64 = 3_000;
@@ -25,7 +29,11 @@
     let cluster = Cluster::start(RUNNERS, &[ROUTE], record)?;
     let jobs = (0..JOBS).map(|n| {
         let is_long = trouble && n % LONG_JOB_INTERVAL == LONG_JOB_INTERVAL - 1;
-        let length_ms = if is_long { ESTIMATE_MS * LONG_FACTOR } else { ESTIMATE_MS };
+        let length_ms = if is_long {
+            ESTIMATE_MS * LONG_FACTOR
+        } else {
+            ESTIMATE_MS
+        };
         let id = 0x1000 + n;
         Planned {
             at: Duration::from_millis(n * TRAFFIC_MS / JOBS),
@@ -39,7 +47,14 @@
     let jobs = Arc::new(jobs.collect::<Vec<_>>());
     let accepted = traffic::submit(&cluster, &jobs);
     let lost = traffic::count_lost(&cluster, &jobs, &accepted)?;
-    record.print(format!("{} of {JOBS} jobs accepted, {lost} lost", accepted.len()));
+    record.print(format!(
+        "{} of {JOBS} jobs accepted, {lost} lost",
+        accepted.len()
+    ));
     cluster.stop();
-    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins/src/cases/refused.rs
+++ b/review/stand-ins/src/cases/refused.rs
@@ -13,8 +13,16 @@
     record::Record,
 };
 
-const KEPT_ROUTE: Route = Route { prefix: "/quotes/", priority: 0, max_attempts: 4 };
-const DROPPED_ROUTE: Route = Route { prefix: "/orders/", priority: 2, max_attempts: 3 };
+const KEPT_ROUTE: Route = Route {
+    prefix: "/quotes/",
+    priority: 0,
+    max_attempts: 4,
+};
+const DROPPED_ROUTE: Route = Route {
+    prefix: "/orders/",
+    priority: 2,
+    max_attempts: 3,
+};
 const RUNNERS: usize = 3;
 /// Duration of each task, and its estimate.
 const TASK_MS: u64 = 900;
@@ -36,10 +44,20 @@
     thread::spawn(move || {
         for _ in 0..MAX_ATTEMPTS {
             let (path, body) = (&client_path, &body);
-            let call = Call { to, method: "POST", host: HOST, path, body, timeout: CLIENT_TIMEOUT };
+            let call = Call {
+                to,
+                method: "POST",
+                host: HOST,
+                path,
+                body,
+                timeout: CLIENT_TIMEOUT,
+            };
             let start = Instant::now();
             let status = http::call(&call).map(|answer| answer.status);
-            client_record.print(format!("POST {path} -> {status:?} after {} ms", start.elapsed().as_millis()));
+            client_record.print(format!(
+                "POST {path} -> {status:?} after {} ms",
+                start.elapsed().as_millis()
+            ));
             let _ = sender.send(status);
             // Only after these outcomes is the job sent again.
             if !matches!(status, None | Some(502 | 504)) {
@@ -50,16 +68,32 @@
     });
     thread::sleep(CHANGE_DELAY);
     if trouble {
-        let leader = cluster.leader_with_jobs().ok_or("no machine says that it leads")?;
+        let leader = cluster
+            .leader_with_jobs()
+            .ok_or("no machine says that it leads")?;
         cluster.configure(&[KEPT_ROUTE], leader)?;
         cluster.kill(leader);
     }
     let statuses: Vec<Option<u16>> = receiver.iter().collect();
-    let starts: Vec<_> = cluster.workers.iter().flat_map(|worker| worker.starts()).collect();
-    let started = starts.iter().filter(|(task, ..)| path.ends_with(task.split('.').next().unwrap_or("-"))).count();
-    record.print(format!("{started} tasks of the job have started; answers: {statuses:?}"));
-    let is_rejection = |status: &Option<u16>| status.is_some_and(|status| matches!(status, 400..=499 | 503));
+    let starts: Vec<_> = cluster
+        .workers
+        .iter()
+        .flat_map(|worker| worker.starts())
+        .collect();
+    let started = starts
+        .iter()
+        .filter(|(task, ..)| path.ends_with(task.split('.').next().unwrap_or("-")))
+        .count();
+    record.print(format!(
+        "{started} tasks of the job have started; answers: {statuses:?}"
+    ));
+    let is_rejection =
+        |status: &Option<u16>| status.is_some_and(|status| matches!(status, 400..=499 | 503));
     let rejected = !statuses.is_empty() && statuses.iter().all(is_rejection);
     cluster.stop();
-    Ok(if rejected && started > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if rejected && started > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins/src/cases/traffic.rs
+++ b/review/stand-ins/src/cases/traffic.rs
@@ -47,7 +47,8 @@
     let start = Instant::now();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
-            let (jobs, next, accepted) = (Arc::clone(jobs), Arc::clone(&next), Arc::clone(&accepted));
+            let (jobs, next, accepted) =
+                (Arc::clone(jobs), Arc::clone(&next), Arc::clone(&accepted));
             let fronts: Vec<_> = (0..EDGES).map(|machine| cluster.front(machine)).collect();
             let record = cluster.record.clone();
             thread::spawn(move || {
@@ -56,8 +57,14 @@
                     let Some(job) = jobs.get(index) else { return };
                     thread::sleep(job.at.saturating_sub(start.elapsed()));
                     let (to, timeout) = (fronts[index % EDGES], Duration::from_millis(1_500));
-                    let call =
-                        Call { to, method: "POST", host: HOST, path: &job.path, body: &job.body, timeout };
+                    let call = Call {
+                        to,
+                        method: "POST",
+                        host: HOST,
+                        path: &job.path,
+                        body: &job.body,
+                        timeout,
+                    };
                     let status = http::call(&call).map(|answer| answer.status);
                     record.line(format!("POST {} {} -> {status:?}", job.path, job.body));
                     if status == Some(200) {
@@ -79,7 +86,10 @@
 pub fn count_lost(cluster: &Cluster, jobs: &[Planned], accepted: &[u64]) -> Result<usize> {
     cluster.record.line("end of the traffic");
     thread::sleep(FINISH);
-    let asked: Vec<&Planned> = jobs.iter().filter(|job| job.possible && accepted.contains(&job.id)).collect();
+    let asked: Vec<&Planned> = jobs
+        .iter()
+        .filter(|job| job.possible && accepted.contains(&job.id))
+        .collect();
     let mut open = BTreeMap::new();
     let mut states = BTreeMap::<String, usize>::new();
     for job in &asked {
@@ -96,18 +106,36 @@
     ));
     let start = Instant::now();
     while start.elapsed() < WATCH && !open.is_empty() {
-        let running: Vec<Vec<String>> = cluster.workers.iter().map(|worker| worker.running()).collect();
+        let running: Vec<Vec<String>> = cluster
+            .workers
+            .iter()
+            .map(|worker| worker.running())
+            .collect();
         let needs = |task: &str| -> u64 {
-            let id = task.split('.').next().and_then(|id| u64::from_str_radix(id, 16).ok());
-            jobs.iter().find(|job| Some(job.id) == id).map_or(CAPACITY, |job| job.cpu)
+            let id = task
+                .split('.')
+                .next()
+                .and_then(|id| u64::from_str_radix(id, 16).ok());
+            jobs.iter()
+                .find(|job| Some(job.id) == id)
+                .map_or(CAPACITY, |job| job.cpu)
         };
-        let used: Vec<u64> = running.iter().map(|tasks| tasks.iter().map(|task| needs(task)).sum()).collect();
+        let used: Vec<u64> = running
+            .iter()
+            .map(|tasks| tasks.iter().map(|task| needs(task)).sum())
+            .collect();
         let is_calm = used.iter().sum::<u64>() * 2 < CAPACITY * used.len() as u64;
         let now = Instant::now();
         for (id, (job, idle_since, longest)) in &mut open {
             let prefix = format!("{id:016x}.");
-            let runs = running.iter().flatten().any(|task| task.starts_with(&prefix));
-            let room: u64 = used.iter().map(|used| CAPACITY.saturating_sub(*used) / job.cpu).sum();
+            let runs = running
+                .iter()
+                .flatten()
+                .any(|task| task.starts_with(&prefix));
+            let room: u64 = used
+                .iter()
+                .map(|used| CAPACITY.saturating_sub(*used) / job.cpu)
+                .sum();
             if runs || !is_calm || room < 2 {
                 *idle_since = now;
             }
@@ -120,7 +148,9 @@
         let state = state_of(cluster, job);
         let prefix = format!("{:016x}.", job.id);
         let starts = cluster.workers.iter().flat_map(|worker| worker.starts());
-        let starts = starts.filter(|(task, ..)| task.starts_with(&prefix)).count();
+        let starts = starts
+            .filter(|(task, ..)| task.starts_with(&prefix))
+            .count();
         let is_lost = *longest >= IDLE_LIMIT && state != "completed";
         cluster.record.print(format!(
             "job {:016x}: {state}, {starts} starts, nothing running for up to {} ms with room for it: {}",
@@ -136,7 +166,9 @@
 fn state_of(cluster: &Cluster, job: &Planned) -> String {
     let timeout = Duration::from_millis(1_500);
     let answer = (0..EDGES).find_map(|machine| {
-        cluster.client(machine, "GET", &job.path, "", timeout).filter(|answer| answer.status < 500)
+        cluster
+            .client(machine, "GET", &job.path, "", timeout)
+            .filter(|answer| answer.status < 500)
     });
     match answer {
         Some(answer) if answer.status == 200 => {
--- a/review/stand-ins/src/cluster.rs
+++ b/review/stand-ins/src/cluster.rs
@@ -56,8 +56,12 @@
 impl Cluster {
     /// Starts the deployment with `sides` runners and waits until it serves the configuration.
     pub fn start(sides: usize, routes: &[Route], record: &Record) -> Result<Cluster> {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
-        let folder = std::env::temp_dir().join(format!("figdeal-review-{}-{nanos}", std::process::id()));
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_nanos();
+        let folder =
+            std::env::temp_dir().join(format!("figdeal-review-{}-{nanos}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let mut cluster = Cluster {
             folder,
@@ -73,7 +77,9 @@
         for n in 0..sides {
             let machine = EDGES + n;
             let (app, control) = (cluster.address(machine, 5), cluster.address(machine, 6));
-            cluster.workers.push(Worker::start(n, app, control, record).map_err(|e| e.to_string())?);
+            cluster
+                .workers
+                .push(Worker::start(n, app, control, record).map_err(|e| e.to_string())?);
         }
         for machine in 0..EDGES + sides {
             cluster.processes.push(None);
@@ -89,12 +95,26 @@
             let number = seed / 1_000 + attempt * 7;
             self.subnet = 16 + (number % 200) as u8;
             self.base_port = 19_000 + 40 * ((number / 200) % 200) as u16;
-            let ports = [0, 1, 5, 6, 7, INTERNAL_PORT_OFFSET, INTERNAL_PORT_OFFSET + 1];
+            let ports = [
+                0,
+                1,
+                5,
+                6,
+                7,
+                INTERNAL_PORT_OFFSET,
+                INTERNAL_PORT_OFFSET + 1,
+            ];
             let machines = 0..EDGES + self.sides;
-            let mut addresses: Vec<SocketAddr> =
-                machines.clone().flat_map(|m| ports.map(|port| self.address(m, port))).collect();
-            addresses.extend(machines.map(|m| SocketAddr::new(self.address(m, 0).ip(), METRICS_PORT)));
-            if addresses.iter().all(|address| TcpListener::bind(address).is_ok()) {
+            let mut addresses: Vec<SocketAddr> = machines
+                .clone()
+                .flat_map(|m| ports.map(|port| self.address(m, port)))
+                .collect();
+            addresses
+                .extend(machines.map(|m| SocketAddr::new(self.address(m, 0).ip(), METRICS_PORT)));
+            if addresses
+                .iter()
+                .all(|address| TcpListener::bind(address).is_ok())
+            {
                 return Ok(());
             }
         }
@@ -108,7 +128,9 @@
 
     fn write_settings(&self, machine: usize, bootstrap: bool) -> Result<PathBuf> {
         let internal = self.base_port + INTERNAL_PORT_OFFSET;
-        let seeds: Vec<String> = (0..DISKS).map(|m| format!("\"{}\"", self.address(m, 6))).collect();
+        let seeds: Vec<String> = (0..DISKS)
+            .map(|m| format!("\"{}\"", self.address(m, 6)))
+            .collect();
         let zones = ["tamarindo", "nosara", "montezuma"];
         let is_edge = machine < EDGES;
         let (role, serves) = match is_edge {
@@ -137,7 +159,11 @@
         }
         text += &format!("[listen]\ncontrol = \"{}\"\n", self.address(machine, 6));
         if is_edge {
-            text += &format!("front = \"{}\"\nready = \"{}\"\n", self.address(machine, 1), self.address(machine, 7));
+            text += &format!(
+                "front = \"{}\"\nready = \"{}\"\n",
+                self.address(machine, 1),
+                self.address(machine, 7)
+            );
         }
         text += "[fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
                  [bounds]\ncontact_window_ms = 3000\nack_timeout_ms = 4000\ngrace_s = 6\nconfig_apply_ms = 2000\n\
@@ -151,7 +177,11 @@
     pub fn start_process(&mut self, machine: usize, bootstrap: bool) -> Result<()> {
         let settings = self.write_settings(machine, bootstrap)?;
         let log = self.folder.join(format!("machine-{machine}.log"));
-        let log = File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(|e| e.to_string())?;
         let (program, argument) = match machine < EDGES {
             true => ("target/release/figdeal", "queue"),
             false => ("target/release/figdeal-agent", "--queue"),
@@ -164,7 +194,9 @@
             .stderr(log)
             .spawn()
             .map_err(|e| format!("{program} does not start: {e}"))?;
-        self.record.line(format!("process of machine {machine} started, bootstrap {bootstrap}"));
+        self.record.line(format!(
+            "process of machine {machine} started, bootstrap {bootstrap}"
+        ));
         self.processes[machine] = Some(child);
         Ok(())
     }
@@ -175,7 +207,8 @@
             // The process may have ended by itself.
             let _ = child.kill();
             let _ = child.wait();
-            self.record.line(format!("process of machine {machine} killed"));
+            self.record
+                .line(format!("process of machine {machine} killed"));
         }
     }
 
@@ -190,7 +223,7 @@
     /// Returns the last line with `text` in the output of a machine's processes, without what precedes it.
     pub fn logged(&self, machine: usize, text: &str) -> Option<String> {
         let log = fs::read_to_string(self.folder.join(format!("machine-{machine}.log"))).ok()?;
-        let line = log.lines().filter(|line| line.contains(text)).next_back()?;
+        let line = log.lines().rfind(|line| line.contains(text))?;
         Some(line[line.find(text)?..].to_owned())
     }
 
@@ -199,17 +232,43 @@
         (0..DISKS).find(|machine| {
             let to = SocketAddr::new(self.address(*machine, 0).ip(), METRICS_PORT);
             let timeout = Duration::from_millis(300);
-            let call = Call { to, method: "GET", host: "metrics", path: "/metrics", body: "", timeout };
-            let metrics = http::call(&call).map(|answer| answer.body).unwrap_or_default();
-            let jobs = metrics.lines().find_map(|line| line.strip_prefix("figdeal_queue_jobs "));
-            jobs.and_then(|jobs| jobs.trim().parse::<f64>().ok()).is_some_and(|jobs| jobs > 0.0)
+            let call = Call {
+                to,
+                method: "GET",
+                host: "metrics",
+                path: "/metrics",
+                body: "",
+                timeout,
+            };
+            let metrics = http::call(&call)
+                .map(|answer| answer.body)
+                .unwrap_or_default();
+            let jobs = metrics
+                .lines()
+                .find_map(|line| line.strip_prefix("figdeal_queue_jobs "));
+            jobs.and_then(|jobs| jobs.trim().parse::<f64>().ok())
+                .is_some_and(|jobs| jobs > 0.0)
         })
     }
 
     /// Sends a request of a client to an edge machine.
-    pub fn client(&self, machine: usize, method: &str, path: &str, body: &str, timeout: Duration) -> Option<Response> {
+    pub fn client(
+        &self,
+        machine: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        timeout: Duration,
+    ) -> Option<Response> {
         let to = self.address(machine, 1);
-        http::call(&Call { to, method, host: HOST, path, body, timeout })
+        http::call(&Call {
+            to,
+            method,
+            host: HOST,
+            path,
+            body,
+            timeout,
+        })
     }
 
     /// Returns the address for clients of an edge machine.
@@ -227,10 +286,20 @@
         while start.elapsed() < START_TIMEOUT {
             let to = self.address(machine % EDGES, 6);
             let timeout = Duration::from_secs(1);
-            let call = Call { to, method: "PUT", host: "control", path: "/figdeal/config", body: &body, timeout };
+            let call = Call {
+                to,
+                method: "PUT",
+                host: "control",
+                path: "/figdeal/config",
+                body: &body,
+                timeout,
+            };
             let status = http::call(&call).map(|r| r.status);
             if status == Some(200) {
-                self.record.line(format!("configuration {version} acknowledged by machine {}", machine % EDGES));
+                self.record.line(format!(
+                    "configuration {version} acknowledged by machine {}",
+                    machine % EDGES
+                ));
                 return Ok(());
             }
             machine += 1;
@@ -249,7 +318,15 @@
                 let to = self.address(machine, 7);
                 let timeout = Duration::from_secs(1);
                 let (host, path) = ("ready", "/figdeal/readiness");
-                http::call(&Call { to, method: "GET", host, path, body: "", timeout }).is_some_and(|r| r.status == 200)
+                http::call(&Call {
+                    to,
+                    method: "GET",
+                    host,
+                    path,
+                    body: "",
+                    timeout,
+                })
+                .is_some_and(|r| r.status == 200)
             });
             // Tasks of more than half a runner find out which runners take part.
             number += 1;
@@ -257,7 +334,10 @@
             let probe = job(20, self.workers.len() as u64, needed, 20, true).to_string();
             let path = format!("{}{number:016x}", routes[0].prefix);
             let done = self.client(0, "POST", &path, &probe, Duration::from_millis(1_500));
-            let all_ran = self.workers.iter().all(|worker| !worker.starts().is_empty());
+            let all_ran = self
+                .workers
+                .iter()
+                .all(|worker| !worker.starts().is_empty());
             if ready && all_ran && done.is_some_and(|r| r.status == 200) {
                 self.record.line("the deployment is ready");
                 return Ok(());
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -23,8 +23,15 @@
     pub body: String,
 }
 
+/// A message as read from a stream: its first line, its headers with names in lower case, and its body.
+struct Message {
+    first: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
 /// Reads the header lines and the body that `Content-Length` announces. Returns `None` at the end of the stream.
-fn read_message(reader: &mut impl BufRead) -> io::Result<Option<(String, Vec<(String, String)>, Vec<u8>)>> {
+fn read_message(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -50,7 +57,11 @@
         .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok(Some((first, headers, body)))
+    Ok(Some(Message {
+        first,
+        headers,
+        body,
+    }))
 }
 
 /// Serves requests on `address`, with one thread for each connection, until the process ends.
@@ -73,7 +84,12 @@
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
-    while let Ok(Some((first, headers, body))) = read_message(&mut reader) {
+    while let Ok(Some(message)) = read_message(&mut reader) {
+        let Message {
+            first,
+            headers,
+            body,
+        } = message;
         let mut words = first.split_whitespace();
         let request = Request {
             method: words.next()?.to_owned(),
@@ -107,7 +123,14 @@
 
 /// Sends a request on a new connection. Returns `None` if there is no complete response in time.
 pub fn call(call: &Call) -> Option<Response> {
-    let Call { to, method, host, path, body, timeout } = call;
+    let Call {
+        to,
+        method,
+        host,
+        path,
+        body,
+        timeout,
+    } = call;
     let stream = TcpStream::connect_timeout(to, *timeout).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(*timeout)).ok()?;
@@ -119,7 +142,7 @@
     );
     (&stream).write_all(text.as_bytes()).ok()?;
     let mut reader = BufReader::new(&stream);
-    let (first, _, body) = read_message(&mut reader).ok()??;
+    let Message { first, body, .. } = read_message(&mut reader).ok()??;
     let status = first.split_whitespace().nth(1)?.parse().ok()?;
     let body = String::from_utf8(body).ok()?;
     Some(Response { status, body })
--- a/review/stand-ins/src/record.rs
+++ b/review/stand-ins/src/record.rs
@@ -19,7 +19,10 @@
     /// Creates the file.
     pub fn create(path: &Path) -> Record {
         let file = File::create(path).expect("the record can be created");
-        Record { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Record {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     /// Adds a line.
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -62,7 +62,8 @@
     }
 
     fn end(&mut self, task: String, run: u64, how: &'static str) {
-        self.record.line(format!("{} ended {task} run {run} {how}", self.name));
+        self.record
+            .line(format!("{} ended {task} run {run} {how}", self.name));
         let past = self.past.entry(task.clone()).or_default();
         *past = run.max(*past);
         self.last_end += 1;
@@ -120,17 +121,32 @@
         if until_ms <= self.clock_ms() {
             return self.reply(409, Some("late"));
         }
-        let is_old = self.past.get(&task).is_some_and(|past| run <= *past) || self.runs.contains_key(&task);
+        let is_old =
+            self.past.get(&task).is_some_and(|past| run <= *past) || self.runs.contains_key(&task);
         self.extend_lease(until_ms);
         if is_old {
             return self.reply(409, Some("old"));
         }
         let specification = text("specification");
-        let length = specification.split("ms=").nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(60);
-        self.record.line(format!("{} started {task} run {run}, takes {length} ms", self.name));
+        let length = specification
+            .split("ms=")
+            .nth(1)
+            .and_then(|ms| ms.parse().ok())
+            .unwrap_or(60);
+        self.record.line(format!(
+            "{} started {task} run {run}, takes {length} ms",
+            self.name
+        ));
         self.starts.push((task.clone(), run, Instant::now()));
         let length = Duration::from_millis(length);
-        self.runs.insert(task, Run { run, start: Instant::now(), length });
+        self.runs.insert(
+            task,
+            Run {
+                run,
+                start: Instant::now(),
+                length,
+            },
+        );
         self.reply(200, None)
     }
 
@@ -151,7 +167,10 @@
             Some(reason) => json!({"clock_ms": self.clock_ms(), "reason": reason}),
             None => json!({"clock_ms": self.clock_ms()}),
         };
-        Response { status, body: body.to_string() }
+        Response {
+            status,
+            body: body.to_string(),
+        }
     }
 }
 
@@ -164,8 +183,16 @@
 
 impl Worker {
     /// Starts a runner that takes calls at `address` and reports to its agent at `control`.
-    pub fn start(number: usize, address: SocketAddr, control: SocketAddr, record: &Record) -> io::Result<Worker> {
-        let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    pub fn start(
+        number: usize,
+        address: SocketAddr,
+        control: SocketAddr,
+        record: &Record,
+    ) -> io::Result<Worker> {
+        let born_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
         let id = format!("i-{number:08x}");
         let state = State {
             name: format!("worker-{number}"),
@@ -180,13 +207,18 @@
             starts: Vec::new(),
             record: record.clone(),
         };
-        let worker = Worker { id, state: Arc::new(Mutex::new(state)) };
+        let worker = Worker {
+            id,
+            state: Arc::new(Mutex::new(state)),
+        };
         let server = worker.clone();
         http::serve(address, move |request| server.handle(request))?;
         let ticker = worker.clone();
-        thread::spawn(move || loop {
-            ticker.lock().advance();
-            thread::sleep(CHECK_INTERVAL);
+        thread::spawn(move || {
+            loop {
+                ticker.lock().advance();
+                thread::sleep(CHECK_INTERVAL);
+            }
         });
         let reporter = worker.clone();
         thread::spawn(move || reporter.report(address, control, born_ms));
@@ -214,7 +246,11 @@
                 timeout: Duration::from_secs(1),
             });
             // Until the agent listens, the report is repeated soon; later it is sent at its interval.
-            let pause = if sent.is_some() { HEARTBEAT_INTERVAL } else { Duration::from_millis(50) };
+            let pause = if sent.is_some() {
+                HEARTBEAT_INTERVAL
+            } else {
+                Duration::from_millis(50)
+            };
             thread::sleep(pause);
         }
     }
@@ -222,7 +258,12 @@
     fn handle(&self, request: Request) -> Response {
         let body: Value = match serde_json::from_slice(&request.body) {
             Ok(body) if request.method == "POST" => body,
-            _ => return Response { status: 400, body: String::new() },
+            _ => {
+                return Response {
+                    status: 400,
+                    body: String::new(),
+                };
+            }
         };
         let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
         {
@@ -246,7 +287,12 @@
                     let seen = body["seen_upto"].as_u64().unwrap_or(0);
                     state.ends.retain(|(number, ..)| *number > seen);
                 }
-                _ => return Response { status: 404, body: String::new() },
+                _ => {
+                    return Response {
+                        status: 404,
+                        body: String::new(),
+                    };
+                }
             }
         }
         let until = Instant::now() + wait;
@@ -255,7 +301,10 @@
                 let mut state = self.lock();
                 state.advance();
                 if !state.ends.is_empty() || Instant::now() >= until {
-                    return Response { status: 200, body: state.status() };
+                    return Response {
+                        status: 200,
+                        body: state.status(),
+                    };
                 }
             }
             thread::sleep(CHECK_INTERVAL);
