Break REFUSED by planned work only, and with a job that runs to its end

SIGTERM in place of SIGKILL leads to the same answer, so the case needs no failure. With tasks of 0.5 s, all four end as done after the client was told that there is no queue.

--- a/review/stand-ins/src/cases/refused.rs
+++ b/review/stand-ins/src/cases/refused.rs
@@ -1,4 +1,4 @@
-//! A route is removed and the leader is killed while a job of the route is at work.
+//! A route is removed and the leader is stopped by SIGTERM while a job of the route is at work.
 
 use std::{
     sync::mpsc,
@@ -25,7 +25,7 @@
 };
 const RUNNERS: usize = 3;
 /// Duration of each task, and its estimate.
-const TASK_MS: u64 = 900;
+const TASK_MS: u64 = 500;
 const TASK_CPU: u64 = 1_600;
 /// Time budget of the client.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -72,20 +72,17 @@
             .leader_with_jobs()
             .ok_or("no machine says that it leads")?;
         cluster.configure(&[KEPT_ROUTE], leader)?;
-        cluster.kill(leader);
+        cluster.terminate(leader)?;
     }
     let statuses: Vec<Option<u16>> = receiver.iter().collect();
-    let starts: Vec<_> = cluster
-        .workers
-        .iter()
-        .flat_map(|worker| worker.starts())
-        .collect();
-    let started = starts
-        .iter()
-        .filter(|(task, ..)| path.ends_with(task.split('.').next().unwrap_or("-")))
-        .count();
+    thread::sleep(Duration::from_millis(2 * TASK_MS));
+    let is_of_job = |task: &str| path.ends_with(task.split('.').next().unwrap_or("-"));
+    let starts = cluster.workers.iter().flat_map(|worker| worker.starts());
+    let started = starts.filter(|(task, ..)| is_of_job(task)).count();
+    let done = cluster.workers.iter().flat_map(|worker| worker.done());
+    let done = done.filter(|task| is_of_job(task)).count();
     record.print(format!(
-        "{started} tasks of the job have started; answers: {statuses:?}"
+        "{started} tasks of the job have started, {done} have ended done; answers: {statuses:?}"
     ));
     let is_rejection =
         |status: &Option<u16>| status.is_some_and(|status| matches!(status, 400..=499 | 503));
--- a/review/stand-ins/src/cluster.rs
+++ b/review/stand-ins/src/cluster.rs
@@ -212,6 +212,23 @@
         }
     }
 
+    /// Sends SIGTERM to the process of a machine.
+    pub fn terminate(&self, machine: usize) -> Result<()> {
+        let child = self.processes[machine]
+            .as_ref()
+            .ok_or("no process to end")?;
+        let status = Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status()
+            .map_err(|e| e.to_string())?;
+        self.record
+            .line(format!("SIGTERM to the process of machine {machine}"));
+        match status.success() {
+            true => Ok(()),
+            false => Err("SIGTERM was not sent".to_owned()),
+        }
+    }
+
     /// Returns how the process of a machine ended, if it did so by itself.
     pub fn own_end(&mut self, machine: usize) -> Option<String> {
         let child = self.processes[machine].as_mut()?;
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -53,6 +53,8 @@
     past: BTreeMap<String, u64>,
     /// All starts: task, run, moment.
     starts: Vec<(String, u64, Instant)>,
+    /// Tasks that have ended `done`.
+    done: Vec<String>,
     record: Record,
 }
 
@@ -67,6 +69,9 @@
         let past = self.past.entry(task.clone()).or_default();
         *past = run.max(*past);
         self.last_end += 1;
+        if how == "done" {
+            self.done.push(task.clone());
+        }
         self.ends.push((self.last_end, task, run, how));
     }
 
@@ -205,6 +210,7 @@
             last_end: 0,
             past: BTreeMap::new(),
             starts: Vec::new(),
+            done: Vec::new(),
             record: record.clone(),
         };
         let worker = Worker {
@@ -318,6 +324,11 @@
         state.runs.keys().cloned().collect()
     }
 
+    /// Returns the tasks that have ended `done`.
+    pub fn done(&self) -> Vec<String> {
+        self.lock().done.clone()
+    }
+
     /// Returns all starts so far: task, run, moment.
     pub fn starts(&self) -> Vec<(String, u64, Instant)> {
         self.lock().starts.clone()
