Repeat an order to stop a run until its agent has it

Cause: a stop went into one message to the agent. Lost with that message, it was never sent again, since the run kept the mark that it was being stopped and the reports listed it as before.

Change: reports say for each run whether the agent has an order to stop it, and the leader repeats a stop that the agent has passed without having it (E639). Registrations, which discard orders, count as such a loss.

Test: runs_of_cancelled_jobs_stop_after_a_lost_order in tests/sim, for killed agents and lost messages.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -595,6 +595,7 @@
                 run: r.run,
             },
             progress_percent: r.speed.progress(),
+            stopping: r.stop_sent_at.is_some(),
         });
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
             draining: w.draining || self.shutting_down,
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -394,12 +394,14 @@
         }
     }
 
+    /// Orders the stop of a run. It is repeated if a later report of the agent shows that the order was lost.
     fn order_stop(&mut self, key: AgentKey, task: TaskId, run: u64) {
         let Some(agent) = self.agents.get_mut(key) else {
             return;
         };
+        let next_orders = agent.last_orders + 1;
         if let Some(placed) = agent.placed.get_mut(&task).filter(|p| p.run == run) {
-            placed.stopping = true;
+            placed.stop_number = Some(next_orders);
             agent.outbox.push(Order::Stop { task, run });
             self.mark_due(key);
         }
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -90,9 +90,11 @@
         agent.unacked_events.clear();
         agent.acked_event = 0;
         agent.outbox.clear();
-        // A placed run that the next report with all runs does not list is lost, whichever message carried its start.
+        // The next report with all runs shows which orders were lost, whichever message carried them: a placed run that it
+        // does not list is lost, and a run whose stop it does not know is stopped again.
         for placed in agent.placed.values_mut() {
             placed.orders_number = 0;
+            placed.stop_number = placed.stop_number.map(|_| 0);
         }
         self.mark_due(key);
         self.update_room(key);
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -120,7 +120,7 @@
             progressed_at: now,
             orders_number: self.agents[key].last_orders + 1,
             estimate_ms: step.estimate_ms,
-            stopping: false,
+            stop_number: None,
             backlog,
         };
         self.add_placed(key, task, placed);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -194,10 +194,17 @@
         running: &[RunStatus],
     ) {
         for status in running {
-            let placed = self.agents[key].placed.get_mut(&status.id.task);
-            match placed.filter(|p| p.run == status.id.run) {
-                Some(placed) => placed.record_progress(now, status.progress_percent),
-                None => self.adopt_run(now, key, status.id),
+            let RunId { task, run } = status.id;
+            let placed = self.agents[key].placed.get_mut(&task);
+            let Some(placed) = placed.filter(|p| p.run == run) else {
+                self.adopt_run(now, key, status.id);
+                continue;
+            };
+            placed.record_progress(now, status.progress_percent);
+            let stop_lost = placed.stop_number.is_some_and(|n| n <= last_orders);
+            if stop_lost && !status.stopping {
+                log::info!("E639 repeating a lost stop task={task} run={run}");
+                self.order_stop(key, task, run);
             }
         }
         let agent = &mut self.agents[key];
@@ -268,7 +275,7 @@
             progressed_at: now,
             orders_number: number,
             estimate_ms: estimate,
-            stopping: false,
+            stop_number: None,
             backlog,
         };
         agent.outbox.push(Order::Adopt { task, run, needs });
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -47,7 +47,7 @@
         } = slow_run;
         let agent = &self.agents[key];
         let found = agent.placed.get(&task);
-        let Some(placed) = found.filter(|p| p.run == run && !p.stopping) else {
+        let Some(placed) = found.filter(|p| p.run == run && !p.is_stopping()) else {
             return;
         };
         let Some(job) = self.jobs.get(&task.job) else {
@@ -99,7 +99,7 @@
                 // The look at the job is left to the few runs beyond the limit without it.
                 let limit = limit + STALL_SLACK;
                 let is_over = |limit| placed.progressed_at + limit < now;
-                if !placed.stopping
+                if !placed.is_stopping()
                     && is_over(limit)
                     && is_over(limit * time_factor(self.slow_stops(*task)))
                 {
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -37,13 +37,18 @@
     pub(super) orders_number: u64,
     /// Run time as estimated by the caller.
     pub(super) estimate_ms: u32,
-    /// Whether a stop was ordered.
-    pub(super) stopping: bool,
+    /// Number of the orders message that carried the stop, if one was ordered.
+    pub(super) stop_number: Option<u64>,
     /// Backlog of the queue that the run belongs to.
     pub(super) backlog: BacklogKey,
 }
 
 impl PlacedRun {
+    /// Returns whether a stop was ordered.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop_number.is_some()
+    }
+
     /// Records the progress that the agent has reported.
     pub(super) fn record_progress(&mut self, now: Timestamp, percent: u8) {
         if percent > self.progress_percent {
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -173,6 +173,8 @@
     pub id: RunId,
     /// Newest progress that the worker has told; 0 if it tells none.
     pub progress_percent: u8,
+    /// Whether the agent has an order to stop the run.
+    pub stopping: bool,
 }
 
 /// Report of an agent to the leader.
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -313,6 +313,7 @@
                 run: *run,
             },
             progress_percent: 0,
+            stopping: false,
         });
         let report = AgentReport {
             address: agent.address,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use simulation::{ALL_FAULTS, InjectedBug, LeaderLoss, Plan, Simulation};
+use simulation::{ALL_FAULTS, InjectedBug, LeaderLoss, Outage, Plan, Simulation};
 
 /// Seeds that run in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -237,6 +237,30 @@
     }
 }
 
+/// Guards against tasks of cancelled jobs that run on because the order to stop them was lost with the process of their
+/// agent or with its connection (UNASKED, review/3).
+#[test]
+fn runs_of_cancelled_jobs_stop_after_a_lost_order() {
+    init_log();
+    let mut failed = Vec::new();
+    for outage in [Outage::AgentsKilled, Outage::MessagesLost] {
+        for seed in 0..3 {
+            let mut simulation = Simulation::new(Plan {
+                fault_count: 0,
+                ..plan(seed)
+            });
+            let wait = Duration::from_secs(3);
+            let (before, after) = simulation.cancel_during_outage(outage, wait);
+            // The simulated callers may have cancelled a job before.
+            assert!(before >= 4, "seed {seed}, {outage:?}: {before} runs");
+            if after > 0 {
+                failed.push((outage, seed, after));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "runs that were not stopped: {failed:?}");
+}
+
 /// Guards against nodes and agents that do not find the leader when all processes restart with seeds that are not
 /// voters. The seeds knew only each other (kuorotee-rota `scale-2`, seed 87028824851).
 #[test]
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -29,10 +29,12 @@
 mod faults;
 mod leader_loss;
 mod long_runs;
+mod lost_orders;
 mod machines;
 mod seed_change;
 
 pub(crate) use leader_loss::LeaderLoss;
+pub(crate) use lost_orders::Outage;
 
 /// All kinds of faults: 0 and 1 a node is killed, 2 all nodes lose power, 3 a node is paused, 4 a node is
 /// disconnected, 5 an agent is disconnected, 6 an agent is killed, 7 an agent is paused, 8 a worker crashes, 9 a disk
--- /dev/null
+++ b/crates/figdeal-queue/tests/sim/simulation/lost_orders.rs
@@ -0,0 +1,85 @@
+//! Scenario: an agent misses orders about its runs, which go on at its worker.
+
+use super::*;
+
+/// Number of jobs, each of one task.
+const JOBS: u64 = 6;
+/// Run time of each task, which outlasts the scenario.
+const RUN_TIME_MS: u32 = 30_000;
+/// How long the agents miss all messages. The leases of the runs outlast it.
+const OUTAGE: Duration = Duration::from_millis(100);
+
+/// Why the agents miss their orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outage {
+    /// The processes of the agents are killed, and new ones start.
+    AgentsKilled,
+    /// Messages are lost, as with a connection that is reset.
+    MessagesLost,
+}
+
+impl Simulation {
+    /// Starts jobs of one long task with these needs and waits until all of them run.
+    fn start_long_jobs(&mut self, millicores: u32) {
+        self.schedule(Duration::from_secs(3), Event::Configure(1));
+        self.run_until(self.now + Duration::from_secs(5));
+        let step = Step {
+            count: 1,
+            needs: Resources {
+                millicores,
+                ..Resources::default()
+            },
+            estimate_ms: RUN_TIME_MS,
+            ..Step::default()
+        };
+        let spec = JobSpec {
+            payload: "work".to_owned(),
+            steps: vec![step],
+            volatile: false,
+        };
+        for n in 0..JOBS {
+            let id = JobId(0x2000 + n);
+            self.run_times.insert(id, RUN_TIME_MS);
+            self.register_job(id, spec.clone());
+            self.schedule(Duration::ZERO, Event::Submit(id));
+        }
+        self.run_until(self.now + Duration::from_secs(1));
+    }
+
+    fn begin_outage(&mut self, outage: Outage) {
+        for n in 0..self.agent_hosts.len() {
+            match outage {
+                Outage::AgentsKilled => {
+                    self.agent_hosts[n].incarnation += 1;
+                    self.agent_hosts[n].agent = None;
+                    self.schedule(OUTAGE, Event::StartAgent(n));
+                }
+                Outage::MessagesLost => {
+                    self.disconnected.insert(agent_address(n));
+                    self.schedule(OUTAGE, Event::Reconnect(agent_address(n)));
+                }
+            }
+        }
+    }
+
+    fn run_count(&self) -> usize {
+        let hosts = self.agent_hosts.iter();
+        hosts.map(|host| host.worker.runs.len()).sum()
+    }
+
+    /// Cancels running jobs while the agents miss their orders. Returns the number of runs before, and `wait` after it.
+    pub(crate) fn cancel_during_outage(
+        &mut self,
+        outage: Outage,
+        wait: Duration,
+    ) -> (usize, usize) {
+        self.start_long_jobs(1_000);
+        let before = self.run_count();
+        self.begin_outage(outage);
+        for n in 0..JOBS {
+            self.schedule(Duration::from_millis(10), Event::Cancel(JobId(0x2000 + n)));
+        }
+        self.run_until(self.now + OUTAGE + wait);
+        (before, self.run_count())
+    }
+}
