Tell a restarted agent what the runs on its worker need

Cause: the new process counts a run without known needs as the whole worker, and the leader told the needs only of runs that it did not know itself.

Change: reports say for each run whether its needs are known, and the leader answers with those that are not.

--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -201,11 +201,19 @@
                 continue;
             };
             placed.record_progress(now, status.progress_percent);
+            let needs = placed.needs;
             let stop_lost = placed.stop_number.is_some_and(|n| n <= last_orders);
             if stop_lost && !status.stopping {
                 log::info!("E639 repeating a lost stop task={task} run={run}");
                 self.order_stop(key, task, run);
             }
+            if !status.needs_known {
+                // A new process of the agent found the run on its worker.
+                self.agents[key]
+                    .outbox
+                    .push(Order::Adopt { task, run, needs });
+                self.mark_due(key);
+            }
         }
         let agent = &mut self.agents[key];
         // Otherwise the end of a run that is not listed may be in an event that was not received yet.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -175,6 +175,8 @@
     pub progress_percent: u8,
     /// Whether the agent has an order to stop the run.
     pub stopping: bool,
+    /// Whether the agent knows what the run needs. Until then it takes it for the whole worker.
+    pub needs_known: bool,
 }
 
 /// Report of an agent to the leader.
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -314,6 +314,7 @@
             },
             progress_percent: 0,
             stopping: false,
+            needs_known: true,
         });
         let report = AgentReport {
             address: agent.address,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -261,6 +261,22 @@
     assert!(failed.is_empty(), "runs that were not stopped: {failed:?}");
 }
 
+/// Guards against a new process of an agent that does not learn what the runs on its worker need, counts each as the whole
+/// worker, and rejects all starts until they end.
+#[test]
+fn a_restarted_agent_fills_its_worker() {
+    init_log();
+    for seed in 0..3 {
+        let mut simulation = Simulation::new(Plan {
+            fault_count: 0,
+            ..plan(seed)
+        });
+        let (asked, open) = simulation.fill_after_restart(Duration::from_secs(2));
+        assert!(asked >= 4, "seed {seed}: {asked} jobs were accepted");
+        assert_eq!(open, 0, "seed {seed}: jobs that have not ended");
+    }
+}
+
 /// Guards against nodes and agents that do not find the leader when all processes restart with seeds that are not
 /// voters. The seeds knew only each other (kuorotee-rota `scale-2`, seed 87028824851).
 #[test]
--- a/crates/figdeal-queue/tests/sim/simulation/lost_orders.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/lost_orders.rs
@@ -6,6 +6,8 @@
 const JOBS: u64 = 6;
 /// Run time of each task, which outlasts the scenario.
 const RUN_TIME_MS: u32 = 30_000;
+/// Run time of the tasks that are submitted later.
+const SHORT_RUN_TIME_MS: u32 = 60;
 /// How long the agents miss all messages. The leases of the runs outlast it.
 const OUTAGE: Duration = Duration::from_millis(100);
 
@@ -82,4 +84,29 @@
         self.run_until(self.now + OUTAGE + wait);
         (before, self.run_count())
     }
+
+    /// Kills the agents while runs take most of their workers, and submits small jobs after that. Returns how many of them
+    /// were accepted, and how many of these have not ended after `wait`.
+    pub(crate) fn fill_after_restart(&mut self, wait: Duration) -> (usize, usize) {
+        self.start_long_jobs(5_000);
+        self.begin_outage(Outage::AgentsKilled);
+        self.run_until(self.now + OUTAGE * 10);
+        let ids: Vec<JobId> = (0..JOBS).map(|n| JobId(0x3000 + n)).collect();
+        let mut spec = self.checker.jobs[&JobId(0x2000)].spec.clone();
+        spec.steps[0].needs.millicores = 500;
+        for id in &ids {
+            self.run_times.insert(*id, SHORT_RUN_TIME_MS);
+            self.register_job(*id, spec.clone());
+            self.schedule(Duration::ZERO, Event::Submit(*id));
+        }
+        self.run_until(self.now + wait);
+        for id in &ids {
+            self.schedule(Duration::ZERO, Event::Query(*id));
+        }
+        self.run_until(self.now + Duration::from_millis(100));
+        let jobs = ids.iter().map(|id| &self.checker.jobs[id]);
+        let asked = jobs.filter(|job| job.accepted && !job.cancel_requested);
+        let (open, ended): (Vec<_>, Vec<_>) = asked.partition(|job| job.final_state.is_none());
+        (open.len() + ended.len(), open.len())
+    }
 }
