Do not tell a caller that there is no queue for a job that may run

Cause: the entry node hands the job to the next leader and passed its answer on. Only refusals for lack of room were turned into an unknown outcome for a job that an earlier leader had, not a missing queue or an invalid job.

Change: all answers that reject a new job are treated alike (Answer::rejects_job), with a log line (E640).

--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -80,6 +80,23 @@
     Invalid,
 }
 
+impl Answer {
+    /// Returns whether the answer tells the caller of a new job that the job was not accepted and never runs.
+    ///
+    /// ```
+    /// use figdeal_queue::message::Answer;
+    ///
+    /// assert!(Answer::NoQueue.rejects_job());
+    /// assert!(!Answer::OutcomeUnknown.rejects_job());
+    /// ```
+    pub fn rejects_job(&self) -> bool {
+        matches!(
+            self,
+            Answer::Refused { .. } | Answer::NoQueue | Answer::Invalid
+        )
+    }
+}
+
 /// Why a request was refused without effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -555,11 +555,14 @@
                     return;
                 };
                 let is_volatile = pending.volatile_request.is_some();
-                let refused = matches!(answer, Answer::Refused { .. });
                 if is_volatile && answer == no_leader() {
                     self.on_request_lost(token);
-                } else if refused && pending.offers > 1 {
-                    // Another leader may have started the job, so the node cannot promise that it never runs.
+                } else if answer.rejects_job() && pending.offers > 1 {
+                    log::info!(
+                        "E640 a rejected job may have run at an earlier leader token={token} \
+                         offers={} answer={answer:?}",
+                        pending.offers
+                    );
                     self.drop_request(token);
                     self.actions
                         .push(Action::Reply(token, Answer::OutcomeUnknown));
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -5,7 +5,7 @@
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
     job::{JobSpec, Step},
-    message::{Answer, RefusalReason, Request},
+    message::{Answer, LeaderInfo, PeerMessage, RefusalReason, Request},
     node::{Action, Clock, Node, Options},
     raft::{HardState, Log, NodeId, Raft},
 };
@@ -124,3 +124,71 @@
         );
     }
 }
+
+/// Returns what the caller of a volatile job is answered when a leader that had the job is lost, and the next one gives
+/// `answer`.
+fn answer_of_the_next_leader(answer: Answer) -> Answer {
+    let mut node = node();
+    let [first, second] = ["127.0.0.2:7000", "127.0.0.3:7000"].map(|a| a.parse().unwrap());
+    let leader_info = |from, term| {
+        PeerMessage::LeaderInfo(LeaderInfo {
+            from,
+            leader: Some(from),
+            serving: true,
+            term,
+            members: Vec::new(),
+        })
+    };
+    node.on_message(clock(0), leader_info(first, 1));
+    submit(&mut node, 1, 7, 900);
+    node.on_connection_lost(clock(100), first, true);
+    node.on_message(clock(150), leader_info(second, 2));
+    node.tick(clock(151));
+    let forwards = node
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Send(to, PeerMessage::Forward { request, .. }) => Some((to, request)),
+            _ => None,
+        });
+    let resubmitted: Vec<_> = forwards
+        .map(|(to, request)| {
+            (
+                to,
+                matches!(
+                    request,
+                    Request::Submit {
+                        resubmitted: true,
+                        ..
+                    }
+                ),
+            )
+        })
+        .collect();
+    assert_eq!(resubmitted, [(first, false), (second, true)]);
+    let reply = PeerMessage::Reply {
+        from: second,
+        token: 7,
+        answer,
+    };
+    node.on_message(clock(152), reply);
+    let replies = replies(&mut node);
+    assert_eq!(replies.len(), 1, "{replies:?}");
+    replies[0].1.clone()
+}
+
+/// Guards against a caller that is told that its job was not accepted and never runs, although an earlier leader may have
+/// started it (REFUSED, review/5: the route of the job was removed meanwhile).
+#[test]
+fn a_job_that_an_earlier_leader_had_is_not_said_to_be_refused() {
+    let refused = Answer::Refused {
+        retry_after_ms: 1_000,
+        reason: RefusalReason::Overload,
+    };
+    for answer in [refused, Answer::NoQueue, Answer::Invalid] {
+        let told = answer_of_the_next_leader(answer.clone());
+        assert_eq!(told, Answer::OutcomeUnknown, "{answer:?}");
+    }
+    let ended = Answer::VolatileEnded(true);
+    assert_eq!(answer_of_the_next_leader(ended.clone()), ended);
+}
