Reject a malformed job before looking at it

Cause: the entry node computed the critical path of a volatile job; only the leader asked whether the job is valid, later.

Change: the entry node answers an invalid job with 400 at once, volatile or stored.

Test: jobs_with_wrong_dependencies_are_rejected_at_once in tests/node.rs ended with an index out of bounds before and passes now.

--- a/crates/figdeal-queue/src/job.rs
+++ b/crates/figdeal-queue/src/job.rs
@@ -148,7 +148,8 @@
             && self.steps.iter().enumerate().all(earlier)
     }
 
-    /// Returns the critical path of each step: the estimated milliseconds from its start to the end of the job.
+    /// Returns the critical path of each step: the estimated milliseconds from its start to the end of the job. The job must
+    /// be [valid](JobSpec::is_valid).
     pub fn critical_paths_ms(&self) -> Vec<u64> {
         let mut paths: Vec<u64> = self
             .steps
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -283,9 +283,12 @@
         self.advance();
     }
 
-    /// Handles a request of a caller or an operator, who waits for at most `max_wait`.
+    /// Handles a request of a caller or an operator, who waits for at most `max_wait`. A malformed job is rejected at once.
     pub fn on_request(&mut self, clock: Clock, token: u64, request: Request, max_wait: Duration) {
         self.clock = clock;
+        if matches!(&request, Request::Submit { spec, .. } if !spec.is_valid()) {
+            return self.actions.push(Action::Reply(token, Answer::Invalid));
+        }
         let is_volatile = matches!(&request, Request::Submit { spec, .. } if spec.volatile);
         if is_volatile && self.ends_before_job(&request) {
             log::info!("E636 refused a job that would outlast this process token={token}");
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -192,3 +192,32 @@
     let ended = Answer::VolatileEnded(true);
     assert_eq!(answer_of_the_next_leader(ended.clone()), ended);
 }
+
+/// Guards against a job with a dependency on a step that it does not have, or on itself, which ended the process of the
+/// node that read it (review/4).
+#[test]
+fn jobs_with_wrong_dependencies_are_rejected_at_once() {
+    for (volatile, dependency) in [(true, 7), (false, 7), (true, 0), (true, u16::MAX)] {
+        let mut node = node();
+        let step = Step {
+            count: 1,
+            estimate_ms: 60,
+            depends_on: vec![dependency],
+            ..Step::default()
+        };
+        let spec = JobSpec {
+            steps: vec![step],
+            volatile,
+            ..JobSpec::default()
+        };
+        let request = Request::Submit {
+            host: "host".to_owned(),
+            path: "/q/00000000000000aa".to_owned(),
+            spec,
+            age_ms: 0,
+            resubmitted: false,
+        };
+        node.on_request(clock(0), 1, request, CALLER_TIMEOUT);
+        assert_eq!(replies(&mut node), [(1, Answer::Invalid)], "{dependency}");
+    }
+}
