Do not let steps that no worker can run hold up others

Cause: the leader tries the first 32 waiting steps of a queue, and steps that no worker can run stay among them for good. Admission looked at the sizes of tasks, not at labels.

Change: such steps are sorted behind all others until a worker can run them (E642), and new jobs with such a step are refused at once (NoWorker) when the leader knows all agents.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -445,7 +445,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
-        self.refresh_capacities();
+        self.refresh_kinds();
         for backlog in self.backlogs.values_mut() {
             backlog.decay_peak();
         }
@@ -466,6 +466,7 @@
         }
         self.limit_ejection(now);
         self.stop_stalled_runs(now);
+        self.sort_out_unplaceable();
         self.shed_load(now);
         if cfg!(debug_assertions) {
             self.assert_summaries();
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -26,11 +26,11 @@
 
 /// How long reachable agents take to report to a new leader.
 const AGENT_REPORT_WINDOW: Duration = Duration::from_millis(150);
-/// Delay before a job that is too large for every worker should be resubmitted, since workers may be added.
-const TOO_LARGE_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Delay before a job that no worker can run should be resubmitted, since workers may be added.
+const NO_WORKER_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 impl Dispatcher {
-    /// Returns why a job should be refused, if so: no worker is large enough for a task, or a volatile job would miss
+    /// Returns why a job should be refused, if so: no worker can run a task, or a volatile job would miss
     /// its response-time goal.
     pub fn rejection(
         &self,
@@ -44,7 +44,15 @@
         if spec.steps.iter().any(|step| pool.is_too_small(step.needs)) {
             return Some(Rejection {
                 reason: RefusalReason::TooLarge,
-                retry_after: TOO_LARGE_RETRY_DELAY,
+                retry_after: NO_WORKER_RETRY_DELAY,
+            });
+        }
+        // Workers of agents that have not reported to a new leader may have other labels.
+        let workers_known = self.agents_with_unknown_runs.is_empty() && pool.has_workers();
+        if workers_known && spec.steps.iter().any(|step| !pool.can_run(step)) {
+            return Some(Rejection {
+                reason: RefusalReason::NoWorker,
+                retry_after: NO_WORKER_RETRY_DELAY,
             });
         }
         let backlog = self
@@ -95,11 +103,14 @@
     /// run, and otherwise moves the step behind those that are in time. Also ends expired volatile jobs.
     pub(super) fn shed_load(&mut self, now: Timestamp) {
         let waiting = self.backlogs.values().flat_map(|b| &b.steps);
-        let is_late = |rank: &&StepRank| rank.class == Class::Waiting && rank.latest_start < now;
+        let is_late = |rank: &&StepRank| {
+            let not_started = matches!(rank.class, Class::Waiting | Class::Unplaceable);
+            not_started && rank.latest_start < now
+        };
         let mut late: Vec<JobId> = waiting.filter(is_late).map(|rank| rank.job).collect();
         late.dedup();
         for id in late {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(job) = self.jobs.get(&id).filter(|job| !job.started) else {
                 continue;
             };
             match job.spec.volatile && !job.resubmitted {
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -29,6 +29,9 @@
     Waiting,
     /// The latest start has passed.
     Late,
+    /// No worker of the pool can run the step, even when it is idle. Steps that have to wait for a worker to join must not
+    /// hold up the others.
+    Unplaceable,
 }
 
 /// Position of a waiting step in the backlog of its queue.
@@ -215,13 +218,16 @@
         }
     }
 
-    /// Moves the steps of a job to another class of its backlog.
+    /// Moves the steps of a job to another class of its backlog, but those that no worker can run.
     pub(super) fn move_steps(&mut self, id: JobId, class: Class) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let backlog = &mut self.backlogs[job.backlog];
         for (number, step) in job.steps.iter_mut().enumerate() {
+            if step.class == Class::Unplaceable {
+                continue;
+            }
             let number = number as u16;
             let is_waiting = backlog.steps.remove(&rank(step, id, number));
             step.class = class;
@@ -231,6 +237,41 @@
         }
     }
 
+    /// Moves the steps that no worker of their pool can run behind all others, and back once a worker can.
+    pub(super) fn sort_out_unplaceable(&mut self) {
+        let mut changed = Vec::new();
+        for (key, backlog) in &self.backlogs {
+            let Some(pool) = self.pools.get(&backlog.pool) else {
+                continue;
+            };
+            for rank in &backlog.steps {
+                let step = &self.jobs[&rank.job].spec.steps[usize::from(rank.step)];
+                if pool.can_run(step) == (rank.class == Class::Unplaceable) {
+                    changed.push((key, *rank));
+                }
+            }
+        }
+        for (key, rank) in changed {
+            let job = self.jobs.get_mut(&rank.job).expect("the job must be known");
+            let step = &mut job.steps[usize::from(rank.step)];
+            self.backlogs[key].steps.remove(&rank);
+            step.class = match rank.class {
+                Class::Unplaceable if job.started => Class::Started,
+                // A step that is late by now is found with the next check.
+                Class::Unplaceable => Class::Waiting,
+                _ => Class::Unplaceable,
+            };
+            log::info!(
+                "E642 step can be placed again or no longer job={} step={} placeable={}",
+                rank.job,
+                rank.step,
+                step.class != Class::Unplaceable
+            );
+            let rank = self::rank(step, rank.job, rank.step);
+            self.backlogs[key].steps.insert(rank);
+        }
+    }
+
     /// Records that a task of a job has started, so that its other tasks come next.
     pub(super) fn set_started(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.started) else {
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -42,7 +42,7 @@
         let worker_changed = agent.worker != report.worker;
         agent.worker = report.worker;
         if worker_changed {
-            self.refresh_capacities();
+            self.refresh_kinds();
             self.update_room(key);
         }
         // A report with all runs is answered even without new orders, which renews the agent lease.
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -15,13 +15,20 @@
 /// Largest fraction of the workers of a pool that may be ejected at a time.
 const MAX_EJECTED_FRACTION: f64 = 0.5;
 
+/// What workers that are alike offer.
+#[derive(Debug, PartialEq)]
+struct WorkerKind {
+    capacity: Resources,
+    labels: Vec<String>,
+}
+
 /// Workers of one pool.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     /// Agents whose workers may take tasks, by free millicores.
     by_free: BTreeMap<u32, Vec<AgentKey>>,
-    /// Capacities of all workers, without duplicates.
-    capacities: Vec<Resources>,
+    /// Capacities and labels of all workers, without duplicates.
+    kinds: Vec<WorkerKind>,
     /// Number of the workers that take tasks.
     worker_count: u64,
     /// Millicores of the workers that take tasks.
@@ -59,7 +66,20 @@
 
     /// Returns whether the pool has workers, but none that is large enough even when it is idle.
     pub(super) fn is_too_small(&self, needs: Resources) -> bool {
-        !self.capacities.is_empty() && !self.capacities.iter().any(|c| needs.fits_into(*c))
+        self.has_workers() && !self.kinds.iter().any(|k| needs.fits_into(k.capacity))
+    }
+
+    /// Returns whether the pool has workers, whether or not they take tasks at the moment.
+    pub(super) fn has_workers(&self) -> bool {
+        !self.kinds.is_empty()
+    }
+
+    /// Returns whether a worker of the pool can run a task of the step when it is idle.
+    pub(super) fn can_run(&self, step: &Step) -> bool {
+        self.kinds.iter().any(|kind| {
+            let has_label = step.label.as_ref().is_none_or(|l| kind.labels.contains(l));
+            has_label && step.needs.fits_into(kind.capacity)
+        })
     }
 }
 
@@ -117,15 +137,21 @@
         }
     }
 
-    /// Collects the capacities of all workers again, also of those that take no tasks at the moment.
-    pub(super) fn refresh_capacities(&mut self) {
+    /// Collects what all workers offer again, also those that take no tasks at the moment.
+    pub(super) fn refresh_kinds(&mut self) {
         for pool in self.pools.values_mut() {
-            pool.capacities.clear();
+            pool.kinds.clear();
         }
         for worker in self.agents.values().filter_map(|a| a.worker.as_ref()) {
             let pool = self.pools.entry(worker.pool.clone()).or_default();
-            if !pool.capacities.contains(&worker.capacity) {
-                pool.capacities.push(worker.capacity);
+            let is_kind = |kind: &WorkerKind| {
+                kind.capacity == worker.capacity && kind.labels == worker.labels
+            };
+            if !pool.kinds.iter().any(is_kind) {
+                pool.kinds.push(WorkerKind {
+                    capacity: worker.capacity,
+                    labels: worker.labels.clone(),
+                });
             }
         }
     }
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -112,6 +112,8 @@
     TooLarge,
     /// The job uses a feature that this version does not support.
     Unsupported,
+    /// No worker that is large enough has the label that one of the tasks requires.
+    NoWorker,
 }
 
 /// Number of an incarnation of a worker, as counted by its agent.
