Reject a job under the identity of a job of the other kind

Cause: the leader looked for a stored job in the log and for a volatile one in its memory only, so the second job replaced the first, whose steps stayed in the queue without a job.

Change: such a job is answered as invalid (E643). A volatile job under the identity of a stored one was answered 200 without a run before.

Test: two_jobs_under_one_identity_do_not_end_the_leader in tests/sim failed with mismatched summaries and passes now. cargo test -p figdeal-queue passes.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -417,6 +417,11 @@
         })
     }
 
+    /// Returns whether the job is a volatile one that has not ended.
+    pub fn is_volatile(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.spec.volatile)
+    }
+
     /// Returns whether every task has ended and only the commit of that is pending.
     pub fn is_ending(&self, id: JobId) -> bool {
         let ended = |t: &TaskState| matches!(t, TaskState::EndPending(_) | TaskState::Done);
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -76,6 +76,13 @@
         let Ok(id) = rest.parse::<JobId>() else {
             return Some(Answer::Invalid);
         };
+        if self.is_other_kind(id, spec.volatile) {
+            log::info!(
+                "E643 rejected a job under the identity of another one job={id} volatile={}",
+                spec.volatile
+            );
+            return Some(Answer::Invalid);
+        }
         if self.state.contains(id) {
             return Some(Answer::Accepted);
         }
@@ -126,6 +133,17 @@
         None
     }
 
+    /// Returns whether this leader knows the job as a volatile one and `volatile` is not set, or the other way round.
+    fn is_other_kind(&self, id: JobId, volatile: bool) -> bool {
+        let is_stored = self.state.contains(id) || self.waiters.submits.contains_key(&id);
+        let dispatcher = self.dispatcher.as_ref();
+        let is_volatile = dispatcher.is_some_and(|d| d.is_volatile(id));
+        match volatile {
+            true => is_stored,
+            false => is_volatile,
+        }
+    }
+
     /// Accepts a volatile job, whose caller waits for its end.
     fn submit_volatile(
         &mut self,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -277,6 +277,28 @@
     }
 }
 
+/// Guards against a leader that ends when a caller submits a stored job under the identity of a volatile one or the other
+/// way round. Its new leaders ended too.
+#[test]
+fn two_jobs_under_one_identity_do_not_end_the_leader() {
+    init_log();
+    for seed in 0..3 {
+        for first_volatile in [true, false] {
+            let mut simulation = Simulation::new(Plan {
+                fault_count: 0,
+                ..plan(seed)
+            });
+            let rejected = simulation.submit_two_kinds(first_volatile);
+            let violations = &simulation.checker.violations;
+            assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+            assert!(
+                !first_volatile || rejected > 0,
+                "seed {seed}: none is rejected"
+            );
+        }
+    }
+}
+
 /// Guards against nodes and agents that do not find the leader when all processes restart with seeds that are not
 /// voters. The seeds knew only each other (kuorotee-rota `scale-2`, seed 87028824851).
 #[test]
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -31,6 +31,7 @@
 mod long_runs;
 mod lost_orders;
 mod machines;
+mod same_identity;
 mod seed_change;
 
 pub(crate) use leader_loss::LeaderLoss;
