--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -2,7 +2,7 @@
 //! replica.
 
 use super::{
-    Action, Answer, Node, Origin, SNAPSHOT_LOG_BYTES, decode, no_leader,
+    Action, Answer, Node, Origin, SNAPSHOT_LOG_BYTES, decode, requests::no_leader,
     serve::OVERLOAD_RETRY_AFTER_MS,
 };
 use crate::{
