Share the jobs that the new tests submit

The scenarios of the simulation and the tests of a node built the same jobs twice. The assertions are unchanged. cargo test -p figdeal-queue passes.

--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -95,10 +95,10 @@
             for (task, placed) in &agent.placed {
                 let ratio = self.backlogs.get(placed.backlog).map(|b| b.run_time_ratio);
                 let expected = f64::from(placed.estimate_ms) * ratio.unwrap_or(1.0).max(1.0);
-                let limit = Duration::from_secs_f64(expected / 1_000.0) * STALL_FACTOR;
-                // The look at the job is left to the few runs beyond the limit without it.
-                let limit = limit + STALL_SLACK;
+                let limit =
+                    Duration::from_secs_f64(expected / 1_000.0) * STALL_FACTOR + STALL_SLACK;
                 let is_over = |limit| placed.progressed_at + limit < now;
+                // Few runs are beyond the lower limit, so few jobs are looked up.
                 if !placed.is_stopping()
                     && is_over(limit)
                     && is_over(limit * time_factor(self.slow_stops(*task)))
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -35,14 +35,26 @@
 }
 
 fn submit(node: &mut Node, at: u64, token: u64, estimate: u32) {
+    submit_step(node, at, token, estimate, Vec::new(), true);
+}
+
+fn submit_step(
+    node: &mut Node,
+    at: u64,
+    token: u64,
+    estimate: u32,
+    depends_on: Vec<u16>,
+    volatile: bool,
+) {
     let step = Step {
         count: 1,
         estimate_ms: estimate,
+        depends_on,
         ..Step::default()
     };
     let spec = JobSpec {
         steps: vec![step],
-        volatile: true,
+        volatile,
         ..JobSpec::default()
     };
     let request = Request::Submit {
@@ -199,25 +211,7 @@
 fn jobs_with_wrong_dependencies_are_rejected_at_once() {
     for (volatile, dependency) in [(true, 7), (false, 7), (true, 0), (true, u16::MAX)] {
         let mut node = node();
-        let step = Step {
-            count: 1,
-            estimate_ms: 60,
-            depends_on: vec![dependency],
-            ..Step::default()
-        };
-        let spec = JobSpec {
-            steps: vec![step],
-            volatile,
-            ..JobSpec::default()
-        };
-        let request = Request::Submit {
-            host: "host".to_owned(),
-            path: "/q/00000000000000aa".to_owned(),
-            spec,
-            age_ms: 0,
-            resubmitted: false,
-        };
-        node.on_request(clock(0), 1, request, CALLER_TIMEOUT);
+        submit_step(&mut node, 0, 1, 60, vec![dependency], volatile);
         assert_eq!(replies(&mut node), [(1, Answer::Invalid)], "{dependency}");
     }
 }
--- a/crates/figdeal-queue/tests/sim/simulation/callers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/callers.rs
@@ -2,6 +2,24 @@
 
 use super::*;
 
+/// Returns a stored job of one task.
+pub(super) fn job_of_one_task(millicores: u32, estimate_ms: u32) -> JobSpec {
+    let step = Step {
+        count: 1,
+        needs: Resources {
+            millicores,
+            ..Resources::default()
+        },
+        estimate_ms,
+        ..Step::default()
+    };
+    JobSpec {
+        payload: "work".to_owned(),
+        steps: vec![step],
+        volatile: false,
+    }
+}
+
 impl Simulation {
     /// Sends a request to a random node.
     pub(super) fn send_request(&mut self, request_kind: CallerRequest, request: Request) {
--- a/crates/figdeal-queue/tests/sim/simulation/long_runs.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/long_runs.rs
@@ -1,6 +1,6 @@
 //! Scenario: tasks take far longer than their callers estimate.
 
-use super::*;
+use super::{callers::job_of_one_task, *};
 
 /// Number of submitted jobs, each of one task.
 const JOBS: u64 = 300;
@@ -20,20 +20,7 @@
     ) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(4));
-        let step = Step {
-            count: 1,
-            needs: Resources {
-                millicores: 500,
-                ..Resources::default()
-            },
-            estimate_ms: ESTIMATE_MS,
-            ..Step::default()
-        };
-        let spec = JobSpec {
-            payload: "work".to_owned(),
-            steps: vec![step],
-            volatile: false,
-        };
+        let spec = job_of_one_task(500, ESTIMATE_MS);
         for n in 0..JOBS {
             let id = JobId(0x1000 + n);
             self.register_job(id, spec.clone());
--- a/crates/figdeal-queue/tests/sim/simulation/lost_orders.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/lost_orders.rs
@@ -1,6 +1,6 @@
 //! Scenario: an agent misses orders about its runs, which go on at its worker.
 
-use super::*;
+use super::{callers::job_of_one_task, *};
 
 /// Number of jobs, each of one task.
 const JOBS: u64 = 6;
@@ -25,20 +25,7 @@
     fn start_long_jobs(&mut self, millicores: u32) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(5));
-        let step = Step {
-            count: 1,
-            needs: Resources {
-                millicores,
-                ..Resources::default()
-            },
-            estimate_ms: RUN_TIME_MS,
-            ..Step::default()
-        };
-        let spec = JobSpec {
-            payload: "work".to_owned(),
-            steps: vec![step],
-            volatile: false,
-        };
+        let spec = job_of_one_task(millicores, RUN_TIME_MS);
         for n in 0..JOBS {
             let id = JobId(0x2000 + n);
             self.run_times.insert(id, RUN_TIME_MS);
