Tell the leader why a run is lost

RunOutcome::Lost now carries a LossReason, set where the agent reports the loss. No decision depends on it.

The encoding of RunEvent changes, so the nodes and agents of one system have to run the same version.

The test of a new worker counted one loss; it now also checks its reason. New tests check the other reasons.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -15,8 +15,8 @@
 use crate::{
     job::{Resources, TaskId},
     message::{
-        AgentReport, Announce, Incarnation, LeaderInfo, Order, Orders, PeerMessage, RunEvent,
-        RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
+        AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
+        RunEvent, RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
     },
     raft::Term,
 };
@@ -314,9 +314,10 @@
     }
 
     /// Reports all runs as lost.
-    fn report_runs_lost(&mut self, now: Timestamp) {
+    fn report_runs_lost(&mut self, now: Timestamp, reason: LossReason) {
         for (task, run) in std::mem::take(&mut self.runs) {
-            self.push_event(now, task, run.run, RunOutcome::Lost, run.started_at);
+            let outcome = RunOutcome::Lost(reason);
+            self.push_event(now, task, run.run, outcome, run.started_at);
         }
     }
 
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -9,7 +9,7 @@
 use figdeal_core::time::Timestamp;
 
 use super::{Agent, Heartbeat};
-use crate::message::{RunOutcome, WorkerInfo};
+use crate::message::{LossReason, RunOutcome, WorkerInfo};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
 const MAX_CANDIDATES: usize = 4;
@@ -113,7 +113,7 @@
                 continue;
             }
             if !self.is_known(&heartbeat) && self.worker.is_some() {
-                self.new_incarnation(now, heartbeat.started_at_ms);
+                self.new_incarnation(now, heartbeat.started_at_ms, LossReason::NewIncarnation);
             }
             self.worker_started_at_ms = heartbeat.started_at_ms;
             self.update_worker(heartbeat);
@@ -168,15 +168,20 @@
             .is_some_and(|(known_id, _)| known_id == id)
         {
             log::info!("E705 worker left worker={id} runs={}", self.runs.len());
-            self.new_incarnation(now, None);
+            self.new_incarnation(now, None, LossReason::WorkerLeft);
         }
         self.candidates
             .retain(|candidate| candidate.heartbeat.id != id);
     }
 
-    /// Handles a new incarnation of the worker. Runs that the previous incarnation listed have ended. A start that it
+    /// Handles a new incarnation or the departure of the worker, as `reason` tells. Runs that the previous incarnation listed have ended. A start that it
     /// did not list may have reached the new incarnation; a poll under a higher fencing token decides that.
-    pub(super) fn new_incarnation(&mut self, now: Timestamp, started_at_ms: Option<u64>) {
+    pub(super) fn new_incarnation(
+        &mut self,
+        now: Timestamp,
+        started_at_ms: Option<u64>,
+        reason: LossReason,
+    ) {
         let previous = self.incarnation;
         self.incarnation += 1;
         self.worker_started_at_ms = started_at_ms;
@@ -193,7 +198,8 @@
             undecided.len()
         );
         for (task, run) in ended {
-            self.push_event(now, task, run.run, RunOutcome::Lost, run.started_at);
+            let outcome = RunOutcome::Lost(reason);
+            self.push_event(now, task, run.run, outcome, run.started_at);
         }
         self.runs = undecided;
         for run in self.runs.values_mut() {
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -8,7 +8,10 @@
 use super::{
     Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, speed::SpeedMeter,
 };
-use crate::{job::TaskId, message::RunOutcome};
+use crate::{
+    job::TaskId,
+    message::{LossReason, RunOutcome},
+};
 
 /// Maximum number of ended runs in one reply of the worker. A list of this length may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
@@ -211,7 +214,7 @@
                 "E715 worker lease expired; reporting its runs as lost runs={}",
                 self.runs.len()
             );
-            self.report_runs_lost(now);
+            self.report_runs_lost(now, LossReason::LeaseExpired);
         }
     }
 
@@ -298,7 +301,7 @@
             if reply.started_at_ms < self.worker_started_at_ms {
                 return;
             }
-            self.new_incarnation(now, reply.started_at_ms);
+            self.new_incarnation(now, reply.started_at_ms, LossReason::NewIncarnation);
         }
         // Before the first heartbeat, the poll tells which incarnation runs.
         if self.worker_started_at_ms.is_none() && self.worker.is_none() {
@@ -344,7 +347,7 @@
             let outcome = match listed_outcome {
                 ListedOutcome::Done => RunOutcome::Done,
                 ListedOutcome::Failed => RunOutcome::Failed,
-                ListedOutcome::Lost => RunOutcome::Lost,
+                ListedOutcome::Lost => RunOutcome::Lost(LossReason::EndedWithoutResult),
             };
             self.push_event(now, task, run, outcome, started_at);
             self.poll.unacked_ends.push_back((self.last_event, number));
@@ -405,7 +408,8 @@
                 "E718 run is missing on the worker task={task} run={}",
                 run.run
             );
-            self.push_event(now, task, run.run, RunOutcome::Lost, run.started_at);
+            let outcome = RunOutcome::Lost(LossReason::NotListed);
+            self.push_event(now, task, run.run, outcome, run.started_at);
         }
         self.find_slow_runs(now);
     }
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -88,7 +88,7 @@
         }
         let to_commit = match event.outcome {
             RunOutcome::Done | RunOutcome::Failed => self.on_run_end(now, key, event, placed),
-            RunOutcome::Lost => {
+            RunOutcome::Lost(_) => {
                 self.run_lost(key, event.task, event.run);
                 false
             }
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -141,12 +141,27 @@
     Done,
     /// The run failed through its own fault or the worker's.
     Failed,
-    /// The run was stopped, its lease expired, or its worker is gone.
-    Lost,
+    /// The run ended without a result, or its agent can no longer tell how it ends.
+    Lost(LossReason),
     /// The run did not start and never will.
     NotStarted(StartRejection),
 }
 
+/// Why an agent reports a run as lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LossReason {
+    /// The agent did not renew the worker lease, so it must have expired.
+    LeaseExpired,
+    /// Another incarnation of the worker runs than the one that listed the run.
+    NewIncarnation,
+    /// The worker has deregistered.
+    WorkerLeft,
+    /// The worker does not list the run, although it would if it had it.
+    NotListed,
+    /// The worker lists the run as ended without a result, for example because it was stopped.
+    EndedWithoutResult,
+}
+
 /// Why a run did not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRejection {
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -4,9 +4,9 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Action, Agent, Heartbeat, ListedRun, PollReply, StartReply},
+    agent::{Action, Agent, Heartbeat, ListedOutcome, ListedRun, PollReply, StartReply},
     job::{JobId, Resources, TaskId},
-    message::{LeaderInfo, Order, Orders, PeerMessage, RunEvent, RunOutcome, SlowRun},
+    message::{LeaderInfo, LossReason, Order, Orders, PeerMessage, RunEvent, RunOutcome, SlowRun},
 };
 
 fn address(host: u8) -> SocketAddr {
@@ -229,8 +229,16 @@
     incarnation: Option<u32>,
     /// Pool of the worker in the last report.
     pool: Option<String>,
-    /// Runs that were reported as lost.
-    lost_runs: usize,
+    /// For each run that was reported as lost, the reason.
+    lost_runs: Vec<LossReason>,
+}
+
+fn loss_reasons(events: &[RunEvent]) -> Vec<LossReason> {
+    let reasons = events.iter().filter_map(|event| match event.outcome {
+        RunOutcome::Lost(reason) => Some(reason),
+        _ => None,
+    });
+    reasons.collect()
 }
 
 fn after_heartbeat(heartbeat: Heartbeat, started_at_ms: u64) -> AfterHeartbeat {
@@ -239,7 +247,7 @@
     let mut after = AfterHeartbeat {
         incarnation: None,
         pool: None,
-        lost_runs: 0,
+        lost_runs: Vec::new(),
     };
     let own_worker = started_at_ms == 1;
     for step in 1..60 {
@@ -273,10 +281,10 @@
                 Action::Send(_, PeerMessage::Report(report)) => {
                     after.incarnation = report.worker.as_ref().map(|w| w.incarnation);
                     after.pool = report.worker.map(|w| w.pool);
-                    let lost = |e: &&RunEvent| e.outcome == RunOutcome::Lost;
-                    after.lost_runs = after
-                        .lost_runs
-                        .max(report.events.iter().filter(lost).count());
+                    let lost = loss_reasons(&report.events);
+                    if lost.len() > after.lost_runs.len() {
+                        after.lost_runs = lost;
+                    }
                 }
                 _ => {}
             }
@@ -307,7 +315,7 @@
     for (id, started_at_ms) in [("next", 9), ("w", 9), ("next", 1)] {
         let after = after_heartbeat(heartbeat(id, started_at_ms, "other"), 1);
         let text = format!("worker {id}, started at {started_at_ms}");
-        assert_eq!(after.lost_runs, 0, "{text}");
+        assert_eq!(after.lost_runs, [], "{text}");
         assert_eq!(after.incarnation, Some(1), "{text}");
         assert_eq!(after.pool.as_deref(), Some("pool"), "{text}");
     }
@@ -317,7 +325,9 @@
 #[test]
 fn a_new_worker_is_used_once_it_confirms_its_start() {
     let after = after_heartbeat(heartbeat("next", 9, "pool"), 9);
-    assert_eq!((after.lost_runs, after.incarnation), (1, Some(2)));
+    // The former worker never listed the run, so a poll of the new one decides.
+    assert_eq!(after.lost_runs, [LossReason::NotListed]);
+    assert_eq!(after.incarnation, Some(2));
 }
 
 /// Guards against an agent that takes the first heartbeat for its worker's, and then ignores the worker for good because
@@ -339,3 +349,101 @@
     });
     assert_eq!(reported.map(|w| w.pool).as_deref(), Some("pool"));
 }
+
+/// Returns an agent whose worker has listed its run, the run, and the time of that.
+fn agent_with_listed_run() -> (Agent, ListedRun, Timestamp) {
+    let start = Timestamp::from_micros(1_000_000);
+    let (mut agent, task) = busy_agent(start);
+    let run = ListedRun {
+        task,
+        run: 1,
+        progress_percent: None,
+    };
+    let now = start + Duration::from_millis(100);
+    answer_polls(&mut agent, now, &[run]);
+    (agent, run, now)
+}
+
+/// Returns the reasons of the runs that the next report tells as lost.
+fn reported_losses(agent: &mut Agent, now: Timestamp) -> Vec<LossReason> {
+    agent.tick(now);
+    let actions = agent.take_actions().into_iter();
+    let reasons = actions.filter_map(|action| match action {
+        Action::Send(_, PeerMessage::Report(report)) => Some(loss_reasons(&report.events)),
+        _ => None,
+    });
+    reasons.flatten().collect()
+}
+
+/// Guards against a departure that the leader cannot tell from other losses, when tasks are found to run twice.
+#[test]
+fn a_departure_is_the_reason_of_its_losses() {
+    let (mut agent, _, now) = agent_with_listed_run();
+    agent.worker_left(now, "w");
+    assert_eq!(reported_losses(&mut agent, now), [LossReason::WorkerLeft]);
+}
+
+/// Guards against a restart of the worker that the leader cannot tell from other losses.
+#[test]
+fn a_new_incarnation_is_the_reason_of_its_losses() {
+    let (mut agent, _, start) = agent_with_listed_run();
+    let now = start + Duration::from_millis(100);
+    agent.tick(now);
+    for action in agent.take_actions() {
+        if let Action::Poll(call) = action {
+            let reply = PollReply {
+                clock_ms: 1,
+                started_at_ms: Some(2),
+                running: Vec::new(),
+                ended: Vec::new(),
+            };
+            agent.on_poll_reply(now, call.number, Some(reply));
+        }
+    }
+    let losses = reported_losses(&mut agent, now);
+    assert_eq!(losses, [LossReason::NewIncarnation]);
+}
+
+/// Guards against an expired worker lease that the leader cannot tell from other losses: the agent holds a lease, but
+/// its worker does not reply.
+#[test]
+fn an_expired_worker_lease_is_the_reason_of_its_losses() {
+    let (mut agent, _, start) = agent_with_listed_run();
+    let mut losses = Vec::new();
+    for step in 1..150 {
+        let now = start + Duration::from_millis(10) * step;
+        if step % 10 == 0 {
+            agent.on_message(now, orders(now, 2 + u64::from(step), Vec::new()));
+        }
+        losses.extend(reported_losses(&mut agent, now));
+    }
+    assert_eq!(losses.first(), Some(&LossReason::LeaseExpired));
+    assert!(losses.iter().all(|l| *l == LossReason::LeaseExpired));
+}
+
+/// Guards against a run that the worker stopped or no longer lists, and that the leader cannot tell from a run whose
+/// worker is gone.
+#[test]
+fn the_list_of_the_worker_is_the_reason_of_its_losses() {
+    for (ended, expected) in [
+        (true, LossReason::EndedWithoutResult),
+        (false, LossReason::NotListed),
+    ] {
+        let (mut agent, run, start) = agent_with_listed_run();
+        let now = start + Duration::from_millis(100);
+        agent.tick(now);
+        for action in agent.take_actions() {
+            if let Action::Poll(call) = action {
+                let end = (1, run.task, run.run, ListedOutcome::Lost);
+                let reply = PollReply {
+                    clock_ms: now.as_micros() / 1_000,
+                    started_at_ms: Some(1),
+                    running: Vec::new(),
+                    ended: ended.then_some(end).into_iter().collect(),
+                };
+                agent.on_poll_reply(now, call.number, Some(reply));
+            }
+        }
+        assert_eq!(reported_losses(&mut agent, now), [expected]);
+    }
+}
