Tell a start that was not sent from one without an answer

Cause: a start whose connection could not be opened, or that found no free call, counted as one without an answer, so the agent had to ask its worker, which is down, whether it runs.

Change: the client of the worker tells calls that were not sent. Such a start is reported as not started (WorkerSilent).

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -10,6 +10,7 @@
 use figdeal_queue::{
     agent::{Action, Agent, CALL_TIMEOUT, Heartbeat, PollReply, START_TIMEOUT, StartReply},
     job::TaskId,
+    message::StartRejection,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -22,7 +23,7 @@
     http::{self, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
-    worker_client::WorkerClient,
+    worker_client::{CallError, WorkerClient},
 };
 
 /// Bound of each of the two input channels: inputs and connection events.
@@ -216,6 +217,7 @@
                         let timeout = call.wait + CALL_TIMEOUT;
                         let answer = worker.call(wire::encode_poll(&call), timeout).await;
                         let reply = answer
+                            .ok()
                             .and_then(|(status, body)| wire::decode_poll_reply(status, &body));
                         // The receiver is gone only when the process is ending.
                         let _ = input_sender
@@ -229,9 +231,13 @@
                         let timeout =
                             START_TIMEOUT + START_TIMEOUT_PER_CALL * worker.outstanding_calls();
                         let answer = worker.call(wire::encode_start(&call), timeout).await;
-                        let reply = answer.map_or(StartReply::Unknown, |(status, body)| {
-                            wire::decode_start_reply(status, &body)
-                        });
+                        let reply = match answer {
+                            Ok((status, body)) => wire::decode_start_reply(status, &body),
+                            Err(CallError::NotSent) => {
+                                StartReply::Rejected(StartRejection::WorkerSilent)
+                            }
+                            Err(CallError::NoResponse) => StartReply::Unknown,
+                        };
                         let _ = input_sender
                             .send(Input::StartReply(call.task, call.run, reply))
                             .await;
@@ -242,7 +248,7 @@
                     tokio::spawn(async move {
                         // The reply is ignored: the list of ended runs shows whether the run has stopped. Until then
                         // the call is repeated.
-                        worker.call(wire::encode_stop(&call), CALL_TIMEOUT).await;
+                        let _ = worker.call(wire::encode_stop(&call), CALL_TIMEOUT).await;
                     });
                 }
             }
--- a/crates/figdeal-node/src/worker_client.rs
+++ b/crates/figdeal-node/src/worker_client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    error::Error,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -12,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header::CONTENT_TYPE};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{self, Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use tokio::{
@@ -33,8 +34,17 @@
 /// closes its connection.
 const MIN_FREE_CALLS: usize = 16;
 
-/// Result of one request and its response.
-type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+/// Status and body of the response to a call.
+type Result = std::result::Result<(u16, Bytes), CallError>;
+
+/// Why a call has no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No connection could be opened or was free, so the call cannot be carried out.
+    NotSent,
+    /// There was no response in time. The call may be carried out, also later.
+    NoResponse,
+}
 
 /// Client of one worker with a bounded number of concurrent calls.
 #[derive(Debug, Clone)]
@@ -94,19 +104,15 @@
         overdue_calls.push_back(call);
     }
 
-    /// Makes a call. Returns status and body, or `None` if there was no response within `call_timeout`.
-    pub(crate) async fn call(
-        &self,
-        call: WorkerCall,
-        call_timeout: Duration,
-    ) -> Option<(u16, Bytes)> {
+    /// Makes a call, and waits for the response for at most `call_timeout`.
+    pub(crate) async fn call(&self, call: WorkerCall, call_timeout: Duration) -> Result {
         let path = call.path;
         self.abort_oldest_if_scarce();
         let Ok(permit) = Arc::clone(&self.call_permits).try_acquire_owned() else {
             log::warn!(
                 "E660 too many worker calls in progress, call not made path={path} calls={MAX_CALLS}"
             );
-            return None;
+            return Err(CallError::NotSent);
         };
         let (sender, answer) = oneshot::channel();
         let worker = self.clone();
@@ -115,14 +121,17 @@
             drop(permit);
             match exchange {
                 // The receiver is gone if the response comes after the timeout.
-                Ok(Ok(answer)) => drop(sender.send(answer)),
-                Ok(Err(e)) => log::info!("E661 worker call failed path={path} error={e}"),
+                Ok(Ok(answer)) => drop(sender.send(Ok(answer))),
+                Ok(Err(e)) => {
+                    log::info!("E661 worker call failed path={path} error={e}");
+                    drop(sender.send(Err(call_error(e.as_ref()))));
+                }
                 Err(_) => log::info!("E676 no late reply, worker call aborted path={path}"),
             }
         });
         tokio::pin!(answer);
         match tokio::time::timeout(call_timeout, answer.as_mut()).await {
-            Ok(answer) => answer.ok(),
+            Ok(answer) => answer.unwrap_or(Err(CallError::NoResponse)),
             Err(_) => {
                 // If the whole process was paused, its timers fire before it reads a response that has already arrived.
                 for _ in 0..YIELDS_AFTER_TIMEOUT {
@@ -132,12 +141,18 @@
                 if answer.is_err() {
                     self.add_overdue(exchange.abort_handle());
                 }
-                answer.ok()?.ok()
+                match answer {
+                    Ok(Ok(answer)) => answer,
+                    _ => Err(CallError::NoResponse),
+                }
             }
         }
     }
 
-    async fn exchange(&self, call: WorkerCall) -> Result<(u16, Bytes)> {
+    async fn exchange(
+        &self,
+        call: WorkerCall,
+    ) -> std::result::Result<(u16, Bytes), Box<dyn Error + Send + Sync>> {
         let mut request = Request::post(format!("http://{}{}", self.address, call.path))
             .header(CONTENT_TYPE, "application/json");
         if let Some(expected) = call.expected_instance {
@@ -149,3 +164,10 @@
         Ok((status, response.into_body().collect().await?.to_bytes()))
     }
 }
+
+fn call_error(error: &(dyn Error + Send + Sync + 'static)) -> CallError {
+    match error.downcast_ref::<legacy::Error>() {
+        Some(e) if e.is_connect() => CallError::NotSent,
+        _ => CallError::NoResponse,
+    }
+}
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -14,8 +14,8 @@
 
 /// Time without further starts for a worker that refused a start or had no room for it.
 const REFUSED_START_DELAY: Duration = Duration::from_millis(150);
-/// Time without further starts for an agent that found a start outdated or meant for another worker, so that the same
-/// order is not repeated immediately.
+/// Time without further starts for an agent that found a start outdated or meant for another worker, or whose worker is
+/// silent, so that the same order is not repeated immediately.
 const STALE_START_DELAY: Duration = Duration::from_millis(30);
 /// Weight of a new run in each queue's moving average of the ratio of run time to estimate.
 const RUN_TIME_RATIO_WEIGHT: f64 = 0.02;
@@ -95,7 +95,9 @@
             RunOutcome::NotStarted(rejection) => {
                 let delay = match rejection {
                     StartRejection::NoRoom | StartRejection::RefusedByWorker => REFUSED_START_DELAY,
-                    StartRejection::WrongWorker | StartRejection::StaleOrder => STALE_START_DELAY,
+                    StartRejection::WrongWorker
+                    | StartRejection::StaleOrder
+                    | StartRejection::WorkerSilent => STALE_START_DELAY,
                 };
                 self.agents[key].health.pause_starts(now, delay);
                 self.run_lost(key, event.task, event.run);
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -174,6 +174,8 @@
     StaleOrder,
     /// The worker refused the start for any other reason.
     RefusedByWorker,
+    /// The worker cannot be reached or does not answer, so it was not asked.
+    WorkerSilent,
 }
 
 /// End of a run, which an agent reports until the leader acknowledges it.
