Do not report a start as lost by the clock of a former incarnation

Cause: the agent counted each run as ended 0.56 s after the last renewal of the worker lease. The expiry is by the clock that the worker told last. A worker that has restarted under its identity has a new clock and has seen no fencing token, so it carries out a start that it gets late, or takes the expiry for its longest lease of 1 s.

Change: lease expiry decides only runs that the known incarnation has listed. A start that was answered counts as ended after the longest lease, one without an answer once the worker replies under a higher fence, or 12.5 s after it was sent. A worker that is silent, or has a start without an answer, gets no further starts, so that few are held back.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -39,6 +39,11 @@
 /// Time after the last attempt to renew the worker lease, successful or not, by which every run has ended:
 /// [`WORKER_LEASE`] by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(560);
+/// Time after the last attempt to renew the worker lease by which also a run has ended that the known incarnation of the
+/// worker has not listed. A new incarnation has another clock, and may have taken the expiry for its longest lease of 1 s.
+pub const UNLISTED_RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(1_080);
+/// Time after which a start without an answer is not carried out any more.
+pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
 /// Time after the last report of an unreachable agent by which all its runs have ended: [`AGENT_LEASE`] by a slow
 /// clock, plus [`RUN_LOSS_TIMEOUT`].
 pub const AGENT_LOSS_TIMEOUT: Duration = Duration::from_millis(1_150);
@@ -313,9 +318,9 @@
         self.shutting_down && self.runs.is_empty() && self.events.is_empty()
     }
 
-    /// Reports all runs as lost.
-    fn report_runs_lost(&mut self, now: Timestamp, reason: LossReason) {
-        for (task, run) in std::mem::take(&mut self.runs) {
+    /// Reports a run as lost.
+    fn report_lost(&mut self, now: Timestamp, task: TaskId, reason: LossReason) {
+        if let Some(run) = self.runs.remove(&task) {
             let outcome = RunOutcome::Lost(reason);
             self.push_event(now, task, run.run, outcome, run.started_at);
         }
@@ -480,7 +485,7 @@
             needs_known: r.needs.is_some(),
         });
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
-            draining: w.draining || self.shutting_down,
+            draining: w.draining || self.shutting_down || self.is_worker_silent(now),
             ..w.clone()
         });
         let report = AgentReport {
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -162,11 +162,8 @@
 
     /// Handles the final departure of a worker.
     pub fn worker_left(&mut self, now: Timestamp, id: &str) {
-        if self
-            .worker
-            .as_ref()
-            .is_some_and(|(known_id, _)| known_id == id)
-        {
+        let known = self.worker.as_ref();
+        if known.is_some_and(|(known_id, _)| known_id == id) {
             log::info!("E705 worker left worker={id} runs={}", self.runs.len());
             self.new_incarnation(now, None, LossReason::WorkerLeft);
         }
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -6,7 +6,8 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, speed::SpeedMeter,
+    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, UNANSWERED_START_TIMEOUT,
+    UNLISTED_RUN_LOSS_TIMEOUT, WORKER_LEASE, speed::SpeedMeter,
 };
 use crate::{
     job::TaskId,
@@ -31,7 +32,7 @@
 /// Time after which a pending poll is forgotten if the driver has reported neither a reply nor a failure.
 const PENDING_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a reply after which the worker lease is not renewed any more, so that the agent can tell when it has
-/// expired for certain.
+/// expired for certain, and no run is started.
 const WORKER_SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How a run ended, as listed by the worker.
@@ -203,29 +204,51 @@
             .map_or(earliest, |reply_due| reply_due + HEDGE_DELAY)
     }
 
-    /// Reports all runs as lost once the worker lease must have expired.
+    /// Reports the runs as lost that must have ended without a renewal of the worker lease.
     fn check_lease_expiry(&mut self, now: Timestamp) {
-        let expired = self
-            .poll
-            .renewed_at
-            .is_some_and(|at| at + RUN_LOSS_TIMEOUT < now);
-        if expired && !self.runs.is_empty() {
+        let has_ended = |run: &Run| self.has_ended(now, run);
+        let ended = self.runs.iter().filter(|(_, run)| has_ended(run));
+        let ended: Vec<TaskId> = ended.map(|(task, _)| *task).collect();
+        if !ended.is_empty() {
             log::warn!(
-                "E715 worker lease expired; reporting its runs as lost runs={}",
-                self.runs.len()
+                "E715 worker lease expired; reporting runs as lost runs={} undecided={}",
+                ended.len(),
+                self.runs.len() - ended.len()
             );
-            self.report_runs_lost(now, LossReason::LeaseExpired);
+        }
+        for task in ended {
+            self.report_lost(now, task, LossReason::LeaseExpired);
+        }
+    }
+
+    /// Returns whether a run must have ended, although the worker has not listed its end.
+    fn has_ended(&self, now: Timestamp, run: &Run) -> bool {
+        if run.listed_by == Some(self.incarnation) {
+            return self.is_unrenewed_for(now, RUN_LOSS_TIMEOUT);
+        }
+        // The worker may have restarted since its last reply. The expiry of a start is by the former clock, so it is no limit
+        // for a start that the new incarnation carries out.
+        match run.confirmed_at.is_some() {
+            true => self.is_unrenewed_for(now, UNLISTED_RUN_LOSS_TIMEOUT),
+            false => run.started_at + UNANSWERED_START_TIMEOUT < now,
         }
     }
 
+    /// Returns whether the worker lease was not renewed for longer than `time`.
+    fn is_unrenewed_for(&self, now: Timestamp, time: Duration) -> bool {
+        self.poll.renewed_at.is_some_and(|at| at + time < now)
+    }
+
+    /// Returns whether the worker has not replied for so long that its lease is not renewed any more.
+    pub(super) fn is_worker_silent(&self, now: Timestamp) -> bool {
+        let replied_at = self.poll.replied_at;
+        replied_at.is_some_and(|at| at + WORKER_SILENCE_TIMEOUT < now)
+    }
+
     fn poll_worker(&mut self, now: Timestamp, wait: Duration) {
-        let worker_silent = self
-            .poll
-            .replied_at
-            .is_some_and(|at| at + WORKER_SILENCE_TIMEOUT < now);
         // Without the worker's clock no expiry is sent. One far in the future is no substitute: the worker would cap it
         // at its longest lease, counted from when it carries out the call, which may be seconds later.
-        let lease_expiry_ms = if worker_silent {
+        let lease_expiry_ms = if self.is_worker_silent(now) {
             None
         } else {
             self.new_lease_expiry(now)
@@ -403,13 +426,11 @@
             }
         }
         for task in missing {
-            let run = self.runs.remove(&task).expect("the run must be known");
             log::warn!(
                 "E718 run is missing on the worker task={task} run={}",
-                run.run
+                self.runs[&task].run
             );
-            let outcome = RunOutcome::Lost(LossReason::NotListed);
-            self.push_event(now, task, run.run, outcome, run.started_at);
+            self.report_lost(now, task, LossReason::NotListed);
         }
         self.find_slow_runs(now);
     }
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -103,6 +103,10 @@
         {
             return Some(StartRejection::StaleOrder);
         }
+        // A start without an answer may be decided only much later, so there must not be many.
+        if self.is_worker_silent(now) || self.runs.values().any(|run| run.start_unanswered) {
+            return Some(StartRejection::WorkerSilent);
+        }
         let has_room =
             !self.runs.contains_key(&task) && needs.fits_into(self.free_resources(worker.capacity));
         (!has_room).then_some(StartRejection::NoRoom)
--- /dev/null
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -0,0 +1,313 @@
+//! Tests of one agent beside a worker that restarts under its identity, leaves, or does not answer.
+
+use std::time::Duration;
+
+use figdeal_core::time::Timestamp;
+use figdeal_queue::{
+    agent::{Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply, StartCall, StartReply},
+    job::{JobId, Resources, TaskId},
+    message::{AgentReport, LossReason, Order, Orders, PeerMessage, RunOutcome, StartRejection},
+};
+use figdeal_stand_in::worker::{Run, Worker};
+
+/// Step of the simulated time.
+const STEP: Duration = Duration::from_millis(5);
+/// Interval between two messages of the leader, in steps.
+const ORDERS_STEPS: u64 = 20;
+/// Clock of the worker when a test begins. An expiry by it is far ahead for a worker that has just started.
+const WORKER_AGE: Duration = Duration::from_secs(100);
+/// Run time of a task, unless a test sets another one.
+const RUN_TIME: Duration = Duration::from_millis(400);
+const ID: &str = "w";
+const LOST: RunOutcome = RunOutcome::Lost(LossReason::LeaseExpired);
+const NOT_LISTED: RunOutcome = RunOutcome::Lost(LossReason::NotListed);
+const NEEDS: Resources = Resources {
+    millicores: 1_000,
+    memory_mb: 0,
+    gpus: 0,
+};
+
+/// An agent, its worker, and a leader that renews the lease of the agent.
+struct Pair {
+    agent: Agent,
+    worker: Worker,
+    now: Timestamp,
+    /// Whether calls are carried out and answered at once. Otherwise they get no answer and are kept in `held`.
+    answers: bool,
+    held: Vec<Action>,
+    run_time: Duration,
+    steps: u64,
+    last_orders: u64,
+    /// Newest event that was reported.
+    last_event: u64,
+    outcomes: Vec<(TaskId, RunOutcome)>,
+    report: Option<AgentReport>,
+}
+
+impl Pair {
+    fn new(started_at_ms: u64) -> Pair {
+        let now = Timestamp::ZERO + WORKER_AGE;
+        let seed = "127.0.0.3:7000".parse().unwrap();
+        let mut pair = Pair {
+            agent: Agent::new("127.0.0.9:7000".parse().unwrap(), 7, vec![seed]),
+            worker: Worker::new(Timestamp::ZERO, started_at_ms, 8_000),
+            now,
+            answers: true,
+            held: Vec::new(),
+            run_time: RUN_TIME,
+            steps: 0,
+            last_orders: 0,
+            last_event: 0,
+            outcomes: Vec::new(),
+            report: None,
+        };
+        pair.heartbeat();
+        pair.order(Vec::new());
+        pair.advance(Duration::from_millis(300));
+        pair
+    }
+
+    fn heartbeat(&mut self) {
+        let heartbeat = Heartbeat {
+            id: ID.to_owned(),
+            started_at_ms: Some(self.worker.incarnation),
+            sequence: 1,
+            pool: "pool".to_owned(),
+            capacity: self.worker.capacity,
+            labels: Vec::new(),
+            draining: false,
+        };
+        self.agent.on_heartbeat(self.now, heartbeat);
+    }
+
+    /// Delivers a message of the leader.
+    fn order(&mut self, orders: Vec<Order>) {
+        self.last_orders += 1;
+        let message = Orders {
+            leader: "127.0.0.3:7000".parse().unwrap(),
+            term: 1,
+            session: 7,
+            fence: 5,
+            lease_start_us: self.now.as_micros(),
+            number: self.last_orders,
+            acked_event: self.last_event,
+            orders,
+        };
+        self.agent
+            .on_message(self.now, PeerMessage::Orders(message));
+        self.run_actions();
+    }
+
+    /// Orders the start of a task and returns it.
+    fn start(&mut self, index: u32) -> TaskId {
+        let task = TaskId {
+            job: JobId(1),
+            step: 0,
+            index,
+        };
+        let reported = self.report.as_ref().and_then(|r| r.worker.as_ref());
+        let incarnation = reported.map_or(1, |w| w.incarnation);
+        let start = Order::Start {
+            task,
+            run: 1,
+            incarnation,
+            needs: NEEDS,
+            expected_ms: 400,
+            payload: "x".to_owned(),
+        };
+        self.order(vec![start]);
+        task
+    }
+
+    /// Replaces the worker by a new incarnation with the same identity.
+    fn restart(&mut self, started_at_ms: u64) {
+        self.worker = Worker::new(self.now, started_at_ms, 8_000);
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.steps += 1;
+            self.worker.advance(self.now);
+            if self.steps.is_multiple_of(ORDERS_STEPS) {
+                self.order(Vec::new());
+            }
+            self.agent.tick(self.now);
+            self.run_actions();
+        }
+    }
+
+    fn run_actions(&mut self) {
+        loop {
+            let actions = self.agent.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    Action::Send(_, message) => self.on_sent(message),
+                    call if self.answers => self.carry_out(&call),
+                    call => {
+                        self.leave_unanswered(&call);
+                        self.held.push(call);
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_sent(&mut self, message: PeerMessage) {
+        let PeerMessage::Report(report) = message else {
+            return;
+        };
+        for event in &report.events {
+            if event.seq > self.last_event {
+                self.last_event = event.seq;
+                self.outcomes.push((event.task, event.outcome));
+            }
+        }
+        self.report = Some(report);
+    }
+
+    fn carry_out(&mut self, call: &Action) {
+        match call {
+            Action::Poll(call) => {
+                let reply = self.poll_worker(call);
+                self.agent.on_poll_reply(self.now, call.number, reply);
+            }
+            Action::Start(call) => {
+                let reply = self.start_run(call);
+                self.agent
+                    .on_start_reply(self.now, call.task, call.run, reply);
+            }
+            Action::Stop(call) => self.worker.stop(self.now, call),
+            Action::Send(..) => {}
+        }
+    }
+
+    fn poll_worker(&mut self, call: &PollCall) -> Option<PollReply> {
+        self.worker.renew_lease(self.now, call)?;
+        Some(self.worker.status(self.now))
+    }
+
+    fn start_run(&mut self, call: &StartCall) -> StartReply {
+        let reply = self.worker.check_start(self.now, call);
+        if reply == StartReply::Started && !self.runs(call.task) {
+            let run = Run {
+                run: call.run,
+                start: self.now,
+                end: self.now + self.run_time,
+                outcome: ListedOutcome::Done,
+                needs: NEEDS,
+            };
+            self.worker.start_run(self.now, call, run);
+        }
+        reply
+    }
+
+    fn leave_unanswered(&mut self, call: &Action) {
+        match call {
+            Action::Poll(call) => self.agent.on_poll_reply(self.now, call.number, None),
+            Action::Start(call) => {
+                let reply = StartReply::Unknown;
+                self.agent
+                    .on_start_reply(self.now, call.task, call.run, reply);
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets the present worker carry out the starts that got no answer.
+    fn carry_out_held_starts(&mut self) {
+        for call in std::mem::take(&mut self.held) {
+            if let Action::Start(call) = call {
+                self.start_run(&call);
+            }
+        }
+    }
+
+    fn runs(&self, task: TaskId) -> bool {
+        self.worker.runs.contains_key(&task)
+    }
+
+    fn outcomes_of(&self, task: TaskId) -> Vec<RunOutcome> {
+        let outcomes = self.outcomes.iter().filter(|(t, _)| *t == task);
+        outcomes.map(|(_, outcome)| *outcome).collect()
+    }
+}
+
+/// Guards against a task that runs again after it was started elsewhere: its start was carried out late by a worker that had
+/// restarted unnoticed, and whose new clock was far below the expiry (soak seeds 409, 515 and 517).
+#[test]
+fn a_start_that_a_restarted_worker_may_still_carry_out_is_not_lost() {
+    let mut pair = Pair::new(1);
+    pair.restart(2);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(2_500));
+    pair.carry_out_held_starts();
+    assert!(pair.runs(task), "the expiry is by the former clock");
+    assert_eq!(pair.outcomes_of(task), [], "it may run");
+    pair.answers = true;
+    pair.advance(Duration::from_millis(600));
+    assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
+}
+
+/// Guards against a task that is held back for longer than needed after its worker has restarted.
+#[test]
+fn a_reply_under_a_higher_fence_decides_a_start_without_an_answer() {
+    let mut pair = Pair::new(1);
+    pair.restart(2);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(800));
+    pair.answers = true;
+    pair.advance(Duration::from_millis(100));
+    assert_eq!(pair.outcomes_of(task), [NOT_LISTED]);
+    pair.carry_out_held_starts();
+    assert!(!pair.runs(task), "the worker knows a higher fence");
+}
+
+/// Guards against a task that waits for ever for a worker that is gone.
+#[test]
+fn a_start_without_an_answer_is_lost_in_the_end() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(12_000));
+    assert_eq!(pair.outcomes_of(task), []);
+    pair.advance(Duration::from_millis(1_000));
+    assert_eq!(pair.outcomes_of(task), [LOST]);
+}
+
+/// Guards against starts that can only be decided late, because they are sent to a worker that does not answer.
+#[test]
+fn a_worker_that_does_not_answer_gets_no_starts() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    pair.start(0);
+    let next = pair.start(1);
+    pair.advance(Duration::from_millis(20));
+    let silent = RunOutcome::NotStarted(StartRejection::WorkerSilent);
+    assert_eq!(pair.outcomes_of(next), [silent]);
+}
+
+/// Guards against a run that is started elsewhere before it ends: a start reached a worker that had restarted unnoticed, whose
+/// new clock made a lease of up to 1 s of an expiry in 0.5 s.
+#[test]
+fn a_run_whose_lease_was_granted_by_a_former_clock_is_lost_only_after_the_longest_lease() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.restart(2);
+    let task = pair.start(0);
+    pair.answers = false;
+    let mut lost_while_running = false;
+    for _ in 0..400 {
+        pair.advance(STEP);
+        let is_lost = pair.outcomes_of(task) == [LOST];
+        lost_while_running |= is_lost && pair.runs(task);
+    }
+    assert!(!lost_while_running);
+    assert_eq!(pair.outcomes_of(task), [LOST]);
+}
