Do not order incarnations of a worker by the time of day

What callers could see: a worker that starts again after the time of day went back was ignored for good, while starts were still sent to it; its runs were reported as lost and started elsewhere.

Cause: an incarnation is told by the Unix time of its start, and a reply or heartbeat with an earlier one counted as late.

Change: a reply to a poll that is still pending decides which incarnation runs, whatever its start; polls of a former one are not pending any more. A heartbeat with an earlier start makes the agent ask the worker. E702 is gone.

Evidence: a_worker_that_started_again_at_an_earlier_time_of_day_is_used failed before and passes.

--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -1,5 +1,8 @@
 //! Which worker an agent serves: its identity, its incarnations and its departure.
 //!
+//! An incarnation is told by the time of day of its start, which differs between incarnations but does not order them. A
+//! restarted worker has the same identity, and its clock and fencing token start anew.
+//!
 //! Heartbeats come over the network, also from other writers and from earlier incarnations, so a heartbeat of another worker
 //! than the known one is only a hint. The runs of the known worker go on until the worker itself tells, in its reply to a
 //! poll, that another incarnation runs.
@@ -24,22 +27,12 @@
 }
 
 impl Agent {
-    /// Handles a heartbeat. One of an earlier incarnation or out of order has no effect, and one of another worker or
-    /// incarnation takes effect once the worker confirms it.
+    /// Handles a heartbeat. One that is out of order has no effect, and one of another worker or incarnation takes effect once
+    /// the worker confirms it.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if self.is_foreign(&heartbeat) {
             return log_foreign(&heartbeat);
         }
-        let is_older = heartbeat.started_at_ms.is_some()
-            && self.worker_started_at_ms.is_some()
-            && heartbeat.started_at_ms < self.worker_started_at_ms;
-        if is_older {
-            log::info!(
-                "E702 ignored a heartbeat of an earlier incarnation worker={}",
-                heartbeat.id
-            );
-            return;
-        }
         match self.is_known(&heartbeat) {
             true => self.update_worker(heartbeat),
             false => self.add_candidate(now, heartbeat),
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -317,13 +317,12 @@
             self.poll.next_poll = self.next_poll_at(now + POLL_RETRY_DELAY);
             return;
         };
+        // Polls of an earlier incarnation are no longer pending. The start may be earlier than that of the former incarnation,
+        // as it is a time of day.
         if self.worker_started_at_ms.is_some()
             && reply.started_at_ms.is_some()
             && reply.started_at_ms != self.worker_started_at_ms
         {
-            if reply.started_at_ms < self.worker_started_at_ms {
-                return;
-            }
             self.new_incarnation(now, reply.started_at_ms, LossReason::NewIncarnation);
         }
         // Before the first heartbeat, the poll tells which incarnation runs.
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -311,3 +311,18 @@
     assert!(!lost_while_running);
     assert_eq!(pair.outcomes_of(task), [LOST]);
 }
+
+/// Guards against a worker that is ignored for good, and whose runs are started elsewhere while they go on, because the time
+/// of day went back before it started again.
+#[test]
+fn a_worker_that_started_again_at_an_earlier_time_of_day_is_used() {
+    let mut pair = Pair::new(9_000);
+    pair.restart(7_000);
+    pair.heartbeat();
+    pair.advance(Duration::from_millis(300));
+    let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
+    assert_eq!(reported.map(|w| w.incarnation), Some(2));
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(600));
+    assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
+}
