Do not end runs by a departure that the worker contradicts

What callers could see: tasks ran twice when a DELETE of a worker arrived after the worker had started again under its identity: all its runs were reported as lost at once.

Cause: the departure names only the identity, which a restart keeps, and was believed without asking the worker.

Change: after a departure the worker gets no starts and no renewals and is asked.

Evidence: a_departure_does_not_end_runs_that_go_on failed before and passes.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -193,6 +193,8 @@
     next_check: Timestamp,
     /// Number of the worker's present incarnation.
     incarnation: Incarnation,
+    /// When a departure of the worker was received that its replies do not contradict.
+    left_at: Option<Timestamp>,
     lease: Option<Lease>,
     /// Newest term from which orders were processed. `last_orders` is the number of the newest orders of that term.
     term: Term,
@@ -236,6 +238,7 @@
             candidates: Vec::new(),
             next_check: Timestamp::ZERO,
             incarnation: 1,
+            left_at: None,
             lease: None,
             term: 0,
             last_orders: 0,
@@ -485,7 +488,7 @@
             needs_known: r.needs.is_some(),
         });
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
-            draining: w.draining || self.shutting_down || self.is_worker_silent(now),
+            draining: w.draining || self.shutting_down || self.is_worker_out_of_use(now),
             ..w.clone()
         });
         let report = AgentReport {
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -11,7 +11,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{Agent, Heartbeat};
+use super::{Agent, Heartbeat, UNLISTED_RUN_LOSS_TIMEOUT};
 use crate::message::{LossReason, RunOutcome, WorkerInfo};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
@@ -153,17 +153,44 @@
         self.worker = Some((heartbeat.id, worker));
     }
 
-    /// Handles the final departure of a worker.
+    /// Handles the final departure of a worker. The message may be late, from an earlier incarnation with the same identity,
+    /// so the worker gets no further starts and no renewal of its lease, and its runs end with the lease if it does not
+    /// reply to a later poll.
     pub fn worker_left(&mut self, now: Timestamp, id: &str) {
         let known = self.worker.as_ref();
         if known.is_some_and(|(known_id, _)| known_id == id) {
             log::info!("E705 worker left worker={id} runs={}", self.runs.len());
-            self.new_incarnation(now, None, LossReason::WorkerLeft);
+            self.left_at = Some(now);
+            self.report_pending = true;
+            self.poll_any_incarnation(now);
         }
         self.candidates
             .retain(|candidate| candidate.heartbeat.id != id);
     }
 
+    /// Returns whether the worker gets no starts and no renewal of its lease for the present.
+    pub(super) fn is_worker_out_of_use(&self, now: Timestamp) -> bool {
+        self.left_at.is_some() || self.is_worker_silent(now)
+    }
+
+    /// Uses the worker again if it has replied to a poll that was sent after its departure was received.
+    pub(super) fn contradict_departure(&mut self, poll_sent_at: Timestamp) {
+        if self.left_at.is_some_and(|left_at| left_at <= poll_sent_at) {
+            log::warn!("E728 worker goes on after a departure in its name");
+            self.left_at = None;
+            self.report_pending = true;
+        }
+    }
+
+    /// Forgets a worker that has left, once its lease must have expired.
+    pub(super) fn finish_departure(&mut self, now: Timestamp) {
+        let lease_over =
+            self.poll.renewed_at.is_none() || self.is_unrenewed_for(now, UNLISTED_RUN_LOSS_TIMEOUT);
+        if self.left_at.is_some() && lease_over {
+            self.new_incarnation(now, None, LossReason::WorkerLeft);
+        }
+    }
+
     /// Handles a new incarnation or the departure of the worker, as `reason` tells. Runs that the previous incarnation listed have ended. A start that it
     /// did not list may have reached the new incarnation; a poll under a higher fencing token decides that.
     pub(super) fn new_incarnation(
@@ -176,6 +203,7 @@
         self.incarnation += 1;
         self.worker_started_at_ms = started_at_ms;
         self.worker = None;
+        self.left_at = None;
         self.poll.reset_for_new_incarnation();
         let runs = std::mem::take(&mut self.runs);
         let (ended, undecided): (BTreeMap<_, _>, BTreeMap<_, _>) = runs
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -91,7 +91,7 @@
     /// When the worker's clock was read, and its value in milliseconds.
     worker_clock: Option<(Timestamp, u64)>,
     /// When a poll or a start that renews the worker lease was last sent.
-    renewed_at: Option<Timestamp>,
+    pub(super) renewed_at: Option<Timestamp>,
     /// When the worker last replied, or when the polls began.
     replied_at: Option<Timestamp>,
     /// Fencing token of the newest poll that this incarnation of the worker replied to.
@@ -216,9 +216,14 @@
                 self.runs.len() - ended.len()
             );
         }
+        let reason = match self.left_at {
+            Some(_) => LossReason::WorkerLeft,
+            None => LossReason::LeaseExpired,
+        };
         for task in ended {
-            self.report_lost(now, task, LossReason::LeaseExpired);
+            self.report_lost(now, task, reason);
         }
+        self.finish_departure(now);
     }
 
     /// Returns whether a run must have ended, although the worker has not listed its end.
@@ -235,7 +240,7 @@
     }
 
     /// Returns whether the worker lease was not renewed for longer than `time`.
-    fn is_unrenewed_for(&self, now: Timestamp, time: Duration) -> bool {
+    pub(super) fn is_unrenewed_for(&self, now: Timestamp, time: Duration) -> bool {
         self.poll.renewed_at.is_some_and(|at| at + time < now)
     }
 
@@ -248,7 +253,7 @@
     fn poll_worker(&mut self, now: Timestamp, wait: Duration) {
         // Without the worker's clock no expiry is sent. One far in the future is no substitute: the worker would cap it
         // at its longest lease, counted from when it carries out the call, which may be seconds later.
-        let lease_expiry_ms = if self.is_worker_silent(now) {
+        let lease_expiry_ms = if self.is_worker_out_of_use(now) {
             None
         } else {
             self.new_lease_expiry(now)
@@ -330,6 +335,7 @@
             self.worker_started_at_ms = reply.started_at_ms;
         }
         self.settle_candidates(now, sent_at, reply.started_at_ms);
+        self.contradict_departure(sent_at);
         self.poll.replied_at = Some(now);
         self.poll.last_poll_succeeded = true;
         if self
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -94,7 +94,8 @@
         let Some((_, worker)) = &self.worker else {
             return Some(StartRejection::WrongWorker);
         };
-        if worker.incarnation != incarnation || worker.draining || self.shutting_down {
+        let is_leaving = worker.draining || self.shutting_down || self.left_at.is_some();
+        if worker.incarnation != incarnation || is_leaving {
             return Some(StartRejection::WrongWorker);
         }
         if !self.has_agent_lease(now)
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -326,3 +326,33 @@
     pair.advance(Duration::from_millis(600));
     assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
 }
+
+/// Guards against runs that are started elsewhere while they go on, because a departure of the worker's former incarnation
+/// arrived late.
+#[test]
+fn a_departure_does_not_end_runs_that_go_on() {
+    let mut pair = Pair::new(1);
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(50));
+    pair.agent.worker_left(pair.now, ID);
+    pair.advance(Duration::from_millis(500));
+    assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
+    let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
+    assert_eq!(reported.map(|w| w.draining), Some(false));
+}
+
+/// Guards against runs of a worker that has left and that are reported as lost late or never.
+#[test]
+fn runs_of_a_worker_that_left_are_lost_with_their_lease() {
+    let mut pair = Pair::new(1);
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(50));
+    pair.answers = false;
+    pair.agent.worker_left(pair.now, ID);
+    pair.advance(Duration::from_millis(600));
+    let left = RunOutcome::Lost(LossReason::WorkerLeft);
+    assert_eq!(pair.outcomes_of(task), [left]);
+    pair.advance(Duration::from_millis(200));
+    let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
+    assert!(reported.is_none_or(|w| w.draining));
+}
