Report that nothing runs beside a worker that is gone

What was seen: in the users' record voters lose one agent's address every 3.03 or 3.64 s: an agent whose worker does not answer gets a lease by announcing itself and loses it 0.6 s later, because reports without the runs are not answered.

Cause: the runs count as known only after a reply of the worker. Each new leader waits 1.15 s for such an agent.

Change: 12.5 s after the last reply no call can be carried out any more, so the agent reports that nothing runs, and says that its worker takes no tasks.

Evidence: an_agent_without_a_worker_reports_that_nothing_runs failed before and passes.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -468,7 +468,7 @@
             return;
         };
         // Until the worker has replied to a poll under the present registration, its runs are not known for certain.
-        let runs_known = self.poll.replied_under(self.fence);
+        let runs_known = self.poll.replied_under(self.fence) || self.is_worker_gone(now);
         let is_periodic = now >= self.next_report;
         let resend = now >= self.next_resend;
         let from = if resend { 0 } else { self.last_sent_event };
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -250,6 +250,14 @@
         replied_at.is_some_and(|at| at + WORKER_SILENCE_TIMEOUT < now)
     }
 
+    /// Returns whether nothing can run on the worker any more, because no call of this agent or of an earlier process of it
+    /// can still be carried out.
+    pub(super) fn is_worker_gone(&self, now: Timestamp) -> bool {
+        let replied_at = self.poll.replied_at;
+        let silent = replied_at.is_some_and(|at| at + UNANSWERED_START_TIMEOUT < now);
+        silent && self.runs.is_empty()
+    }
+
     fn poll_worker(&mut self, now: Timestamp, wait: Duration) {
         // Without the worker's clock no expiry is sent. One far in the future is no substitute: the worker would cap it
         // at its longest lease, counted from when it carries out the call, which may be seconds later.
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -356,3 +356,15 @@
     let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
     assert!(reported.is_none_or(|w| w.draining));
 }
+
+/// Guards against an agent that loses its lease again and again and holds up each new leader, because its worker is gone.
+#[test]
+fn an_agent_without_a_worker_reports_that_nothing_runs() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    pair.advance(Duration::from_millis(13_000));
+    let running = pair.report.as_ref().and_then(|r| r.running.clone());
+    assert_eq!(running.map(|r| r.len()), Some(0));
+    let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
+    assert!(reported.is_none_or(|w| w.draining));
+}
