--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -354,3 +354,10 @@
 fn late_starts_at_a_new_incarnation_run_no_task_twice() {
     assert_jobs_end(Simulation::start_late_after_restart);
 }
+
+/// Guards against a second run of a task because an expiry by the clock of a worker's former incarnation grants the next one
+/// its longest lease, which outlasts the time after which the agent reports its runs as lost (TWICE, issue 28).
+#[test]
+fn leases_by_a_former_clock_run_no_task_twice() {
+    assert_jobs_end(Simulation::lose_polls_after_restart);
+}
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -29,6 +29,7 @@
 mod faults;
 mod late_starts;
 mod leader_loss;
+mod long_leases;
 mod long_runs;
 mod lost_orders;
 mod machines;
