Show workers that are ignored after the time of day went back

A worker that starts again with an earlier start counts as a former incarnation. A heartbeat of a former incarnation that is only delayed must still end no runs.

--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -361,3 +361,38 @@
 fn leases_by_a_former_clock_run_no_task_twice() {
     assert_jobs_end(Simulation::lose_polls_after_restart);
 }
+
+/// Guards against workers that are ignored for good because the time of day went back before they started again, so that
+/// jobs never end or run twice (LOST, TWICE, issue 28).
+#[test]
+fn workers_with_an_earlier_start_are_used_again() {
+    assert_jobs_end(Simulation::restart_with_earlier_start);
+}
+
+/// Guards against an agent that sends starts to a worker whose replies it ignores, so that nobody learns how its runs end.
+#[test]
+fn ends_at_a_worker_with_an_earlier_start_are_read() {
+    init_log();
+    let mut failed = Vec::new();
+    for seed in scenario_seeds() {
+        let mut simulation = Simulation::new(Plan {
+            fault_count: 0,
+            ..plan(seed)
+        });
+        let (overdue, ends) = simulation.use_worker_with_earlier_start();
+        let violations = &simulation.checker.violations;
+        if overdue > 0 || ends == 0 || !violations.is_empty() {
+            failed.push(format!(
+                "seed {seed}: {overdue} of {ends} ends not acknowledged, {violations:?}"
+            ));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against a delayed heartbeat of a former incarnation that is taken for a new one with an earlier start, so that
+/// runs that go on are reported as lost.
+#[test]
+fn heartbeats_of_former_incarnations_end_no_runs() {
+    assert_jobs_end(Simulation::delay_heartbeats_of_former_incarnations);
+}
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -26,6 +26,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 mod callers;
+mod clock_steps;
 mod faults;
 mod late_starts;
 mod leader_loss;
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -411,23 +411,33 @@
     }
 
     pub(super) fn heartbeat(&mut self, n: usize) {
-        let now = self.agent_now();
-        let host = &mut self.agent_hosts[n];
+        let host = &self.agent_hosts[n];
         if host.worker.is_up && host.paused_until <= self.now {
-            host.heartbeat_sequence += 1;
-            let heartbeat = Heartbeat {
-                id: format!("w{n}"),
-                started_at_ms: Some(host.worker.started_at_ms),
-                sequence: host.heartbeat_sequence,
-                pool: POOL.to_owned(),
-                capacity: host.worker.capacity,
-                labels: Vec::new(),
-                draining: false,
-            };
-            if let Some(agent) = &mut host.agent {
-                agent.on_heartbeat(now, heartbeat);
-            }
+            let heartbeat = self.next_heartbeat(n);
+            self.deliver_heartbeat(n, heartbeat);
         }
         self.schedule(HEARTBEAT_INTERVAL, Event::Heartbeat(n));
     }
+
+    /// Returns the next heartbeat of a worker.
+    pub(super) fn next_heartbeat(&mut self, n: usize) -> Heartbeat {
+        let host = &mut self.agent_hosts[n];
+        host.heartbeat_sequence += 1;
+        Heartbeat {
+            id: format!("w{n}"),
+            started_at_ms: Some(host.worker.started_at_ms),
+            sequence: host.heartbeat_sequence,
+            pool: POOL.to_owned(),
+            capacity: host.worker.capacity,
+            labels: Vec::new(),
+            draining: false,
+        }
+    }
+
+    pub(super) fn deliver_heartbeat(&mut self, n: usize, heartbeat: Heartbeat) {
+        let now = self.agent_now();
+        if let Some(agent) = &mut self.agent_hosts[n].agent {
+            agent.on_heartbeat(now, heartbeat);
+        }
+    }
 }
--- a/crates/figdeal-stand-in/src/worker.rs
+++ b/crates/figdeal-stand-in/src/worker.rs
@@ -159,6 +159,11 @@
         self.next_end += 1;
     }
 
+    /// Returns the number of the newest end of a run, 0 before the first.
+    pub fn last_end(&self) -> u64 {
+        self.next_end - 1
+    }
+
     fn extend_lease(&mut self, now: Timestamp, expiry: u64) {
         let expiry = expiry.min(self.clock(now) + MAX_LEASE_MS);
         if expiry > self.clock(now) {
