--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use simulation::{ALL_FAULTS, InjectedBug, LeaderLoss, Outage, Plan, Simulation};
+use simulation::{ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Outage, Plan, Simulation};
 
 /// Seeds that run in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -396,3 +396,30 @@
 fn heartbeats_of_former_incarnations_end_no_runs() {
     assert_jobs_end(Simulation::delay_heartbeats_of_former_incarnations);
 }
+
+/// Guards against tasks of a worker that has left for good that are not started elsewhere.
+#[test]
+fn tasks_of_a_worker_that_left_run_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Final));
+}
+
+/// Guards against a departure that ends no runs, because the worker goes on, but after which the agent reports all of them as
+/// lost (TWICE, issue 28).
+#[test]
+fn runs_that_outlast_a_departure_are_not_started_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Revoked));
+}
+
+/// Guards against tasks that are started elsewhere while their worker goes on for a second after its departure (TWICE,
+/// issue 28).
+#[test]
+fn runs_between_a_departure_and_the_end_are_not_started_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Early));
+}
+
+/// Guards against the delayed departure of a former incarnation after which the agent reports the runs of the next one as
+/// lost (TWICE, issue 28).
+#[test]
+fn a_departure_of_a_former_incarnation_ends_no_runs() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Delayed));
+}
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -27,6 +27,7 @@
 
 mod callers;
 mod clock_steps;
+mod departures;
 mod faults;
 mod late_starts;
 mod leader_loss;
@@ -37,6 +38,7 @@
 mod same_identity;
 mod seed_change;
 
+pub(crate) use departures::Departure;
 pub(crate) use leader_loss::LeaderLoss;
 pub(crate) use lost_orders::Outage;
 
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -440,4 +440,13 @@
             agent.on_heartbeat(now, heartbeat);
         }
     }
+
+    /// Tells the agent that its worker has left for good.
+    pub(super) fn deliver_departure(&mut self, n: usize) {
+        let now = self.agent_now();
+        if let Some(agent) = &mut self.agent_hosts[n].agent {
+            agent.worker_left(now, &format!("w{n}"));
+        }
+        self.process_agent_actions(n);
+    }
 }
