Show tasks that wait for a worker that is gone for good

An agent whose process restarts after its worker has gone never learns the runs of the worker, so it reports none. The leader keeps the runs as long as the agent announces itself and waits for ever.

--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use simulation::{ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Outage, Plan, Simulation};
+use simulation::{ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, Outage, Plan, Simulation};
 
 /// Seeds that run in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -18,6 +18,9 @@
 const REGRESSIONS: [u64; 8] = [5, 6, 44, 63, 80, 126, 149, 228];
 /// Seeds that are tried until an injected bug is detected.
 const INJECTED_BUG_SEEDS: std::ops::Range<u64> = 0..60;
+/// Time after the loss of a worker within which all its tasks have to run elsewhere. A call to it may be carried out up to 12 s
+/// late, so the agent may have to wait that long.
+const GONE_WORKER_LIMIT: Duration = Duration::from_secs(30);
 
 fn plan(seed: u64) -> Plan {
     let injected_bug = InjectedBug::None;
@@ -423,3 +426,37 @@
 fn a_departure_of_a_former_incarnation_ends_no_runs() {
     assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Delayed));
 }
+
+/// Guards against tasks that wait for ever because their worker is gone for good and its agent has restarted, or still
+/// waits for the answers to its starts (LOST).
+#[test]
+fn tasks_of_a_worker_that_is_gone_run_elsewhere() {
+    init_log();
+    let losses = [
+        Loss::Crash,
+        Loss::Silence,
+        Loss::CrashAndAgent,
+        Loss::SilenceAndAgent,
+        Loss::CrashAgentAndNodes,
+    ];
+    let mut failed = Vec::new();
+    for loss in losses {
+        let mut longest = Duration::ZERO;
+        for seed in scenario_seeds() {
+            let mut simulation = Simulation::new(Plan {
+                fault_count: 0,
+                ..plan(seed)
+            });
+            let (waiting, duration) = simulation.lose_worker(loss, GONE_WORKER_LIMIT);
+            longest = longest.max(duration);
+            let violations = &simulation.checker.violations;
+            if waiting > 0 || !violations.is_empty() {
+                failed.push(format!(
+                    "{loss:?}, seed {seed}: {waiting} tasks wait, {violations:?}"
+                ));
+            }
+        }
+        println!("{loss:?}: all tasks run elsewhere after {longest:?}");
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -29,6 +29,7 @@
 mod clock_steps;
 mod departures;
 mod faults;
+mod gone_workers;
 mod late_starts;
 mod leader_loss;
 mod long_leases;
@@ -39,6 +40,7 @@
 mod seed_change;
 
 pub(crate) use departures::Departure;
+pub(crate) use gone_workers::Loss;
 pub(crate) use leader_loss::LeaderLoss;
 pub(crate) use lost_orders::Outage;
 
@@ -168,6 +170,8 @@
     calls_late_until: Timestamp,
     /// Until when polls of the worker are lost.
     polls_lost_until: Timestamp,
+    /// Until when starts at the worker are lost.
+    starts_lost_until: Timestamp,
     /// How far the time of day at the worker is behind, in milliseconds.
     wall_clock_lag_ms: u64,
 }
@@ -269,6 +273,7 @@
                 paused_until,
                 calls_late_until: Timestamp::ZERO,
                 polls_lost_until: Timestamp::ZERO,
+                starts_lost_until: Timestamp::ZERO,
                 wall_clock_lag_ms: 0,
             });
             simulation.start_agent(n);
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -191,27 +191,31 @@
             }
             let late = self.rng.random_bool(self.plan.late_call_fraction) && !self.without_faults;
             let host = &self.agent_hosts[n];
-            if matches!(call, WorkerCall::Poll(_)) && host.polls_lost_until > self.now {
+            let lost = match call {
+                WorkerCall::Poll(_) => host.polls_lost_until > self.now,
+                WorkerCall::Start(_) => host.starts_lost_until > self.now,
+                WorkerCall::Stop(_) => false,
+            };
+            let all_late = host.calls_late_until > self.now;
+            if (late || all_late || lost)
+                && let WorkerCall::Start(start) = &call
+            {
+                let (call, answer) = (start.clone(), StartReply::Unknown);
+                self.schedule(
+                    START_TIMEOUT,
+                    Event::StartAnswered {
+                        agent: n,
+                        incarnation,
+                        call,
+                        answer,
+                    },
+                );
+            }
+            if lost {
                 continue;
             }
-            let max_delay_ms = if host.calls_late_until > self.now {
-                12_000
-            } else {
-                6_000
-            };
-            if late || host.calls_late_until > self.now {
-                if let WorkerCall::Start(start) = &call {
-                    let (call, answer) = (start.clone(), StartReply::Unknown);
-                    self.schedule(
-                        START_TIMEOUT,
-                        Event::StartAnswered {
-                            agent: n,
-                            incarnation,
-                            call,
-                            answer,
-                        },
-                    );
-                }
+            if late || all_late {
+                let max_delay_ms = if all_late { 12_000 } else { 6_000 };
                 let after = self.random_delay(2_000, max_delay_ms);
                 let late_for = Some(self.agent_hosts[n].worker.incarnation);
                 self.schedule(
