--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use simulation::{ALL_FAULTS, InjectedBug, LeaderLoss, Outage, Plan, Simulation};
+use simulation::{ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, Outage, Plan, Simulation};
 
 /// Seeds that run in CI.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -18,6 +18,9 @@
 const REGRESSIONS: [u64; 8] = [5, 6, 44, 63, 80, 126, 149, 228];
 /// Seeds that are tried until an injected bug is detected.
 const INJECTED_BUG_SEEDS: std::ops::Range<u64> = 0..60;
+/// Time after the loss of a worker within which all its tasks have to run elsewhere. A call to it may be carried out up to 12 s
+/// late, so the agent may have to wait that long.
+const GONE_WORKER_LIMIT: Duration = Duration::from_secs(30);
 
 fn plan(seed: u64) -> Plan {
     let injected_bug = InjectedBug::None;
@@ -318,3 +321,142 @@
         );
     }
 }
+
+/// Seeds of a scenario. FIGDEAL_SIM_ONLY and FIGDEAL_SIM_SEEDS choose others, as for the random runs.
+fn scenario_seeds() -> Vec<u64> {
+    let chosen = ["FIGDEAL_SIM_ONLY", "FIGDEAL_SIM_SEEDS"].map(std::env::var_os);
+    match chosen.iter().any(Option::is_some) {
+        true => seeds(),
+        false => (0..8).collect(),
+    }
+}
+
+/// Plays a scenario with several seeds and fails with every violation and every seed that left jobs open.
+fn assert_jobs_end(scenario: fn(&mut Simulation) -> (usize, usize)) {
+    init_log();
+    let mut failed = Vec::new();
+    for seed in scenario_seeds() {
+        let mut simulation = Simulation::new(Plan {
+            fault_count: 0,
+            ..plan(seed)
+        });
+        let (asked, open) = scenario(&mut simulation);
+        let violations = &simulation.checker.violations;
+        if asked == 0 || open > 0 || !violations.is_empty() {
+            failed.push(format!(
+                "seed {seed}: {open} of {asked} jobs open, {violations:?}"
+            ));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against a second run of a task because a start with an expiry by the clock of a worker's former incarnation is
+/// carried out late by the next one, after the agent has reported the run as lost (TWICE, issue 28).
+#[test]
+fn late_starts_at_a_new_incarnation_run_no_task_twice() {
+    assert_jobs_end(Simulation::start_late_after_restart);
+}
+
+/// Guards against a second run of a task because an expiry by the clock of a worker's former incarnation grants the next one
+/// its longest lease, which outlasts the time after which the agent reports its runs as lost (TWICE, issue 28).
+#[test]
+fn leases_by_a_former_clock_run_no_task_twice() {
+    assert_jobs_end(Simulation::lose_polls_after_restart);
+}
+
+/// Guards against workers that are ignored for good because the time of day went back before they started again, so that
+/// jobs never end or run twice (LOST, TWICE, issue 28).
+#[test]
+fn workers_with_an_earlier_start_are_used_again() {
+    assert_jobs_end(Simulation::restart_with_earlier_start);
+}
+
+/// Guards against an agent that sends starts to a worker whose replies it ignores, so that nobody learns how its runs end.
+#[test]
+fn ends_at_a_worker_with_an_earlier_start_are_read() {
+    init_log();
+    let mut failed = Vec::new();
+    for seed in scenario_seeds() {
+        let mut simulation = Simulation::new(Plan {
+            fault_count: 0,
+            ..plan(seed)
+        });
+        let (overdue, ends) = simulation.use_worker_with_earlier_start();
+        let violations = &simulation.checker.violations;
+        if overdue > 0 || ends == 0 || !violations.is_empty() {
+            failed.push(format!(
+                "seed {seed}: {overdue} of {ends} ends not acknowledged, {violations:?}"
+            ));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against a delayed heartbeat of a former incarnation that is taken for a new one with an earlier start, so that
+/// runs that go on are reported as lost.
+#[test]
+fn heartbeats_of_former_incarnations_end_no_runs() {
+    assert_jobs_end(Simulation::delay_heartbeats_of_former_incarnations);
+}
+
+/// Guards against tasks of a worker that has left for good that are not started elsewhere.
+#[test]
+fn tasks_of_a_worker_that_left_run_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Final));
+}
+
+/// Guards against a departure that ends no runs, because the worker goes on, but after which the agent reports all of them as
+/// lost (TWICE, issue 28).
+#[test]
+fn runs_that_outlast_a_departure_are_not_started_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Revoked));
+}
+
+/// Guards against tasks that are started elsewhere while their worker goes on for a second after its departure (TWICE,
+/// issue 28).
+#[test]
+fn runs_between_a_departure_and_the_end_are_not_started_elsewhere() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Early));
+}
+
+/// Guards against the delayed departure of a former incarnation after which the agent reports the runs of the next one as
+/// lost (TWICE, issue 28).
+#[test]
+fn a_departure_of_a_former_incarnation_ends_no_runs() {
+    assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Delayed));
+}
+
+/// Guards against tasks that wait for ever because their worker is gone for good and its agent has restarted, or still
+/// waits for the answers to its starts (LOST).
+#[test]
+fn tasks_of_a_worker_that_is_gone_run_elsewhere() {
+    init_log();
+    let losses = [
+        Loss::Crash,
+        Loss::Silence,
+        Loss::CrashAndAgent,
+        Loss::SilenceAndAgent,
+        Loss::CrashAgentAndNodes,
+    ];
+    let mut failed = Vec::new();
+    for loss in losses {
+        let mut longest = Duration::ZERO;
+        for seed in scenario_seeds() {
+            let mut simulation = Simulation::new(Plan {
+                fault_count: 0,
+                ..plan(seed)
+            });
+            let (waiting, duration) = simulation.lose_worker(loss, GONE_WORKER_LIMIT);
+            longest = longest.max(duration);
+            let violations = &simulation.checker.violations;
+            if waiting > 0 || !violations.is_empty() {
+                failed.push(format!(
+                    "{loss:?}, seed {seed}: {waiting} tasks wait, {violations:?}"
+                ));
+            }
+        }
+        println!("{loss:?}: all tasks run elsewhere after {longest:?}");
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -190,20 +190,33 @@
                 );
             }
             let late = self.rng.random_bool(self.plan.late_call_fraction) && !self.without_faults;
-            if late {
-                if let WorkerCall::Start(start) = &call {
-                    let (call, answer) = (start.clone(), StartReply::Unknown);
-                    self.schedule(
-                        START_TIMEOUT,
-                        Event::StartAnswered {
-                            agent: n,
-                            incarnation,
-                            call,
-                            answer,
-                        },
-                    );
-                }
-                let after = self.random_delay(2_000, 6_000);
+            let host = &self.agent_hosts[n];
+            let lost = match call {
+                WorkerCall::Poll(_) => host.polls_lost_until > self.now,
+                WorkerCall::Start(_) => host.starts_lost_until > self.now,
+                WorkerCall::Stop(_) => false,
+            };
+            let all_late = host.calls_late_until > self.now;
+            if (late || all_late || lost)
+                && let WorkerCall::Start(start) = &call
+            {
+                let (call, answer) = (start.clone(), StartReply::Unknown);
+                self.schedule(
+                    START_TIMEOUT,
+                    Event::StartAnswered {
+                        agent: n,
+                        incarnation,
+                        call,
+                        answer,
+                    },
+                );
+            }
+            if lost {
+                continue;
+            }
+            if late || all_late {
+                let max_delay_ms = if all_late { 12_000 } else { 6_000 };
+                let after = self.random_delay(2_000, max_delay_ms);
                 let late_for = Some(self.agent_hosts[n].worker.incarnation);
                 self.schedule(
                     after,
@@ -289,7 +302,8 @@
                 }
                 let until = self.now + call.wait;
                 if !late {
-                    self.answer_poll(n, incarnation, call, until);
+                    let worker_incarnation = self.agent_hosts[n].worker.incarnation;
+                    self.answer_poll(n, incarnation, worker_incarnation, call, until);
                 }
             }
         }
@@ -350,11 +364,15 @@
         &mut self,
         n: usize,
         incarnation: u64,
+        worker_incarnation: u64,
         call: PollCall,
         until: Timestamp,
     ) {
+        if self.agent_hosts[n].polls_lost_until > self.now {
+            return;
+        }
         let worker = &self.agent_hosts[n].worker;
-        if !worker.is_up {
+        if !worker.is_up || worker.incarnation != worker_incarnation {
             let number = call.number;
             return self.handle(Event::PollTimedOut {
                 agent: n,
@@ -368,6 +386,7 @@
                 Event::AnswerPoll {
                     agent: n,
                     incarnation,
+                    worker_incarnation,
                     call,
                     until,
                 },
@@ -380,6 +399,7 @@
                 Event::AnswerPoll {
                     agent: n,
                     incarnation,
+                    worker_incarnation,
                     call,
                     until,
                 },
@@ -395,23 +415,42 @@
     }
 
     pub(super) fn heartbeat(&mut self, n: usize) {
-        let now = self.agent_now();
-        let host = &mut self.agent_hosts[n];
+        let host = &self.agent_hosts[n];
         if host.worker.is_up && host.paused_until <= self.now {
-            host.heartbeat_sequence += 1;
-            let heartbeat = Heartbeat {
-                id: format!("w{n}"),
-                started_at_ms: Some(host.worker.incarnation),
-                sequence: host.heartbeat_sequence,
-                pool: POOL.to_owned(),
-                capacity: host.worker.capacity,
-                labels: Vec::new(),
-                draining: false,
-            };
-            if let Some(agent) = &mut host.agent {
-                agent.on_heartbeat(now, heartbeat);
-            }
+            let heartbeat = self.next_heartbeat(n);
+            self.deliver_heartbeat(n, heartbeat);
         }
         self.schedule(HEARTBEAT_INTERVAL, Event::Heartbeat(n));
     }
+
+    /// Returns the next heartbeat of a worker.
+    pub(super) fn next_heartbeat(&mut self, n: usize) -> Heartbeat {
+        let host = &mut self.agent_hosts[n];
+        host.heartbeat_sequence += 1;
+        Heartbeat {
+            id: format!("w{n}"),
+            started_at_ms: Some(host.worker.started_at_ms),
+            sequence: host.heartbeat_sequence,
+            pool: POOL.to_owned(),
+            capacity: host.worker.capacity,
+            labels: Vec::new(),
+            draining: false,
+        }
+    }
+
+    pub(super) fn deliver_heartbeat(&mut self, n: usize, heartbeat: Heartbeat) {
+        let now = self.agent_now();
+        if let Some(agent) = &mut self.agent_hosts[n].agent {
+            agent.on_heartbeat(now, heartbeat);
+        }
+    }
+
+    /// Tells the agent that its worker has left for good.
+    pub(super) fn deliver_departure(&mut self, n: usize) {
+        let now = self.agent_now();
+        if let Some(agent) = &mut self.agent_hosts[n].agent {
+            agent.worker_left(now, &format!("w{n}"));
+        }
+        self.process_agent_actions(n);
+    }
 }
--- a/crates/figdeal-stand-in/src/worker.rs
+++ b/crates/figdeal-stand-in/src/worker.rs
@@ -61,6 +61,8 @@
     pub is_up: bool,
     /// Number of the incarnation.
     pub incarnation: u64,
+    /// Start of the incarnation in Unix milliseconds, as the worker tells it. Goes back if the time of day does.
+    pub started_at_ms: u64,
     /// Origin of the worker's clock.
     clock_origin: Timestamp,
     /// Capacity for runs.
@@ -91,6 +93,7 @@
         Worker {
             is_up: true,
             incarnation,
+            started_at_ms: incarnation,
             clock_origin: now,
             capacity: Resources {
                 millicores,
@@ -156,6 +159,11 @@
         self.next_end += 1;
     }
 
+    /// Returns the number of the newest end of a run, 0 before the first.
+    pub fn last_end(&self) -> u64 {
+        self.next_end - 1
+    }
+
     fn extend_lease(&mut self, now: Timestamp, expiry: u64) {
         let expiry = expiry.min(self.clock(now) + MAX_LEASE_MS);
         if expiry > self.clock(now) {
@@ -233,7 +241,7 @@
     pub fn status(&self, now: Timestamp) -> PollReply {
         PollReply {
             clock_ms: self.clock(now),
-            started_at_ms: Some(self.incarnation),
+            started_at_ms: Some(self.started_at_ms),
             running: self
                 .runs
                 .iter()
