Play more faults of workers, machines and networks in the soak

Change: seeds from 200 on also draw pauses of up to 18 s and of whole machines, stops of many machines, halves, constant delays, workers that are cut off, that restart late, early or with an older start, whose departure is late or that are replaced, and bursts of jobs. Lower seeds keep their kinds and their order. The stand-in no longer answers a poll for a crashed worker, answers 421 to calls for another identity, and pauses workers.

--- a/crates/figdeal-node/tests/soak/callers.rs
+++ b/crates/figdeal-node/tests/soak/callers.rs
@@ -2,7 +2,10 @@
 //! specifies.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -14,7 +17,7 @@
 };
 use figdeal_stand_in::{
     checker::SubmittedJob,
-    server::{POOL_NAME, SharedFleet},
+    server::{FAILING_PAYLOAD_PREFIX, POOL_NAME, SharedFleet},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -30,9 +33,28 @@
 const MAX_SUBMISSIONS: u32 = 6;
 /// Number of failed runs of one task after which its job fails.
 const MAX_ATTEMPTS: u32 = 3;
+/// Number of callers of a burst.
+const BURST_CALLERS: u64 = 40;
+/// Number of jobs that each caller of a burst submits one after the other.
+const BURST_JOBS: u32 = 2;
+/// Time from the begin of a burst to the cancellation of its jobs.
+const CANCEL_DELAY: Duration = Duration::from_millis(700);
+/// CPU need of a task that no worker can run, in thousandths of a core.
+const TOO_MANY_MILLICORES: u32 = 64_000;
 /// Path prefix of the queue that the configuration defines.
 const PATH_PREFIX: &str = "/q/";
 
+/// Many jobs that are submitted at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Burst {
+    /// Jobs like all others.
+    Jobs,
+    /// Stored jobs that are all cancelled at the same moment.
+    Cancelled,
+    /// Stored jobs that can never be done: their tasks fail always, or fit on no worker. The latter are cancelled.
+    Undoable,
+}
+
 /// State shared by all callers and the operator.
 #[derive(Debug)]
 pub(crate) struct LoadGenerator {
@@ -61,13 +83,9 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let client = processes::client(CALLER_TIMEOUT);
         while !self.is_stopped() {
-            let id = JobId(self.next_job_id.fetch_add(1, Ordering::Relaxed));
             let spec = random_job(&mut rng);
             let volatile = spec.volatile;
-            let body = wire::encode_job(&spec);
-            let job = SubmittedJob::new(spec, MAX_ATTEMPTS);
-            self.fleet.lock().checker.jobs.insert(id, job);
-            let accepted = self.submit(&client, &mut rng, id, &body, volatile);
+            let (id, accepted) = self.submit_new(&client, &mut rng, spec);
             if accepted && !volatile {
                 self.query_or_cancel(&client, &mut rng, id);
             }
@@ -75,6 +93,55 @@
         }
     }
 
+    /// Starts the callers of a burst.
+    pub(crate) fn start_burst(
+        self: &Arc<Self>,
+        burst: Burst,
+        seed: u64,
+    ) -> impl Iterator<Item = thread::JoinHandle<()>> {
+        let begin = Instant::now();
+        (0..BURST_CALLERS).map(move |n| {
+            let load = Arc::clone(self);
+            thread::spawn(move || load.run_burst_caller(burst, seed.wrapping_add(n), begin))
+        })
+    }
+
+    fn run_burst_caller(&self, burst: Burst, seed: u64, begin: Instant) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let client = processes::client(CALLER_TIMEOUT);
+        let mut to_cancel = Vec::new();
+        for _ in 0..BURST_JOBS {
+            let mut spec = random_job(&mut rng);
+            let fits = burst != Burst::Undoable || rng.random_bool(0.5);
+            if burst != Burst::Jobs {
+                spec.volatile = false;
+            }
+            if !fits {
+                spec.steps[0].needs.millicores = TOO_MANY_MILLICORES;
+            } else if burst == Burst::Undoable {
+                spec.payload = format!("{FAILING_PAYLOAD_PREFIX}{}", spec.payload);
+            }
+            let (id, _) = self.submit_new(&client, &mut rng, spec);
+            if burst == Burst::Cancelled || !fits {
+                to_cancel.push(id);
+            }
+        }
+        thread::sleep(CANCEL_DELAY.saturating_sub(begin.elapsed()));
+        for id in to_cancel {
+            self.cancel(&client, &mut rng, id);
+        }
+    }
+
+    /// Submits a new job. Returns its id and whether it was accepted.
+    fn submit_new(&self, client: &ureq::Agent, rng: &mut SmallRng, spec: JobSpec) -> (JobId, bool) {
+        let id = JobId(self.next_job_id.fetch_add(1, Ordering::Relaxed));
+        let volatile = spec.volatile;
+        let body = wire::encode_job(&spec);
+        let job = SubmittedJob::new(spec, MAX_ATTEMPTS);
+        self.fleet.lock().checker.jobs.insert(id, job);
+        (id, self.submit(client, rng, id, &body, volatile))
+    }
+
     /// Submits a job until an answer shows whether it was accepted, at most [`MAX_SUBMISSIONS`] times. Returns whether
     /// it was accepted.
     fn submit(
@@ -115,26 +182,8 @@
 
     /// Cancels one job in 20. Queries any other job a few times, or until it has ended.
     fn query_or_cancel(&self, client: &ureq::Agent, rng: &mut SmallRng, id: JobId) {
-        let cancel = rng.random_bool(0.05);
-        if cancel {
-            self.fleet
-                .lock()
-                .checker
-                .jobs
-                .get_mut(&id)
-                .expect("the job was submitted")
-                .cancel_requested = true;
-            let body = String::new();
-            self.send_call(
-                client,
-                rng,
-                JobCall {
-                    id,
-                    method: "DELETE",
-                    body,
-                },
-            );
-            return;
+        if rng.random_bool(0.05) {
+            return self.cancel(client, rng, id);
         }
         // Jobs that have not ended by then are queried at the end of the test.
         for _ in 0..rng.random_range(1..8) {
@@ -145,6 +194,23 @@
         }
     }
 
+    /// Asks once for the cancellation of a job.
+    fn cancel(&self, client: &ureq::Agent, rng: &mut SmallRng, id: JobId) {
+        self.fleet
+            .lock()
+            .checker
+            .jobs
+            .get_mut(&id)
+            .expect("the job was submitted")
+            .cancel_requested = true;
+        let call = JobCall {
+            id,
+            method: "DELETE",
+            body: String::new(),
+        };
+        self.send_call(client, rng, call);
+    }
+
     /// Queries the state of a job once. Returns whether it has ended.
     fn query(&self, client: &ureq::Agent, rng: &mut SmallRng, id: JobId) -> bool {
         let body = String::new();
--- a/crates/figdeal-node/tests/soak/faults.rs
+++ b/crates/figdeal-node/tests/soak/faults.rs
@@ -1,47 +1,125 @@
 //! Injects faults from outside the processes: signals, wiped disks, network faults and worker faults. Faults overlap.
 
+mod machine;
+mod network;
+mod worker;
+
 use std::{
-    fs, thread,
+    sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
-use figdeal_platform::stand_in::ForeignHeartbeat;
-use figdeal_stand_in::server::{SharedFleet, WorkerFaults};
+use figdeal_stand_in::{
+    server::{Restart, SharedFleet, WorkerFaults},
+    worker::PausedClock,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use self::machine::StopMode;
 use crate::{
+    callers::{Burst, LoadGenerator},
     processes::{Layout, Process},
     proxy::Network,
 };
 
 /// Interval at which due steps are executed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Shortest time between two wiped disks, so that the first replica is replaced before the next is lost. Other faults
-/// go on meanwhile.
-const MIN_WIPE_INTERVAL: Duration = Duration::from_secs(12);
+/// First seed that draws from all kinds of faults. Lower ones draw from [`FIRST_KINDS`] only, so that the seeds that
+/// have failed keep their faults.
+const FIRST_EXTENDED_SEED: u64 = 200;
+/// Average number of injected faults per second of a seed below [`FIRST_EXTENDED_SEED`], and of one above.
+const FAULTS_PER_SECOND: [f64; 2] = [0.8, 1.4];
+/// Longest pause of a process in milliseconds, in the same order.
+const MAX_PAUSES_MS: [u64; 2] = [4_000, 18_000];
 
-/// How a machine stops.
+/// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StopMode {
-    /// SIGKILL.
+enum FaultKind {
     Kill,
-    /// SIGTERM, and SIGKILL after the shutdown grace period.
     Term,
-    /// SIGKILL, after which the data folder is deleted.
     Wipe,
+    PauseProcess,
+    CutOff,
+    Delay,
+    Silence,
+    Reset,
+    UnansweredCalls,
+    WorkerCrash,
+    Drain,
+    ForeignHeartbeat,
+    PauseMachine,
+    PauseTwoMachines,
+    KillDisks,
+    KillAll,
+    RestartInTurn,
+    Halves,
+    WorkerCutOff,
+    LateCallsAtRestart,
+    EarlierStart,
+    RestartAtOnce,
+    DelayedDeparture,
+    ReplacedWorker,
+    Burst(Burst),
 }
 
+/// Kinds of faults of all seeds. Each is as probable as it is frequent here. Its position is drawn at random, so a
+/// change of the order changes the faults of every seed.
+const FIRST_KINDS: [FaultKind; 14] = [
+    FaultKind::Kill,
+    FaultKind::Kill,
+    FaultKind::Term,
+    FaultKind::Wipe,
+    FaultKind::PauseProcess,
+    FaultKind::CutOff,
+    FaultKind::Delay,
+    FaultKind::Silence,
+    FaultKind::Reset,
+    FaultKind::UnansweredCalls,
+    FaultKind::WorkerCrash,
+    FaultKind::Drain,
+    FaultKind::ForeignHeartbeat,
+    FaultKind::ForeignHeartbeat,
+];
+
+/// Further kinds of faults, from [`FIRST_EXTENDED_SEED`] on.
+const FURTHER_KINDS: [FaultKind; 21] = [
+    FaultKind::PauseProcess,
+    FaultKind::PauseMachine,
+    FaultKind::PauseMachine,
+    FaultKind::PauseTwoMachines,
+    FaultKind::KillDisks,
+    FaultKind::KillAll,
+    FaultKind::RestartInTurn,
+    FaultKind::Halves,
+    FaultKind::Halves,
+    FaultKind::WorkerCutOff,
+    FaultKind::WorkerCutOff,
+    FaultKind::LateCallsAtRestart,
+    FaultKind::LateCallsAtRestart,
+    FaultKind::EarlierStart,
+    FaultKind::RestartAtOnce,
+    FaultKind::RestartAtOnce,
+    FaultKind::DelayedDeparture,
+    FaultKind::ReplacedWorker,
+    FaultKind::Burst(Burst::Jobs),
+    FaultKind::Burst(Burst::Cancelled),
+    FaultKind::Burst(Burst::Undoable),
+];
+
 /// A scheduled step that continues or ends a fault. The numbers are indices of machines or of workers, from 0.
 #[derive(Debug, Clone, Copy)]
 enum FaultStep {
     Start(usize),
     Kill(usize),
+    Terminate(usize),
     Resume(usize),
     Reconnect(usize, usize),
     EndDelay(usize, usize),
     ClearWorkerFaults(usize),
-    RestartWorker(usize),
+    RestartWorker(usize, Restart),
     CrashWorker(usize),
+    ResumeWorker(usize, PausedClock),
 }
 
 /// The machines of a test and the faults that are active on them.
@@ -49,10 +127,16 @@
     layout: Layout,
     network: Network,
     fleet: SharedFleet,
+    load: Arc<LoadGenerator>,
     rng: SmallRng,
     machines: Vec<Option<Process>>,
     scheduled_steps: Vec<(Instant, FaultStep)>,
     last_wipe: Option<Instant>,
+    kinds: Vec<FaultKind>,
+    faults_per_second: f64,
+    max_pause_ms: u64,
+    /// Callers of bursts.
+    callers: Vec<thread::JoinHandle<()>>,
     /// All injected faults and executed steps, each with the milliseconds since the start.
     pub(crate) history: Vec<String>,
     start: Instant,
@@ -61,24 +145,38 @@
 impl FaultInjector {
     /// Starts all machines with the bootstrap setting.
     pub(crate) fn new(
-        layout: &Layout,
+        load: &Arc<LoadGenerator>,
         network: &Network,
-        fleet: &SharedFleet,
         seed: u64,
         count: u8,
     ) -> FaultInjector {
-        let machines = (1..=count).map(|m| Some(Process::start(layout, m, true)));
-        FaultInjector {
-            layout: layout.clone(),
+        let is_extended = seed >= FIRST_EXTENDED_SEED;
+        let mut kinds = FIRST_KINDS.to_vec();
+        if is_extended {
+            kinds.extend(FURTHER_KINDS);
+        }
+        let layout = load.layout.clone();
+        let machines = (1..=count).map(|m| Some(Process::start(&layout, m, true)));
+        let mut injector = FaultInjector {
             network: network.clone(),
-            fleet: fleet.clone(),
+            fleet: load.fleet.clone(),
+            load: Arc::clone(load),
             rng: SmallRng::seed_from_u64(seed),
             machines: machines.collect(),
+            layout,
             scheduled_steps: Vec::new(),
             last_wipe: None,
+            kinds,
+            faults_per_second: FAULTS_PER_SECOND[usize::from(is_extended)],
+            max_pause_ms: MAX_PAUSES_MS[usize::from(is_extended)],
+            callers: Vec::new(),
             history: Vec::new(),
             start: Instant::now(),
+        };
+        if is_extended && seed % 2 == 1 {
+            injector.add_constant_delays();
         }
+        injector
     }
 
     fn record(&mut self, text: String) {
@@ -92,8 +190,9 @@
         self.scheduled_steps.push((Instant::now() + wait, step));
     }
 
-    /// Injects `faults` faults at random times within `duration`, then waits until all faults have ended.
-    pub(crate) fn run(&mut self, faults: u32, duration: Duration) {
+    /// Injects faults at random times within `duration`, then waits until all faults have ended.
+    pub(crate) fn run(&mut self, duration: Duration) {
+        let faults = (duration.as_secs_f64() * self.faults_per_second) as u32;
         let start = Instant::now();
         let mut times: Vec<Duration> = (0..faults)
             .map(|_| duration.mul_f64(self.rng.random()))
@@ -113,6 +212,11 @@
         self.network.heal();
     }
 
+    /// Returns the callers of all bursts, so that the test can wait for them.
+    pub(crate) fn take_callers(&mut self) -> Vec<thread::JoinHandle<()>> {
+        std::mem::take(&mut self.callers)
+    }
+
     fn advance(&mut self) {
         let now = Instant::now();
         let (ready, rest): (Vec<_>, Vec<_>) = self
@@ -129,15 +233,14 @@
         self.record(format!("{step:?}"));
         match step {
             FaultStep::Start(n) => {
+                // Another fault may have started the machine; two processes cannot listen on one address.
+                self.machines[n] = None;
                 let process = Process::start(&self.layout, n as u8 + 1, false);
                 self.machines[n] = Some(process);
             }
             FaultStep::Kill(n) => self.machines[n] = None,
-            FaultStep::Resume(n) => {
-                if let Some(process) = &self.machines[n] {
-                    process.signal("CONT");
-                }
-            }
+            FaultStep::Terminate(n) => self.signal(n, "TERM"),
+            FaultStep::Resume(n) => self.signal(n, "CONT"),
             FaultStep::Reconnect(a, b) => {
                 self.both_directions(a, b, |net, from, to| net.cut(from, to, false))
             }
@@ -149,44 +252,14 @@
             }
             FaultStep::CrashWorker(n) => {
                 self.fleet.lock().crash(n);
-                self.schedule(100, 2_000, FaultStep::RestartWorker(n));
-            }
-            FaultStep::RestartWorker(n) => self.fleet.lock().restart(n),
-        }
-    }
-
-    fn both_directions(
-        &self,
-        a: usize,
-        b: usize,
-        act: impl Fn(&Network, std::net::SocketAddr, std::net::SocketAddr),
-    ) {
-        let [a, b] = [a, b].map(|n| self.layout.internal(n as u8 + 1).0);
-        act(&self.network, a, b);
-        act(&self.network, b, a);
-    }
-
-    /// Stops a machine, if it is running, and schedules its restart.
-    fn stop(&mut self, n: usize, how: StopMode) {
-        if self.machines[n].is_none() {
-            return;
-        }
-        self.record(format!("stop machine={} how={how:?}", n + 1));
-        match how {
-            StopMode::Term => {
-                if let Some(process) = &self.machines[n] {
-                    process.signal("TERM");
-                }
-                self.schedule(6_000, 6_001, FaultStep::Kill(n));
-                self.schedule(6_100, 6_800, FaultStep::Start(n));
+                let restart = FaultStep::RestartWorker(n, Restart::Later);
+                self.schedule(100, 2_000, restart);
             }
-            StopMode::Kill | StopMode::Wipe => {
-                self.machines[n] = None;
-                if how == StopMode::Wipe {
-                    fs::remove_dir_all(self.layout.data(n as u8 + 1)).unwrap();
-                }
-                self.schedule(100, 1_500, FaultStep::Start(n));
+            FaultStep::RestartWorker(n, restart) => {
+                let start_ms = self.fleet.lock().restart(n, restart);
+                self.record(format!("worker {n} starts start_ms={start_ms}"));
             }
+            FaultStep::ResumeWorker(n, clock) => self.fleet.lock().resume(n, clock),
         }
     }
 
@@ -196,92 +269,42 @@
         let n = self.rng.random_range(0..count);
         let other = (n + self.rng.random_range(1..count)) % count;
         let worker = self.rng.random_range(0..count - nodes);
-        let kind = self.rng.random_range(0..14);
-        match kind {
-            0 | 1 => self.stop(n, StopMode::Kill),
-            2 => self.stop(n, StopMode::Term),
-            3 => {
-                let may_wipe = self
-                    .last_wipe
-                    .is_none_or(|at| at.elapsed() > MIN_WIPE_INTERVAL);
-                if may_wipe && n < usize::from(self.layout.disks) && self.machines[n].is_some() {
-                    self.last_wipe = Some(Instant::now());
-                    self.stop(n, StopMode::Wipe);
-                }
-            }
-            4 => {
-                if let Some(process) = &self.machines[n] {
-                    process.signal("STOP");
-                    self.record(format!("pause machine={}", n + 1));
-                    self.schedule(100, 4_000, FaultStep::Resume(n));
-                }
-            }
-            5 => {
-                // Cuts the machine off from all others, in both directions or in one.
-                let one_way = self.rng.random_bool(0.3);
-                self.record(format!("cut machine={} one_way={one_way}", n + 1));
-                for m in (0..count).filter(|m| *m != n) {
-                    let [a, b] = [n, m].map(|n| self.layout.internal(n as u8 + 1).0);
-                    self.network.cut(a, b, true);
-                    if !one_way {
-                        self.network.cut(b, a, true);
-                    }
-                    self.scheduled_steps.push((
-                        Instant::now() + Duration::from_millis(2_500),
-                        FaultStep::Reconnect(n, m),
-                    ));
-                }
-            }
-            6 => {
-                self.record(format!("delay {} {}", n + 1, other + 1));
-                let delay = Duration::from_millis(self.rng.random_range(20..400));
-                self.both_directions(n, other, |net, from, to| net.delay(from, to, delay));
-                self.schedule(500, 4_000, FaultStep::EndDelay(n, other));
-            }
-            7 => {
-                self.record(format!("silence {} {}", n + 1, other + 1));
-                self.both_directions(n, other, Network::silence);
-            }
-            8 => {
-                self.record(format!("reset machine={}", n + 1));
-                for m in (0..count).filter(|m| *m != n) {
-                    self.both_directions(n, m, Network::reset);
-                }
-            }
-            9 => {
-                self.record(format!(
-                    "worker {worker} leaves calls unanswered or is slow"
-                ));
-                let slow = self.rng.random_range(0..8);
-                self.fleet.lock().set_faults(
-                    worker,
-                    WorkerFaults {
-                        unanswered_fraction: 0.1,
-                        slowdown: slow,
-                    },
-                );
-                self.schedule(1_000, 5_000, FaultStep::ClearWorkerFaults(worker));
-            }
-            12 | 13 => {
-                let kinds = ForeignHeartbeat::ALL;
-                let kind = kinds[self.rng.random_range(0..kinds.len())];
-                self.record(format!(
-                    "foreign heartbeat for worker {worker} kind={kind:?}"
-                ));
-                let machine = (nodes + worker) as u8 + 1;
-                let (address, control) =
-                    (self.layout.worker(machine), self.layout.control(machine));
-                self.fleet
-                    .send_foreign_heartbeat(worker, address, control, kind);
+        let kind = self.rng.random_range(0..self.kinds.len() as u32);
+        match self.kinds[kind as usize] {
+            FaultKind::Kill => self.stop(n, StopMode::Kill),
+            FaultKind::Term => self.stop(n, StopMode::Term),
+            FaultKind::Wipe => self.wipe(n),
+            FaultKind::PauseProcess => self.pause_process(n),
+            FaultKind::CutOff => self.cut_off(n),
+            FaultKind::Delay => self.delay(n, other),
+            FaultKind::Silence => self.silence(n, other),
+            FaultKind::Reset => self.reset(n),
+            FaultKind::UnansweredCalls => self.leave_calls_unanswered(worker),
+            FaultKind::WorkerCrash => self.crash_worker(worker),
+            FaultKind::Drain => self.drain_worker(worker),
+            FaultKind::ForeignHeartbeat => self.send_foreign_heartbeat(worker),
+            FaultKind::PauseMachine => self.pause_machine(n),
+            FaultKind::PauseTwoMachines => {
+                self.pause_machine(n);
+                self.pause_machine(other);
             }
-            10 => {
-                self.record(format!("worker {worker} crashes"));
-                self.run_step(FaultStep::CrashWorker(worker));
+            FaultKind::KillDisks => self.kill_together(0..usize::from(self.layout.disks), false),
+            FaultKind::KillAll => {
+                let workers = self.rng.random_bool(0.5);
+                self.kill_together(0..count, workers);
             }
-            _ => {
-                self.record(format!("worker {worker} drains"));
-                self.fleet.lock().drain(worker);
-                self.schedule(2_300, 4_000, FaultStep::CrashWorker(worker));
+            FaultKind::RestartInTurn => self.restart_in_turn(),
+            FaultKind::Halves => self.cut_in_halves(),
+            FaultKind::WorkerCutOff => self.cut_worker_off(worker),
+            FaultKind::LateCallsAtRestart => self.restart_with_late_calls(worker),
+            FaultKind::EarlierStart => self.restart_with_earlier_start(worker),
+            FaultKind::RestartAtOnce => self.restart_at_once(worker),
+            FaultKind::DelayedDeparture => self.delay_departure(worker),
+            FaultKind::ReplacedWorker => self.replace_worker(worker),
+            FaultKind::Burst(burst) => {
+                self.record(format!("burst {burst:?}"));
+                let seed = self.rng.random();
+                self.callers.extend(self.load.start_burst(burst, seed));
             }
         }
     }
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -39,8 +39,6 @@
 const CALLERS: u64 = 24;
 /// Default duration of the faults of a seed, as in CI.
 const FAULT_SECONDS: u64 = 12;
-/// Average number of injected faults per second.
-const FAULTS_PER_SECOND: f64 = 0.8;
 /// Timeout for the first configuration to be accepted, and for all jobs to end after the last fault.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Third byte of the loopback addresses of seed 0; later seeds count up from it.
@@ -114,13 +112,13 @@
             .add_worker(worker, control, WORKER_MILLICORES)
             .unwrap();
     }
-    let mut injector = FaultInjector::new(&layout, &network, &fleet, seed, MACHINES);
     let load = Arc::new(LoadGenerator {
         layout,
         fleet: fleet.clone(),
         stop: AtomicBool::new(false),
         next_job_id: AtomicU64::new(seed << 32 | 1),
     });
+    let mut injector = FaultInjector::new(&load, &network, seed, MACHINES);
     let operator = spawn_load(&load, move |load| load.run_operator(seed));
     let start = Instant::now();
     while fleet.lock().checker.acknowledged_config_version == 0 {
@@ -133,12 +131,10 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|n| spawn_load(&load, move |load| load.run_caller(seed * 1_000 + n)))
         .collect();
-    injector.run(
-        (duration.as_secs_f64() * FAULTS_PER_SECOND) as u32,
-        duration,
-    );
+    injector.run(duration);
     load.stop.store(true, Ordering::Relaxed);
-    for caller in callers.into_iter().chain([operator]) {
+    let bursts = injector.take_callers();
+    for caller in callers.into_iter().chain(bursts).chain([operator]) {
         caller.join().unwrap();
     }
     load.wait_for_open_jobs(WAIT_TIMEOUT);
--- a/crates/figdeal-node/tests/soak/proxy.rs
+++ b/crates/figdeal-node/tests/soak/proxy.rs
@@ -24,6 +24,8 @@
     /// Bytes are held back until the cut ends.
     cut: bool,
     delay: Duration,
+    /// Delay that is part of the network and is not ended with the faults.
+    constant_delay: Duration,
     /// Connections with a lower number pass no more bytes but stay open.
     silenced_before: u64,
     /// Connections with a lower number are closed.
@@ -57,6 +59,11 @@
         self.change(from, to, |d, _| d.delay = delay);
     }
 
+    /// Sets a delay that remains when the network is healed.
+    pub(crate) fn set_constant_delay(&self, from: SocketAddr, to: SocketAddr, delay: Duration) {
+        self.change(from, to, |d, _| d.constant_delay = delay);
+    }
+
     /// Makes the open connections pass no more bytes without closing them. New connections work.
     pub(crate) fn silence(&self, from: SocketAddr, to: SocketAddr) {
         self.change(from, to, |d, next| d.silenced_before = next);
@@ -67,7 +74,7 @@
         self.change(from, to, |d, next| d.reset_before = next);
     }
 
-    /// Ends all cuts and delays.
+    /// Ends all cuts, and all delays but the constant ones.
     pub(crate) fn heal(&self) {
         let mut table = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         for faults in table.faults.values_mut() {
@@ -144,7 +151,7 @@
             let read = tokio::time::timeout(CHECK_INTERVAL * 4, input.read(&mut chunk)).await;
             let Ok(read) = read else { continue };
             let Ok(count @ 1..) = read else { return };
-            tokio::time::sleep(faults.delay).await;
+            tokio::time::sleep(faults.delay + faults.constant_delay).await;
             while self.faults_between(from, to).cut {
                 tokio::time::sleep(CHECK_INTERVAL).await;
             }
--- a/crates/figdeal-stand-in/src/checker.rs
+++ b/crates/figdeal-stand-in/src/checker.rs
@@ -100,14 +100,7 @@
                 format!("{task} starts, its job was not submitted"),
             );
         };
-        for (other, worker) in workers.iter().enumerate() {
-            if worker.is_up && worker.runs.contains_key(&task) {
-                self.report_violation(
-                    "TWICE",
-                    format!("{task} on workers {other} and {worker_index} at {now:?}"),
-                );
-            }
-        }
+        self.check_overlap(now, worker_index, workers, task);
         if !job.spec.volatile && self.acknowledged_completions.contains(&task) {
             self.report_violation(
                 "TWICE",
@@ -145,6 +138,24 @@
         self.starts.entry(task).or_default().push(Start { at: now });
     }
 
+    /// Checks that no worker has a run of the task in progress, beside one that `worker_index` starts or goes on with.
+    pub fn check_overlap(
+        &mut self,
+        now: Timestamp,
+        worker_index: usize,
+        workers: &[&Worker],
+        task: TaskId,
+    ) {
+        for (other, worker) in workers.iter().enumerate() {
+            if worker.is_at_work(now, task) {
+                self.report_violation(
+                    "TWICE",
+                    format!("{task} on workers {other} and {worker_index} at {now:?}"),
+                );
+            }
+        }
+    }
+
     /// Checks and records the end of a run that an agent has acknowledged. The worker forgets the end after that.
     pub fn on_end_acknowledged(&mut self, worker_index: usize, worker: &Worker, end: EndedRun) {
         let Some(job) = self.jobs.get(&end.task.job) else {
--- a/crates/figdeal-stand-in/src/server.rs
+++ b/crates/figdeal-stand-in/src/server.rs
@@ -19,11 +19,13 @@
 
 use crate::{
     checker::Checker,
-    worker::{Run, Worker},
+    worker::{PausedClock, Run, Worker},
 };
 
 /// Name of the pool to which all workers belong.
 pub const POOL_NAME: &str = "pool";
+/// Prefix of the payload of tasks that always fail.
+pub const FAILING_PAYLOAD_PREFIX: &str = "fail-";
 /// Number of threads that serve the calls to one worker.
 const SERVER_THREADS: usize = 12;
 /// Interval at which a poll checks whether a run has ended.
@@ -32,24 +34,62 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout of a heartbeat that another writer sends.
 const FOREIGN_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay after which a call without a timely answer is executed and its request dropped.
+/// Default delay after which a call without a timely answer is executed and its request dropped.
 const LATE_CALL_DELAY: Duration = Duration::from_millis(2_500);
+/// Interval at which a call to a paused worker checks whether the pause has ended.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Start of the first incarnations in milliseconds. It leaves room for starts after the time of day went back.
+const FIRST_START_MS: u64 = 1_000_000;
+/// Largest step in milliseconds by which the time of day goes back before a restart.
+const MAX_CLOCK_STEP_MS: u64 = 60_000;
 /// Time after the acknowledgement of `draining` for which runs may still start.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
 /// Faults of one worker.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct WorkerFaults {
     /// Fraction of calls that are executed after a delay and get no answer in time.
     pub unanswered_fraction: f64,
+    /// Shortest and longest delay of such a call, chosen at random for each.
+    pub late_by: (Duration, Duration),
     /// Factor by which new runs take longer; 0 counts as 1.
     pub slowdown: u32,
+    /// Whether the worker is cut off from its agent: calls are neither executed nor answered, and no heartbeat arrives.
+    pub is_cut_off: bool,
+}
+
+impl Default for WorkerFaults {
+    fn default() -> Self {
+        WorkerFaults {
+            unanswered_fraction: 0.0,
+            late_by: (LATE_CALL_DELAY, LATE_CALL_DELAY),
+            slowdown: 0,
+            is_cut_off: false,
+        }
+    }
+}
+
+/// As what a worker starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Restart {
+    /// Under its identity, with a later start.
+    Later,
+    /// Under its identity, with a start before that of its former incarnation, since the time of day went back.
+    Earlier,
+    /// As another worker at the same address.
+    OtherIdentity,
 }
 
 /// One worker with its faults and the state of its heartbeats.
 #[derive(Debug)]
 struct FleetWorker {
     worker: Worker,
+    /// Identity in heartbeats and calls.
+    id: String,
+    /// Number of incarnations at the address so far. Their starts may repeat.
+    lives: u64,
+    /// Latest start of an incarnation in milliseconds.
+    latest_start_ms: u64,
     faults: WorkerFaults,
     /// Whether the heartbeats say that the worker is draining.
     draining: bool,
@@ -104,6 +144,13 @@
                 .completed_tasks
                 .extend(entry.worker.completed_tasks.drain(..));
         }
+        for n in 0..self.workers.len() {
+            for task in self.workers[n].worker.take_renewed_runs(now) {
+                let others = self.workers.iter().enumerate().filter(|(m, _)| *m != n);
+                let others: Vec<&Worker> = others.map(|(_, p)| &p.worker).collect();
+                self.checker.check_overlap(now, n, &others, task);
+            }
+        }
         now
     }
 
@@ -125,22 +172,42 @@
         worker.runs.clear();
     }
 
-    /// Restarts the worker as a new incarnation.
-    pub fn restart(&mut self, n: usize) {
+    /// Pauses the worker: it executes nothing and sends nothing until [`WorkerFleet::resume`].
+    pub fn pause(&mut self, n: usize) {
+        let now = self.advance();
+        self.workers[n].worker.pause(now);
+    }
+
+    /// Ends a pause of the worker.
+    pub fn resume(&mut self, n: usize, clock: PausedClock) {
         let now = self.advance();
+        self.workers[n].worker.resume(now, clock);
+        self.advance();
+    }
+
+    /// Restarts the worker as a new incarnation. Returns its start in milliseconds.
+    pub fn restart(&mut self, n: usize, restart: Restart) -> u64 {
+        let now = self.advance();
+        let step = self.rng.random_range(1..=MAX_CLOCK_STEP_MS);
         let entry = &mut self.workers[n];
-        let (incarnation, millicores) = (
-            entry.worker.incarnation + 1,
-            entry.worker.capacity.millicores,
-        );
-        entry.worker = Worker::new(now, incarnation, millicores);
+        let start_ms = match restart {
+            Restart::Earlier => entry.worker.incarnation.saturating_sub(step),
+            Restart::Later | Restart::OtherIdentity => entry.latest_start_ms + 1,
+        };
+        entry.latest_start_ms = entry.latest_start_ms.max(start_ms);
+        entry.lives += 1;
+        if restart == Restart::OtherIdentity {
+            entry.id = format!("i-{n}-{}", entry.lives);
+        }
+        entry.worker = Worker::new(now, start_ms, entry.worker.capacity.millicores);
         (entry.draining, entry.drain_acked_at, entry.sequence) = (false, None, 0);
+        start_ms
     }
 
     fn heartbeat(&self, n: usize, address: SocketAddr) -> Heartbeat {
         let entry = &self.workers[n];
         Heartbeat {
-            id: format!("i-{n}"),
+            id: entry.id.clone(),
             address,
             pool: POOL_NAME.to_owned(),
             capacity: entry.worker.capacity,
@@ -179,7 +246,9 @@
         }
         let step = &job.spec.steps[usize::from(call.task.step)];
         let (needs, estimate) = (step.needs, u64::from(step.estimate_ms));
-        let outcome = match self.rng.random_bool(self.failure_fraction) {
+        let always_fails = job.spec.payload.starts_with(FAILING_PAYLOAD_PREFIX);
+        let fails = self.rng.random_bool(self.failure_fraction) || always_fails;
+        let outcome = match fails {
             true => ListedOutcome::Failed,
             false => ListedOutcome::Done,
         };
@@ -207,6 +276,10 @@
     /// start whose outcome is unclear.
     fn handle_call(&mut self, n: usize, call: &Call) -> Option<(u16, String)> {
         let now = self.advance();
+        let is_meant = call.worker_id().is_none_or(|id| id == self.workers[n].id);
+        if !is_meant {
+            return Some((421, String::new()));
+        }
         let clock = self.workers[n].worker.clock(now);
         match call {
             Call::Start(call) => {
@@ -231,6 +304,15 @@
     }
 }
 
+/// How a call that has arrived is executed.
+#[derive(Debug, Clone, Copy)]
+struct Reception {
+    /// Incarnation that has received the call, counted from 1. No later one executes it.
+    life: u64,
+    /// Delay of a call that gets no answer in time.
+    late_by: Option<Duration>,
+}
+
 /// A fleet that is shared between threads.
 #[derive(Debug, Clone)]
 pub struct SharedFleet(Arc<Mutex<WorkerFleet>>);
@@ -258,9 +340,13 @@
     ) -> io::Result<()> {
         let n = {
             let mut fleet = self.lock();
-            let worker = Worker::new(fleet.now(), 1, millicores);
+            let worker = Worker::new(fleet.now(), FIRST_START_MS, millicores);
+            let id = format!("i-{}", fleet.workers.len());
             fleet.workers.push(FleetWorker {
                 worker,
+                id,
+                lives: 1,
+                latest_start_ms: FIRST_START_MS,
                 faults: WorkerFaults::default(),
                 draining: false,
                 drain_acked_at: None,
@@ -305,13 +391,29 @@
         });
     }
 
+    /// Sends the departure of worker `n` to its agent at `control` after a delay, in the background. It names the
+    /// identity that the worker has now.
+    pub fn send_departure(&self, n: usize, control: SocketAddr, delay: Duration) {
+        let path = stand_in::departure_path(&self.lock().workers[n].id);
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let request = ureq::delete(format!("http://{control}{path}")).config();
+            let request = request.timeout_global(Some(FOREIGN_HEARTBEAT_TIMEOUT));
+            let _ = request.build().call();
+        });
+    }
+
     fn send_heartbeat(&self, n: usize, address: SocketAddr, control: SocketAddr) {
-        let (beat, up) = {
+        let (beat, is_sent, life) = {
             let mut fleet = self.lock();
             fleet.workers[n].sequence += 1;
-            (fleet.heartbeat(n, address), fleet.workers[n].worker.is_up)
+            let beat = fleet.heartbeat(n, address);
+            let entry = &fleet.workers[n];
+            let worker = &entry.worker;
+            let is_sent = worker.is_up && !worker.is_paused() && !entry.faults.is_cut_off;
+            (beat, is_sent, entry.lives)
         };
-        if !up {
+        if !is_sent {
             return;
         }
         let (path, body) = stand_in::encode_heartbeat(&beat);
@@ -320,7 +422,7 @@
         let now = fleet.now();
         let entry = &mut fleet.workers[n];
         // If this heartbeat was not acknowledged, the next one says again that the worker is draining.
-        if sent.is_ok() && beat.draining && entry.worker.incarnation == beat.started_at_ms {
+        if sent.is_ok() && beat.draining && entry.lives == life {
             entry.drain_acked_at.get_or_insert(now);
         }
     }
@@ -342,52 +444,96 @@
         let (Ok(_), Some(call)) = (read, call) else {
             return respond(request, 400, String::new());
         };
-        let (unanswered, up, incarnation) = {
-            let mut fleet = self.lock();
-            let fraction = fleet.workers[n].faults.unanswered_fraction;
-            let unanswered = fleet.rng.random_bool(fraction);
-            let worker = &fleet.workers[n].worker;
-            (unanswered, worker.is_up, worker.incarnation)
+        let Some(reception) = self.receive_call(n) else {
+            return abandon(request);
         };
-        if unanswered || !up {
+        if let Some(delay) = reception.late_by {
             let shared = self.clone();
             thread::spawn(move || {
-                thread::sleep(LATE_CALL_DELAY);
-                let mut fleet = shared.lock();
-                let worker = &fleet.workers[n].worker;
-                if unanswered && worker.is_up && worker.incarnation == incarnation {
+                thread::sleep(delay);
+                if let Some(mut fleet) = shared.lock_for(n, reception.life) {
                     fleet.handle_call(n, &call);
                 }
-                drop(fleet);
                 // When the request is dropped, tiny_http answers with status 500, long after the timeout of the call.
                 drop(request);
             });
             return;
         }
-        let answer = self.lock().handle_call(n, &call);
+        let Some(mut fleet) = self.lock_for(n, reception.life) else {
+            return abandon(request);
+        };
+        let answer = fleet.handle_call(n, &call);
+        drop(fleet);
         match (answer, call) {
             (Some((status, text)), _) => respond(request, status, text),
-            (None, Call::Poll(poll)) => {
-                let end = Instant::now() + poll.wait;
-                loop {
-                    let mut fleet = self.lock();
-                    let now = fleet.advance();
-                    let worker = &fleet.workers[n].worker;
-                    if !worker.is_up
-                        || !worker.unacknowledged_ends.is_empty()
-                        || Instant::now() >= end
-                    {
-                        let text = stand_in::encode_poll_reply(&worker.status(now));
-                        drop(fleet);
-                        return respond(request, 200, text);
-                    }
-                    drop(fleet);
-                    thread::sleep(RUN_CHECK_INTERVAL);
-                }
-            }
+            (None, Call::Poll(poll)) => self.answer_poll(n, reception.life, request, poll.wait),
             (None, _) => respond(request, 503, String::new()),
         }
     }
+
+    /// Decides what happens to a call that arrives at worker `n` now. Returns `None` if it is lost.
+    fn receive_call(&self, n: usize) -> Option<Reception> {
+        let mut fleet = self.lock();
+        let faults = fleet.workers[n].faults;
+        let is_late = fleet.rng.random_bool(faults.unanswered_fraction);
+        let (shortest, longest) = faults.late_by;
+        let delay = fleet.rng.random_range(shortest..=longest);
+        let entry = &fleet.workers[n];
+        let is_received = entry.worker.is_up && !faults.is_cut_off;
+        is_received.then_some(Reception {
+            life: entry.lives,
+            late_by: is_late.then_some(delay),
+        })
+    }
+
+    /// Locks the fleet once worker `n` is not paused. Returns `None` if the incarnation that received the call does not
+    /// run any more.
+    fn lock_for(&self, n: usize, life: u64) -> Option<MutexGuard<'_, WorkerFleet>> {
+        loop {
+            let fleet = self.lock();
+            let entry = &fleet.workers[n];
+            let worker = &entry.worker;
+            if entry.lives != life || !worker.is_up {
+                return None;
+            }
+            if !worker.is_paused() {
+                return Some(fleet);
+            }
+            drop(fleet);
+            thread::sleep(PAUSE_CHECK_INTERVAL);
+        }
+    }
+
+    /// Answers a poll once a run has ended or `wait` has passed.
+    fn answer_poll(&self, n: usize, life: u64, request: Request, wait: Duration) {
+        let end = Instant::now() + wait;
+        loop {
+            let Some(mut fleet) = self.lock_for(n, life) else {
+                return abandon(request);
+            };
+            if fleet.workers[n].faults.is_cut_off {
+                drop(fleet);
+                return abandon(request);
+            }
+            let now = fleet.advance();
+            let worker = &fleet.workers[n].worker;
+            if !worker.unacknowledged_ends.is_empty() || Instant::now() >= end {
+                let text = stand_in::encode_poll_reply(&worker.status(now));
+                drop(fleet);
+                return respond(request, 200, text);
+            }
+            drop(fleet);
+            thread::sleep(RUN_CHECK_INTERVAL);
+        }
+    }
+}
+
+/// Leaves a request without an answer for longer than any call waits, and drops it then.
+fn abandon(request: Request) {
+    thread::spawn(move || {
+        thread::sleep(LATE_CALL_DELAY);
+        drop(request);
+    });
 }
 
 fn respond(request: Request, status: u16, text: String) {
--- a/crates/figdeal-stand-in/src/worker.rs
+++ b/crates/figdeal-stand-in/src/worker.rs
@@ -1,6 +1,9 @@
 //! A stand-in for a worker, with its lease, fencing, runs and ended runs as the platform specifies them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
@@ -12,6 +15,15 @@
 /// Longest lease that a call can grant, in milliseconds from now.
 const MAX_LEASE_MS: u64 = 1_000;
 
+/// What the clock of a worker does while the worker is paused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PausedClock {
+    /// The clock runs on, as when only the processes of a machine are paused.
+    RunsOn,
+    /// The clock stands still, as when the whole machine is paused.
+    StandsStill,
+}
+
 /// A run in progress.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -81,6 +93,12 @@
     highest_fence: u64,
     /// For each task, the highest number of a run that has ended or was stopped.
     highest_past_run: BTreeMap<TaskId, u64>,
+    /// When the worker was paused.
+    paused_at: Option<Timestamp>,
+    /// Runs whose lease would have expired during a pause if the clock had not stood still.
+    overdue_runs: BTreeMap<TaskId, u64>,
+    /// When the lease of the overdue runs expires on the worker's own clock.
+    overdue_until: Timestamp,
     /// Accepts starts regardless of fencing tokens, lease expiry and earlier runs, for a test that must detect this.
     pub ignores_fencing: bool,
 }
@@ -105,6 +123,9 @@
             completed_tasks: Vec::new(),
             highest_fence: 0,
             highest_past_run: BTreeMap::new(),
+            paused_at: None,
+            overdue_runs: BTreeMap::new(),
+            overdue_until: Timestamp::ZERO,
             ignores_fencing: false,
         }
     }
@@ -114,8 +135,76 @@
         now.since(self.clock_origin).as_millis() as u64
     }
 
+    /// Returns whether the worker is paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused_at.is_some()
+    }
+
+    /// Pauses the worker: its runs make no progress, and nothing ends.
+    pub fn pause(&mut self, now: Timestamp) {
+        self.advance(now);
+        self.paused_at.get_or_insert(now);
+    }
+
+    /// Ends a pause. Has no effect on a worker that is not paused. Even if the clock stood still, the lease counts as
+    /// expired when a running clock would have ended it, since no lease holds while its clock stands still.
+    pub fn resume(&mut self, now: Timestamp, clock: PausedClock) {
+        let Some(paused_at) = self.paused_at.take() else {
+            return;
+        };
+        let pause = now.since(paused_at);
+        for run in self.runs.values_mut() {
+            run.start = run.start + pause;
+            run.end = run.end + pause;
+        }
+        let is_overdue = self.is_lease_over(now);
+        let rest = self.lease_expiry_ms.saturating_sub(self.clock(paused_at));
+        let rest = Duration::from_millis(rest);
+        if is_overdue {
+            self.lease_expirations.push(paused_at + rest);
+        }
+        if clock == PausedClock::StandsStill {
+            self.clock_origin = self.clock_origin + pause;
+            if is_overdue {
+                self.overdue_until = now + rest;
+                self.overdue_runs = self.runs.iter().map(|(t, r)| (*t, r.run)).collect();
+            }
+        }
+        self.advance(now);
+    }
+
+    fn is_lease_over(&self, now: Timestamp) -> bool {
+        self.lease_expiry_ms > 0 && self.clock(now) >= self.lease_expiry_ms
+    }
+
+    /// Returns whether a run of the task counts as in progress. One whose lease ended during a pause does not until the
+    /// pause is over and, if the clock stood still, the rest of that lease has passed.
+    pub fn is_at_work(&self, now: Timestamp, task: TaskId) -> bool {
+        let Some(run) = self.runs.get(&task) else {
+            return false;
+        };
+        let paused_without_lease = self.is_paused() && self.is_lease_over(now);
+        let overdue = self.overdue_runs.get(&task) == Some(&run.run);
+        self.is_up && !paused_without_lease && !overdue
+    }
+
+    /// Returns the overdue runs that go on although the lease that they had before the pause has expired. From then on
+    /// they count as in progress.
+    pub fn take_renewed_runs(&mut self, now: Timestamp) -> Vec<TaskId> {
+        if self.is_paused() || self.overdue_until > now {
+            return Vec::new();
+        }
+        let overdue = std::mem::take(&mut self.overdue_runs).into_iter();
+        let renewed =
+            overdue.filter(|(task, run)| self.runs.get(task).is_some_and(|r| r.run == *run));
+        renewed.map(|(task, _)| task).collect()
+    }
+
     /// Ends the runs that are due. Once the lease has expired, all other runs end as lost.
     pub fn advance(&mut self, now: Timestamp) {
+        if self.is_paused() {
+            return;
+        }
         let due: Vec<TaskId> = self
             .runs
             .iter()
@@ -126,7 +215,7 @@
             let run = self.runs.remove(&task).unwrap();
             self.end_run(run.end, task, run.run, run.outcome);
         }
-        if self.lease_expiry_ms > 0 && self.clock(now) >= self.lease_expiry_ms {
+        if self.is_lease_over(now) {
             self.lease_expiry_ms = 0;
             log::debug!("E690 worker lease expired incarnation={}", self.incarnation);
             self.lease_expirations.push(now);
