Test that the checker finds two runs at once around pauses

Cause: the soak now pauses workers, whose runs count only as long as their lease lasts; TWICE of volatile jobs had no test of its own.

--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept.
 
 mod callers;
+mod checks;
 mod faults;
 #[path = "../fleet/processes.rs"]
 mod processes;
