--- a/crates/figdeal-stand-in/src/server.rs
+++ b/crates/figdeal-stand-in/src/server.rs
@@ -265,9 +265,11 @@
         worker.start_run(now, call, run);
         let used: u32 = worker.runs.values().map(|r| r.needs.millicores).sum();
         if used > worker.capacity.millicores {
-            self.checker
-                .violations
-                .push(format!("LIMIT: worker {n} uses {used}"));
+            let text = format!(
+                "LIMIT: {} starts on worker {n}, which uses {used}, at {now:?}",
+                call.task
+            );
+            self.checker.violations.push(text);
         }
         answer
     }
