Tell a new leader of runs whose worker does not answer

What callers could see: a task that runs twice after a change of the leader.

Change: as long as the agent cannot tell all runs, its reports name those that may be on the worker, and the leader adopts them.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -490,6 +490,11 @@
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
             draining: w.draining || self.shutting_down || self.is_worker_out_of_use(now),
             ..w.clone()
+        let undecided = self.runs.iter().filter(|_| is_periodic && !runs_known);
+        let undecided = undecided.map(|(task, r)| RunId {
+            task: *task,
+            run: r.run,
+        });
         });
         let report = AgentReport {
             address: self.address,
@@ -513,6 +518,7 @@
             self.next_report = now + REPORT_INTERVAL;
         }
         if resend {
+            undecided: undecided.collect(),
             self.next_resend = now + EVENT_RESEND_INTERVAL;
         }
     }
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -56,6 +56,12 @@
             self.on_run_event(now, key, event);
         }
         self.on_slow_runs(now, key, &report.slow);
+        for found in report.undecided {
+            let placed = self.agents[key].placed.get(&found.task);
+            if placed.is_none_or(|p| p.run != found.run) {
+                self.adopt_run(now, key, found);
+            }
+        }
         if let Some(running) = report.running {
             self.reconcile_runs(now, key, report.last_orders, report.last_event, &running);
         }
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -332,6 +332,7 @@
                 draining: false,
             }),
             running: is_periodic.then(|| running.collect()),
+            undecided: Vec::new(),
             events: event.into_iter().collect(),
             slow: Vec::new(),
         };
--- a/crates/figdeal-queue/tests/placement.rs
+++ b/crates/figdeal-queue/tests/placement.rs
@@ -83,6 +83,7 @@
                 draining: false,
             }),
             running: Some(Vec::new()),
+            undecided: Vec::new(),
             events: Vec::new(),
             slow: Vec::new(),
         };
