Acknowledge no ends to a worker that may have restarted

Cause: a poll that follows a start without an answer acknowledged ends by the numbers of the known incarnation. A new one that carries the start out and then the poll forgets its own end under the same number; the run was reported as lost and the task ran again.

Change: no end is acknowledged while a start has no answer. A poll that was under way before is not covered.

--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -270,10 +270,12 @@
             self.poll.set_renewed(now);
         }
         self.poll.last_poll_number += 1;
-        let acked_end = if self.poll.last_poll_succeeded {
-            self.poll.acked_end
-        } else {
-            0
+        // A worker that has restarted numbers its ends from 1 again.
+        let may_have_restarted =
+            !self.poll.last_poll_succeeded || self.runs.values().any(|run| run.start_unanswered);
+        let acked_end = match may_have_restarted {
+            true => 0,
+            false => self.poll.acked_end,
         };
         self.poll.next_poll = now + wait + HEDGE_DELAY;
         let worker = self.worker_id();
