Wait for a lease that the agent cannot know of

Cause: a run that the present incarnation lists counted as ended 0.56 s after the last renewal, also if its lease was granted by the clock of the former one (up to 1 s), or before a pause of the whole machine. The 12.5 s for starts without an answer passed during a pause of the agent, too, and a start could be sent up to 15 s late.

Change: after a new incarnation, and when runs are found although the known lease has expired, leases count for 1.18 s: the longest of 1 s, a call answered after 97 ms, a slow clock, and 50 ms to end. Pauses of the process do not count towards the 12.5 s. Calls are given up after 12 s.

--- a/crates/figdeal-node/src/worker_client.rs
+++ b/crates/figdeal-node/src/worker_client.rs
@@ -28,8 +28,9 @@
 /// How often the call yields to other tasks after its timeout before a reply counts as missing.
 const YIELDS_AFTER_TIMEOUT: usize = 3;
 /// Time after the start of a call at which its HTTP exchange is aborted. The exchange goes on after the timeout of the
-/// call, so that a late reply makes the connection reusable.
-const LATE_REPLY_TIMEOUT: Duration = Duration::from_secs(15);
+/// call, so that a late reply makes the connection reusable. No start may be sent after its run counts as lost, see
+/// [`UNANSWERED_START_TIMEOUT`](figdeal_queue::agent::UNANSWERED_START_TIMEOUT).
+const LATE_REPLY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Number of [`MAX_CALLS`] to keep free for new calls. If fewer are free, the oldest overdue call is aborted, which
 /// closes its connection.
 const MIN_FREE_CALLS: usize = 16;
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -39,10 +39,11 @@
 /// Time after the last attempt to renew the worker lease, successful or not, by which every run has ended:
 /// [`WORKER_LEASE`] by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(560);
-/// Time after the last attempt to renew the worker lease by which also a run has ended that the known incarnation of the
-/// worker has not listed. A new incarnation has another clock, and may have taken the expiry for its longest lease of 1 s.
-pub const UNLISTED_RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(1_080);
-/// Time after which a start without an answer is not carried out any more.
+/// Time after the last attempt to renew the worker lease by the clock of a former incarnation, or of one that may be, by which
+/// every run has ended. The next incarnation may take the expiry for its longest lease: 1 s from the call, which may be
+/// answered after 97 ms, by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
+pub const FORMER_CLOCK_LOSS_TIMEOUT: Duration = Duration::from_millis(1_180);
+/// Time after which a start without an answer is not carried out any more. The calls themselves are given up earlier.
 pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
 /// Time after the last report of an unreachable agent by which all its runs have ended: [`AGENT_LEASE`] by a slow
 /// clock, plus [`RUN_LOSS_TIMEOUT`].
@@ -63,6 +64,8 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a start. A start that takes effect later is found by the next poll.
 pub const START_TIMEOUT: Duration = Duration::from_millis(25);
+/// Time between two calls of [`Agent::tick`] that only a pause of the process explains.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Delay after which a stop is repeated if the worker has not listed the end of the run.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Number of low bits of the fencing token that the agent increments by itself; the bits above come from its
@@ -221,6 +224,9 @@
     next_peer: usize,
     next_report: Timestamp,
     next_resend: Timestamp,
+    ticked_at: Timestamp,
+    /// When the process last went on after a pause.
+    resumed_at: Timestamp,
     /// Whether a report is due before the end of the interval.
     report_pending: bool,
     actions: Vec<Action>,
@@ -255,6 +261,8 @@
             next_peer: 0,
             next_report: Timestamp::ZERO,
             next_resend: Timestamp::ZERO,
+            ticked_at: Timestamp::ZERO,
+            resumed_at: Timestamp::ZERO,
             report_pending: false,
             actions: Vec::new(),
         }
@@ -299,6 +307,10 @@
 
     /// Handles expired leases, and polls, retries and reports that are due.
     pub fn tick(&mut self, now: Timestamp) {
+        if self.ticked_at + PAUSE_THRESHOLD < now {
+            self.resumed_at = now;
+        }
+        self.ticked_at = now;
         if self.lease.is_some() && !self.has_agent_lease(now) {
             let lease = self.lease.take().expect("the lease exists");
             log::warn!(
@@ -478,6 +490,11 @@
             .filter(|e| e.seq > from)
             .copied()
             .collect();
+        let undecided = self.runs.iter().filter(|_| is_periodic && !runs_known);
+        let undecided = undecided.map(|(task, r)| RunId {
+            task: *task,
+            run: r.run,
+        });
         let running = self.runs.iter().map(|(task, r)| RunStatus {
             id: RunId {
                 task: *task,
@@ -490,11 +507,6 @@
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
             draining: w.draining || self.shutting_down || self.is_worker_out_of_use(now),
             ..w.clone()
-        let undecided = self.runs.iter().filter(|_| is_periodic && !runs_known);
-        let undecided = undecided.map(|(task, r)| RunId {
-            task: *task,
-            run: r.run,
-        });
         });
         let report = AgentReport {
             address: self.address,
@@ -506,6 +518,7 @@
             last_event: self.last_event,
             worker,
             running: (is_periodic && runs_known).then(|| running.collect()),
+            undecided: undecided.collect(),
             events,
             slow: std::mem::take(&mut self.slow_runs),
         };
@@ -518,7 +531,6 @@
             self.next_report = now + REPORT_INTERVAL;
         }
         if resend {
-            undecided: undecided.collect(),
             self.next_resend = now + EVENT_RESEND_INTERVAL;
         }
     }
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -11,7 +11,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{Agent, Heartbeat, UNLISTED_RUN_LOSS_TIMEOUT};
+use super::{Agent, FORMER_CLOCK_LOSS_TIMEOUT, Heartbeat};
 use crate::message::{LossReason, RunOutcome, WorkerInfo};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
@@ -184,9 +184,11 @@
 
     /// Forgets a worker that has left, once its lease must have expired.
     pub(super) fn finish_departure(&mut self, now: Timestamp) {
-        let lease_over =
-            self.poll.renewed_at.is_none() || self.is_unrenewed_for(now, UNLISTED_RUN_LOSS_TIMEOUT);
-        if self.left_at.is_some() && lease_over {
+        let is_over = self.runs.is_empty() || self.is_lease_over(now, FORMER_CLOCK_LOSS_TIMEOUT);
+        let left_long_ago = self
+            .left_at
+            .is_some_and(|at| at + FORMER_CLOCK_LOSS_TIMEOUT < now);
+        if left_long_ago && is_over {
             self.new_incarnation(now, None, LossReason::WorkerLeft);
         }
     }
@@ -204,7 +206,7 @@
         self.worker_started_at_ms = started_at_ms;
         self.worker = None;
         self.left_at = None;
-        self.poll.reset_for_new_incarnation();
+        self.poll.reset_for_new_incarnation(now);
         let runs = std::mem::take(&mut self.runs);
         let (ended, undecided): (BTreeMap<_, _>, BTreeMap<_, _>) = runs
             .into_iter()
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -6,8 +6,8 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, UNANSWERED_START_TIMEOUT,
-    UNLISTED_RUN_LOSS_TIMEOUT, WORKER_LEASE, speed::SpeedMeter,
+    Action, Agent, FORMER_CLOCK_LOSS_TIMEOUT, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run,
+    UNANSWERED_START_TIMEOUT, WORKER_LEASE, speed::SpeedMeter,
 };
 use crate::{
     job::TaskId,
@@ -91,7 +91,10 @@
     /// When the worker's clock was read, and its value in milliseconds.
     worker_clock: Option<(Timestamp, u64)>,
     /// When a poll or a start that renews the worker lease was last sent.
-    pub(super) renewed_at: Option<Timestamp>,
+    renewed_at: Option<Timestamp>,
+    /// Latest time at which the worker may have taken an expiry that `renewed_at` does not tell of: until the agent learned of a
+    /// new incarnation, or found runs although the lease that it knows of had expired.
+    unknown_renewal_at: Option<Timestamp>,
     /// When the worker last replied, or when the polls began.
     replied_at: Option<Timestamp>,
     /// Fencing token of the newest poll that this incarnation of the worker replied to.
@@ -122,9 +125,10 @@
     }
 
     /// Forgets the previous incarnation. Poll numbers continue, so that late replies match no pending poll.
-    pub(super) fn reset_for_new_incarnation(&mut self) {
+    pub(super) fn reset_for_new_incarnation(&mut self, now: Timestamp) {
         *self = PollState {
             last_poll_number: self.last_poll_number,
+            unknown_renewal_at: Some(now),
             ..PollState::default()
         };
     }
@@ -229,19 +233,24 @@
     /// Returns whether a run must have ended, although the worker has not listed its end.
     fn has_ended(&self, now: Timestamp, run: &Run) -> bool {
         if run.listed_by == Some(self.incarnation) {
-            return self.is_unrenewed_for(now, RUN_LOSS_TIMEOUT);
+            return self.is_lease_over(now, RUN_LOSS_TIMEOUT);
         }
         // The worker may have restarted since its last reply. The expiry of a start is by the former clock, so it is no limit
         // for a start that the new incarnation carries out.
         match run.confirmed_at.is_some() {
-            true => self.is_unrenewed_for(now, UNLISTED_RUN_LOSS_TIMEOUT),
-            false => run.started_at + UNANSWERED_START_TIMEOUT < now,
+            true => self.is_lease_over(now, FORMER_CLOCK_LOSS_TIMEOUT),
+            false => run.started_at.max(self.resumed_at) + UNANSWERED_START_TIMEOUT < now,
         }
     }
 
-    /// Returns whether the worker lease was not renewed for longer than `time`.
-    pub(super) fn is_unrenewed_for(&self, now: Timestamp, time: Duration) -> bool {
-        self.poll.renewed_at.is_some_and(|at| at + time < now)
+    /// Returns whether the worker lease has expired, of which the last renewal was longer than `time` ago. A lease that only an
+    /// earlier process of the agent has renewed does not count as expired.
+    pub(super) fn is_lease_over(&self, now: Timestamp, time: Duration) -> bool {
+        let (renewed_at, unknown) = (self.poll.renewed_at, self.poll.unknown_renewal_at);
+        let is_past = |at: Option<Timestamp>, time| at.is_none_or(|at| at + time < now);
+        renewed_at.max(unknown).is_some()
+            && is_past(renewed_at, time)
+            && is_past(unknown, FORMER_CLOCK_LOSS_TIMEOUT)
     }
 
     /// Returns whether the worker has not replied for so long that its lease is not renewed any more.
@@ -254,7 +263,8 @@
     /// can still be carried out.
     pub(super) fn is_worker_gone(&self, now: Timestamp) -> bool {
         let replied_at = self.poll.replied_at;
-        let silent = replied_at.is_some_and(|at| at + UNANSWERED_START_TIMEOUT < now);
+        let silent =
+            replied_at.is_some_and(|at| at.max(self.resumed_at) + UNANSWERED_START_TIMEOUT < now);
         silent && self.runs.is_empty()
     }
 
@@ -355,6 +365,9 @@
         {
             self.poll.worker_clock = Some((now, reply.clock_ms));
         }
+        if !reply.running.is_empty() && self.is_lease_over(now, RUN_LOSS_TIMEOUT) {
+            self.poll.unknown_renewal_at = Some(now);
+        }
         self.process_ends(now, &reply);
         self.process_runs(now, sent_at, fence, &reply);
         if fence == self.fence {
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -8,7 +8,7 @@
     job::{JobId, Resources, TaskId},
     message::{AgentReport, LossReason, Order, Orders, PeerMessage, RunOutcome, StartRejection},
 };
-use figdeal_stand_in::worker::{Run, Worker};
+use figdeal_stand_in::worker::{PausedClock, Run, Worker};
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(5);
@@ -37,6 +37,9 @@
     held: Vec<Action>,
     run_time: Duration,
     steps: u64,
+    /// Whether the leader renews the lease of the agent.
+    renews: bool,
+    term: u64,
     last_orders: u64,
     /// Newest event that was reported.
     last_event: u64,
@@ -56,6 +59,8 @@
             held: Vec::new(),
             run_time: RUN_TIME,
             steps: 0,
+            renews: true,
+            term: 1,
             last_orders: 0,
             last_event: 0,
             outcomes: Vec::new(),
@@ -85,9 +90,9 @@
         self.last_orders += 1;
         let message = Orders {
             leader: "127.0.0.3:7000".parse().unwrap(),
-            term: 1,
+            term: self.term,
             session: 7,
-            fence: 5,
+            fence: 4 + self.term,
             lease_start_us: self.now.as_micros(),
             number: self.last_orders,
             acked_event: self.last_event,
@@ -130,7 +135,7 @@
             self.now = self.now + STEP;
             self.steps += 1;
             self.worker.advance(self.now);
-            if self.steps.is_multiple_of(ORDERS_STEPS) {
+            if self.renews && self.steps.is_multiple_of(ORDERS_STEPS) {
                 self.order(Vec::new());
             }
             self.agent.tick(self.now);
@@ -231,6 +236,18 @@
         self.worker.runs.contains_key(&task)
     }
 
+    /// Returns for how long the task goes on within the next 2 s although its run was reported as lost.
+    fn overlap(&mut self, task: TaskId) -> Duration {
+        let mut overlap = Duration::ZERO;
+        for _ in 0..400 {
+            self.advance(STEP);
+            if self.runs(task) && !self.outcomes_of(task).is_empty() {
+                overlap += STEP;
+            }
+        }
+        overlap
+    }
+
     fn outcomes_of(&self, task: TaskId) -> Vec<RunOutcome> {
         let outcomes = self.outcomes.iter().filter(|(t, _)| *t == task);
         outcomes.map(|(_, outcome)| *outcome).collect()
@@ -302,13 +319,7 @@
     pair.restart(2);
     let task = pair.start(0);
     pair.answers = false;
-    let mut lost_while_running = false;
-    for _ in 0..400 {
-        pair.advance(STEP);
-        let is_lost = pair.outcomes_of(task) == [LOST];
-        lost_while_running |= is_lost && pair.runs(task);
-    }
-    assert!(!lost_while_running);
+    assert_eq!(pair.overlap(task), Duration::ZERO);
     assert_eq!(pair.outcomes_of(task), [LOST]);
 }
 
@@ -368,3 +379,68 @@
     let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
     assert!(reported.is_none_or(|w| w.draining));
 }
+
+/// Guards against a run that is started elsewhere before it ends: the agent knows by then that the worker has restarted, but the
+/// lease was granted by the former clock.
+#[test]
+fn a_listed_run_with_a_lease_by_a_former_clock_is_lost_only_after_the_longest_lease() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.restart(2);
+    pair.heartbeat();
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(20));
+    pair.answers = false;
+    pair.agent.worker_left(pair.now, ID);
+    assert_eq!(pair.overlap(task), Duration::ZERO);
+    assert_eq!(pair.outcomes_of(task).len(), 1);
+}
+
+/// Guards against an end of the new incarnation that is forgotten, because an acknowledgement for the former one has the same
+/// number.
+#[test]
+fn ends_of_a_former_incarnation_are_not_acknowledged_to_one_that_may_be_new() {
+    let mut pair = Pair::new(1);
+    pair.start(0);
+    pair.advance(Duration::from_millis(800));
+    pair.restart(2);
+    pair.answers = false;
+    pair.start(1);
+    pair.advance(Duration::from_millis(500));
+    let acked = pair.held.iter().filter_map(|call| match call {
+        Action::Poll(call) => Some(call.acked_end),
+        _ => None,
+    });
+    assert_eq!(acked.max(), Some(0));
+}
+
+/// Guards against a start that is carried out after a pause of the whole machine, when its run has been reported as lost.
+#[test]
+fn a_pause_of_the_machine_decides_no_start() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.worker.pause(pair.now);
+    pair.now = pair.now + Duration::from_millis(13_000);
+    pair.worker.resume(pair.now, PausedClock::StandsStill);
+    pair.agent.tick(pair.now);
+    pair.run_actions();
+    pair.carry_out_held_starts();
+    assert!(pair.runs(task));
+    pair.answers = true;
+    assert_eq!(pair.overlap(task), Duration::ZERO);
+}
+
+/// Guards against a new leader that starts a task elsewhere while its start may still be carried out, because the agent tells
+/// its runs only once the worker replies.
+#[test]
+fn a_new_leader_is_told_of_starts_without_an_answer() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.term = 2;
+    pair.advance(Duration::from_millis(500));
+    let undecided = pair.report.as_ref().map(|r| r.undecided.clone());
+    let undecided = undecided.unwrap_or_default();
+    assert!(undecided.iter().any(|id| id.task == task), "{undecided:?}");
+}
