Move the faults of a seed into a plan, and add one around identities

Cause: among all kinds, restarts of a worker that meet calls on their way are rare. Change: a plan for each family of seeds; from 1,000 on it draws from restarts, departures, late calls and cuts of workers.

--- a/crates/figdeal-node/tests/soak/faults.rs
+++ b/crates/figdeal-node/tests/soak/faults.rs
@@ -2,6 +2,7 @@
 
 mod machine;
 mod network;
+mod plan;
 mod worker;
 
 use std::{
@@ -16,97 +17,16 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use self::machine::StopMode;
+pub(crate) use self::plan::Plan;
+use self::{machine::StopMode, plan::FaultKind};
 use crate::{
-    callers::{Burst, LoadGenerator},
+    callers::LoadGenerator,
     processes::{Layout, Process},
     proxy::Network,
 };
 
 /// Interval at which due steps are executed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// First seed that draws from all kinds of faults. Lower ones draw from [`FIRST_KINDS`] only, so that the seeds that
-/// have failed keep their faults.
-pub(crate) const FIRST_EXTENDED_SEED: u64 = 200;
-/// Average number of injected faults per second of a seed below [`FIRST_EXTENDED_SEED`], and of one above.
-const FAULTS_PER_SECOND: [f64; 2] = [0.8, 1.4];
-/// Longest pause of a process in milliseconds, in the same order.
-const MAX_PAUSES_MS: [u64; 2] = [4_000, 18_000];
-
-/// A kind of fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FaultKind {
-    Kill,
-    Term,
-    Wipe,
-    PauseProcess,
-    CutOff,
-    Delay,
-    Silence,
-    Reset,
-    UnansweredCalls,
-    WorkerCrash,
-    Drain,
-    ForeignHeartbeat,
-    PauseMachine,
-    PauseTwoMachines,
-    KillDisks,
-    KillAll,
-    RestartInTurn,
-    Halves,
-    WorkerCutOff,
-    LateCallsAtRestart,
-    EarlierStart,
-    RestartAtOnce,
-    DelayedDeparture,
-    ReplacedWorker,
-    Burst(Burst),
-}
-
-/// Kinds of faults of all seeds. Each is as probable as it is frequent here. Its position is drawn at random, so a
-/// change of the order changes the faults of every seed.
-const FIRST_KINDS: [FaultKind; 14] = [
-    FaultKind::Kill,
-    FaultKind::Kill,
-    FaultKind::Term,
-    FaultKind::Wipe,
-    FaultKind::PauseProcess,
-    FaultKind::CutOff,
-    FaultKind::Delay,
-    FaultKind::Silence,
-    FaultKind::Reset,
-    FaultKind::UnansweredCalls,
-    FaultKind::WorkerCrash,
-    FaultKind::Drain,
-    FaultKind::ForeignHeartbeat,
-    FaultKind::ForeignHeartbeat,
-];
-
-/// Further kinds of faults, from [`FIRST_EXTENDED_SEED`] on.
-const FURTHER_KINDS: [FaultKind; 21] = [
-    FaultKind::PauseProcess,
-    FaultKind::PauseMachine,
-    FaultKind::PauseMachine,
-    FaultKind::PauseTwoMachines,
-    FaultKind::KillDisks,
-    FaultKind::KillAll,
-    FaultKind::RestartInTurn,
-    FaultKind::Halves,
-    FaultKind::Halves,
-    FaultKind::WorkerCutOff,
-    FaultKind::WorkerCutOff,
-    FaultKind::LateCallsAtRestart,
-    FaultKind::LateCallsAtRestart,
-    FaultKind::EarlierStart,
-    FaultKind::RestartAtOnce,
-    FaultKind::RestartAtOnce,
-    FaultKind::DelayedDeparture,
-    FaultKind::ReplacedWorker,
-    FaultKind::Burst(Burst::Jobs),
-    FaultKind::Burst(Burst::Cancelled),
-    FaultKind::Burst(Burst::Undoable),
-];
-
 /// A scheduled step that continues or ends a fault. The numbers are indices of machines or of workers, from 0.
 #[derive(Debug, Clone, Copy)]
 enum FaultStep {
@@ -132,9 +52,7 @@
     machines: Vec<Option<Process>>,
     scheduled_steps: Vec<(Instant, FaultStep)>,
     last_wipe: Option<Instant>,
-    kinds: Vec<FaultKind>,
-    faults_per_second: f64,
-    max_pause_ms: u64,
+    plan: Plan,
     /// Callers of bursts.
     callers: Vec<thread::JoinHandle<()>>,
     /// All injected faults and executed steps, each with the milliseconds since the start.
@@ -150,11 +68,6 @@
         seed: u64,
         count: u8,
     ) -> FaultInjector {
-        let is_extended = seed >= FIRST_EXTENDED_SEED;
-        let mut kinds = FIRST_KINDS.to_vec();
-        if is_extended {
-            kinds.extend(FURTHER_KINDS);
-        }
         let layout = load.layout.clone();
         let machines = (1..=count).map(|m| Some(Process::start(&layout, m, true)));
         let mut injector = FaultInjector {
@@ -166,14 +79,12 @@
             layout,
             scheduled_steps: Vec::new(),
             last_wipe: None,
-            kinds,
-            faults_per_second: FAULTS_PER_SECOND[usize::from(is_extended)],
-            max_pause_ms: MAX_PAUSES_MS[usize::from(is_extended)],
+            plan: Plan::for_seed(seed),
             callers: Vec::new(),
             history: Vec::new(),
             start: Instant::now(),
         };
-        if is_extended && seed % 2 == 1 {
+        if injector.plan.has_constant_delays {
             injector.add_constant_delays();
         }
         injector
@@ -192,7 +103,7 @@
 
     /// Injects faults at random times within `duration`, then waits until all faults have ended.
     pub(crate) fn run(&mut self, duration: Duration) {
-        let faults = (duration.as_secs_f64() * self.faults_per_second) as u32;
+        let faults = (duration.as_secs_f64() * self.plan.faults_per_second) as u32;
         let start = Instant::now();
         let mut times: Vec<Duration> = (0..faults)
             .map(|_| duration.mul_f64(self.rng.random()))
@@ -269,8 +180,8 @@
         let n = self.rng.random_range(0..count);
         let other = (n + self.rng.random_range(1..count)) % count;
         let worker = self.rng.random_range(0..count - nodes);
-        let kind = self.rng.random_range(0..self.kinds.len() as u32);
-        match self.kinds[kind as usize] {
+        let kind = self.rng.random_range(0..self.plan.kinds.len() as u32);
+        match self.plan.kinds[kind as usize] {
             FaultKind::Kill => self.stop(n, StopMode::Kill),
             FaultKind::Term => self.stop(n, StopMode::Term),
             FaultKind::Wipe => self.wipe(n),
--- a/crates/figdeal-node/tests/soak/faults/machine.rs
+++ b/crates/figdeal-node/tests/soak/faults/machine.rs
@@ -74,13 +74,13 @@
         if self.machines[n].is_some() {
             self.signal(n, "STOP");
             self.record(format!("pause machine={}", n + 1));
-            self.schedule(100, self.max_pause_ms, FaultStep::Resume(n));
+            self.schedule(100, self.plan.max_pause_ms, FaultStep::Resume(n));
         }
     }
 
     /// Pauses all processes of a machine for the same time: a node, or an agent and its worker.
     pub(super) fn pause_machine(&mut self, n: usize) {
-        let wait = Duration::from_millis(self.rng.random_range(100..self.max_pause_ms));
+        let wait = Duration::from_millis(self.rng.random_range(100..self.plan.max_pause_ms));
         let resume_at = Instant::now() + wait;
         self.signal(n, "STOP");
         self.scheduled_steps.push((resume_at, FaultStep::Resume(n)));
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -22,7 +22,7 @@
 };
 
 use callers::LoadGenerator;
-use faults::{FIRST_EXTENDED_SEED, FaultInjector};
+use faults::{FaultInjector, Plan};
 use figdeal_stand_in::server::{SharedFleet, WorkerFleet};
 use processes::Layout;
 use proxy::Network;
@@ -141,9 +141,9 @@
     for caller in callers.into_iter().chain(bursts).chain([operator]) {
         caller.join().unwrap();
     }
-    load.wait_for_open_jobs(match seed < FIRST_EXTENDED_SEED {
-        true => WAIT_TIMEOUT,
-        false => BURST_WAIT_TIMEOUT,
+    load.wait_for_open_jobs(match Plan::for_seed(seed).has_bursts {
+        true => BURST_WAIT_TIMEOUT,
+        false => WAIT_TIMEOUT,
     });
     let (violations, jobs, starts) = {
         let mut fleet = fleet.lock();
