Tell in a broken TWICE or BUDGET at which worker and when a run started

Cause: a start after an acknowledged end does not say whether the worker's lease had lapsed before the acknowledgement, which the platform's rule excuses. Change: the entries name the worker and the time, and whether the lease lapsed. The checks stay as they are.

--- a/crates/figdeal-stand-in/src/checker.rs
+++ b/crates/figdeal-stand-in/src/checker.rs
@@ -46,8 +46,9 @@
     /// Jobs of all callers, entered before their first submission.
     pub jobs: BTreeMap<JobId, SubmittedJob>,
     starts: BTreeMap<TaskId, Vec<Start>>,
-    /// Tasks of jobs that are not volatile, once an agent has acknowledged their completion to the worker.
-    acknowledged_completions: BTreeSet<TaskId>,
+    /// Tasks of jobs that are not volatile, once an agent has acknowledged their completion to the worker, and whether
+    /// the lease of the worker had lapsed between the two.
+    acknowledged_completions: BTreeMap<TaskId, bool>,
     /// Tasks that a run on a worker has completed, whether or not an agent knows. The test adds them.
     pub completed_tasks: BTreeSet<TaskId>,
     /// For each task, the failed runs that an agent has acknowledged, as index of the worker and number of the run.
@@ -101,11 +102,14 @@
             );
         };
         self.check_overlap(now, worker_index, workers, task);
-        if !job.spec.volatile && self.acknowledged_completions.contains(&task) {
-            self.report_violation(
-                "TWICE",
-                format!("{task} starts after its completion was acknowledged, at {now:?}"),
+        if !job.spec.volatile
+            && let Some(lapsed) = self.acknowledged_completions.get(&task)
+        {
+            let text = format!(
+                "{task} starts on worker {worker_index} after its completion was acknowledged, at {now:?} \
+                 lapsed_before_acknowledgement={lapsed}"
             );
+            self.report_violation("TWICE", text);
         }
         let failed = self
             .acknowledged_failures
@@ -114,7 +118,9 @@
         if !job.spec.volatile && failed >= job.max_attempts as usize {
             self.report_violation(
                 "BUDGET",
-                format!("{task} starts after {failed} failed runs"),
+                format!(
+                    "{task} starts on worker {worker_index} after {failed} failed runs, at {now:?}"
+                ),
             );
         }
         let step = &job.spec.steps[usize::from(task.step)];
@@ -166,7 +172,8 @@
         }
         match end.outcome {
             ListedOutcome::Done => {
-                self.acknowledged_completions.insert(end.task);
+                let lapsed = worker.lease_expirations.iter().any(|l| *l > end.ended_at);
+                self.acknowledged_completions.insert(end.task, lapsed);
                 let starts = self.starts.get(&end.task).into_iter().flatten();
                 // A later start is allowed if the lease of the worker had expired between the end and that start.
                 let lease_expired = |s: &Start| {
