Keep what the workers have executed with the logs of a broken seed

Cause: agents do not log starts, so a late start by another incarnation can't be told from the logs of the processes. Change: the stand-in records starts, stops, acknowledgements, crashes and restarts of workers with the time of day; a broken seed writes workers.log.

--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! Nodes and agents are separate processes on loopback, with proxies between them. Workers, callers and the operator
 //! are stand-ins in this process, and one checker compares what they observe with the guarantees. For longer runs,
 //! `FIGDEAL_SOAK_SEEDS=50` runs the seeds 0 to 49, `FIGDEAL_SOAK_ONLY=7` runs one seed, and `FIGDEAL_SOAK_SECONDS=60`
-//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept.
+//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept, with what the workers have executed.
 
 mod callers;
 mod checks;
@@ -13,6 +13,7 @@
 mod proxy;
 
 use std::{
+    fs,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -161,6 +162,8 @@
         violations.len()
     );
     if !violations.is_empty() {
+        let events = fleet.lock().events.join("\n");
+        fs::write(folder.path().join("workers.log"), events).unwrap();
         eprintln!(
             "{}\noutput kept in {}",
             injector.history.join("\n"),
--- a/crates/figdeal-stand-in/src/server.rs
+++ b/crates/figdeal-stand-in/src/server.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use figdeal_core::time::Timestamp;
@@ -109,6 +109,8 @@
     rng: SmallRng,
     /// Fraction of runs that fail.
     failure_fraction: f64,
+    /// What the workers have executed, each with the time of day in UTC, to be compared with the logs of the processes.
+    pub events: Vec<String>,
 }
 
 impl WorkerFleet {
@@ -120,6 +122,7 @@
             checker: Checker::default(),
             rng: SmallRng::seed_from_u64(seed),
             failure_fraction: 0.0,
+            events: Vec::new(),
         }
     }
 
@@ -154,6 +157,21 @@
         now
     }
 
+    /// Records what worker `n` has executed.
+    fn record(&mut self, n: usize, text: &str) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let ms = unix.unwrap_or_default().as_millis() % 86_400_000;
+        let (minutes, seconds) = (ms / 60_000, ms % 60_000);
+        let life = self.workers[n].lives;
+        self.events.push(format!(
+            "{:02}:{:02}:{:02}.{:03} worker {n} life={life} {text}",
+            minutes / 60,
+            minutes % 60,
+            seconds / 1_000,
+            seconds % 1_000
+        ));
+    }
+
     /// Sets the faults of a worker.
     pub fn set_faults(&mut self, n: usize, faults: WorkerFaults) {
         self.workers[n].faults = faults;
@@ -167,6 +185,7 @@
     /// Crashes the worker: its runs are lost, and it executes no calls until it is restarted.
     pub fn crash(&mut self, n: usize) {
         self.advance();
+        self.record(n, "crashes");
         let worker = &mut self.workers[n].worker;
         worker.is_up = false;
         worker.runs.clear();
@@ -201,6 +220,7 @@
         }
         entry.worker = Worker::new(now, start_ms, entry.worker.capacity.millicores);
         (entry.draining, entry.drain_acked_at, entry.sequence) = (false, None, 0);
+        self.record(n, &format!("starts start_ms={start_ms} {restart:?}"));
         start_ms
     }
 
@@ -222,6 +242,14 @@
         let known = self.workers[n].worker.runs.get(&call.task);
         let known = known.is_some_and(|run| run.run == call.run);
         let answer = self.workers[n].worker.check_start(now, call);
+        let clock = self.workers[n].worker.clock(now);
+        self.record(
+            n,
+            &format!(
+                "start task={} run={} fence={} lease_expiry_ms={} clock_ms={clock} known={known} {answer:?}",
+                call.task, call.run, call.fence, call.lease_expiry_ms
+            ),
+        );
         if answer != StartReply::Started || known {
             return answer;
         }
@@ -289,12 +317,22 @@
                 stand_in::encode_start_reply(started, clock)
             }
             Call::Stop(call) => {
+                self.record(n, &format!("stop task={} run={}", call.task, call.run));
                 self.workers[n].worker.stop(now, call);
                 stand_in::encode_start_reply(StartReply::Started, clock)
             }
             Call::Poll(call) => match self.workers[n].worker.renew_lease(now, call) {
                 Some(acknowledged) => {
                     for end in acknowledged {
+                        let text = format!(
+                            "acknowledged task={} run={} {:?} ended_ms_ago={} seen_upto={}",
+                            end.task,
+                            end.run,
+                            end.outcome,
+                            now.since(end.ended_at).as_millis(),
+                            call.acked_end
+                        );
+                        self.record(n, &text);
                         self.checker
                             .on_end_acknowledged(n, &self.workers[n].worker, end);
                     }
