Add seeds whose faults are restarts of workers only

Cause: departures and earlier starts break nearly every seed of the identity plan, so that they hide what late calls do. Change: seeds from 2,000 on draw from restarts, late calls, cuts and pauses.

--- a/crates/figdeal-node/tests/soak/faults/plan.rs
+++ b/crates/figdeal-node/tests/soak/faults/plan.rs
@@ -7,6 +7,8 @@
 const FIRST_EXTENDED_SEED: u64 = 200;
 /// First seed that draws from [`IDENTITY_KINDS`].
 const FIRST_IDENTITY_SEED: u64 = 1_000;
+/// First seed that draws from [`RESTART_KINDS`].
+const FIRST_RESTART_SEED: u64 = 2_000;
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,6 +104,21 @@
     FaultKind::Reset,
 ];
 
+/// Kinds of faults around restarts that keep the order of starts, from [`FIRST_RESTART_SEED`] on. Without departures and
+/// earlier starts, which break seeds by themselves, they show what a call does that another incarnation executes.
+const RESTART_KINDS: [FaultKind; 10] = [
+    FaultKind::LateCallsAtRestart,
+    FaultKind::LateCallsAtRestart,
+    FaultKind::LateCallsAtRestart,
+    FaultKind::LateCallsAtRestart,
+    FaultKind::RestartAtOnce,
+    FaultKind::RestartAtOnce,
+    FaultKind::RestartAtOnce,
+    FaultKind::WorkerCutOff,
+    FaultKind::UnansweredCalls,
+    FaultKind::PauseProcess,
+];
+
 /// Faults of a seed.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
@@ -136,7 +153,10 @@
                 has_bursts: true,
             },
             _ => Plan {
-                kinds: IDENTITY_KINDS.to_vec(),
+                kinds: match seed < FIRST_RESTART_SEED {
+                    true => IDENTITY_KINDS.to_vec(),
+                    false => RESTART_KINDS.to_vec(),
+                },
                 faults_per_second: 2.0,
                 has_constant_delays: seed % 2 == 1,
                 ..first
