--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! Nodes and agents are separate processes on loopback, with proxies between them. Workers, callers and the operator
 //! are stand-ins in this process, and one checker compares what they observe with the guarantees. For longer runs,
 //! `FIGDEAL_SOAK_SEEDS=50` runs the seeds 0 to 49, `FIGDEAL_SOAK_ONLY=7` runs one seed, and `FIGDEAL_SOAK_SECONDS=60`
-//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept.
+//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept, with what the workers have executed.
 
 mod callers;
 mod checks;
@@ -13,6 +13,7 @@
 mod proxy;
 
 use std::{
+    fs,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -22,7 +23,7 @@
 };
 
 use callers::LoadGenerator;
-use faults::{FIRST_EXTENDED_SEED, FaultInjector};
+use faults::{FaultInjector, Plan};
 use figdeal_stand_in::server::{SharedFleet, WorkerFleet};
 use processes::Layout;
 use proxy::Network;
@@ -141,9 +142,9 @@
     for caller in callers.into_iter().chain(bursts).chain([operator]) {
         caller.join().unwrap();
     }
-    load.wait_for_open_jobs(match seed < FIRST_EXTENDED_SEED {
-        true => WAIT_TIMEOUT,
-        false => BURST_WAIT_TIMEOUT,
+    load.wait_for_open_jobs(match Plan::for_seed(seed).has_bursts {
+        true => BURST_WAIT_TIMEOUT,
+        false => WAIT_TIMEOUT,
     });
     let (violations, jobs, starts) = {
         let mut fleet = fleet.lock();
@@ -161,6 +162,8 @@
         violations.len()
     );
     if !violations.is_empty() {
+        let events = fleet.lock().events.join("\n");
+        fs::write(folder.path().join("workers.log"), events).unwrap();
         eprintln!(
             "{}\noutput kept in {}",
             injector.history.join("\n"),
