Log which worker an agent holds and why its lease ends

E701 now says whether the worker has replied under the present registration and since when it is silent; E715 adds the age of the last renewal, E706 the reason. E728 is new: replies of an earlier incarnation were ignored without a trace.

An agent with a silent worker logs E701 and E710 every 0.6 s.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     job::{Resources, TaskId},
+    log_limit::LogLimiter,
     message::{
         AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
         RunEvent, RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
@@ -26,6 +27,7 @@
 mod speed;
 mod start;
 
+use identity::OrUnknown;
 pub use poll::{ListedOutcome, ListedRun, PollReply};
 pub(crate) use speed::STALLED_SPEED_PERCENT;
 use start::StartOrder;
@@ -216,9 +218,29 @@
     next_resend: Timestamp,
     /// Whether a report is due before the end of the interval.
     report_pending: bool,
+    lease_logs: LeaseLogs,
+    /// Limiter of the line about ignored replies of an earlier incarnation of the worker.
+    earlier_replies_log: LogLimiter<(Incarnation, Option<u64>)>,
     actions: Vec<Action>,
 }
 
+/// Limiters of the lines about the agent lease, which repeat as long as the worker does not reply.
+#[derive(Debug, Default)]
+struct LeaseLogs {
+    expired: LogLimiter<LeaseState>,
+    granted: LogLimiter<LeaseState>,
+}
+
+/// State that a line about the agent lease depends on.
+#[derive(Debug, Clone, PartialEq)]
+struct LeaseState {
+    leader: SocketAddr,
+    term: Term,
+    runs_known: bool,
+    /// Last reply of the worker. If there has been another one since, the worker is not silent.
+    replied_at: Option<Timestamp>,
+}
+
 impl Agent {
     /// Creates an agent that knows some nodes and nothing about its worker.
     pub fn new(address: SocketAddr, session: u64, seeds: Vec<SocketAddr>) -> Agent {
@@ -248,6 +270,8 @@
             next_report: Timestamp::ZERO,
             next_resend: Timestamp::ZERO,
             report_pending: false,
+            lease_logs: LeaseLogs::default(),
+            earlier_replies_log: LogLimiter::new(),
             actions: Vec::new(),
         }
     }
@@ -293,13 +317,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         if self.lease.is_some() && !self.has_agent_lease(now) {
             let lease = self.lease.take().expect("the lease exists");
-            log::warn!(
-                "E701 agent lease expired leader={} term={} age_ms={} runs={}",
-                lease.leader,
-                lease.term,
-                now.since(lease.start).as_millis(),
-                self.runs.len()
-            );
+            self.log_lease_expired(now, &lease);
         }
         self.tick_poll(now);
         self.retry_stops(now);
@@ -313,6 +331,34 @@
         self.shutting_down && self.runs.is_empty() && self.events.is_empty()
     }
 
+    fn lease_state(&self, leader: SocketAddr, term: Term) -> LeaseState {
+        LeaseState {
+            leader,
+            term,
+            runs_known: self.poll.replied_under(self.fence),
+            replied_at: self.poll.replied_at(),
+        }
+    }
+
+    /// Logs the end of a lease. The leader renews it only for reports with all runs, which the agent knows once the worker
+    /// has replied under the present registration.
+    fn log_lease_expired(&mut self, now: Timestamp, lease: &Lease) {
+        let state = self.lease_state(lease.leader, lease.term);
+        let runs_known = state.runs_known;
+        if let Some(suppressed) = self.lease_logs.expired.admit(now, state) {
+            log::warn!(
+                "E701 agent lease expired leader={} term={} age_ms={} runs={} runs_known={runs_known} \
+                 worker_silent_ms={} {} suppressed={suppressed}",
+                lease.leader,
+                lease.term,
+                now.since(lease.start).as_millis(),
+                self.runs.len(),
+                OrUnknown(self.poll.silent_ms(now)),
+                self.known_worker()
+            );
+        }
+    }
+
     /// Reports all runs as lost.
     fn report_runs_lost(&mut self, now: Timestamp, reason: LossReason) {
         for (task, run) in std::mem::take(&mut self.runs) {
@@ -383,12 +429,15 @@
             return;
         }
         if orders.term > current_term || self.lease.is_none() {
-            log::info!(
-                "E710 agent lease granted leader={} term={} fence={}",
-                orders.leader,
-                orders.term,
-                orders.fence
-            );
+            let state = self.lease_state(orders.leader, orders.term);
+            if let Some(suppressed) = self.lease_logs.granted.admit(now, state) {
+                log::info!(
+                    "E710 agent lease granted leader={} term={} fence={} suppressed={suppressed}",
+                    orders.leader,
+                    orders.term,
+                    orders.fence
+                );
+            }
             if orders.term > current_term {
                 (self.term, self.last_orders) = (orders.term, 0);
             }
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -4,12 +4,16 @@
 //! than the known one is only a hint. The runs of the known worker go on until the worker itself tells, in its reply to a
 //! poll, that another incarnation runs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display},
+    time::Duration,
+};
 
 use figdeal_core::time::Timestamp;
 
 use super::{Agent, Heartbeat};
-use crate::message::{LossReason, RunOutcome, WorkerInfo};
+use crate::message::{Incarnation, LossReason, RunOutcome, WorkerInfo};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
 const MAX_CANDIDATES: usize = 4;
@@ -28,15 +32,18 @@
     /// incarnation takes effect once the worker confirms it.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if self.is_foreign(&heartbeat) {
-            return log_foreign(&heartbeat);
+            return self.log_foreign(&heartbeat);
         }
         let is_older = heartbeat.started_at_ms.is_some()
             && self.worker_started_at_ms.is_some()
             && heartbeat.started_at_ms < self.worker_started_at_ms;
         if is_older {
             log::info!(
-                "E702 ignored a heartbeat of an earlier incarnation worker={}",
-                heartbeat.id
+                "E702 ignored a heartbeat of an earlier incarnation {} heartbeat_worker={} \
+                 heartbeat_started_at_ms={}",
+                self.known_worker(),
+                heartbeat.id,
+                OrUnknown(heartbeat.started_at_ms)
             );
             return;
         }
@@ -109,7 +116,7 @@
         for Candidate { heartbeat, .. } in settled {
             let confirmed = started_at_ms.is_none() || started_at_ms == heartbeat.started_at_ms;
             if !confirmed || self.is_foreign(&heartbeat) {
-                log_foreign(&heartbeat);
+                self.log_foreign(&heartbeat);
                 continue;
             }
             if !self.is_known(&heartbeat) && self.worker.is_some() {
@@ -167,7 +174,11 @@
             .as_ref()
             .is_some_and(|(known_id, _)| known_id == id)
         {
-            log::info!("E705 worker left worker={id} runs={}", self.runs.len());
+            log::info!(
+                "E705 worker left {} runs={}",
+                self.known_worker(),
+                self.runs.len()
+            );
             self.new_incarnation(now, None, LossReason::WorkerLeft);
         }
         self.candidates
@@ -183,6 +194,7 @@
         reason: LossReason,
     ) {
         let previous = self.incarnation;
+        let previous_worker = self.known_worker().to_string();
         self.incarnation += 1;
         self.worker_started_at_ms = started_at_ms;
         self.worker = None;
@@ -192,8 +204,9 @@
             .into_iter()
             .partition(|(_, run)| run.listed_by == Some(previous));
         log::warn!(
-            "E706 worker has a new incarnation started_at_ms={started_at_ms:?} lost_runs={} \
-             unknown_runs={}",
+            "E706 worker has a new incarnation {previous_worker} new_started_at_ms={} reason={reason:?} \
+             lost_runs={} unknown_runs={}",
+            OrUnknown(started_at_ms),
             ended.len(),
             undecided.len()
         );
@@ -212,13 +225,71 @@
             self.raise_fence(now, self.fence + 1);
         }
     }
+
+    /// Returns the worker that the agent holds, for log lines.
+    pub(super) fn known_worker(&self) -> KnownWorker<'_> {
+        KnownWorker {
+            id: self.worker.as_ref().map(|(id, _)| id.as_str()),
+            started_at_ms: self.worker_started_at_ms,
+            incarnation: self.incarnation,
+        }
+    }
+
+    fn log_foreign(&self, heartbeat: &Heartbeat) {
+        log::warn!(
+            "E727 ignored a heartbeat that the worker cannot have sent {} heartbeat_worker={} \
+             heartbeat_started_at_ms={} heartbeat_pool={}",
+            self.known_worker(),
+            heartbeat.id,
+            OrUnknown(heartbeat.started_at_ms),
+            heartbeat.pool
+        );
+    }
+
+    /// Logs that a reply to a poll was ignored, once and then at intervals: the worker replies to every poll.
+    pub(super) fn log_earlier_incarnation(&mut self, now: Timestamp, started_at_ms: Option<u64>) {
+        let state = (self.incarnation, started_at_ms);
+        if let Some(suppressed) = self.earlier_replies_log.admit(now, state) {
+            log::warn!(
+                "E728 ignored a reply of an earlier incarnation to a poll {} reply_started_at_ms={} \
+                 worker_silent_ms={} suppressed={suppressed}",
+                self.known_worker(),
+                OrUnknown(started_at_ms),
+                OrUnknown(self.poll.silent_ms(now))
+            );
+        }
+    }
 }
 
-fn log_foreign(heartbeat: &Heartbeat) {
-    log::warn!(
-        "E727 ignored a heartbeat that the worker cannot have sent worker={} pool={} started_at_ms={:?}",
-        heartbeat.id,
-        heartbeat.pool,
-        heartbeat.started_at_ms
-    );
+/// The worker that an agent holds, as its log lines name it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownWorker<'a> {
+    id: Option<&'a str>,
+    started_at_ms: Option<u64>,
+    incarnation: Incarnation,
+}
+
+impl Display for KnownWorker<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "worker={} started_at_ms={} incarnation={}",
+            OrUnknown(self.id),
+            OrUnknown(self.started_at_ms),
+            self.incarnation
+        )
+    }
+}
+
+/// Value of a log line that may not be known; then it is shown as `-`.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OrUnknown<T>(pub(super) Option<T>);
+
+impl<T: Display> Display for OrUnknown<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("-"),
+        }
+    }
 }
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -6,7 +6,8 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, speed::SpeedMeter,
+    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, identity::OrUnknown,
+    speed::SpeedMeter,
 };
 use crate::{
     job::TaskId,
@@ -112,6 +113,16 @@
         self.renewed_at = Some(now);
     }
 
+    /// Returns when the worker last replied, or when the polls of this incarnation began.
+    pub(super) fn replied_at(&self) -> Option<Timestamp> {
+        self.replied_at
+    }
+
+    /// Returns for how many milliseconds the worker has not replied, if it was polled.
+    pub(super) fn silent_ms(&self, now: Timestamp) -> Option<u128> {
+        self.replied_at.map(|at| now.since(at).as_millis())
+    }
+
     /// Returns whether the worker has replied to a poll under the registration of `fence`, so that its runs and ends
     /// are known.
     pub(super) fn replied_under(&self, fence: u64) -> bool {
@@ -205,14 +216,19 @@
 
     /// Reports all runs as lost once the worker lease must have expired.
     fn check_lease_expiry(&mut self, now: Timestamp) {
-        let expired = self
+        let expired_since = self
             .poll
             .renewed_at
-            .is_some_and(|at| at + RUN_LOSS_TIMEOUT < now);
-        if expired && !self.runs.is_empty() {
+            .filter(|at| *at + RUN_LOSS_TIMEOUT < now);
+        if let Some(renewed_at) = expired_since
+            && !self.runs.is_empty()
+        {
             log::warn!(
-                "E715 worker lease expired; reporting its runs as lost runs={}",
-                self.runs.len()
+                "E715 worker lease expired; reporting its runs as lost runs={} {} worker_silent_ms={} renewal_age_ms={}",
+                self.runs.len(),
+                self.known_worker(),
+                OrUnknown(self.poll.silent_ms(now)),
+                now.since(renewed_at).as_millis()
             );
             self.report_runs_lost(now, LossReason::LeaseExpired);
         }
@@ -299,6 +315,7 @@
             && reply.started_at_ms != self.worker_started_at_ms
         {
             if reply.started_at_ms < self.worker_started_at_ms {
+                self.log_earlier_incarnation(now, reply.started_at_ms);
                 return;
             }
             self.new_incarnation(now, reply.started_at_ms, LossReason::NewIncarnation);
@@ -373,7 +390,10 @@
                     speed: SpeedMeter::new(Duration::ZERO, now),
                     stop_sent_at: None,
                 };
-                log::info!("E717 found an unknown run on the worker task={task} run={run}");
+                log::info!(
+                    "E717 found an unknown run on the worker task={task} run={run} {}",
+                    self.known_worker()
+                );
                 self.runs.insert(task, found_run);
             }
         }
@@ -405,8 +425,9 @@
         for task in missing {
             let run = self.runs.remove(&task).expect("the run must be known");
             log::warn!(
-                "E718 run is missing on the worker task={task} run={}",
-                run.run
+                "E718 run is missing on the worker task={task} run={} {}",
+                run.run,
+                self.known_worker()
             );
             let outcome = RunOutcome::Lost(LossReason::NotListed);
             self.push_event(now, task, run.run, outcome, run.started_at);
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -131,7 +131,8 @@
             StartReply::Rejected(rejection) => {
                 self.runs.remove(&task);
                 log::info!(
-                    "E712 worker rejected the start of a run task={task} run={run} reason={rejection:?}"
+                    "E712 worker rejected the start of a run task={task} run={run} reason={rejection:?} {}",
+                    self.known_worker()
                 );
                 self.push_event(now, task, run, RunOutcome::NotStarted(rejection), now);
             }
@@ -141,7 +142,8 @@
                 let fence = self.fence + 1;
                 log::warn!(
                     "E713 worker did not reply to a start; polling it with a higher fence \
-                     task={task} run={run} fence={fence}"
+                     task={task} run={run} fence={fence} {}",
+                    self.known_worker()
                 );
                 self.raise_fence(now, fence);
             }
--- a/crates/figdeal-queue/src/lib.rs
+++ b/crates/figdeal-queue/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod dispatch;
 pub mod job;
+pub mod log_limit;
 pub mod message;
 pub mod node;
 pub mod raft;
