Count lost runs by reason at the agent and at the leader

figdeal_queue_runs_lost_total shows without the logs which reason the losses have. The state machines count; the processes take the counts.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -162,6 +162,7 @@
             }
             self.agent.tick(clock::now());
             self.run_actions();
+            metrics_server::count_lost_runs(&self.agent.take_losses());
             if let Some(deadline) = self.exit_deadline
                 && (Instant::now() >= deadline || self.agent.is_finished())
             {
--- a/crates/figdeal-node/src/metrics_server.rs
+++ b/crates/figdeal-node/src/metrics_server.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use figdeal_platform::{Response, settings::METRICS_PORT};
+use figdeal_queue::losses::LossCounts;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::sync::watch;
 
@@ -28,3 +29,10 @@
     };
     Ok(http::serve(address, closing, handler).await?)
 }
+
+/// Adds lost runs to the counter of this process.
+pub(crate) fn count_lost_runs(losses: &LossCounts) {
+    for (reason, count) in losses.iter() {
+        metrics::counter!("figdeal_queue_runs_lost_total", "reason" => reason).increment(count);
+    }
+}
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -443,7 +443,7 @@
             let clock = clock::read();
             if self.node.next_tick() <= clock.now {
                 self.node.tick(clock);
-                self.set_gauges();
+                self.update_metrics();
             }
             self.run_actions(clock);
             self.ready.store(self.node.is_ready(), Ordering::Relaxed);
@@ -469,7 +469,8 @@
         }
     }
 
-    fn set_gauges(&self) {
+    fn update_metrics(&mut self) {
+        metrics_server::count_lost_runs(&self.node.take_losses());
         // Both are 0 on nodes that do not lead.
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -15,6 +15,7 @@
 use crate::{
     job::{Resources, TaskId},
     log_limit::LogLimiter,
+    losses::LossCounts,
     message::{
         AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
         RunEvent, RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
@@ -218,6 +219,8 @@
     next_resend: Timestamp,
     /// Whether a report is due before the end of the interval.
     report_pending: bool,
+    /// Runs reported as lost since the last [`Agent::take_losses`].
+    losses: LossCounts,
     lease_logs: LeaseLogs,
     /// Limiter of the line about ignored replies of an earlier incarnation of the worker.
     earlier_replies_log: LogLimiter<(Incarnation, Option<u64>)>,
@@ -270,6 +273,7 @@
             next_report: Timestamp::ZERO,
             next_resend: Timestamp::ZERO,
             report_pending: false,
+            losses: LossCounts::default(),
             lease_logs: LeaseLogs::default(),
             earlier_replies_log: LogLimiter::new(),
             actions: Vec::new(),
@@ -281,6 +285,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the number of runs that were reported as lost since the last call.
+    pub fn take_losses(&mut self) -> LossCounts {
+        std::mem::take(&mut self.losses)
+    }
+
     /// Returns the latest time at which [`Agent::tick`] must be called.
     pub fn next_tick(&self) -> Timestamp {
         self.next_report.min(self.poll.next_poll)
@@ -376,6 +385,9 @@
         started_at: Timestamp,
     ) {
         self.last_event += 1;
+        if let RunOutcome::Lost(reason) = outcome {
+            self.losses.add(reason);
+        }
         let elapsed_ms = now.since(started_at).as_millis() as u32;
         self.events.push_back(RunEvent {
             seq: self.last_event,
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::{
     agent::AGENT_LOSS_TIMEOUT,
     job::{JobId, JobSpec, JobState, Queue, TaskId},
+    losses::LossCounts,
     message::{AgentReport, Order, RunId},
     node::EarlierJobs,
     raft::Term,
@@ -103,6 +104,8 @@
     /// Number of the newest committed batch.
     committed_batch: u64,
     commands: Vec<Command>,
+    /// Runs that agents reported as lost since the last [`Dispatcher::take_losses`].
+    losses: LossCounts,
     next_sweep: Timestamp,
 }
 
@@ -137,6 +140,7 @@
             next_batch: 1,
             committed_batch: 0,
             commands: Vec::new(),
+            losses: LossCounts::default(),
             next_sweep: now,
         };
         for (id, job) in &state.jobs {
@@ -444,6 +448,11 @@
         (self.jobs.len(), waiting.sum())
     }
 
+    /// Takes the number of runs that agents reported as lost since the last call.
+    pub fn take_losses(&mut self) -> LossCounts {
+        std::mem::take(&mut self.losses)
+    }
+
     /// Handles unreachable agents, stalled runs, and late or expired jobs if a check is due.
     pub fn tick(&mut self, now: Timestamp) {
         if now < self.next_sweep {
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -88,7 +88,8 @@
         }
         let to_commit = match event.outcome {
             RunOutcome::Done | RunOutcome::Failed => self.on_run_end(now, key, event, placed),
-            RunOutcome::Lost(_) => {
+            RunOutcome::Lost(reason) => {
+                self.losses.add(reason);
                 self.run_lost(key, event.task, event.run);
                 false
             }
--- a/crates/figdeal-queue/src/lib.rs
+++ b/crates/figdeal-queue/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod job;
 pub mod log_limit;
+pub mod losses;
 pub mod message;
 pub mod node;
 pub mod raft;
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -12,6 +12,7 @@
 use crate::{
     dispatch::Dispatcher,
     job::JobId,
+    losses::LossCounts,
     message::{Answer, Hello, LeaderInfo, PeerMessage},
     raft::{Index, Member, NodeId, Raft, RaftMessage, StorageWrite, log::Position, log::Snapshot},
     state::{Batch, ReplicatedState},
@@ -198,6 +199,12 @@
         self.dispatcher.as_ref().map(Dispatcher::load)
     }
 
+    /// Takes the number of runs that agents reported as lost to this node as the leader since the last call.
+    pub fn take_losses(&mut self) -> LossCounts {
+        let dispatcher = self.dispatcher.as_mut();
+        dispatcher.map(Dispatcher::take_losses).unwrap_or_default()
+    }
+
     /// Returns whether requests can be served or forwarded, so that the load balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         self.shutdown_deadline.is_none() && (self.is_serving() || self.leader_address().is_some())
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -383,6 +383,23 @@
     assert_eq!(reported_losses(&mut agent, now), [LossReason::WorkerLeft]);
 }
 
+/// Guards against a counter of lost runs that misses a run or counts it again with each report of it.
+#[test]
+fn a_lost_run_is_counted_once() {
+    let (mut agent, _, now) = agent_with_listed_run();
+    agent.worker_left(now, "w");
+    let counts = agent.take_losses();
+    assert_eq!(counts.iter().collect::<Vec<_>>(), [("worker_left", 1)]);
+    let later = now + Duration::from_millis(700);
+    agent.on_message(later, orders(later, 9, Vec::new()));
+    assert_eq!(
+        reported_losses(&mut agent, later),
+        [LossReason::WorkerLeft],
+        "the event is sent again"
+    );
+    assert_eq!(agent.take_losses().iter().count(), 0);
+}
+
 /// Guards against a restart of the worker that the leader cannot tell from other losses.
 #[test]
 fn a_new_incarnation_is_the_reason_of_its_losses() {
