Name term, agent and peer in the lines about second runs

E605, E606, E608, E610, E611, E639 and E641 now carry the term of the leader, and the agent where it was missing; E610 also whether the job is known and the run that is placed instead. E653 names the role of the peer as its messages show it, the side that opened the connection, and how long a sent message has had no answer. E601 had the term already.

The test with processes checks E653.

--- a/crates/figdeal-node/src/connections.rs
+++ b/crates/figdeal-node/src/connections.rs
@@ -9,7 +9,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -71,6 +71,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Connection {
     id: u64,
+    peer_state: Arc<PeerState>,
     frames: mpsc::Sender<Vec<u8>>,
     /// Bytes of the queued frames, headers included.
     queued_bytes: Arc<AtomicUsize>,
@@ -83,11 +84,12 @@
 }
 
 impl Connection {
-    fn new(id: u64) -> (Connection, SendQueue) {
+    fn new(id: u64, peer_state: Arc<PeerState>) -> (Connection, SendQueue) {
         let (sender, frames) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let queued_bytes = Arc::new(AtomicUsize::new(0));
         let connection = Connection {
             id,
+            peer_state,
             frames: sender,
             queued_bytes: Arc::clone(&queued_bytes),
         };
@@ -102,6 +104,7 @@
 
     /// Queues a message. Returns whether the send queue had space for it.
     fn try_send(&self, message: &PeerMessage) -> bool {
+        self.peer_state.learn_role(Role::of_receiver(message));
         let frame = postcard::to_stdvec(message).expect("messages can be encoded");
         let size = frame.len() + FRAME_HEADER_BYTES;
         let queued_bytes = self.queued_bytes.fetch_add(size, Ordering::Relaxed);
@@ -121,6 +124,24 @@
     /// When the oldest unanswered message was sent, in microseconds of [`clock::now`]; 0 if there is none. Any received
     /// bytes count as the answer to all messages sent before.
     first_unanswered_us: AtomicU64,
+    /// Role of the process, once a message has shown it.
+    role: OnceLock<Role>,
+}
+
+impl PeerState {
+    fn learn_role(&self, role: Option<Role>) {
+        if let Some(role) = role {
+            self.role.get_or_init(|| role);
+        }
+    }
+
+    /// Returns for how many milliseconds a message has been without an answer; 0 if none is.
+    fn unanswered_ms(&self) -> u64 {
+        match self.first_unanswered_us.load(Ordering::Relaxed) {
+            0 => 0,
+            since => clock::now().as_micros().saturating_sub(since) / 1_000,
+        }
+    }
 }
 
 /// All connections of this process.
@@ -176,6 +197,7 @@
         };
         tokio::spawn(accept_loop(
             listener,
+            own_address,
             connections.events.clone(),
             Arc::clone(&connections.shared),
         ));
@@ -220,47 +242,32 @@
     }
 
     fn connect(&self, to: SocketAddr) -> Connection {
-        let (connection, send_queue) = Connection::new(self.shared.allocate_id());
-        let connection_id = connection.id;
         let peer_state = self.shared.peer_state(to);
         peer_state.first_unanswered_us.store(0, Ordering::Relaxed);
+        let id = self.shared.allocate_id();
+        let (connection, send_queue) = Connection::new(id, Arc::clone(&peer_state));
+        let opened = PeerConnection {
+            peer: to,
+            connection_id: id,
+            peer_state,
+            opened_by: Opener::Own,
+        };
         let (events, own_address) = (self.events.clone(), self.own_address);
         tokio::spawn(async move {
             match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
                 Ok(Ok(stream)) => {
-                    run_connection(
-                        stream,
-                        PeerConnection {
-                            peer: to,
-                            connection_id,
-                            peer_state,
-                        },
-                        Some(own_address),
-                        send_queue,
-                        events,
-                    )
-                    .await
+                    run_connection(stream, opened, own_address, send_queue, events).await
                 }
                 Ok(Err(e)) => {
                     let connection_refused = e.kind() == io::ErrorKind::ConnectionRefused;
-                    report_lost(
-                        to,
-                        connection_id,
-                        connection_refused,
-                        &events,
-                        &e.to_string(),
-                    )
-                    .await;
+                    opened
+                        .report_lost(connection_refused, &events, &e.to_string())
+                        .await;
                 }
                 Err(_) => {
-                    report_lost(
-                        to,
-                        connection_id,
-                        false,
-                        &events,
-                        "timed out while connecting",
-                    )
-                    .await
+                    opened
+                        .report_lost(false, &events, "timed out while connecting")
+                        .await
                 }
             }
         });
@@ -268,27 +275,9 @@
     }
 }
 
-/// Logs and reports that a connection was lost.
-async fn report_lost(
-    peer: SocketAddr,
-    connection_id: u64,
-    connection_refused: bool,
-    events: &mpsc::Sender<ConnectionEvent>,
-    reason: &str,
-) {
-    log::info!("E653 connection lost peer={peer} reason={reason:?}");
-    // The receiver is gone only when the process is ending.
-    let _ = events
-        .send(ConnectionEvent::Lost {
-            peer,
-            connection_id,
-            connection_refused,
-        })
-        .await;
-}
-
 async fn accept_loop(
     listener: TcpListener,
+    own_address: SocketAddr,
     events: mpsc::Sender<ConnectionEvent>,
     shared: Arc<SharedState>,
 ) {
@@ -308,25 +297,20 @@
             let Ok(Ok(peer)) = timeout(GREETING_TIMEOUT, read_greeting(&mut stream)).await else {
                 return;
             };
-            let (connection, send_queue) = Connection::new(shared.allocate_id());
-            let (connection_id, peer_state) = (connection.id, shared.peer_state(peer));
+            let (connection_id, peer_state) = (shared.allocate_id(), shared.peer_state(peer));
+            let (connection, send_queue) = Connection::new(connection_id, Arc::clone(&peer_state));
             if events
                 .send(ConnectionEvent::Accepted(peer, connection))
                 .await
                 .is_ok()
             {
-                run_connection(
-                    stream,
-                    PeerConnection {
-                        peer,
-                        connection_id,
-                        peer_state,
-                    },
-                    None,
-                    send_queue,
-                    events,
-                )
-                .await;
+                let accepted = PeerConnection {
+                    peer,
+                    connection_id,
+                    peer_state,
+                    opened_by: Opener::Peer,
+                };
+                run_connection(stream, accepted, own_address, send_queue, events).await;
             }
         });
     }
@@ -341,48 +325,128 @@
     text.parse().map_err(io::Error::other)
 }
 
+/// Kind of a process, as its messages show it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Agent,
+    Node,
+}
+
+impl Role {
+    /// Returns the role of the process that has sent a message.
+    fn of_sender(message: &PeerMessage) -> Role {
+        match message {
+            PeerMessage::Announce(_) | PeerMessage::Report(_) => Role::Agent,
+            PeerMessage::Hello(_)
+            | PeerMessage::LeaderInfo(_)
+            | PeerMessage::Bootstrap(_)
+            | PeerMessage::Raft { .. }
+            | PeerMessage::RecentJobs(_)
+            | PeerMessage::Forward { .. }
+            | PeerMessage::Withdraw { .. }
+            | PeerMessage::Reply { .. }
+            | PeerMessage::Orders(_) => Role::Node,
+        }
+    }
+
+    /// Returns the role of the process that a message is sent to. Both nodes and agents get to know the leader.
+    fn of_receiver(message: &PeerMessage) -> Option<Role> {
+        match message {
+            PeerMessage::LeaderInfo(_) => None,
+            PeerMessage::Orders(_) => Some(Role::Agent),
+            PeerMessage::Hello(_)
+            | PeerMessage::Bootstrap(_)
+            | PeerMessage::Raft { .. }
+            | PeerMessage::RecentJobs(_)
+            | PeerMessage::Forward { .. }
+            | PeerMessage::Withdraw { .. }
+            | PeerMessage::Reply { .. }
+            | PeerMessage::Announce(_)
+            | PeerMessage::Report(_) => Some(Role::Node),
+        }
+    }
+}
+
+/// Side that opened a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Opener {
+    Own,
+    Peer,
+}
+
 /// Identity and peer of a connection.
 struct PeerConnection {
     peer: SocketAddr,
     connection_id: u64,
     peer_state: Arc<PeerState>,
+    opened_by: Opener,
 }
 
-/// Runs a connection until it fails, is closed or times out, then reports the loss. With `greeting`, sends that address
-/// first.
+impl PeerConnection {
+    /// Logs and reports that the connection was lost.
+    async fn report_lost(
+        &self,
+        connection_refused: bool,
+        events: &mpsc::Sender<ConnectionEvent>,
+        reason: &str,
+    ) {
+        let role = match self.peer_state.role.get() {
+            Some(Role::Agent) => "agent",
+            Some(Role::Node) => "node",
+            None => "unknown",
+        };
+        let opened_by = match self.opened_by {
+            Opener::Own => "self",
+            Opener::Peer => "peer",
+        };
+        log::info!(
+            "E653 connection lost peer={} role={role} opened_by={opened_by} unanswered_ms={} \
+             reason={reason:?}",
+            self.peer,
+            self.peer_state.unanswered_ms()
+        );
+        // The receiver is gone only when the process is ending.
+        let _ = events
+            .send(ConnectionEvent::Lost {
+                peer: self.peer,
+                connection_id: self.connection_id,
+                connection_refused,
+            })
+            .await;
+    }
+}
+
+/// Runs a connection until it fails, is closed or times out, then reports the loss. The side that opened it sends its
+/// address first.
 async fn run_connection(
     mut stream: TcpStream,
     connection: PeerConnection,
-    greeting: Option<SocketAddr>,
+    own_address: SocketAddr,
     send_queue: SendQueue,
     events: mpsc::Sender<ConnectionEvent>,
 ) {
-    let PeerConnection {
-        peer,
-        connection_id,
-        peer_state,
-    } = connection;
+    let peer_state = &connection.peer_state;
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
-    if let Some(own_address) = greeting {
+    if connection.opened_by == Opener::Own {
         let text = own_address.to_string();
         let mut greeting = vec![text.len() as u8];
         greeting.extend_from_slice(text.as_bytes());
         if let Err(e) = stream.write_all(&greeting).await {
-            return report_lost(peer, connection_id, false, &events, &e.to_string()).await;
+            return connection.report_lost(false, &events, &e.to_string()).await;
         }
     }
     let (input, output) = stream.into_split();
     let reason = tokio::select! {
-        end = read_frames(input, &peer_state, &events) => end,
-        end = write_frames(output, &peer_state, send_queue) => end,
-        () = wait_for_silence(&peer_state) => Ok("no answer in time"),
+        end = read_frames(input, peer_state, &events) => end,
+        end = write_frames(output, peer_state, send_queue) => end,
+        () = wait_for_silence(peer_state) => Ok("no answer in time"),
     };
     let reason = reason.unwrap_or_else(|e| {
-        log::debug!("E655 connection failed peer={peer} error={e}");
+        log::debug!("E655 connection failed peer={} error={e}", connection.peer);
         "failed"
     });
-    report_lost(peer, connection_id, false, &events, reason).await;
+    connection.report_lost(false, &events, reason).await;
 }
 
 /// Returns once a sent message has been without an answer for longer than [`SILENCE_TIMEOUT`].
@@ -411,6 +475,7 @@
         peer_state.first_unanswered_us.store(0, Ordering::Relaxed);
         while let Some(frame) = split_frame(&mut buffer)? {
             let message = postcard::from_bytes(&frame).map_err(io::Error::other)?;
+            peer_state.learn_role(Some(Role::of_sender(&message)));
             if events
                 .send(ConnectionEvent::Message(message))
                 .await
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -162,6 +162,27 @@
     let submit = |id| submit_volatile(&layout, &fleet, JobId(id));
     wait_for_reply("volatile job", 200, "completed", || submit(0xdd));
     stop_under_load(&mut nodes, &submit);
+    check_lost_connections(&layout, agent_machine);
+}
+
+/// Checks that the lines about lost connections name the kind of the peer: the nodes that were killed were peers of the
+/// agent, and of each other.
+fn check_lost_connections(layout: &Layout, agent_machine: u8) {
+    for machine in [1, agent_machine] {
+        let log = std::fs::read_to_string(layout.log(machine)).unwrap();
+        let lost: Vec<&str> = log.lines().filter(|l| l.contains("E653 ")).collect();
+        assert!(
+            lost.iter().any(|line| line.contains(" role=node ")),
+            "machine {machine}: {lost:#?}"
+        );
+        assert!(
+            lost.iter().all(|line| {
+                let has = |name: &str| line.contains(name);
+                (has(" opened_by=self ") || has(" opened_by=peer ")) && has(" unanswered_ms=")
+            }),
+            "machine {machine}: {lost:#?}"
+        );
+    }
 }
 
 fn submit_volatile(layout: &Layout, fleet: &SharedFleet, id: JobId) -> Option<(u16, String)> {
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -15,6 +15,7 @@
 use crate::{
     job::{Resources, TaskId},
     log_limit::LogLimiter,
+    log_value::OrUnknown,
     losses::LossCounts,
     message::{
         AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
@@ -28,7 +29,6 @@
 mod speed;
 mod start;
 
-use identity::OrUnknown;
 pub use poll::{ListedOutcome, ListedRun, PollReply};
 pub(crate) use speed::STALLED_SPEED_PERCENT;
 use start::StartOrder;
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -13,7 +13,10 @@
 use figdeal_core::time::Timestamp;
 
 use super::{Agent, Heartbeat};
-use crate::message::{Incarnation, LossReason, RunOutcome, WorkerInfo};
+use crate::{
+    log_value::OrUnknown,
+    message::{Incarnation, LossReason, RunOutcome, WorkerInfo},
+};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
 const MAX_CANDIDATES: usize = 4;
@@ -204,8 +207,8 @@
             .into_iter()
             .partition(|(_, run)| run.listed_by == Some(previous));
         log::warn!(
-            "E706 worker has a new incarnation {previous_worker} new_started_at_ms={} reason={reason:?} \
-             lost_runs={} unknown_runs={}",
+            "E706 worker has a new incarnation {previous_worker} new_started_at_ms={} \
+             reason={reason:?} lost_runs={} unknown_runs={}",
             OrUnknown(started_at_ms),
             ended.len(),
             undecided.len()
@@ -280,16 +283,3 @@
         )
     }
 }
-
-/// Value of a log line that may not be known; then it is shown as `-`.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct OrUnknown<T>(pub(super) Option<T>);
-
-impl<T: Display> Display for OrUnknown<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.0 {
-            Some(value) => value.fmt(f),
-            None => f.write_str("-"),
-        }
-    }
-}
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -6,11 +6,11 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, identity::OrUnknown,
-    speed::SpeedMeter,
+    Action, Agent, POLL_WAIT, PollCall, RUN_LOSS_TIMEOUT, Run, WORKER_LEASE, speed::SpeedMeter,
 };
 use crate::{
     job::TaskId,
+    log_value::OrUnknown,
     message::{LossReason, RunOutcome},
 };
 
@@ -224,7 +224,8 @@
             && !self.runs.is_empty()
         {
             log::warn!(
-                "E715 worker lease expired; reporting its runs as lost runs={} {} worker_silent_ms={} renewal_age_ms={}",
+                "E715 worker lease expired; reporting its runs as lost runs={} {} \
+                 worker_silent_ms={} renewal_age_ms={}",
                 self.runs.len(),
                 self.known_worker(),
                 OrUnknown(self.poll.silent_ms(now)),
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -468,8 +468,9 @@
             && now >= self.leading_since + AGENT_LOSS_TIMEOUT
         {
             log::warn!(
-                "E605 agents of earlier terms did not report in time agents={:?}",
-                self.agents_with_unknown_runs
+                "E605 agents of earlier terms did not report in time agents={:?} term={}",
+                self.agents_with_unknown_runs,
+                self.term
             );
             for address in std::mem::take(&mut self.agents_with_unknown_runs) {
                 if !self.by_address.contains_key(&address) {
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -131,9 +131,10 @@
             let address = agent.address;
             let lost: Vec<(TaskId, u64)> = agent.placed.iter().map(|(t, p)| (*t, p.run)).collect();
             log::warn!(
-                "E606 agent is unreachable address={address} silent_ms={} lost_runs={}",
+                "E606 agent is unreachable address={address} silent_ms={} lost_runs={} term={}",
                 now.since(agent.heard_at).as_millis(),
-                lost.len()
+                lost.len(),
+                self.term
             );
             self.commands.push(Command::DeregisterAgent { address });
             self.update_room(key);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -8,6 +8,7 @@
 use super::{AgentKey, AgentReport, Dispatcher, ORPHAN_TIMEOUT, PlacedRun, TaskState};
 use crate::{
     job::TaskId,
+    log_value::OrUnknown,
     message::{Order, RunEvent, RunId, RunOutcome, RunStatus, StartRejection},
     state::Command,
 };
@@ -78,12 +79,14 @@
         }
         if !matches!(event.outcome, RunOutcome::Done | RunOutcome::Failed) {
             log::info!(
-                "E641 run ended without a result task={} run={} agent={} outcome={:?} elapsed_ms={}",
+                "E641 run ended without a result task={} run={} agent={} outcome={:?} \
+                 elapsed_ms={} term={}",
                 event.task,
                 event.run,
                 self.agents[key].address,
                 event.outcome,
-                event.elapsed_ms
+                event.elapsed_ms,
+                self.term
             );
         }
         let to_commit = match event.outcome {
@@ -215,7 +218,11 @@
             let needs = placed.needs;
             let stop_lost = placed.stop_number.is_some_and(|n| n <= last_orders);
             if stop_lost && !status.stopping {
-                log::info!("E639 repeating a lost stop task={task} run={run}");
+                log::info!(
+                    "E639 repeating a lost stop task={task} run={run} agent={} term={}",
+                    self.agents[key].address,
+                    self.term
+                );
                 self.order_stop(key, task, run);
             }
             if !status.needs_known {
@@ -237,7 +244,11 @@
             let missing: Vec<(TaskId, u64)> = missing.map(|(t, p)| (*t, p.run)).collect();
             for (task, run) in missing {
                 self.remove_placed(key, task);
-                log::warn!("E608 run is missing at its agent task={task} run={run}");
+                log::warn!(
+                    "E608 run is missing at its agent task={task} run={run} agent={} term={}",
+                    self.agents[key].address,
+                    self.term
+                );
                 self.run_lost(key, task, run);
             }
         }
@@ -262,26 +273,40 @@
             return;
         }
         let spec = self.jobs.get(&task.job).map(|j| Arc::clone(&j.spec));
+        let job_known = spec.is_some();
         let step = spec
             .as_ref()
             .and_then(|s| s.steps.get(usize::from(task.step)));
-        let is_unplaced = matches!(
-            self.task_mut(task),
-            Some(TaskState::Blocked | TaskState::Ready)
-        );
+        let state = self.task_mut(task).map(|state| *state);
+        let is_unplaced = matches!(state, Some(TaskState::Blocked | TaskState::Ready));
         if !self.agents.contains_key(key) {
             return;
         }
         self.mark_due(key);
+        let (placed_key, placed_run) = match state {
+            Some(TaskState::Placed(key, run)) => (Some(key), Some(run)),
+            _ => (None, None),
+        };
+        let placed_agent = placed_key
+            .and_then(|k| self.agents.get(k))
+            .map(|a| a.address);
         let agent = &mut self.agents[key];
         let Some(step) = step.filter(|_| is_unplaced && !agent.placed.contains_key(&task)) else {
-            log::info!("E610 stopping an unexpected run task={task} run={run}");
+            log::info!(
+                "E610 stopping an unexpected run task={task} run={run} agent={} term={} \
+                 job_known={job_known} placed_run={} placed_agent={}",
+                agent.address,
+                self.term,
+                OrUnknown(placed_run),
+                OrUnknown(placed_agent)
+            );
             agent.outbox.push(Order::Stop { task, run });
             return;
         };
         log::info!(
-            "E611 adopted a run task={task} run={run} agent={}",
-            agent.address
+            "E611 adopted a run task={task} run={run} agent={} term={}",
+            agent.address,
+            self.term
         );
         let needs = step.needs;
         let estimate = step.estimate_ms;
--- a/crates/figdeal-queue/src/lib.rs
+++ b/crates/figdeal-queue/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod job;
 pub mod log_limit;
+mod log_value;
 pub mod losses;
 pub mod message;
 pub mod node;
