--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -14,6 +14,9 @@
 
 use crate::{
     job::{Resources, TaskId},
+    log_limit::LogLimiter,
+    log_value::OrUnknown,
+    losses::LossCounts,
     message::{
         AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
         RunEvent, RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
@@ -229,9 +232,29 @@
     resumed_at: Timestamp,
     /// Whether a report is due before the end of the interval.
     report_pending: bool,
+    /// Runs reported as lost since the last [`Agent::take_losses`].
+    losses: LossCounts,
+    lease_logs: LeaseLogs,
     actions: Vec<Action>,
 }
 
+/// Limiters of the lines about the agent lease, which repeat as long as the worker does not reply.
+#[derive(Debug, Default)]
+struct LeaseLogs {
+    expired: LogLimiter<LeaseState>,
+    granted: LogLimiter<LeaseState>,
+}
+
+/// State that a line about the agent lease depends on.
+#[derive(Debug, Clone, PartialEq)]
+struct LeaseState {
+    leader: SocketAddr,
+    term: Term,
+    runs_known: bool,
+    /// Last reply of the worker. If there has been another one since, the worker is not silent.
+    replied_at: Option<Timestamp>,
+}
+
 impl Agent {
     /// Creates an agent that knows some nodes and nothing about its worker.
     pub fn new(address: SocketAddr, session: u64, seeds: Vec<SocketAddr>) -> Agent {
@@ -264,6 +287,8 @@
             ticked_at: Timestamp::ZERO,
             resumed_at: Timestamp::ZERO,
             report_pending: false,
+            losses: LossCounts::default(),
+            lease_logs: LeaseLogs::default(),
             actions: Vec::new(),
         }
     }
@@ -273,6 +298,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the number of runs that were reported as lost since the last call.
+    pub fn take_losses(&mut self) -> LossCounts {
+        std::mem::take(&mut self.losses)
+    }
+
     /// Returns the latest time at which [`Agent::tick`] must be called.
     pub fn next_tick(&self) -> Timestamp {
         self.next_report.min(self.poll.next_poll)
@@ -313,13 +343,7 @@
         self.ticked_at = now;
         if self.lease.is_some() && !self.has_agent_lease(now) {
             let lease = self.lease.take().expect("the lease exists");
-            log::warn!(
-                "E701 agent lease expired leader={} term={} age_ms={} runs={}",
-                lease.leader,
-                lease.term,
-                now.since(lease.start).as_millis(),
-                self.runs.len()
-            );
+            self.log_lease_expired(now, &lease);
         }
         self.tick_poll(now);
         self.retry_stops(now);
@@ -333,6 +357,34 @@
         self.shutting_down && self.runs.is_empty() && self.events.is_empty()
     }
 
+    fn lease_state(&self, leader: SocketAddr, term: Term) -> LeaseState {
+        LeaseState {
+            leader,
+            term,
+            runs_known: self.poll.replied_under(self.fence),
+            replied_at: self.poll.replied_at(),
+        }
+    }
+
+    /// Logs the end of a lease. The leader renews it only for reports with all runs, which the agent knows once the worker
+    /// has replied under the present registration.
+    fn log_lease_expired(&mut self, now: Timestamp, lease: &Lease) {
+        let state = self.lease_state(lease.leader, lease.term);
+        let runs_known = state.runs_known;
+        if let Some(suppressed) = self.lease_logs.expired.admit(now, state) {
+            log::warn!(
+                "E701 agent lease expired leader={} term={} age_ms={} runs={} runs_known={runs_known} \
+                 worker_silent_ms={} {} suppressed={suppressed}",
+                lease.leader,
+                lease.term,
+                now.since(lease.start).as_millis(),
+                self.runs.len(),
+                OrUnknown(self.poll.silent_ms(now)),
+                self.known_worker()
+            );
+        }
+    }
+
     /// Reports a run as lost.
     fn report_lost(&mut self, now: Timestamp, task: TaskId, reason: LossReason) {
         if let Some(run) = self.runs.remove(&task) {
@@ -350,6 +402,9 @@
         started_at: Timestamp,
     ) {
         self.last_event += 1;
+        if let RunOutcome::Lost(reason) = outcome {
+            self.losses.add(reason);
+        }
         let elapsed_ms = now.since(started_at).as_millis() as u32;
         self.events.push_back(RunEvent {
             seq: self.last_event,
@@ -403,12 +458,15 @@
             return;
         }
         if orders.term > current_term || self.lease.is_none() {
-            log::info!(
-                "E710 agent lease granted leader={} term={} fence={}",
-                orders.leader,
-                orders.term,
-                orders.fence
-            );
+            let state = self.lease_state(orders.leader, orders.term);
+            if let Some(suppressed) = self.lease_logs.granted.admit(now, state) {
+                log::info!(
+                    "E710 agent lease granted leader={} term={} fence={} suppressed={suppressed}",
+                    orders.leader,
+                    orders.term,
+                    orders.fence
+                );
+            }
             if orders.term > current_term {
                 (self.term, self.last_orders) = (orders.term, 0);
             }
@@ -524,7 +582,7 @@
         };
         let leader = lease.leader;
         self.actions
-            .push(Action::Send(leader, PeerMessage::Report(report)));
+            .push(Action::Send(leader, PeerMessage::Report(Box::new(report))));
         self.last_sent_event = self.last_event;
         self.report_pending = false;
         if is_periodic {
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -7,12 +7,19 @@
 //! than the known one is only a hint. The runs of the known worker go on until the worker itself tells, in its reply to a
 //! poll, that another incarnation runs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display},
+    time::Duration,
+};
 
 use figdeal_core::time::Timestamp;
 
 use super::{Agent, FORMER_CLOCK_LOSS_TIMEOUT, Heartbeat};
-use crate::message::{LossReason, RunOutcome, WorkerInfo};
+use crate::{
+    log_value::OrUnknown,
+    message::{Incarnation, LossReason, RunOutcome, WorkerInfo},
+};
 
 /// Maximum number of heartbeats of unknown workers that are kept; the oldest is dropped.
 const MAX_CANDIDATES: usize = 4;
@@ -31,7 +38,7 @@
     /// the worker confirms it.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if self.is_foreign(&heartbeat) {
-            return log_foreign(&heartbeat);
+            return self.log_foreign(&heartbeat);
         }
         match self.is_known(&heartbeat) {
             true => self.update_worker(heartbeat),
@@ -102,7 +109,7 @@
         for Candidate { heartbeat, .. } in settled {
             let confirmed = started_at_ms.is_none() || started_at_ms == heartbeat.started_at_ms;
             if !confirmed || self.is_foreign(&heartbeat) {
-                log_foreign(&heartbeat);
+                self.log_foreign(&heartbeat);
                 continue;
             }
             if !self.is_known(&heartbeat) && self.worker.is_some() {
@@ -159,7 +166,11 @@
     pub fn worker_left(&mut self, now: Timestamp, id: &str) {
         let known = self.worker.as_ref();
         if known.is_some_and(|(known_id, _)| known_id == id) {
-            log::info!("E705 worker left worker={id} runs={}", self.runs.len());
+            log::info!(
+                "E705 worker left {} runs={}",
+                self.known_worker(),
+                self.runs.len()
+            );
             self.left_at = Some(now);
             self.report_pending = true;
             self.poll_any_incarnation(now);
@@ -176,7 +187,10 @@
     /// Uses the worker again if it has replied to a poll that was sent after its departure was received.
     pub(super) fn contradict_departure(&mut self, poll_sent_at: Timestamp) {
         if self.left_at.is_some_and(|left_at| left_at <= poll_sent_at) {
-            log::warn!("E728 worker goes on after a departure in its name");
+            log::warn!(
+                "E728 worker goes on after a departure in its name {}",
+                self.known_worker()
+            );
             self.left_at = None;
             self.report_pending = true;
         }
@@ -202,6 +216,7 @@
         reason: LossReason,
     ) {
         let previous = self.incarnation;
+        let previous_worker = self.known_worker().to_string();
         self.incarnation += 1;
         self.worker_started_at_ms = started_at_ms;
         self.worker = None;
@@ -212,8 +227,9 @@
             .into_iter()
             .partition(|(_, run)| run.listed_by == Some(previous));
         log::warn!(
-            "E706 worker has a new incarnation started_at_ms={started_at_ms:?} lost_runs={} \
-             unknown_runs={}",
+            "E706 worker has a new incarnation {previous_worker} new_started_at_ms={} \
+             reason={reason:?} lost_runs={} unknown_runs={}",
+            OrUnknown(started_at_ms),
             ended.len(),
             undecided.len()
         );
@@ -232,13 +248,44 @@
             self.raise_fence(now, self.fence + 1);
         }
     }
+
+    /// Returns the worker that the agent holds, for log lines.
+    pub(super) fn known_worker(&self) -> KnownWorker<'_> {
+        KnownWorker {
+            id: self.worker.as_ref().map(|(id, _)| id.as_str()),
+            started_at_ms: self.worker_started_at_ms,
+            incarnation: self.incarnation,
+        }
+    }
+
+    fn log_foreign(&self, heartbeat: &Heartbeat) {
+        log::warn!(
+            "E727 ignored a heartbeat that the worker cannot have sent {} heartbeat_worker={} \
+             heartbeat_started_at_ms={} heartbeat_pool={}",
+            self.known_worker(),
+            heartbeat.id,
+            OrUnknown(heartbeat.started_at_ms),
+            heartbeat.pool
+        );
+    }
 }
 
-fn log_foreign(heartbeat: &Heartbeat) {
-    log::warn!(
-        "E727 ignored a heartbeat that the worker cannot have sent worker={} pool={} started_at_ms={:?}",
-        heartbeat.id,
-        heartbeat.pool,
-        heartbeat.started_at_ms
-    );
+/// The worker that an agent holds, as its log lines name it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownWorker<'a> {
+    id: Option<&'a str>,
+    started_at_ms: Option<u64>,
+    incarnation: Incarnation,
+}
+
+impl Display for KnownWorker<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "worker={} started_at_ms={} incarnation={}",
+            OrUnknown(self.id),
+            OrUnknown(self.started_at_ms),
+            self.incarnation
+        )
+    }
 }
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     job::TaskId,
+    log_value::OrUnknown,
     message::{LossReason, RunOutcome},
 };
 
@@ -116,6 +117,16 @@
         self.renewed_at = Some(now);
     }
 
+    /// Returns when the worker last replied, or when the polls of this incarnation began.
+    pub(super) fn replied_at(&self) -> Option<Timestamp> {
+        self.replied_at
+    }
+
+    /// Returns for how many milliseconds the worker has not replied, if it was polled.
+    pub(super) fn silent_ms(&self, now: Timestamp) -> Option<u128> {
+        self.replied_at.map(|at| now.since(at).as_millis())
+    }
+
     /// Returns whether the worker has replied to a poll under the registration of `fence`, so that its runs and ends
     /// are known.
     pub(super) fn replied_under(&self, fence: u64) -> bool {
@@ -215,9 +226,13 @@
         let ended: Vec<TaskId> = ended.map(|(task, _)| *task).collect();
         if !ended.is_empty() {
             log::warn!(
-                "E715 worker lease expired; reporting runs as lost runs={} undecided={}",
+                "E715 worker lease expired; reporting runs as lost runs={} undecided={} {} \
+                 worker_silent_ms={} renewal_age_ms={}",
                 ended.len(),
-                self.runs.len() - ended.len()
+                self.runs.len() - ended.len(),
+                self.known_worker(),
+                OrUnknown(self.poll.silent_ms(now)),
+                OrUnknown(self.poll.renewed_at.map(|at| now.since(at).as_millis()))
             );
         }
         let reason = match self.left_at {
@@ -424,7 +439,10 @@
                     speed: SpeedMeter::new(Duration::ZERO, now),
                     stop_sent_at: None,
                 };
-                log::info!("E717 found an unknown run on the worker task={task} run={run}");
+                log::info!(
+                    "E717 found an unknown run on the worker task={task} run={run} {}",
+                    self.known_worker()
+                );
                 self.runs.insert(task, found_run);
             }
         }
@@ -455,8 +473,9 @@
         }
         for task in missing {
             log::warn!(
-                "E718 run is missing on the worker task={task} run={}",
-                self.runs[&task].run
+                "E718 run is missing on the worker task={task} run={} {}",
+                self.runs[&task].run,
+                self.known_worker()
             );
             self.report_lost(now, task, LossReason::NotListed);
         }
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -426,7 +426,7 @@
     /// An agent looks for the leader.
     Announce(Announce),
     /// An agent reports to the leader.
-    Report(AgentReport),
+    Report(Box<AgentReport>),
     /// The leader sends orders to an agent.
     Orders(Orders),
 }
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -172,7 +172,7 @@
                 self.outcomes.push((event.task, event.outcome));
             }
         }
-        self.report = Some(report);
+        self.report = Some(*report);
     }
 
     fn carry_out(&mut self, call: &Action) {
