--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -14,6 +14,9 @@
 
 use crate::{
     job::{Resources, TaskId},
+    log_limit::LogLimiter,
+    log_value::OrUnknown,
+    losses::LossCounts,
     message::{
         AgentReport, Announce, Incarnation, LeaderInfo, LossReason, Order, Orders, PeerMessage,
         RunEvent, RunId, RunOutcome, RunStatus, SlowRun, WorkerInfo,
@@ -39,10 +42,11 @@
 /// Time after the last attempt to renew the worker lease, successful or not, by which every run has ended:
 /// [`WORKER_LEASE`] by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(560);
-/// Time after the last attempt to renew the worker lease by which also a run has ended that the known incarnation of the
-/// worker has not listed. A new incarnation has another clock, and may have taken the expiry for its longest lease of 1 s.
-pub const UNLISTED_RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(1_080);
-/// Time after which a start without an answer is not carried out any more.
+/// Time after the last attempt to renew the worker lease by the clock of a former incarnation, or of one that may be, by which
+/// every run has ended. The next incarnation may take the expiry for its longest lease: 1 s from the call, which may be
+/// answered after 97 ms, by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
+pub const FORMER_CLOCK_LOSS_TIMEOUT: Duration = Duration::from_millis(1_180);
+/// Time after which a start without an answer is not carried out any more. The calls themselves are given up earlier.
 pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
 /// Time after the last report of an unreachable agent by which all its runs have ended: [`AGENT_LEASE`] by a slow
 /// clock, plus [`RUN_LOSS_TIMEOUT`].
@@ -63,6 +67,8 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a start. A start that takes effect later is found by the next poll.
 pub const START_TIMEOUT: Duration = Duration::from_millis(25);
+/// Time between two calls of [`Agent::tick`] that only a pause of the process explains.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Delay after which a stop is repeated if the worker has not listed the end of the run.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Number of low bits of the fencing token that the agent increments by itself; the bits above come from its
@@ -221,11 +227,34 @@
     next_peer: usize,
     next_report: Timestamp,
     next_resend: Timestamp,
+    ticked_at: Timestamp,
+    /// When the process last went on after a pause.
+    resumed_at: Timestamp,
     /// Whether a report is due before the end of the interval.
     report_pending: bool,
+    /// Runs reported as lost since the last [`Agent::take_losses`].
+    losses: LossCounts,
+    lease_logs: LeaseLogs,
     actions: Vec<Action>,
 }
 
+/// Limiters of the lines about the agent lease, which repeat as long as the worker does not reply.
+#[derive(Debug, Default)]
+struct LeaseLogs {
+    expired: LogLimiter<LeaseState>,
+    granted: LogLimiter<LeaseState>,
+}
+
+/// State that a line about the agent lease depends on.
+#[derive(Debug, Clone, PartialEq)]
+struct LeaseState {
+    leader: SocketAddr,
+    term: Term,
+    runs_known: bool,
+    /// Last reply of the worker. If there has been another one since, the worker is not silent.
+    replied_at: Option<Timestamp>,
+}
+
 impl Agent {
     /// Creates an agent that knows some nodes and nothing about its worker.
     pub fn new(address: SocketAddr, session: u64, seeds: Vec<SocketAddr>) -> Agent {
@@ -255,7 +284,11 @@
             next_peer: 0,
             next_report: Timestamp::ZERO,
             next_resend: Timestamp::ZERO,
+            ticked_at: Timestamp::ZERO,
+            resumed_at: Timestamp::ZERO,
             report_pending: false,
+            losses: LossCounts::default(),
+            lease_logs: LeaseLogs::default(),
             actions: Vec::new(),
         }
     }
@@ -265,6 +298,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the number of runs that were reported as lost since the last call.
+    pub fn take_losses(&mut self) -> LossCounts {
+        std::mem::take(&mut self.losses)
+    }
+
     /// Returns the latest time at which [`Agent::tick`] must be called.
     pub fn next_tick(&self) -> Timestamp {
         self.next_report.min(self.poll.next_poll)
@@ -299,15 +337,13 @@
 
     /// Handles expired leases, and polls, retries and reports that are due.
     pub fn tick(&mut self, now: Timestamp) {
+        if self.ticked_at + PAUSE_THRESHOLD < now {
+            self.resumed_at = now;
+        }
+        self.ticked_at = now;
         if self.lease.is_some() && !self.has_agent_lease(now) {
             let lease = self.lease.take().expect("the lease exists");
-            log::warn!(
-                "E701 agent lease expired leader={} term={} age_ms={} runs={}",
-                lease.leader,
-                lease.term,
-                now.since(lease.start).as_millis(),
-                self.runs.len()
-            );
+            self.log_lease_expired(now, &lease);
         }
         self.tick_poll(now);
         self.retry_stops(now);
@@ -321,6 +357,34 @@
         self.shutting_down && self.runs.is_empty() && self.events.is_empty()
     }
 
+    fn lease_state(&self, leader: SocketAddr, term: Term) -> LeaseState {
+        LeaseState {
+            leader,
+            term,
+            runs_known: self.poll.replied_under(self.fence),
+            replied_at: self.poll.replied_at(),
+        }
+    }
+
+    /// Logs the end of a lease. The leader renews it only for reports with all runs, which the agent knows once the worker
+    /// has replied under the present registration.
+    fn log_lease_expired(&mut self, now: Timestamp, lease: &Lease) {
+        let state = self.lease_state(lease.leader, lease.term);
+        let runs_known = state.runs_known;
+        if let Some(suppressed) = self.lease_logs.expired.admit(now, state) {
+            log::warn!(
+                "E701 agent lease expired leader={} term={} age_ms={} runs={} runs_known={runs_known} \
+                 worker_silent_ms={} {} suppressed={suppressed}",
+                lease.leader,
+                lease.term,
+                now.since(lease.start).as_millis(),
+                self.runs.len(),
+                OrUnknown(self.poll.silent_ms(now)),
+                self.known_worker()
+            );
+        }
+    }
+
     /// Reports a run as lost.
     fn report_lost(&mut self, now: Timestamp, task: TaskId, reason: LossReason) {
         if let Some(run) = self.runs.remove(&task) {
@@ -338,6 +402,9 @@
         started_at: Timestamp,
     ) {
         self.last_event += 1;
+        if let RunOutcome::Lost(reason) = outcome {
+            self.losses.add(reason);
+        }
         let elapsed_ms = now.since(started_at).as_millis() as u32;
         self.events.push_back(RunEvent {
             seq: self.last_event,
@@ -391,12 +458,15 @@
             return;
         }
         if orders.term > current_term || self.lease.is_none() {
-            log::info!(
-                "E710 agent lease granted leader={} term={} fence={}",
-                orders.leader,
-                orders.term,
-                orders.fence
-            );
+            let state = self.lease_state(orders.leader, orders.term);
+            if let Some(suppressed) = self.lease_logs.granted.admit(now, state) {
+                log::info!(
+                    "E710 agent lease granted leader={} term={} fence={} suppressed={suppressed}",
+                    orders.leader,
+                    orders.term,
+                    orders.fence
+                );
+            }
             if orders.term > current_term {
                 (self.term, self.last_orders) = (orders.term, 0);
             }
@@ -478,6 +548,11 @@
             .filter(|e| e.seq > from)
             .copied()
             .collect();
+        let undecided = self.runs.iter().filter(|_| is_periodic && !runs_known);
+        let undecided = undecided.map(|(task, r)| RunId {
+            task: *task,
+            run: r.run,
+        });
         let running = self.runs.iter().map(|(task, r)| RunStatus {
             id: RunId {
                 task: *task,
@@ -501,12 +576,13 @@
             last_event: self.last_event,
             worker,
             running: (is_periodic && runs_known).then(|| running.collect()),
+            undecided: undecided.collect(),
             events,
             slow: std::mem::take(&mut self.slow_runs),
         };
         let leader = lease.leader;
         self.actions
-            .push(Action::Send(leader, PeerMessage::Report(report)));
+            .push(Action::Send(leader, PeerMessage::Report(Box::new(report))));
         self.last_sent_event = self.last_event;
         self.report_pending = false;
         if is_periodic {
