--- a/crates/figdeal-node/tests/soak/faults/plan.rs
+++ b/crates/figdeal-node/tests/soak/faults/plan.rs
@@ -104,8 +104,8 @@
     FaultKind::Reset,
 ];
 
-/// Kinds of faults around restarts that keep the order of starts, from [`FIRST_RESTART_SEED`] on. Without departures and
-/// earlier starts, which break seeds by themselves, they show what a call does that another incarnation executes.
+/// Kinds of faults around restarts that keep the order of starts, from [`FIRST_RESTART_SEED`] on. Without departures
+/// and earlier starts, which break seeds by themselves, they show what a call does that another incarnation executes.
 const RESTART_KINDS: [FaultKind; 10] = [
     FaultKind::LateCallsAtRestart,
     FaultKind::LateCallsAtRestart,
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! Nodes and agents are separate processes on loopback, with proxies between them. Workers, callers and the operator
 //! are stand-ins in this process, and one checker compares what they observe with the guarantees. For longer runs,
 //! `FIGDEAL_SOAK_SEEDS=50` runs the seeds 0 to 49, `FIGDEAL_SOAK_ONLY=7` runs one seed, and `FIGDEAL_SOAK_SECONDS=60`
-//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept, with what the workers have executed.
+//! sets the duration of the faults. If a seed violates a guarantee, the output of its processes is kept, with what
+//! the workers have executed.
 
 mod callers;
 mod checks;
@@ -43,13 +44,12 @@
 const FAULT_SECONDS: u64 = 12;
 /// Timeout for the first configuration to be accepted, and for all jobs to end after the last fault.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Timeout for all jobs to end in seeds with bursts. With 30 s, 131 jobs of seed 302 were still waiting, at seven ended
-/// jobs a second: half of the workers were ejected, because the jobs of two bursts failed always.
+/// Timeout for all jobs to end in seeds with bursts. Jobs that always fail get half of the workers ejected meanwhile.
 const BURST_WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Third byte of the loopback addresses of seed 0; later seeds count up from it.
 const FIRST_SUBNET: u8 = 20;
-/// Seeds that run in CI. Seed 128 had two runs of a task at once: a heartbeat of another writer made an agent report the
-/// runs on its worker as lost.
+/// Seeds that run in CI. Seed 128 had two runs of a task at once: a heartbeat of another writer made an agent report
+/// the runs on its worker as lost.
 const SEEDS: [u64; 2] = [1, 128];
 
 /// Not a test by itself: runs a node or agent if the parent process requests it.
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -42,9 +42,9 @@
 /// Time after the last attempt to renew the worker lease, successful or not, by which every run has ended:
 /// [`WORKER_LEASE`] by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(560);
-/// Time after the last attempt to renew the worker lease by the clock of a former incarnation, or of one that may be, by which
-/// every run has ended. The next incarnation may take the expiry for its longest lease: 1 s from the call, which may be
-/// answered after 97 ms, by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
+/// Time after the last attempt to renew the worker lease by the clock of a former incarnation, or of one that may be,
+/// by which every run has ended. The next incarnation may take the expiry for its longest lease: 1 s from the call,
+/// which may be answered after 97 ms, by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const FORMER_CLOCK_LOSS_TIMEOUT: Duration = Duration::from_millis(1_180);
 /// Time after which a start without an answer is not carried out any more. The calls themselves are given up earlier.
 pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
@@ -366,8 +366,8 @@
         }
     }
 
-    /// Logs the end of a lease. The leader renews it only for reports with all runs, which the agent knows once the worker
-    /// has replied under the present registration.
+    /// Logs the end of a lease. The leader renews it only for reports with all runs, which the agent knows once the
+    /// worker has replied under the present registration.
     fn log_lease_expired(&mut self, now: Timestamp, lease: &Lease) {
         let state = self.lease_state(lease.leader, lease.term);
         let runs_known = state.runs_known;
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -1,11 +1,11 @@
 //! Which worker an agent serves: its identity, its incarnations and its departure.
 //!
-//! An incarnation is told by the time of day of its start, which differs between incarnations but does not order them. A
-//! restarted worker has the same identity, and its clock and fencing token start anew.
+//! An incarnation is told by the time of day of its start, which differs between incarnations but does not order
+//! them. A restarted worker has the same identity, and its clock and fencing token start anew.
 //!
-//! Heartbeats come over the network, also from other writers and from earlier incarnations, so a heartbeat of another worker
-//! than the known one is only a hint. The runs of the known worker go on until the worker itself tells, in its reply to a
-//! poll, that another incarnation runs.
+//! Heartbeats come over the network, also from other writers and from earlier incarnations, so a heartbeat of another
+//! worker than the known one is only a hint. The runs of the known worker go on until the worker itself tells, in its
+//! reply to a poll, that another incarnation runs.
 
 use std::{
     collections::BTreeMap,
@@ -34,8 +34,8 @@
 }
 
 impl Agent {
-    /// Handles a heartbeat. One that is out of order has no effect, and one of another worker or incarnation takes effect once
-    /// the worker confirms it.
+    /// Handles a heartbeat. One that is out of order has no effect, and one of another worker or incarnation takes
+    /// effect once the worker confirms it.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if self.is_foreign(&heartbeat) {
             return self.log_foreign(&heartbeat);
@@ -160,9 +160,9 @@
         self.worker = Some((heartbeat.id, worker));
     }
 
-    /// Handles the final departure of a worker. The message may be late, from an earlier incarnation with the same identity,
-    /// so the worker gets no further starts and no renewal of its lease, and its runs end with the lease if it does not
-    /// reply to a later poll.
+    /// Handles the final departure of a worker. The message may be late, from an earlier incarnation with the same
+    /// identity, so the worker gets no further starts and no renewal of its lease, and its runs end with the lease if
+    /// it does not reply to a later poll.
     pub fn worker_left(&mut self, now: Timestamp, id: &str) {
         let known = self.worker.as_ref();
         if known.is_some_and(|(known_id, _)| known_id == id) {
@@ -207,8 +207,9 @@
         }
     }
 
-    /// Handles a new incarnation or the departure of the worker, as `reason` tells. Runs that the previous incarnation listed have ended. A start that it
-    /// did not list may have reached the new incarnation; a poll under a higher fencing token decides that.
+    /// Handles a new incarnation or the departure of the worker, as `reason` tells. Runs that the previous
+    /// incarnation listed have ended. A start that it did not list may have reached the new incarnation; a poll under
+    /// a higher fencing token decides that.
     pub(super) fn new_incarnation(
         &mut self,
         now: Timestamp,
--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -93,8 +93,8 @@
     worker_clock: Option<(Timestamp, u64)>,
     /// When a poll or a start that renews the worker lease was last sent.
     renewed_at: Option<Timestamp>,
-    /// Latest time at which the worker may have taken an expiry that `renewed_at` does not tell of: until the agent learned of a
-    /// new incarnation, or found runs although the lease that it knows of had expired.
+    /// Latest time at which the worker may have taken an expiry that `renewed_at` does not tell of: until the agent
+    /// learned of a new incarnation, or found runs although the lease that it knows of had expired.
     unknown_renewal_at: Option<Timestamp>,
     /// When the worker last replied, or when the polls began.
     replied_at: Option<Timestamp>,
@@ -250,16 +250,16 @@
         if run.listed_by == Some(self.incarnation) {
             return self.is_lease_over(now, RUN_LOSS_TIMEOUT);
         }
-        // The worker may have restarted since its last reply. The expiry of a start is by the former clock, so it is no limit
-        // for a start that the new incarnation carries out.
+        // The worker may have restarted since its last reply. The expiry of a start is by the former clock, so it is
+        // no limit for a start that the new incarnation carries out.
         match run.confirmed_at.is_some() {
             true => self.is_lease_over(now, FORMER_CLOCK_LOSS_TIMEOUT),
             false => run.started_at.max(self.resumed_at) + UNANSWERED_START_TIMEOUT < now,
         }
     }
 
-    /// Returns whether the worker lease has expired, of which the last renewal was longer than `time` ago. A lease that only an
-    /// earlier process of the agent has renewed does not count as expired.
+    /// Returns whether the worker lease has expired, of which the last renewal was longer than `time` ago. A lease
+    /// that only an earlier process of the agent has renewed does not count as expired.
     pub(super) fn is_lease_over(&self, now: Timestamp, time: Duration) -> bool {
         let (renewed_at, unknown) = (self.poll.renewed_at, self.poll.unknown_renewal_at);
         let is_past = |at: Option<Timestamp>, time| at.is_none_or(|at| at + time < now);
@@ -274,8 +274,8 @@
         replied_at.is_some_and(|at| at + WORKER_SILENCE_TIMEOUT < now)
     }
 
-    /// Returns whether nothing can run on the worker any more, because no call of this agent or of an earlier process of it
-    /// can still be carried out.
+    /// Returns whether nothing can run on the worker any more, because no call of this agent or of an earlier process
+    /// of it can still be carried out.
     pub(super) fn is_worker_gone(&self, now: Timestamp) -> bool {
         let replied_at = self.poll.replied_at;
         let silent =
@@ -357,8 +357,8 @@
             self.poll.next_poll = self.next_poll_at(now + POLL_RETRY_DELAY);
             return;
         };
-        // Polls of an earlier incarnation are no longer pending. The start may be earlier than that of the former incarnation,
-        // as it is a time of day.
+        // Polls of an earlier incarnation are no longer pending. The start may be earlier than that of the former
+        // incarnation, as it is a time of day.
         if self.worker_started_at_ms.is_some()
             && reply.started_at_ms.is_some()
             && reply.started_at_ms != self.worker_started_at_ms
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -90,8 +90,8 @@
         agent.unacked_events.clear();
         agent.acked_event = 0;
         agent.outbox.clear();
-        // The next report with all runs shows which orders were lost, whichever message carried them: a placed run that it
-        // does not list is lost, and a run whose stop it does not know is stopped again.
+        // The next report with all runs shows which orders were lost, whichever message carried them: a placed run
+        // that it does not list is lost, and a run whose stop it does not know is stopped again.
         for placed in agent.placed.values_mut() {
             placed.orders_number = 0;
             placed.stop_number = placed.stop_number.map(|_| 0);
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -236,8 +236,8 @@
     pub worker: Option<WorkerInfo>,
     /// All runs that may be on the worker; `None` between two periodic reports, and while they are not known.
     pub running: Option<Vec<RunStatus>>,
-    /// Runs that may be on the worker, if the agent cannot tell all of them, because the worker has not replied under the
-    /// present registration.
+    /// Runs that may be on the worker, if the agent cannot tell all of them, because the worker has not replied under
+    /// the present registration.
     pub undecided: Vec<RunId>,
     /// Events that were not sent to this leader before, in order; at intervals all unacknowledged events.
     pub events: Vec<RunEvent>,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -23,8 +23,8 @@
 const FIRST_UNNOTICED_SEED: u64 = 10_000;
 /// Seeds that are tried until an injected bug is detected.
 const INJECTED_BUG_SEEDS: std::ops::Range<u64> = 0..60;
-/// Time after the loss of a worker within which all its tasks have to run elsewhere. A call to it may be carried out up to 12 s
-/// late, so the agent may have to wait that long.
+/// Time after the loss of a worker within which all its tasks have to run elsewhere. A call to it may be carried out
+/// up to 12 s late, so the agent may have to wait that long.
 const GONE_WORKER_LIMIT: Duration = Duration::from_secs(30);
 
 fn plan(seed: u64) -> Plan {
@@ -125,8 +125,9 @@
     Some(Vec::leak(kinds.collect()))
 }
 
-/// Guards against lost jobs and concurrent runs of a task after a restart, a departure or a step of a worker's time of day
-/// that its agent does not notice (issue 28). Every second seed also has calls that are carried out late at random.
+/// Guards against lost jobs and concurrent runs of a task after a restart, a departure or a step of a worker's time
+/// of day that its agent does not notice (issue 28). Every second seed also has calls that are carried out late at
+/// random.
 #[test]
 fn promises_hold_after_unnoticed_faults() {
     let chosen = ["FIGDEAL_SIM_ONLY", "FIGDEAL_SIM_SEEDS"].map(std::env::var_os);
@@ -266,9 +267,9 @@
     assert!(violations > 0);
 }
 
-/// Guards against stored jobs that never end because each of their runs is stopped after a multiple of its estimate, and
-/// against workers that get no more starts because all of them are blamed for the slow tasks (LOST, review/1). Either some
-/// jobs take six times their estimate, or all.
+/// Guards against stored jobs that never end because each of their runs is stopped after a multiple of its estimate,
+/// and against workers that get no more starts because all of them are blamed for the slow tasks (LOST, review/1).
+/// Either some jobs take six times their estimate, or all.
 #[test]
 fn tasks_that_take_longer_than_estimated_end() {
     init_log();
@@ -309,8 +310,8 @@
     assert!(failed.is_empty(), "runs that were not stopped: {failed:?}");
 }
 
-/// Guards against a new process of an agent that does not learn what the runs on its worker need, counts each as the whole
-/// worker, and rejects all starts until they end.
+/// Guards against a new process of an agent that does not learn what the runs on its worker need, counts each as the
+/// whole worker, and rejects all starts until they end.
 #[test]
 fn a_restarted_agent_fills_its_worker() {
     init_log();
@@ -325,8 +326,8 @@
     }
 }
 
-/// Guards against a leader that ends when a caller submits a stored job under the identity of a volatile one or the other
-/// way round. Its new leaders ended too.
+/// Guards against a leader that ends when a caller submits a stored job under the identity of a volatile one or the
+/// other way round. Its new leaders ended too.
 #[test]
 fn two_jobs_under_one_identity_do_not_end_the_leader() {
     init_log();
@@ -396,28 +397,30 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Guards against a second run of a task because a start with an expiry by the clock of a worker's former incarnation is
-/// carried out late by the next one, after the agent has reported the run as lost (TWICE, issue 28).
+/// Guards against a second run of a task because a start with an expiry by the clock of a worker's former incarnation
+/// is carried out late by the next one, after the agent has reported the run as lost (TWICE, issue 28).
 #[test]
 fn late_starts_at_a_new_incarnation_run_no_task_twice() {
     assert_jobs_end(Simulation::start_late_after_restart);
 }
 
-/// Guards against a second run of a task because an expiry by the clock of a worker's former incarnation grants the next one
-/// its longest lease, which outlasts the time after which the agent reports its runs as lost (TWICE, issue 28).
+/// Guards against a second run of a task because an expiry by the clock of a worker's former incarnation grants the
+/// next one its longest lease, which outlasts the time after which the agent reports its runs as lost (TWICE, issue
+/// 28).
 #[test]
 fn leases_by_a_former_clock_run_no_task_twice() {
     assert_jobs_end(Simulation::lose_polls_after_restart);
 }
 
-/// Guards against workers that are ignored for good because the time of day went back before they started again, so that
-/// jobs never end or run twice (LOST, TWICE, issue 28).
+/// Guards against workers that are ignored for good because the time of day went back before they started again, so
+/// that jobs never end or run twice (LOST, TWICE, issue 28).
 #[test]
 fn workers_with_an_earlier_start_are_used_again() {
     assert_jobs_end(Simulation::restart_with_earlier_start);
 }
 
-/// Guards against an agent that sends starts to a worker whose replies it ignores, so that nobody learns how its runs end.
+/// Guards against an agent that sends starts to a worker whose replies it ignores, so that nobody learns how its runs
+/// end.
 #[test]
 fn ends_at_a_worker_with_an_earlier_start_are_read() {
     init_log();
@@ -438,8 +441,8 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Guards against a delayed heartbeat of a former incarnation that is taken for a new one with an earlier start, so that
-/// runs that go on are reported as lost.
+/// Guards against a delayed heartbeat of a former incarnation that is taken for a new one with an earlier start, so
+/// that runs that go on are reported as lost.
 #[test]
 fn heartbeats_of_former_incarnations_end_no_runs() {
     assert_jobs_end(Simulation::delay_heartbeats_of_former_incarnations);
@@ -451,8 +454,8 @@
     assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Final));
 }
 
-/// Guards against a departure that ends no runs, because the worker goes on, but after which the agent reports all of them as
-/// lost (TWICE, issue 28).
+/// Guards against a departure that ends no runs, because the worker goes on, but after which the agent reports all of
+/// them as lost (TWICE, issue 28).
 #[test]
 fn runs_that_outlast_a_departure_are_not_started_elsewhere() {
     assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Revoked));
@@ -465,8 +468,8 @@
     assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Early));
 }
 
-/// Guards against the delayed departure of a former incarnation after which the agent reports the runs of the next one as
-/// lost (TWICE, issue 28).
+/// Guards against the delayed departure of a former incarnation after which the agent reports the runs of the next
+/// one as lost (TWICE, issue 28).
 #[test]
 fn a_departure_of_a_former_incarnation_ends_no_runs() {
     assert_jobs_end(|simulation| simulation.leave_with_runs(Departure::Delayed));
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -48,11 +48,11 @@
 /// disconnected, 5 an agent is disconnected, 6 an agent is killed, 7 an agent is paused, 8 a worker crashes, 9 a disk
 /// is wiped.
 pub(crate) const ALL_FAULTS: [u32; 10] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
-/// Faults that an agent may not notice, besides those that are likely to coincide with them: 10 a worker restarts at once,
-/// 11 calls to its new incarnation are late, 12 polls of the new incarnation are lost, 13 the time of day goes back before
-/// the restart, 14 a worker goes on after its departure, 15 a worker ends some time after its departure, 16 a heartbeat or
-/// the departure of the former incarnation arrives late, 17 the agent restarts while its worker is gone for seconds, 18 calls
-/// to a worker are late, 19 polls of a worker are lost.
+/// Faults that an agent may not notice, besides those that are likely to coincide with them: 10 a worker restarts at
+/// once, 11 calls to its new incarnation are late, 12 polls of the new incarnation are lost, 13 the time of day goes
+/// back before the restart, 14 a worker goes on after its departure, 15 a worker ends some time after its departure,
+/// 16 a heartbeat or the departure of the former incarnation arrives late, 17 the agent restarts while its worker is
+/// gone for seconds, 18 calls to a worker are late, 19 polls of a worker are lost.
 pub(crate) const UNNOTICED_FAULTS: [u32; 16] =
     [1, 4, 5, 6, 7, 8, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19];
 const POOL: &str = "pool";
--- a/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
@@ -19,8 +19,8 @@
 const LONG_RUN_TIME_MS: u32 = 4_000;
 
 impl Simulation {
-    /// Lets all workers start again with an earlier start while jobs arrive, and submits more jobs later. Returns how many
-    /// of the later ones were accepted, and how many of these have not ended.
+    /// Lets all workers start again with an earlier start while jobs arrive, and submits more jobs later. Returns how
+    /// many of the later ones were accepted, and how many of these have not ended.
     pub(crate) fn restart_with_earlier_start(&mut self) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
@@ -36,8 +36,8 @@
         self.count_open(&ids)
     }
 
-    /// Lets one worker start again with an earlier start while jobs arrive. Returns how many ends of its runs its agent has
-    /// not acknowledged in time, and the number of the newest end.
+    /// Lets one worker start again with an earlier start while jobs arrive. Returns how many ends of its runs its
+    /// agent has not acknowledged in time, and the number of the newest end.
     pub(crate) fn use_worker_with_earlier_start(&mut self) -> (usize, u64) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
@@ -53,8 +53,8 @@
         (overdue.count(), worker.last_end())
     }
 
-    /// Delivers a heartbeat of the former incarnation of each worker while the next one runs long tasks. Returns how many
-    /// jobs were accepted, and how many of them have not ended.
+    /// Delivers a heartbeat of the former incarnation of each worker while the next one runs long tasks. Returns how
+    /// many jobs were accepted, and how many of them have not ended.
     pub(crate) fn delay_heartbeats_of_former_incarnations(&mut self) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
--- a/crates/figdeal-queue/tests/sim/simulation/departures.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/departures.rs
@@ -25,8 +25,8 @@
 }
 
 impl Simulation {
-    /// Delivers the departure of the worker with the most runs. Returns how many jobs were accepted, and how many of them
-    /// have not ended.
+    /// Delivers the departure of the worker with the most runs. Returns how many jobs were accepted, and how many of
+    /// them have not ended.
     pub(crate) fn leave_with_runs(&mut self, departure: Departure) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
--- a/crates/figdeal-queue/tests/sim/simulation/late_starts.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/late_starts.rs
@@ -12,8 +12,8 @@
 const FINISH_TIME: Duration = Duration::from_secs(16);
 
 impl Simulation {
-    /// Restarts a worker while jobs arrive. Calls to its new incarnation get no answer at first and are carried out 2 to
-    /// 12 s later. Returns how many jobs were accepted, and how many of them have not ended.
+    /// Restarts a worker while jobs arrive. Calls to its new incarnation get no answer at first and are carried out 2
+    /// to 12 s later. Returns how many jobs were accepted, and how many of them have not ended.
     pub(crate) fn start_late_after_restart(&mut self) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + FORMER_LIFETIME);
--- a/crates/figdeal-queue/tests/sim/simulation/long_leases.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/long_leases.rs
@@ -14,8 +14,8 @@
 const RUN_TIME_MS: u32 = 1_600;
 
 impl Simulation {
-    /// Restarts a worker while jobs arrive. Its new incarnation carries out starts at once, but its polls are lost. Returns
-    /// how many jobs were accepted, and how many of them have not ended.
+    /// Restarts a worker while jobs arrive. Its new incarnation carries out starts at once, but its polls are lost.
+    /// Returns how many jobs were accepted, and how many of them have not ended.
     pub(crate) fn lose_polls_after_restart(&mut self) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + FORMER_LIFETIME);
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -254,8 +254,8 @@
     }
 }
 
-/// Guards against a task that runs again after it was started elsewhere: its start was carried out late by a worker that had
-/// restarted unnoticed, and whose new clock was far below the expiry (soak seeds 409, 515 and 517).
+/// Guards against a task that runs again after it was started elsewhere: its start was carried out late by a worker
+/// that had restarted unnoticed, and whose new clock was far below the expiry (soak seeds 409, 515 and 517).
 #[test]
 fn a_start_that_a_restarted_worker_may_still_carry_out_is_not_lost() {
     let mut pair = Pair::new(1);
@@ -310,8 +310,8 @@
     assert_eq!(pair.outcomes_of(next), [silent]);
 }
 
-/// Guards against a run that is started elsewhere before it ends: a start reached a worker that had restarted unnoticed, whose
-/// new clock made a lease of up to 1 s of an expiry in 0.5 s.
+/// Guards against a run that is started elsewhere before it ends: a start reached a worker that had restarted
+/// unnoticed, whose new clock made a lease of up to 1 s of an expiry in 0.5 s.
 #[test]
 fn a_run_whose_lease_was_granted_by_a_former_clock_is_lost_only_after_the_longest_lease() {
     let mut pair = Pair::new(1);
@@ -323,8 +323,8 @@
     assert_eq!(pair.outcomes_of(task), [LOST]);
 }
 
-/// Guards against a worker that is ignored for good, and whose runs are started elsewhere while they go on, because the time
-/// of day went back before it started again.
+/// Guards against a worker that is ignored for good, and whose runs are started elsewhere while they go on, because
+/// the time of day went back before it started again.
 #[test]
 fn a_worker_that_started_again_at_an_earlier_time_of_day_is_used() {
     let mut pair = Pair::new(9_000);
@@ -338,8 +338,8 @@
     assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
 }
 
-/// Guards against runs that are started elsewhere while they go on, because a departure of the worker's former incarnation
-/// arrived late.
+/// Guards against runs that are started elsewhere while they go on, because a departure of the worker's former
+/// incarnation arrived late.
 #[test]
 fn a_departure_does_not_end_runs_that_go_on() {
     let mut pair = Pair::new(1);
@@ -368,7 +368,8 @@
     assert!(reported.is_none_or(|w| w.draining));
 }
 
-/// Guards against an agent that loses its lease again and again and holds up each new leader, because its worker is gone.
+/// Guards against an agent that loses its lease again and again and holds up each new leader, because its worker is
+/// gone.
 #[test]
 fn an_agent_without_a_worker_reports_that_nothing_runs() {
     let mut pair = Pair::new(1);
@@ -380,8 +381,8 @@
     assert!(reported.is_none_or(|w| w.draining));
 }
 
-/// Guards against a run that is started elsewhere before it ends: the agent knows by then that the worker has restarted, but the
-/// lease was granted by the former clock.
+/// Guards against a run that is started elsewhere before it ends: the agent knows by then that the worker has
+/// restarted, but the lease was granted by the former clock.
 #[test]
 fn a_listed_run_with_a_lease_by_a_former_clock_is_lost_only_after_the_longest_lease() {
     let mut pair = Pair::new(1);
@@ -396,8 +397,8 @@
     assert_eq!(pair.outcomes_of(task).len(), 1);
 }
 
-/// Guards against an end of the new incarnation that is forgotten, because an acknowledgement for the former one has the same
-/// number.
+/// Guards against an end of the new incarnation that is forgotten, because an acknowledgement for the former one has
+/// the same number.
 #[test]
 fn ends_of_a_former_incarnation_are_not_acknowledged_to_one_that_may_be_new() {
     let mut pair = Pair::new(1);
@@ -414,7 +415,8 @@
     assert_eq!(acked.max(), Some(0));
 }
 
-/// Guards against a start that is carried out after a pause of the whole machine, when its run has been reported as lost.
+/// Guards against a start that is carried out after a pause of the whole machine, when its run has been reported as
+/// lost.
 #[test]
 fn a_pause_of_the_machine_decides_no_start() {
     let mut pair = Pair::new(1);
@@ -431,8 +433,8 @@
     assert_eq!(pair.overlap(task), Duration::ZERO);
 }
 
-/// Guards against a new leader that starts a task elsewhere while its start may still be carried out, because the agent tells
-/// its runs only once the worker replies.
+/// Guards against a new leader that starts a task elsewhere while its start may still be carried out, because the
+/// agent tells its runs only once the worker replies.
 #[test]
 fn a_new_leader_is_told_of_starts_without_an_answer() {
     let mut pair = Pair::new(1);
