--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -4,7 +4,10 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply, StartCall, StartReply},
+    agent::{
+        AGENT_LOSS_TIMEOUT, Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply,
+        StartCall, StartReply,
+    },
     job::{JobId, Resources, TaskId},
     message::{AgentReport, LossReason, Order, Orders, PeerMessage, RunOutcome, StartRejection},
 };
@@ -39,6 +42,8 @@
     steps: u64,
     /// Whether the leader renews the lease of the agent.
     renews: bool,
+    /// Start of the agent's lease in messages of the leader, if it is not the present time.
+    lease_start: Option<Timestamp>,
     term: u64,
     last_orders: u64,
     /// Newest event that was reported.
@@ -60,6 +65,7 @@
             run_time: RUN_TIME,
             steps: 0,
             renews: true,
+            lease_start: None,
             term: 1,
             last_orders: 0,
             last_event: 0,
@@ -93,7 +99,7 @@
             term: self.term,
             session: 7,
             fence: 4 + self.term,
-            lease_start_us: self.now.as_micros(),
+            lease_start_us: self.lease_start.unwrap_or(self.now).as_micros(),
             number: self.last_orders,
             acked_event: self.last_event,
             orders,
@@ -446,3 +452,42 @@
     let undecided = undecided.unwrap_or_default();
     assert!(undecided.iter().any(|id| id.task == task), "{undecided:?}");
 }
+
+/// Guards against a task that runs twice because the fencing token that decided its start is gone with the incarnation that
+/// replied: the next one gets the start before the first poll.
+#[test]
+fn a_start_is_not_lost_while_it_may_reach_the_next_incarnation() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.answers = true;
+    pair.advance(Duration::from_millis(200));
+    let outcomes = pair.outcomes_of(task);
+    pair.answers = false;
+    pair.restart(2);
+    pair.carry_out_held_starts();
+    assert!(
+        outcomes.is_empty() || !pair.runs(task),
+        "{outcomes:?}, and it runs"
+    );
+}
+
+/// Guards against a task that the leader starts elsewhere while it goes on at an agent that is cut off: its worker has
+/// restarted unnoticed and took the expiry for its longest lease.
+#[test]
+fn runs_end_before_the_leader_gives_up_their_agent() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.order(Vec::new());
+    pair.renews = false;
+    let lease_start = pair.now;
+    pair.lease_start = Some(lease_start);
+    pair.advance(Duration::from_millis(300));
+    pair.restart(2);
+    let task = pair.start(0);
+    while pair.runs(task) {
+        pair.advance(STEP);
+    }
+    let time = pair.now.since(lease_start);
+    assert!(time <= AGENT_LOSS_TIMEOUT, "it ended after {time:?}");
+}
