--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -4,7 +4,10 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    agent::{Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply, StartCall, StartReply},
+    agent::{
+        AGENT_LOSS_TIMEOUT, Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply,
+        StartCall, StartReply,
+    },
     job::{JobId, Resources, TaskId},
     message::{AgentReport, LossReason, Order, Orders, PeerMessage, RunOutcome, StartRejection},
 };
@@ -39,6 +42,8 @@
     steps: u64,
     /// Whether the leader renews the lease of the agent.
     renews: bool,
+    /// Start of the agent's lease in messages of the leader, if it is not the present time.
+    lease_start: Option<Timestamp>,
     term: u64,
     last_orders: u64,
     /// Newest event that was reported.
@@ -60,6 +65,7 @@
             run_time: RUN_TIME,
             steps: 0,
             renews: true,
+            lease_start: None,
             term: 1,
             last_orders: 0,
             last_event: 0,
@@ -93,7 +99,7 @@
             term: self.term,
             session: 7,
             fence: 4 + self.term,
-            lease_start_us: self.now.as_micros(),
+            lease_start_us: self.lease_start.unwrap_or(self.now).as_micros(),
             number: self.last_orders,
             acked_event: self.last_event,
             orders,
@@ -254,8 +260,8 @@
     }
 }
 
-/// Guards against a task that runs again after it was started elsewhere: its start was carried out late by a worker that had
-/// restarted unnoticed, and whose new clock was far below the expiry (soak seeds 409, 515 and 517).
+/// Guards against a task that runs again after it was started elsewhere: its start was carried out late by a worker
+/// that had restarted unnoticed, and whose new clock was far below the expiry (soak seeds 409, 515 and 517).
 #[test]
 fn a_start_that_a_restarted_worker_may_still_carry_out_is_not_lost() {
     let mut pair = Pair::new(1);
@@ -310,8 +316,8 @@
     assert_eq!(pair.outcomes_of(next), [silent]);
 }
 
-/// Guards against a run that is started elsewhere before it ends: a start reached a worker that had restarted unnoticed, whose
-/// new clock made a lease of up to 1 s of an expiry in 0.5 s.
+/// Guards against a run that is started elsewhere before it ends: a start reached a worker that had restarted
+/// unnoticed, whose new clock made a lease of up to 1 s of an expiry in 0.5 s.
 #[test]
 fn a_run_whose_lease_was_granted_by_a_former_clock_is_lost_only_after_the_longest_lease() {
     let mut pair = Pair::new(1);
@@ -323,8 +329,8 @@
     assert_eq!(pair.outcomes_of(task), [LOST]);
 }
 
-/// Guards against a worker that is ignored for good, and whose runs are started elsewhere while they go on, because the time
-/// of day went back before it started again.
+/// Guards against a worker that is ignored for good, and whose runs are started elsewhere while they go on, because
+/// the time of day went back before it started again.
 #[test]
 fn a_worker_that_started_again_at_an_earlier_time_of_day_is_used() {
     let mut pair = Pair::new(9_000);
@@ -338,8 +344,8 @@
     assert_eq!(pair.outcomes_of(task), [RunOutcome::Done]);
 }
 
-/// Guards against runs that are started elsewhere while they go on, because a departure of the worker's former incarnation
-/// arrived late.
+/// Guards against runs that are started elsewhere while they go on, because a departure of the worker's former
+/// incarnation arrived late.
 #[test]
 fn a_departure_does_not_end_runs_that_go_on() {
     let mut pair = Pair::new(1);
@@ -368,7 +374,8 @@
     assert!(reported.is_none_or(|w| w.draining));
 }
 
-/// Guards against an agent that loses its lease again and again and holds up each new leader, because its worker is gone.
+/// Guards against an agent that loses its lease again and again and holds up each new leader, because its worker is
+/// gone.
 #[test]
 fn an_agent_without_a_worker_reports_that_nothing_runs() {
     let mut pair = Pair::new(1);
@@ -380,8 +387,8 @@
     assert!(reported.is_none_or(|w| w.draining));
 }
 
-/// Guards against a run that is started elsewhere before it ends: the agent knows by then that the worker has restarted, but the
-/// lease was granted by the former clock.
+/// Guards against a run that is started elsewhere before it ends: the agent knows by then that the worker has
+/// restarted, but the lease was granted by the former clock.
 #[test]
 fn a_listed_run_with_a_lease_by_a_former_clock_is_lost_only_after_the_longest_lease() {
     let mut pair = Pair::new(1);
@@ -396,8 +403,8 @@
     assert_eq!(pair.outcomes_of(task).len(), 1);
 }
 
-/// Guards against an end of the new incarnation that is forgotten, because an acknowledgement for the former one has the same
-/// number.
+/// Guards against an end of the new incarnation that is forgotten, because an acknowledgement for the former one has
+/// the same number.
 #[test]
 fn ends_of_a_former_incarnation_are_not_acknowledged_to_one_that_may_be_new() {
     let mut pair = Pair::new(1);
@@ -414,7 +421,8 @@
     assert_eq!(acked.max(), Some(0));
 }
 
-/// Guards against a start that is carried out after a pause of the whole machine, when its run has been reported as lost.
+/// Guards against a start that is carried out after a pause of the whole machine, when its run has been reported as
+/// lost.
 #[test]
 fn a_pause_of_the_machine_decides_no_start() {
     let mut pair = Pair::new(1);
@@ -431,8 +439,8 @@
     assert_eq!(pair.overlap(task), Duration::ZERO);
 }
 
-/// Guards against a new leader that starts a task elsewhere while its start may still be carried out, because the agent tells
-/// its runs only once the worker replies.
+/// Guards against a new leader that starts a task elsewhere while its start may still be carried out, because the
+/// agent tells its runs only once the worker replies.
 #[test]
 fn a_new_leader_is_told_of_starts_without_an_answer() {
     let mut pair = Pair::new(1);
@@ -444,3 +452,42 @@
     let undecided = undecided.unwrap_or_default();
     assert!(undecided.iter().any(|id| id.task == task), "{undecided:?}");
 }
+
+/// Guards against a task that runs twice because the fencing token that decided its start is gone with the incarnation that
+/// replied: the next one gets the start before the first poll.
+#[test]
+fn a_start_is_not_lost_while_it_may_reach_the_next_incarnation() {
+    let mut pair = Pair::new(1);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.answers = true;
+    pair.advance(Duration::from_millis(200));
+    let outcomes = pair.outcomes_of(task);
+    pair.answers = false;
+    pair.restart(2);
+    pair.carry_out_held_starts();
+    assert!(
+        outcomes.is_empty() || !pair.runs(task),
+        "{outcomes:?}, and it runs"
+    );
+}
+
+/// Guards against a task that the leader starts elsewhere while it goes on at an agent that is cut off: its worker has
+/// restarted unnoticed and took the expiry for its longest lease.
+#[test]
+fn runs_end_before_the_leader_gives_up_their_agent() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.order(Vec::new());
+    pair.renews = false;
+    let lease_start = pair.now;
+    pair.lease_start = Some(lease_start);
+    pair.advance(Duration::from_millis(300));
+    pair.restart(2);
+    let task = pair.start(0);
+    while pair.runs(task) {
+        pair.advance(STEP);
+    }
+    let time = pair.now.since(lease_start);
+    assert!(time <= AGENT_LOSS_TIMEOUT, "it ended after {time:?}");
+}
