--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -379,6 +379,12 @@
 
 /// Plays a scenario with several seeds and fails with every violation and every seed that left jobs open.
 fn assert_jobs_end(scenario: fn(&mut Simulation) -> (usize, usize)) {
+    assert_none_open("jobs", scenario);
+}
+
+/// Plays a scenario, which returns a number of `things` and how many of them are open, with several seeds. Fails with
+/// every violation and every seed without any or with open ones.
+fn assert_none_open(things: &str, scenario: fn(&mut Simulation) -> (usize, usize)) {
     init_log();
     let mut failed = Vec::new();
     for seed in scenario_seeds() {
@@ -386,11 +392,11 @@
             fault_count: 0,
             ..plan(seed)
         });
-        let (asked, open) = scenario(&mut simulation);
+        let (count, open) = scenario(&mut simulation);
         let violations = &simulation.checker.violations;
-        if asked == 0 || open > 0 || !violations.is_empty() {
+        if count == 0 || open > 0 || !violations.is_empty() {
             failed.push(format!(
-                "seed {seed}: {open} of {asked} jobs open, {violations:?}"
+                "seed {seed}: {open} of {count} {things} open, {violations:?}"
             ));
         }
     }
@@ -423,22 +429,7 @@
 /// end.
 #[test]
 fn ends_at_a_worker_with_an_earlier_start_are_read() {
-    init_log();
-    let mut failed = Vec::new();
-    for seed in scenario_seeds() {
-        let mut simulation = Simulation::new(Plan {
-            fault_count: 0,
-            ..plan(seed)
-        });
-        let (overdue, ends) = simulation.use_worker_with_earlier_start();
-        let violations = &simulation.checker.violations;
-        if overdue > 0 || ends == 0 || !violations.is_empty() {
-            failed.push(format!(
-                "seed {seed}: {overdue} of {ends} ends not acknowledged, {violations:?}"
-            ));
-        }
-    }
-    assert!(failed.is_empty(), "{failed:#?}");
+    assert_none_open("ends", Simulation::use_worker_with_earlier_start);
 }
 
 /// Guards against a delayed heartbeat of a former incarnation that is taken for a new one with an earlier start, so
--- a/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
@@ -36,9 +36,9 @@
         self.count_open(&ids)
     }
 
-    /// Lets one worker start again with an earlier start while jobs arrive. Returns how many ends of its runs its
-    /// agent has not acknowledged in time, and the number of the newest end.
-    pub(crate) fn use_worker_with_earlier_start(&mut self) -> (usize, u64) {
+    /// Lets one worker start again with an earlier start while jobs arrive. Returns the number of ends of its
+    /// runs, and how many of them its agent has not acknowledged in time.
+    pub(crate) fn use_worker_with_earlier_start(&mut self) -> (usize, usize) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
         self.submit_jobs(0x5000, 280, Duration::from_secs(8), RUN_TIME_MS);
@@ -50,7 +50,7 @@
         let worker = &self.agent_hosts[0].worker;
         let ends = worker.unacknowledged_ends.iter();
         let overdue = ends.filter(|end| end.ended_at + END_ACK_TIME < self.now);
-        (overdue.count(), worker.last_end())
+        (worker.last_end() as usize, overdue.count())
     }
 
     /// Delivers a heartbeat of the former incarnation of each worker while the next one runs long tasks. Returns how
