--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -48,9 +48,9 @@
 const BURST_WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Third byte of the loopback addresses of seed 0; later seeds count up from it.
 const FIRST_SUBNET: u8 = 20;
-/// Seeds that run in CI. Seed 128 had two runs of a task at once: a heartbeat of another writer made an agent report
-/// the runs on its worker as lost.
-const SEEDS: [u64; 2] = [1, 128];
+/// Seeds that run in CI. All but the first had two runs of a task: 128 by a heartbeat of another writer, 1020 by an
+/// acknowledgement of ends that reached the next incarnation of a worker, 2061 by a start that the next one carried out.
+const SEEDS: [u64; 4] = [1, 128, 1020, 2061];
 
 /// Not a test by itself: runs a node or agent if the parent process requests it.
 #[test]
