Schedule calls to a simulated worker in one place

The simulation scheduled the timeout of a start at two places and a call to the worker in two branches that differed in the delay only. One function and one branch serve both now; events, their order and the random draws are the same.

--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -200,48 +200,44 @@
             if (late || all_late || lost)
                 && let WorkerCall::Start(start) = &call
             {
-                let (call, answer) = (start.clone(), StartReply::Unknown);
-                self.schedule(
-                    START_TIMEOUT,
-                    Event::StartAnswered {
-                        agent: n,
-                        incarnation,
-                        call,
-                        answer,
-                    },
-                );
+                self.leave_unanswered(n, incarnation, start.clone());
             }
             if lost {
                 continue;
             }
-            if late || all_late {
+            let (after, late_for) = if late || all_late {
                 let max_delay_ms = if all_late { 12_000 } else { 6_000 };
                 let after = self.random_delay(2_000, max_delay_ms);
-                let late_for = Some(self.agent_hosts[n].worker.incarnation);
-                self.schedule(
-                    after,
-                    Event::Call {
-                        agent: n,
-                        incarnation,
-                        call,
-                        late_for,
-                    },
-                );
+                (after, Some(self.agent_hosts[n].worker.incarnation))
             } else {
                 let after = Duration::from_micros(self.rng.random_range(100..800));
-                self.schedule(
-                    after,
-                    Event::Call {
-                        agent: n,
-                        incarnation,
-                        call,
-                        late_for: None,
-                    },
-                );
-            }
+                (after, None)
+            };
+            self.schedule(
+                after,
+                Event::Call {
+                    agent: n,
+                    incarnation,
+                    call,
+                    late_for,
+                },
+            );
         }
     }
 
+    /// Lets the start of a run time out at its agent.
+    fn leave_unanswered(&mut self, n: usize, incarnation: u64, call: StartCall) {
+        self.schedule(
+            START_TIMEOUT,
+            Event::StartAnswered {
+                agent: n,
+                incarnation,
+                call,
+                answer: StartReply::Unknown,
+            },
+        );
+    }
+
     /// Lets the worker carry out a call.
     pub(super) fn on_worker_call(
         &mut self,
@@ -261,16 +257,7 @@
                 });
             }
             if let (WorkerCall::Start(call), false) = (call, late) {
-                let answer = StartReply::Unknown;
-                self.schedule(
-                    START_TIMEOUT,
-                    Event::StartAnswered {
-                        agent: n,
-                        incarnation,
-                        call,
-                        answer,
-                    },
-                );
+                self.leave_unanswered(n, incarnation, call);
             }
             return;
         }
