Show that a restarted agent runs ended tasks again

Cause: a new process of the agent that gets a list of ends cut at 500 reports its runs as complete, and the leader takes the tasks whose ends follow as lost.

--- /dev/null
+++ b/review/stand-ins-2/src/cases.rs
@@ -0,0 +1,449 @@
+//! The scripts, one for each case. Each returns how the rule was broken, one line for each time.
+
+use std::{
+    collections::BTreeSet,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::{
+    deployment::{Deployment, HOST, PREFIX, SERVICE, Size, config},
+    http,
+    record::Record,
+    runner::{Offer, Runner},
+};
+
+/// `cancel_ms` of the settings.
+const CANCEL: Duration = Duration::from_millis(3_000);
+/// `stop_ms` of the settings.
+const STOP: Duration = Duration::from_millis(50);
+/// `visible_ms` of the settings and 2 s.
+const WAITING_AGE: Duration = Duration::from_millis(5_000);
+/// `finish_s` of the settings.
+const FINISH: Duration = Duration::from_secs(14);
+/// How long a job may have nothing running, with capacity for it.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+/// How long a client waits for a response.
+const CLIENT_WAIT: Duration = Duration::from_millis(1_500);
+
+const SMALL: Size = Size { disks: 3, nodes: 3 };
+
+/// Plays a script, with the disruption if `trouble` is set.
+pub fn play(case: &str, trouble: bool, record: &Record) -> Vec<String> {
+    record.write(format!("case {case} trouble={trouble}"));
+    match case {
+        "ends" => many_ends(trouble, record),
+        "burst" => burst_of_large_jobs(trouble, record),
+        "cancel" => cancel_at_other_node(trouble, record),
+        "waiting" => waiting_behind_unhealthy(trouble, record),
+        "best-effort" => cancel_best_effort(trouble, record),
+        "config" => unreadable_config(trouble, record),
+        _ => panic!("no such case"),
+    }
+}
+
+/// Runners of one size, `kinds` of them with the first label and the rest with the second.
+fn offers(count: usize, first: usize, cpu: u64) -> Vec<Offer> {
+    let offer = |n: usize| Offer {
+        name: format!("runner-{n}"),
+        service: SERVICE.to_owned(),
+        zone: ["tamarindo", "nosara", "montezuma"][n % 3].to_owned(),
+        labels: vec![
+            (if n < first { "a" } else { "b" }).to_owned(),
+            format!("r1-{}", n / 3 + 1),
+        ],
+        cpu,
+    };
+    (0..count).map(offer).collect()
+}
+
+fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    true
+}
+
+fn running_count(runners: &[Runner]) -> usize {
+    runners.iter().map(Runner::running_count).sum()
+}
+
+/// A runner lists over 500 ends, and the process beside it is killed and started again just before.
+///
+/// TWICE: a start after a run has ended `done`, if that end is taken note of then or later, unless the lease of the
+/// runner lapsed between the two.
+fn many_ends(trouble: bool, record: &Record) -> Vec<String> {
+    const TASKS: usize = 2_400;
+    const RUNNERS: usize = 3;
+    let mut deployment = Deployment::start(SMALL, offers(RUNNERS, RUNNERS, 64_000), record);
+    let id = "00000000000000e1";
+    let job = json!({
+        "specification": "feed",
+        "steps": [{"count": TASKS, "cpu": 30, "mem_mb": 16, "estimated_ms": 6_000}],
+    });
+    assert!(deployment.submit(0, id, &job), "the job is accepted");
+    assert!(
+        wait_until(Duration::from_secs(20), || {
+            running_count(&deployment.runners) == TASKS
+        }),
+        "all tasks are at work"
+    );
+    thread::sleep(Duration::from_millis(300));
+    let counts: Vec<usize> = deployment
+        .runners
+        .iter()
+        .map(Runner::running_count)
+        .collect();
+    record.write(format!("tasks at work on the runners: {counts:?}"));
+    let busiest = (0..RUNNERS)
+        .max_by_key(|n| counts[*n])
+        .expect("there are runners");
+    let machine = deployment.machine_of_runner(busiest);
+    if trouble {
+        deployment.kill(machine);
+    }
+    for runner in &deployment.runners {
+        runner.close_feed();
+    }
+    record.write("the feed is closed, all tasks end done");
+    if trouble {
+        deployment.start_process(machine, false);
+    }
+    wait_until(Duration::from_secs(15), || {
+        deployment.state(0, id).as_deref() == Some("completed")
+    });
+    thread::sleep(Duration::from_secs(3));
+    let noted: Vec<_> = deployment.runners.iter().flat_map(Runner::noted).collect();
+    let mut broken = Vec::new();
+    for runner in &deployment.runners {
+        for start in runner.started() {
+            let mut earlier = noted.iter().filter(|end| {
+                end.task == start.task
+                    && end.how == "done"
+                    && !end.lapsed
+                    && end.ended_at < start.at
+            });
+            if let Some(end) = earlier.next() {
+                broken.push(format!(
+                    "TWICE {} starts at {:.3} on {}, run {} ended done at {:.3}, which was taken note of",
+                    start.task,
+                    record.seconds(start.at),
+                    runner.name(),
+                    end.run,
+                    record.seconds(end.ended_at)
+                ));
+            }
+        }
+    }
+    broken
+}
+
+/// A burst of large jobs, whose steps have `max_per_server`, in the queue of some small jobs.
+///
+/// LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come,
+/// there is capacity for it twice over, and under half of the service's capacity is in use.
+fn burst_of_large_jobs(trouble: bool, record: &Record) -> Vec<String> {
+    const RUNNERS: usize = 6;
+    const CPU: u64 = 16_000;
+    const TASK_CPU: u64 = 100;
+    const SMALL_JOBS: usize = 5;
+    // 3.2 large jobs a second for 5 s, in the burst 2.5 times as many.
+    let large_jobs = if trouble { 40 } else { 16 };
+    let deployment = Deployment::start(SMALL, offers(RUNNERS, RUNNERS, CPU), record);
+    let large = json!({
+        "specification": "run 60000",
+        "steps": [{
+            "count": 2 * RUNNERS, "cpu": TASK_CPU, "mem_mb": 16, "estimated_ms": 60_000, "max_per_server": 1,
+        }],
+    });
+    let interval = Duration::from_secs(5) / large_jobs as u32;
+    let large_ids: Vec<String> = (0..large_jobs)
+        .map(|n| format!("00000000000b{n:04x}"))
+        .collect();
+    for (n, id) in large_ids.iter().enumerate() {
+        assert!(
+            deployment.submit(n % 3, id, &large),
+            "a large job is accepted"
+        );
+        thread::sleep(interval);
+    }
+    let small = json!({
+        "specification": "run 200",
+        "steps": [{"count": 1, "cpu": TASK_CPU, "mem_mb": 16, "estimated_ms": 200}],
+    });
+    let ids: Vec<String> = (0..SMALL_JOBS)
+        .map(|n| format!("00000000000a{n:04x}"))
+        .collect();
+    for (n, id) in ids.iter().enumerate() {
+        assert!(
+            deployment.submit(n % 3, id, &small),
+            "a small job is accepted"
+        );
+    }
+    record.write("the traffic ends");
+    thread::sleep(FINISH);
+    record.write("finish_s after the end of the traffic");
+    let begun = |id: &str| {
+        let runners = deployment.runners.iter();
+        let mut starts = runners.flat_map(Runner::started);
+        starts.any(|start| start.task.starts_with(id))
+    };
+    let end = Instant::now() + IDLE_LIMIT + Duration::from_millis(500);
+    let mut least_free = u64::MAX;
+    let mut most_used = 0;
+    while Instant::now() < end {
+        let used = running_count(&deployment.runners) as u64 * TASK_CPU;
+        most_used = most_used.max(used);
+        least_free = least_free.min(RUNNERS as u64 * CPU - used);
+        thread::sleep(Duration::from_millis(100));
+    }
+    let has_room = least_free >= 2 * TASK_CPU && most_used * 2 < RUNNERS as u64 * CPU;
+    let idle = large_ids
+        .iter()
+        .chain(&ids)
+        .filter(|id| has_room && !begun(id));
+    idle.map(|id| {
+        let state = deployment.state(0, id);
+        format!(
+            "LOST job {id} has nothing running 17 s after the end of the traffic, state={state:?}, at most \
+             {most_used} of {} thousandths of a core in use for 3 s",
+            RUNNERS as u64 * CPU
+        )
+    })
+    .collect()
+}
+
+/// A node freezes before it has read a job. The client gives up and cancels the job at another node.
+///
+/// UNASKED: a machine in touch starts a task later than `cancel_ms` after the job's cancelling was acknowledged.
+fn cancel_at_other_node(trouble: bool, record: &Record) -> Vec<String> {
+    const FROZEN: usize = 3;
+    let size = Size { disks: 3, nodes: 4 };
+    let deployment = Deployment::start(size, offers(3, 3, 16_000), record);
+    let id = "00000000000000c1";
+    let job = json!({
+        "specification": "run 1000",
+        "steps": [{"count": 2, "cpu": 500, "mem_mb": 16, "estimated_ms": 1_000}],
+    });
+    let address = deployment.machine(FROZEN).front();
+    let mut stream = TcpStream::connect(address).expect("the node accepts channels");
+    stream.set_read_timeout(Some(CLIENT_WAIT)).unwrap();
+    // The node has accepted the channel by then.
+    thread::sleep(Duration::from_millis(200));
+    let frozen_at = Instant::now();
+    if trouble {
+        deployment.signal(FROZEN, "STOP");
+    }
+    let path = format!("{PREFIX}{id}");
+    record.write(format!("client POST {path} to node {FROZEN}"));
+    let body = job.to_string();
+    http::write_request(
+        &mut stream,
+        "POST",
+        HOST,
+        &path,
+        Some(CLIENT_WAIT),
+        body.as_bytes(),
+    )
+    .unwrap();
+    let answer = http::read_response(&stream);
+    record.write(format!("client POST {path} -> {answer:?}"));
+    thread::sleep(CLIENT_WAIT.saturating_sub(frozen_at.elapsed()));
+    drop(stream);
+    record.write("the client has given up and closes the channel");
+    let cancelled = deployment.call(0, "DELETE", id, CLIENT_WAIT, "");
+    let acked_at = Instant::now();
+    let acked = matches!(cancelled, Some((200..300 | 410, _)));
+    assert!(acked, "the cancelling is acknowledged");
+    thread::sleep(Duration::from_secs(6).saturating_sub(frozen_at.elapsed()));
+    if trouble {
+        deployment.signal(FROZEN, "CONT");
+    }
+    thread::sleep(Duration::from_secs(6));
+    let starts = deployment.runners.iter().flat_map(Runner::started);
+    let late = starts.filter(|start| start.at > acked_at + CANCEL);
+    late.map(|start| {
+        format!(
+            "UNASKED {} starts at {:.3}, its job's cancelling was acknowledged at {:.3}",
+            start.task,
+            record.seconds(start.at),
+            record.seconds(acked_at)
+        )
+    })
+    .collect()
+}
+
+/// One of ten runners rejects all starts, and the others are full.
+///
+/// MIXED: a machine in touch gives as `waiting` under half of the jobs without times that were accepted over
+/// `visible_ms` + 2 s before and haven't begun.
+fn waiting_behind_unhealthy(trouble: bool, record: &Record) -> Vec<String> {
+    const RUNNERS: usize = 10;
+    const JOBS: usize = 8;
+    let deployment = Deployment::start(SMALL, offers(RUNNERS, RUNNERS - 1, 8_000), record);
+    let filling = json!({
+        "specification": "run 25000",
+        "steps": [{
+            "count": 8 * (RUNNERS - 1), "cpu": 1_000, "mem_mb": 16, "estimated_ms": 25_000, "required_label": "a",
+        }],
+    });
+    assert!(
+        deployment.submit(0, "00000000000000f1", &filling),
+        "the large job is accepted"
+    );
+    assert!(
+        wait_until(Duration::from_secs(10), || {
+            running_count(&deployment.runners) == 8 * (RUNNERS - 1)
+        }),
+        "the large job is at work"
+    );
+    let unhealthy = deployment.runners[RUNNERS - 1].clone();
+    if trouble {
+        unhealthy.set_unhealthy(true);
+    }
+    thread::sleep(Duration::from_millis(100));
+    let small = json!({
+        "specification": "run 20000",
+        "steps": [{"count": 1, "cpu": 1_000, "mem_mb": 16, "estimated_ms": 20_000}],
+    });
+    let mut accepted = Vec::new();
+    for n in 0..JOBS {
+        let id = format!("00000000000d{n:04x}");
+        if deployment.submit(n % 3, &id, &small) {
+            accepted.push((id, Instant::now()));
+        }
+    }
+    let last = accepted.last().expect("jobs are accepted").1;
+    thread::sleep((WAITING_AGE + Duration::from_millis(200)).saturating_sub(last.elapsed()));
+    let begun = |id: &str| {
+        let runners = deployment.runners.iter();
+        let mut starts = runners.flat_map(Runner::started);
+        starts.any(|start| start.task.starts_with(id))
+    };
+    let mut broken = Vec::new();
+    for node in 0..3 {
+        let old = accepted
+            .iter()
+            .filter(|(id, at)| at.elapsed() > WAITING_AGE && !begun(id));
+        let old = old.count() as u64;
+        let answer = deployment.call(node, "GET", "", CLIENT_WAIT, "");
+        let still = accepted.iter().filter(|(id, _)| !begun(id)).count() as u64;
+        let Some((200, body)) = answer else {
+            continue;
+        };
+        let body: serde_json::Value = serde_json::from_str(&body).expect("the answer is JSON");
+        let waiting = body["waiting"].as_u64().expect("the answer holds a number");
+        if waiting * 2 < old.min(still) {
+            broken.push(format!(
+                "MIXED node {node} gives waiting={waiting}, {} jobs have not begun that were accepted over 5 s before",
+                old.min(still)
+            ));
+        }
+    }
+    deployment.state(0, &accepted[0].0);
+    if trouble {
+        unhealthy.set_unhealthy(false);
+    }
+    broken
+}
+
+/// A client cancels a best-effort job while it waits for its outcome.
+///
+/// UNASKED: a machine in touch starts a task later than `cancel_ms` after the job's cancelling was acknowledged, or a
+/// task runs on `stop_ms` after that.
+fn cancel_best_effort(trouble: bool, record: &Record) -> Vec<String> {
+    let deployment = Deployment::start(SMALL, offers(3, 3, 16_000), record);
+    let cancelled = "00000000000000b1";
+    let ids = [cancelled, "00000000000000b2", "00000000000000b3"];
+    let job = json!({
+        "specification": "run 5000", "best_effort": true,
+        "steps": [
+            {"count": 2, "cpu": 500, "mem_mb": 16, "estimated_ms": 5_000},
+            {"count": 2, "cpu": 500, "mem_mb": 16, "estimated_ms": 5_000, "after": [0]},
+        ],
+    });
+    let mut acked_at = None;
+    thread::scope(|scope| {
+        for id in ids {
+            let (deployment, body) = (&deployment, job.to_string());
+            scope.spawn(move || deployment.call(0, "POST", id, Duration::from_secs(20), &body));
+        }
+        thread::sleep(Duration::from_secs(1));
+        if trouble {
+            let answer = deployment.call(1, "DELETE", cancelled, CLIENT_WAIT, "");
+            if matches!(answer, Some((200..300 | 410, _))) {
+                acked_at = Some(Instant::now());
+            }
+        }
+    });
+    let Some(acked_at) = acked_at else {
+        return Vec::new();
+    };
+    let is_cancelled = |task: &str| task.starts_with(cancelled);
+    let acked = record.seconds(acked_at);
+    let starts = deployment.runners.iter().flat_map(Runner::started);
+    let late = starts.filter(|start| is_cancelled(&start.task) && start.at > acked_at + CANCEL);
+    let late = late.map(|start| {
+        let at = record.seconds(start.at);
+        format!(
+            "UNASKED {} starts at {at:.3}, its job's cancelling was acknowledged at {acked:.3}",
+            start.task
+        )
+    });
+    let ends = deployment.runners.iter().flat_map(Runner::noted);
+    let long =
+        ends.filter(|end| is_cancelled(&end.task) && end.ended_at > acked_at + CANCEL + STOP);
+    let long = long.map(|end| {
+        let at = record.seconds(end.ended_at);
+        format!(
+            "UNASKED {} runs until {at:.3}, its job's cancelling was acknowledged at {acked:.3}",
+            end.task
+        )
+    });
+    late.chain(long).collect()
+}
+
+/// The operator sends a configuration that is no text throughout, as from a tool with another character set.
+///
+/// CONFIG: what is invalid is acknowledged, or is in force.
+fn unreadable_config(trouble: bool, record: &Record) -> Vec<String> {
+    let deployment = Deployment::start(SMALL, offers(1, 1, 16_000), record);
+    let text = config(2).to_string();
+    let mut body = text.into_bytes();
+    if trouble {
+        let at = body
+            .windows(7)
+            .position(|w| w == b"/health")
+            .expect("the path stands there");
+        body[at + 3] = 0xe9;
+    }
+    let status = deployment.put_config(0, &body);
+    thread::sleep(Duration::from_secs(3));
+    let read = deployment.get_config(1);
+    let mut broken = Vec::new();
+    if trouble && status.is_some_and(|s| (200..300).contains(&s)) {
+        broken
+            .push("CONFIG a configuration that cannot be read in full is acknowledged".to_owned());
+    }
+    let in_force = read.map(|(_, body)| body);
+    let versions: BTreeSet<u64> = in_force
+        .iter()
+        .filter_map(|body| {
+            serde_json::from_slice::<serde_json::Value>(body).ok()?["version"].as_u64()
+        })
+        .collect();
+    if trouble && versions.contains(&2) {
+        broken.push("CONFIG a configuration that cannot be read in full is in force".to_owned());
+    }
+    if versions.contains(&2) && in_force != Some(body) {
+        broken.push("CONFIG version 2 is read back with other content than was sent".to_owned());
+    }
+    broken
+}
--- /dev/null
+++ b/review/stand-ins-2/src/runner.rs
@@ -0,0 +1,438 @@
+//! A sound runner: lease, fencing, runs and their ends as PROTOCOL.md tells them.
+//!
+//! The specification of a task says what it does: `run MS` ends `done` after that many milliseconds, and `feed` ends
+//! `done` when the feed that all such tasks read is closed.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Condvar, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    http::{self, Request},
+    record::Record,
+};
+
+/// Most ends in one answer.
+const MAX_LISTED_ENDS: usize = 500;
+/// `max_hold_ms` of the settings.
+const MAX_HOLD_MS: u64 = 1_000;
+/// `heartbeat_ms` of the settings.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Pause before a liveness report that got no 2xx is sent again.
+const HEARTBEAT_RETRY: Duration = Duration::from_millis(200);
+
+/// What a runner offers.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    pub name: String,
+    pub service: String,
+    pub zone: String,
+    pub labels: Vec<String>,
+    pub cpu: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    number: u64,
+    started: Instant,
+    /// `None` for a task that ends when its feed is closed.
+    ends: Option<Instant>,
+}
+
+#[derive(Debug, Clone)]
+struct End {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+    at: Instant,
+}
+
+/// A start that the runner has carried out.
+#[derive(Debug, Clone)]
+pub struct Started {
+    pub task: String,
+    pub at: Instant,
+}
+
+/// An end that a call has taken note of.
+#[derive(Debug, Clone)]
+pub struct Noted {
+    pub task: String,
+    pub run: u64,
+    pub how: &'static str,
+    pub ended_at: Instant,
+    /// Whether the lease lapsed between the end and the note.
+    pub lapsed: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lease_until: Option<Instant>,
+    lapses: Vec<Instant>,
+    fence: u64,
+    running: BTreeMap<String, Run>,
+    ended: VecDeque<End>,
+    last_end: u64,
+    /// Highest run of a task that has ended or was stopped.
+    past: HashMap<String, u64>,
+    is_unhealthy: bool,
+    feed_closed_at: Option<Instant>,
+    started: Vec<Started>,
+    noted: Vec<Noted>,
+}
+
+/// A runner that can be shared between threads.
+#[derive(Debug, Clone)]
+pub struct Runner {
+    offer: Offer,
+    id: String,
+    born_ms: u64,
+    origin: Instant,
+    state: Arc<(Mutex<State>, Condvar)>,
+    record: Record,
+}
+
+impl Runner {
+    /// Starts a runner that accepts calls at `address` and reports to its agent at `control`.
+    pub fn start(
+        offer: Offer,
+        address: SocketAddr,
+        control: SocketAddr,
+        record: &Record,
+    ) -> Runner {
+        let listener = TcpListener::bind(address).expect("the runner can listen");
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let runner = Runner {
+            id: format!("i-{}", offer.name),
+            offer,
+            born_ms: unix.as_millis() as u64,
+            origin: Instant::now(),
+            state: Arc::default(),
+            record: record.clone(),
+        };
+        let server = runner.clone();
+        http::serve(listener, move |request| server.handle(&request));
+        let beats = runner.clone();
+        thread::spawn(move || beats.send_heartbeats(address, control));
+        runner
+    }
+
+    pub fn name(&self) -> &str {
+        &self.offer.name
+    }
+
+    /// From now on, the runner rejects each start with 503, or accepts starts again.
+    pub fn set_unhealthy(&self, is_unhealthy: bool) {
+        self.state.0.lock().unwrap().is_unhealthy = is_unhealthy;
+        self.record.write(format!(
+            "runner {} unhealthy={is_unhealthy}",
+            self.offer.name
+        ));
+    }
+
+    /// Closes the feed that `feed` tasks read: all of them end `done`.
+    pub fn close_feed(&self) {
+        let mut state = self.lock();
+        state.feed_closed_at = Some(Instant::now());
+        drop(state);
+        drop(self.lock());
+        self.state.1.notify_all();
+    }
+
+    pub fn started(&self) -> Vec<Started> {
+        self.lock().started.clone()
+    }
+
+    pub fn noted(&self) -> Vec<Noted> {
+        self.lock().noted.clone()
+    }
+
+    pub fn running_count(&self) -> usize {
+        self.lock().running.len()
+    }
+
+    /// Returns whether an agent renews the lease.
+    pub fn has_lease(&self) -> bool {
+        self.lock().lease_until.is_some()
+    }
+
+    fn clock_ms(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.origin).as_millis() as u64
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.0.lock().unwrap();
+        self.advance(&mut state, Instant::now());
+        state
+    }
+
+    /// Ends the runs that are done and, once the lease has lapsed, all others.
+    fn advance(&self, state: &mut State, now: Instant) {
+        let limit = state.lease_until.unwrap_or(now).min(now);
+        let closed = state.feed_closed_at;
+        let mut done: Vec<(Instant, String)> = Vec::new();
+        for (task, run) in &state.running {
+            let ends = run.ends.or(closed.map(|at| at.max(run.started)));
+            if let Some(at) = ends.filter(|at| *at <= limit) {
+                done.push((at, task.clone()));
+            }
+        }
+        done.sort();
+        for (at, task) in done {
+            self.end(state, &task, "done", at);
+        }
+        if let Some(lapsed_at) = state.lease_until.filter(|until| *until <= now) {
+            state.lease_until = None;
+            state.lapses.push(lapsed_at);
+            self.record.write_at(
+                lapsed_at,
+                format!("runner {} lease lapsed", self.offer.name),
+            );
+            for task in state.running.keys().cloned().collect::<Vec<_>>() {
+                self.end(state, &task, "lapsed", lapsed_at);
+            }
+        }
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str, at: Instant) {
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
+        state.last_end += 1;
+        let past = state.past.entry(task.to_owned()).or_default();
+        *past = run.number.max(*past);
+        let number = state.last_end;
+        self.record.write_at(
+            at,
+            format!(
+                "runner {} ended end={number} task={task} run={} how={how}",
+                self.offer.name, run.number
+            ),
+        );
+        state.ended.push_back(End {
+            number,
+            task: task.to_owned(),
+            run: run.number,
+            how,
+            at,
+        });
+    }
+
+    fn handle(&self, request: &Request) -> (u16, String) {
+        let now = Instant::now();
+        let clock = self.clock_ms(now);
+        let answer = |status: u16, reason: &str| {
+            let body = match reason {
+                "" => json!({"clock_ms": clock, "born": self.born_ms}),
+                _ => json!({"clock_ms": clock, "born": self.born_ms, "reason": reason}),
+            };
+            (status, body.to_string())
+        };
+        if request.method != "POST" {
+            return answer(405, "");
+        }
+        let expected = request.expected_instance.as_deref();
+        if expected.is_some_and(|id| id != self.id) {
+            return answer(421, "");
+        }
+        let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+            return answer(400, "");
+        };
+        let number = |name: &str| body.get(name).and_then(Value::as_u64);
+        let text = |name: &str| body.get(name).and_then(Value::as_str).unwrap_or_default();
+        let mut state = self.lock();
+        let fence = number("fencing_token").unwrap_or(0);
+        if fence < state.fence {
+            return answer(409, "fence");
+        }
+        match request.path.as_str() {
+            "/figdeal/run-start" => {
+                let (Some(run), Some(until)) = (number("run"), number("until_ms")) else {
+                    return answer(400, "");
+                };
+                if state.is_unhealthy {
+                    let task = text("task");
+                    self.record.write(format!(
+                        "runner {} answers 503 task={task} run={run}",
+                        self.offer.name
+                    ));
+                    return answer(503, "");
+                }
+                state.fence = fence;
+                self.start_run(
+                    &mut state,
+                    now,
+                    text("task"),
+                    run,
+                    until,
+                    text("specification"),
+                )
+                .map_or_else(|reason| answer(409, reason), |()| answer(200, ""))
+            }
+            "/figdeal/run-stop" => {
+                state.fence = fence;
+                let (task, run) = (text("task"), number("run").unwrap_or(0));
+                self.record.write(format!(
+                    "runner {} told to stop task={task} run={run}",
+                    self.offer.name
+                ));
+                let past = state.past.entry(task.to_owned()).or_default();
+                *past = run.max(*past);
+                if state.running.get(task).is_some_and(|r| r.number == run) {
+                    self.end(&mut state, task, "stopped", now);
+                }
+                drop(state);
+                self.state.1.notify_all();
+                answer(200, "")
+            }
+            "/figdeal/hold" => {
+                state.fence = fence;
+                self.note_ends(&mut state, number("seen_upto").unwrap_or(0));
+                if let Some(until) = number("until_ms") {
+                    self.extend_lease(&mut state, now, until);
+                }
+                let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(2_000));
+                self.answer_hold(state, now + wait)
+            }
+            _ => answer(404, ""),
+        }
+    }
+
+    fn extend_lease(&self, state: &mut State, now: Instant, until_ms: u64) {
+        let until_ms = until_ms.min(self.clock_ms(now) + MAX_HOLD_MS);
+        let until = self.origin + Duration::from_millis(until_ms);
+        if until > now {
+            state.lease_until = Some(state.lease_until.map_or(until, |l| l.max(until)));
+        }
+    }
+
+    fn start_run(
+        &self,
+        state: &mut State,
+        now: Instant,
+        task: &str,
+        run: u64,
+        until_ms: u64,
+        specification: &str,
+    ) -> Result<(), &'static str> {
+        if state.running.get(task).is_some_and(|r| r.number == run) {
+            return Ok(());
+        }
+        if until_ms <= self.clock_ms(now) {
+            return Err("late");
+        }
+        self.extend_lease(state, now, until_ms);
+        let past = state.past.get(task).copied().unwrap_or(0);
+        if state.running.contains_key(task) || run <= past {
+            return Err("old");
+        }
+        let ends = specification
+            .strip_prefix("run ")
+            .and_then(|ms| ms.parse().ok())
+            .map(|ms| now + Duration::from_millis(ms));
+        self.record.write_at(
+            now,
+            format!("runner {} started task={task} run={run}", self.offer.name),
+        );
+        state.running.insert(
+            task.to_owned(),
+            Run {
+                number: run,
+                started: now,
+                ends,
+            },
+        );
+        state.started.push(Started {
+            task: task.to_owned(),
+            at: now,
+        });
+        Ok(())
+    }
+
+    fn note_ends(&self, state: &mut State, seen_upto: u64) {
+        let mut count = 0;
+        while state.ended.front().is_some_and(|e| e.number <= seen_upto) {
+            let end = state.ended.pop_front().unwrap();
+            let lapsed = state.lapses.iter().any(|at| *at >= end.at);
+            state.noted.push(Noted {
+                task: end.task,
+                run: end.run,
+                how: end.how,
+                ended_at: end.at,
+                lapsed,
+            });
+            count += 1;
+        }
+        if count > 0 {
+            self.record.write(format!(
+                "runner {} ends taken note of seen_upto={seen_upto} count={count}",
+                self.offer.name
+            ));
+        }
+    }
+
+    /// Answers once an end is listed or the wait is over.
+    fn answer_hold(&self, mut state: MutexGuard<'_, State>, wait_end: Instant) -> (u16, String) {
+        loop {
+            let now = Instant::now();
+            self.advance(&mut state, now);
+            if !state.ended.is_empty() || now >= wait_end {
+                break;
+            }
+            let due = state.running.values().filter_map(|r| r.ends).min();
+            let wake = [due, state.lease_until].into_iter().flatten().min();
+            let until = wake.map_or(wait_end, |at| at.min(wait_end));
+            let wait = until
+                .saturating_duration_since(now)
+                .max(Duration::from_millis(1));
+            state = self.state.1.wait_timeout(state, wait).unwrap().0;
+        }
+        let now = Instant::now();
+        let running = state.running.iter().map(|(task, run)| {
+            let percent = run.ends.map_or(50, |ends| {
+                let whole = (ends - run.started).as_millis().max(1);
+                (now - run.started).as_millis() * 100 / whole
+            });
+            json!([task, run.number, "", percent.min(100) as u64, 0])
+        });
+        let ended = state.ended.iter().take(MAX_LISTED_ENDS);
+        let ended = ended.map(|e| json!([e.number, e.task, e.run, e.how, ""]));
+        let body = json!({
+            "clock_ms": self.clock_ms(now),
+            "born": self.born_ms,
+            "running": running.collect::<Vec<_>>(),
+            "ended": ended.collect::<Vec<_>>(),
+        });
+        (200, body.to_string())
+    }
+
+    fn send_heartbeats(&self, address: SocketAddr, control: SocketAddr) {
+        let path = format!("/figdeal/instances/{}", self.id);
+        for sequence in 1u64.. {
+            let body = json!({
+                "service": self.offer.service, "address": address.to_string(), "zone": self.offer.zone,
+                "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                "capacity": {"cpu": self.offer.cpu, "mem_mb": 131_072, "gpu": 0},
+                "labels": self.offer.labels, "clock_ms": self.clock_ms(Instant::now()),
+                "sequence": sequence, "born": self.born_ms, "machine": format!("m-{}", self.offer.name),
+            });
+            let timeout = Duration::from_secs(1);
+            let body = body.to_string();
+            let host = control.to_string();
+            let answer = http::exchange(control, "PUT", &host, &path, timeout, body.as_bytes());
+            let acked = answer.is_ok_and(|(status, _)| (200..300).contains(&status));
+            thread::sleep(if acked {
+                HEARTBEAT_INTERVAL
+            } else {
+                HEARTBEAT_RETRY
+            });
+        }
+    }
+}
