Show that a burst of small tasks leaves the runners without work

Cause: the leader orders all tasks that fit into the room of a runner, the agent makes 48 calls and reports the rest as not started, and all are ordered again 30 ms later.

The runner of the stand-ins looks for ends only when one is due, since it was too slow for this load before.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::{
-    deployment::{Deployment, HOST, PREFIX, SERVICE, Size, config},
+    deployment::{Deployment, HOST, LOW_PREFIX, PREFIX, SERVICE, Size, config},
     http,
     record::Record,
     runner::{Offer, Runner},
@@ -40,6 +40,8 @@
         "cancel" => cancel_at_other_node(trouble, record),
         "waiting" => waiting_behind_unhealthy(trouble, record),
         "best-effort" => cancel_best_effort(trouble, record),
+        "reserve" => urgent_job_that_waits(trouble, record),
+        "flood" => burst_of_small_tasks(trouble, record),
         "config" => unreadable_config(trouble, record),
         _ => panic!("no such case"),
     }
@@ -447,3 +449,137 @@
     }
     broken
 }
+
+/// A burst of jobs with many small tasks.
+///
+/// LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come,
+/// there is capacity for it twice over, and under half of the service's capacity is in use.
+fn burst_of_small_tasks(trouble: bool, record: &Record) -> Vec<String> {
+    const RUNNERS: usize = 3;
+    const CPU: u64 = 64_000;
+    const TASK_CPU: u64 = 5;
+    const TASKS: u64 = 390;
+    // In the burst 2.5 times as many jobs come in the same time.
+    let jobs = if trouble { 20 } else { 8 };
+    let deployment = Deployment::start(SMALL, offers(RUNNERS, RUNNERS, CPU), record);
+    let job = json!({
+        "specification": "run 500",
+        "steps": [{"count": TASKS, "cpu": TASK_CPU, "mem_mb": 1, "estimated_ms": 500}],
+    });
+    let interval = Duration::from_millis(500) / jobs as u32;
+    let mut accepted = Vec::new();
+    for n in 0..jobs {
+        let id = format!("00000000000e{n:04x}");
+        if deployment.submit(n as usize % 3, &id, &job) {
+            accepted.push(id);
+        }
+        thread::sleep(interval);
+    }
+    record.write(format!(
+        "the traffic ends, {} of {jobs} jobs were accepted",
+        accepted.len()
+    ));
+    thread::sleep(FINISH);
+    record.write("finish_s after the end of the traffic");
+    let end = Instant::now() + IDLE_LIMIT + Duration::from_millis(200);
+    let mut at_work = BTreeSet::new();
+    let mut most_used = 0;
+    while Instant::now() < end {
+        let running: Vec<String> = deployment
+            .runners
+            .iter()
+            .flat_map(Runner::running)
+            .collect();
+        most_used = most_used.max(running.len() as u64 * TASK_CPU);
+        at_work.extend(
+            running
+                .iter()
+                .filter_map(|task| Some(task.split('.').next()?.to_owned())),
+        );
+        thread::sleep(Duration::from_millis(10));
+    }
+    record.write(format!(
+        "at most {most_used} of {} thousandths of a core are in use for 3 s",
+        RUNNERS as u64 * CPU
+    ));
+    if most_used * 2 >= RUNNERS as u64 * CPU {
+        return Vec::new();
+    }
+    let done = |id: &str| {
+        let ends = deployment.runners.iter().flat_map(Runner::ended_done);
+        let tasks: BTreeSet<String> = ends.filter(|task| task.starts_with(id)).collect();
+        tasks.len() as u64
+    };
+    let idle = accepted.iter().filter(|id| !at_work.contains(*id));
+    idle.filter_map(|id| {
+        let ended = done(id);
+        let state = deployment.state(0, id);
+        (ended < TASKS).then(|| {
+            format!(
+                "LOST job {id} has nothing running 17 s after the end of the traffic, state={state:?}, {ended} of \
+                 {TASKS} tasks have ended done"
+            )
+        })
+    })
+    .collect()
+}
+
+/// Two jobs instead of one need the only runner with a label, so one of them waits. Jobs of a queue with a lower
+/// priority need whole runners, of which ten are free.
+///
+/// LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come,
+/// there is capacity for it twice over, and under half of the service's capacity is in use.
+fn urgent_job_that_waits(trouble: bool, record: &Record) -> Vec<String> {
+    const RUNNERS: usize = 11;
+    const CPU: u64 = 16_000;
+    let deployment = Deployment::start(SMALL, offers(RUNNERS, RUNNERS - 1, CPU), record);
+    let whole_runner = json!({"count": 1, "cpu": CPU, "mem_mb": 16, "estimated_ms": 60_000});
+    let mut labelled = whole_runner.clone();
+    labelled["required_label"] = json!("b");
+    let urgent = json!({"specification": "run 60000", "steps": [labelled]});
+    for n in 0..(if trouble { 2 } else { 1 }) {
+        let id = format!("00000000000c{n:04x}");
+        assert!(
+            deployment.submit(n, &id, &urgent),
+            "an urgent job is accepted"
+        );
+    }
+    thread::sleep(Duration::from_millis(500));
+    let job = json!({"specification": "run 60000", "steps": [whole_runner]});
+    let ids: Vec<String> = (0..RUNNERS - 1)
+        .map(|n| format!("00000000000d{n:04x}"))
+        .collect();
+    for (n, id) in ids.iter().enumerate() {
+        let path = format!("{LOW_PREFIX}{id}");
+        assert!(deployment.submit(n % 3, &path, &job), "a job is accepted");
+    }
+    record.write("the traffic ends");
+    thread::sleep(FINISH);
+    record.write("finish_s after the end of the traffic");
+    let end = Instant::now() + IDLE_LIMIT + Duration::from_millis(200);
+    let mut most_used = 0;
+    while Instant::now() < end {
+        most_used = most_used.max(running_count(&deployment.runners) as u64 * CPU);
+        thread::sleep(Duration::from_millis(50));
+    }
+    let all = RUNNERS as u64 * CPU;
+    record.write(format!(
+        "at most {most_used} of {all} thousandths of a core are in use for 3 s"
+    ));
+    if most_used * 2 >= all {
+        return Vec::new();
+    }
+    let starts = deployment.runners.iter().flat_map(Runner::started);
+    let begun: Vec<String> = starts.map(|start| start.task).collect();
+    let idle = ids
+        .iter()
+        .filter(|id| !begun.iter().any(|task| task.starts_with(*id)));
+    idle.map(|id| {
+        let state = deployment.state(0, &format!("{LOW_PREFIX}{id}"));
+        format!(
+            "LOST job {id} has nothing running 17 s after the end of the traffic, state={state:?}, at most {most_used} \
+             of {all} thousandths of a core in use for 3 s"
+        )
+    })
+    .collect()
+}
--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -26,8 +26,10 @@
 pub const SERVICE: &str = "order-desk";
 /// Host of all routes.
 pub const HOST: &str = "desk.example";
-/// Prefix of the only queue.
+/// Prefix of the queue with the highest priority.
 pub const PREFIX: &str = "/orders/";
+/// Prefix of the queue with the lowest priority.
+pub const LOW_PREFIX: &str = "/seals/";
 
 /// Processes that the script has started and that have not ended.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -246,7 +248,8 @@
         answer
     }
 
-    /// Sends a client's call to a node and returns the status and body of the response.
+    /// Sends a client's call to a node and returns the status and body of the response. `rest` is a path, or what
+    /// follows [`PREFIX`].
     pub fn call(
         &self,
         node: usize,
@@ -256,7 +259,10 @@
         body: &str,
     ) -> Option<(u16, String)> {
         let address = self.machines[node].front();
-        let path = format!("{PREFIX}{rest}");
+        let path = match rest.starts_with('/') {
+            true => rest.to_owned(),
+            false => format!("{PREFIX}{rest}"),
+        };
         self.record.write(format!(
             "client {method} {path} to node {node} {}",
             shorten(body)
@@ -378,14 +384,17 @@
     panic!("no free loopback addresses");
 }
 
-/// Returns a configuration with the queue and the service of all scripts.
+/// Returns a configuration with the queues and the service of all scripts.
 pub fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, priority: u64| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": 1500,
+            "target_duration_ms": 60, "priority": priority, "service": SERVICE, "max_attempts": 4, "stretch": 1.6,
+        })
+    };
     json!({
         "version": version,
-        "routes": [{
-            "name": "r-orders", "host": HOST, "path_prefix": PREFIX, "kind": "non_idempotent", "timeout_ms": 1500,
-            "target_duration_ms": 60, "priority": 0, "service": SERVICE, "max_attempts": 4, "stretch": 1.6,
-        }],
+        "routes": [route("r-orders", PREFIX, 0), route("r-seals", LOW_PREFIX, 2)],
         "services": [{
             "name": SERVICE, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
             "enforces_capacity": false, "spare": false,
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -84,8 +84,11 @@
     past: HashMap<String, u64>,
     is_unhealthy: bool,
     feed_closed_at: Option<Instant>,
+    /// No run ends before this time, other than by the feed.
+    next_due: Option<Instant>,
     started: Vec<Started>,
     noted: Vec<Noted>,
+    done: Vec<String>,
 }
 
 /// A runner that can be shared between threads.
@@ -154,6 +157,16 @@
         self.lock().noted.clone()
     }
 
+    /// Returns the tasks at work.
+    pub fn running(&self) -> Vec<String> {
+        self.lock().running.keys().cloned().collect()
+    }
+
+    /// Returns the tasks of which a run has ended `done`.
+    pub fn ended_done(&self) -> Vec<String> {
+        self.lock().done.clone()
+    }
+
     pub fn running_count(&self) -> usize {
         self.lock().running.len()
     }
@@ -177,6 +190,11 @@
     fn advance(&self, state: &mut State, now: Instant) {
         let limit = state.lease_until.unwrap_or(now).min(now);
         let closed = state.feed_closed_at;
+        let is_due = closed.is_some() || state.next_due.is_some_and(|due| due <= limit);
+        let has_lapsed = state.lease_until.is_some_and(|until| until <= now);
+        if !is_due && !has_lapsed {
+            return;
+        }
         let mut done: Vec<(Instant, String)> = Vec::new();
         for (task, run) in &state.running {
             let ends = run.ends.or(closed.map(|at| at.max(run.started)));
@@ -199,6 +217,7 @@
                 self.end(state, &task, "lapsed", lapsed_at);
             }
         }
+        state.next_due = state.running.values().filter_map(|r| r.ends).min();
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str, at: Instant) {
@@ -206,6 +225,9 @@
             return;
         };
         state.last_end += 1;
+        if how == "done" {
+            state.done.push(task.to_owned());
+        }
         let past = state.past.entry(task.to_owned()).or_default();
         *past = run.number.max(*past);
         let number = state.last_end;
@@ -341,6 +363,7 @@
             now,
             format!("runner {} started task={task} run={run}", self.offer.name),
         );
+        state.next_due = [state.next_due, ends].into_iter().flatten().min();
         state.running.insert(
             task.to_owned(),
             Run {
@@ -386,8 +409,10 @@
             if !state.ended.is_empty() || now >= wait_end {
                 break;
             }
-            let due = state.running.values().filter_map(|r| r.ends).min();
-            let wake = [due, state.lease_until].into_iter().flatten().min();
+            let wake = [state.next_due, state.lease_until]
+                .into_iter()
+                .flatten()
+                .min();
             let until = wake.map_or(wait_end, |at| at.min(wait_end));
             let wait = until
                 .saturating_duration_since(now)
