Ask for the state of the cancelled best-effort job

Cause: the answer 410 could be taken for a job that no node knows yet.

Change: the script of review/10 asks for the state before and after the DELETE.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -378,11 +378,13 @@
             scope.spawn(move || deployment.call(0, "POST", id, Duration::from_secs(20), &body));
         }
         thread::sleep(Duration::from_secs(1));
+        deployment.state(1, cancelled);
         if trouble {
             let answer = deployment.call(1, "DELETE", cancelled, CLIENT_WAIT, "");
             if matches!(answer, Some((200..300 | 410, _))) {
                 acked_at = Some(Instant::now());
             }
+            deployment.state(1, cancelled);
         }
     });
     let Some(acked_at) = acked_at else {
