--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -212,10 +212,6 @@
         self.size.nodes + runner
     }
 
-    pub fn machine(&self, machine: usize) -> Machine {
-        self.machines[machine]
-    }
-
     fn is_ready(&self, node: usize) -> bool {
         let timeout = Duration::from_secs(1);
         let address = self.machines[node].ready();
