Add the evacuation of data centres

An operator could not take a data centre out of use. POST and DELETE of /figdeal/evacuation/NAME now evacuate a data centre and revoke that. The request is a command of the log, which also decides about the last data centre, and is answered after its commit. The scheduler leaves the workers of evacuated data centres out of its index of free room, so they count neither for placement nor for shares and admission. Steps that only they can run wait behind the others.

Cold workers get at most bounds.cold_overage times the mean number of runs of the warm workers of their pool, plus bounds.cold_slack, if the settings have both.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -187,6 +187,8 @@
         seeds: settings.seeds.clone(),
         voter_count: 2 * settings.tolerated_losses + 1,
         min_resubmit_delay: settings.min_resubmit_delay,
+        data_centres: settings.data_centres.clone(),
+        limits: settings.limits,
     };
     let clock = clock::read();
     let last_index = stored.log.last_index();
@@ -337,6 +339,9 @@
 }
 
 async fn handle_operator(http_request: HttpRequest, input_sender: mpsc::Sender<Input>) -> Response {
+    if http_request.path.starts_with(operator::EVACUATION_PATH) {
+        return handle_evacuation(http_request, input_sender).await;
+    }
     if http_request.path != operator::CONFIG_PATH {
         return Response::new(404);
     }
@@ -360,6 +365,29 @@
     ingress::encode_answer(&answer)
 }
 
+async fn handle_evacuation(
+    http_request: HttpRequest,
+    input_sender: mpsc::Sender<Input>,
+) -> Response {
+    let start = clock::now();
+    let response = match operator::decode_evacuation(&http_request.method, &http_request.path) {
+        Ok(request) => {
+            let timeout = http_request.caller_timeout;
+            let answer = submit_to_node(request, timeout, &input_sender).await;
+            operator::encode_evacuation_answer(&answer)
+        }
+        Err(response) => response,
+    };
+    log::info!(
+        "E685 evacuation request answered method={} path={:?} status={} took_ms={}",
+        http_request.method,
+        http_request.path,
+        response.status,
+        clock::now().since(start).as_millis()
+    );
+    response
+}
+
 async fn submit_to_node(
     request: Request,
     caller_timeout: Option<Duration>,
@@ -475,6 +503,8 @@
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
         metrics::gauge!("figdeal_queue_waiting_tasks").set(waiting_tasks as f64);
+        let evacuated = self.node.state().evacuated.len();
+        metrics::gauge!("figdeal_queue_evacuated_data_centres").set(evacuated as f64);
         metrics::gauge!("figdeal_queue_term").set(self.node.raft().term() as f64);
         metrics::gauge!("figdeal_queue_commit").set(self.node.raft().commit() as f64);
     }
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -152,6 +152,10 @@
     pub labels: Vec<String>,
     /// Whether the worker takes no new tasks.
     pub draining: bool,
+    /// Data centre of the worker; `None` if it names none.
+    pub data_centre: Option<String>,
+    /// For how long the worker will still be slow, because its caches are cold.
+    pub cold_time: Duration,
 }
 
 /// A run that may be on the worker.
@@ -193,6 +197,8 @@
     /// Start of the worker's present incarnation, if it is known.
     worker_started_at_ms: Option<u64>,
     heartbeat_sequence: u64,
+    /// Time until which the worker is cold.
+    cold_until: Timestamp,
     /// Heartbeats of workers that are not the known one, until the worker itself has told which incarnation runs.
     candidates: Vec<identity::Candidate>,
     /// When the worker is asked next which incarnation runs.
@@ -264,6 +270,7 @@
             worker: None,
             worker_started_at_ms: None,
             heartbeat_sequence: 0,
+            cold_until: Timestamp::ZERO,
             candidates: Vec::new(),
             next_check: Timestamp::ZERO,
             incarnation: 1,
@@ -564,6 +571,7 @@
         });
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
             draining: w.draining || self.shutting_down || self.is_worker_out_of_use(now),
+            cold_ms: self.cold_until.since(now).as_millis() as u32,
             ..w.clone()
         });
         let report = AgentReport {
--- a/crates/figdeal-queue/src/agent/identity.rs
+++ b/crates/figdeal-queue/src/agent/identity.rs
@@ -41,7 +41,7 @@
             return self.log_foreign(&heartbeat);
         }
         match self.is_known(&heartbeat) {
-            true => self.update_worker(heartbeat),
+            true => self.update_worker(now, heartbeat),
             false => self.add_candidate(now, heartbeat),
         }
     }
@@ -116,12 +116,12 @@
                 self.new_incarnation(now, heartbeat.started_at_ms, LossReason::NewIncarnation);
             }
             self.worker_started_at_ms = heartbeat.started_at_ms;
-            self.update_worker(heartbeat);
+            self.update_worker(now, heartbeat);
         }
     }
 
     /// Takes over what a heartbeat of the present incarnation tells.
-    fn update_worker(&mut self, heartbeat: Heartbeat) {
+    fn update_worker(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         if self.worker.is_none() {
             self.heartbeat_sequence = 0;
             log::info!(
@@ -136,12 +136,16 @@
             return;
         }
         self.heartbeat_sequence = heartbeat.sequence;
+        self.report_pending |= self.cold_until <= now && !heartbeat.cold_time.is_zero();
+        self.cold_until = now + heartbeat.cold_time;
         let worker = WorkerInfo {
             incarnation: self.incarnation,
             pool: heartbeat.pool,
             capacity: heartbeat.capacity,
             labels: heartbeat.labels,
             draining: heartbeat.draining,
+            data_centre: heartbeat.data_centre,
+            cold_ms: 0,
         };
         let changed = self
             .worker
@@ -221,6 +225,7 @@
         self.incarnation += 1;
         self.worker_started_at_ms = started_at_ms;
         self.worker = None;
+        self.cold_until = Timestamp::ZERO;
         self.left_at = None;
         self.poll.reset_for_new_incarnation(now);
         let runs = std::mem::take(&mut self.runs);
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -27,6 +27,9 @@
 mod agents;
 mod audit;
 mod backlog;
+mod cold;
+mod evacuation;
+mod limits;
 mod overload;
 mod place;
 mod report;
@@ -37,6 +40,7 @@
 
 pub use admission::Rejection;
 use backlog::{Backlog, BacklogKey};
+pub use limits::{ColdLimit, Limits};
 pub use overload::{
     PoolRoom, QueueLoad, decayed_peak, is_overloaded, predicted_wait, reserve, retry_after,
     service_order,
@@ -80,6 +84,9 @@
     due_agents: Vec<AgentKey>,
     /// Workers by free room, for each pool.
     pools: Pools,
+    /// Data centres in which no task may start.
+    evacuated: BTreeSet<String>,
+    limits: Limits,
     /// Waiting steps and used room, for each queue.
     backlogs: SlotMap<BacklogKey, Backlog>,
     /// Agents with a placed run of each task, so that the runs of a job are found without a look at each agent.
@@ -128,6 +135,8 @@
             jobs: HashMap::new(),
             due_agents: Vec::new(),
             pools: Pools::new(),
+            evacuated: state.evacuated.clone(),
+            limits: Limits::default(),
             backlogs: SlotMap::with_key(),
             placed_tasks: BTreeMap::new(),
             earlier_jobs: EarlierJobs::default(),
@@ -163,6 +172,11 @@
         }
     }
 
+    /// Replaces the limits, of which there are none otherwise.
+    pub fn with_limits(self, limits: Limits) -> Dispatcher {
+        Dispatcher { limits, ..self }
+    }
+
     /// Returns the agents of earlier terms that have not reported; they have to be told who is the leader.
     pub fn agents_with_unknown_runs(&self) -> Vec<SocketAddr> {
         self.agents_with_unknown_runs.iter().copied().collect()
@@ -479,6 +493,7 @@
             }
             self.release_held_jobs(now);
         }
+        self.end_cold_times(now);
         self.limit_ejection(now);
         self.stop_stalled_runs(now);
         self.sort_out_unplaceable();
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -64,6 +64,7 @@
             unacked_events: VecDeque::new(),
             acked_event: 0,
             worker: None,
+            cold_until: None,
             placed: BTreeMap::new(),
             used: Resources::default(),
             room: None,
--- a/crates/figdeal-queue/src/dispatch/audit.rs
+++ b/crates/figdeal-queue/src/dispatch/audit.rs
@@ -26,18 +26,24 @@
             let mut total = 0;
             let mut free = 0;
             let mut count = 0;
+            let mut warm = (0, 0);
             for agent in self.agents.values() {
                 let Some(worker) = agent.worker.as_ref().filter(|w| w.pool == *name) else {
                     continue;
                 };
-                if !agent.registered || !agent.runs_known || worker.draining {
+                let is_evacuated = self.is_evacuated(agent);
+                if !agent.registered || !agent.runs_known || worker.draining || is_evacuated {
                     continue;
                 }
+                if agent.cold_until.is_none() {
+                    warm = (warm.0 + 1, warm.1 + agent.placed.len() as u64);
+                }
                 count += 1;
                 total += u64::from(worker.capacity.millicores);
                 free += u64::from(worker.capacity.saturating_sub(agent.used).millicores);
             }
             assert_eq!(pool.totals(), (count, total, free), "room of pool {name}");
+            assert_eq!(pool.warm(), warm, "warm workers of pool {name}");
         }
     }
 
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -29,7 +29,7 @@
     Waiting,
     /// The latest start has passed.
     Late,
-    /// No worker of the pool can run the step, even when it is idle. Steps that have to wait for a worker to join must not
+    /// No worker of the pool outside the evacuated data centres can run the step, even when it is idle. Steps that have to wait for a worker to join must not
     /// hold up the others.
     Unplaceable,
 }
@@ -237,7 +237,7 @@
         }
     }
 
-    /// Moves the steps that no worker of their pool can run behind all others, and back once a worker can.
+    /// Moves the steps that no worker of their pool may run behind all others, and back once a worker can.
     pub(super) fn sort_out_unplaceable(&mut self) {
         let mut changed = Vec::new();
         for (key, backlog) in &self.backlogs {
@@ -246,7 +246,7 @@
             };
             for rank in &backlog.steps {
                 let step = &self.jobs[&rank.job].spec.steps[usize::from(rank.step)];
-                if pool.can_run(step) == (rank.class == Class::Unplaceable) {
+                if pool.can_place(step) == (rank.class == Class::Unplaceable) {
                     changed.push((key, *rank));
                 }
             }
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -24,7 +24,7 @@
 impl Dispatcher {
     /// Processes a report. Returns `false` if the sender is not registered in this term with its present session; it
     /// has to announce itself.
-    pub fn on_report(&mut self, now: Timestamp, report: AgentReport) -> bool {
+    pub fn on_report(&mut self, now: Timestamp, mut report: AgentReport) -> bool {
         let Some(&key) = self.by_address.get(&report.address) else {
             return false;
         };
@@ -40,12 +40,19 @@
         if incarnation_of(&agent.worker) != incarnation_of(&report.worker) {
             agent.health = super::WorkerHealth::default();
         }
+        // The cold time changes with each report, so it is kept apart from the rest.
+        let cold_ms = report
+            .worker
+            .as_mut()
+            .map(|w| std::mem::take(&mut w.cold_ms));
         let worker_changed = agent.worker != report.worker;
         agent.worker = report.worker;
         if worker_changed {
             self.refresh_kinds();
+            self.log_if_evacuated(key);
             self.update_room(key);
         }
+        self.record_cold(now, key, cold_ms.unwrap_or(0));
         // A report with all runs is answered even without new orders, which renews the agent lease.
         if report.running.is_some() {
             self.mark_due(key);
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -5,7 +5,7 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, overload::PoolRoom,
+    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, evacuation, overload::PoolRoom,
     place::REMOTE_RACK_FACTOR,
 };
 use crate::job::{JobId, Resources, Step};
@@ -20,6 +20,14 @@
 struct WorkerKind {
     capacity: Resources,
     labels: Vec<String>,
+    /// Whether the workers are in an evacuated data centre.
+    evacuated: bool,
+}
+
+impl WorkerKind {
+    fn can_run(&self, step: &Step) -> bool {
+        step.needs.fits_into(self.capacity) && has_required_label(&self.labels, step)
+    }
 }
 
 /// Workers of one pool.
@@ -35,6 +43,10 @@
     total_millicores: u64,
     /// Millicores of these workers that no run uses.
     free_millicores: u64,
+    /// Number of the workers that take tasks and are not cold.
+    warm_count: u64,
+    /// Number of the runs of these workers.
+    warm_runs: u64,
     /// Whether so many workers are slow or fail that the tasks must be the cause. None is ejected then.
     ejection_suspended: bool,
 }
@@ -59,6 +71,11 @@
         )
     }
 
+    /// Returns the number of warm workers that take tasks, and the number of their runs.
+    pub(super) fn warm(&self) -> (u64, u64) {
+        (self.warm_count, self.warm_runs)
+    }
+
     /// Returns the number of workers that take tasks.
     pub(super) fn worker_count(&self) -> u64 {
         self.worker_count
@@ -76,10 +93,13 @@
 
     /// Returns whether a worker of the pool can run a task of the step when it is idle.
     pub(super) fn can_run(&self, step: &Step) -> bool {
-        let can_run = |kind: &WorkerKind| {
-            step.needs.fits_into(kind.capacity) && has_required_label(&kind.labels, step)
-        };
-        self.kinds.iter().any(can_run)
+        self.kinds.iter().any(|kind| kind.can_run(step))
+    }
+
+    /// Returns whether a worker outside the evacuated data centres can run a task of the step when it is idle.
+    pub(super) fn can_place(&self, step: &Step) -> bool {
+        let mut kinds = self.kinds.iter().filter(|kind| !kind.evacuated);
+        kinds.any(|kind| kind.can_run(step))
     }
 }
 
@@ -92,6 +112,8 @@
     pool: String,
     free: Resources,
     capacity: Resources,
+    runs: u64,
+    is_cold: bool,
 }
 
 /// Returns whether the worker may take tasks, apart from pauses, ejection and silence.
@@ -107,13 +129,17 @@
 impl Dispatcher {
     /// Brings the index up to date after a change of an agent, its worker or its runs.
     pub(super) fn update_room(&mut self, key: AgentKey) {
-        let agent = &mut self.agents[key];
-        let usable = agent.worker.as_ref().filter(|_| is_usable(agent));
+        let agent = &self.agents[key];
+        let may_start = is_usable(agent) && !self.is_evacuated(agent);
+        let usable = agent.worker.as_ref().filter(|_| may_start);
         let entry = usable.map(|worker| RoomEntry {
             pool: worker.pool.clone(),
             free: worker.capacity.saturating_sub(agent.used),
             capacity: worker.capacity,
+            runs: agent.placed.len() as u64,
+            is_cold: agent.cold_until.is_some(),
         });
+        let agent = &mut self.agents[key];
         if agent.room == entry {
             return;
         }
@@ -124,6 +150,10 @@
             pool.worker_count -= 1;
             pool.total_millicores -= u64::from(previous.capacity.millicores);
             pool.free_millicores -= u64::from(previous.free.millicores);
+            if !previous.is_cold {
+                pool.warm_count -= 1;
+                pool.warm_runs -= previous.runs;
+            }
         }
         if let Some(entry) = entry {
             let pool = self.pools.entry(entry.pool).or_default();
@@ -134,6 +164,10 @@
             pool.worker_count += 1;
             pool.total_millicores += u64::from(entry.capacity.millicores);
             pool.free_millicores += u64::from(entry.free.millicores);
+            if !entry.is_cold {
+                pool.warm_count += 1;
+                pool.warm_runs += entry.runs;
+            }
         }
     }
 
@@ -144,11 +178,13 @@
         }
         let mut seen = HashSet::new();
         for worker in self.agents.values().filter_map(|a| a.worker.as_ref()) {
-            if seen.insert((&worker.pool, worker.capacity, &worker.labels)) {
+            let evacuated = evacuation::covers(&self.evacuated, worker);
+            if seen.insert((&worker.pool, worker.capacity, &worker.labels, evacuated)) {
                 let pool = self.pools.entry(worker.pool.clone()).or_default();
                 pool.kinds.push(WorkerKind {
                     capacity: worker.capacity,
                     labels: worker.labels.clone(),
+                    evacuated,
                 });
             }
         }
@@ -209,6 +245,7 @@
             let worker = agent.worker.as_ref();
             free.is_some_and(|free| step.needs.fits_into(free))
                 && is_reachable(agent, now)
+                && self.is_below_cold_limit(pool, agent)
                 && agent.health.is_available(now, with_ejection)
                 && worker.is_some_and(|w| has_required_label(&w.labels, step))
                 && below_worker_limit(agent, id, number, step.max_per_worker)
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -85,6 +85,8 @@
     /// Number of the newest event that may be acknowledged to the agent.
     pub(super) acked_event: u64,
     pub(super) worker: Option<WorkerInfo>,
+    /// Time until which the worker is slow because its caches are cold; `None` if it is not.
+    pub(super) cold_until: Option<Timestamp>,
     /// Runs ordered or adopted whose end is not known.
     pub(super) placed: BTreeMap<TaskId, PlacedRun>,
     /// Sum of the needs of the placed runs.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -44,6 +44,13 @@
     Configure(QueueConfig),
     /// Asks for the newest configuration.
     ReadConfig,
+    /// Evacuates a data centre, so that no task starts there, or revokes its evacuation.
+    SetEvacuation {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Whether the data centre is evacuated from now on.
+        evacuated: bool,
+    },
 }
 
 /// Answer to a request.
@@ -78,6 +85,12 @@
     Config(String),
     /// The request is malformed.
     Invalid,
+    /// The evacuation is stored, or its revocation.
+    EvacuationSet,
+    /// Neither the settings nor a worker name the data centre.
+    UnknownDataCentre,
+    /// The data centre is the last one that is not evacuated, so it stays in use.
+    LastDataCentre,
 }
 
 impl Answer {
@@ -114,6 +127,8 @@
     Unsupported,
     /// No worker that is large enough has the label that one of the tasks requires.
     NoWorker,
+    /// A new leader does not know the data centres of all workers yet.
+    WorkersUnknown,
 }
 
 /// Number of an incarnation of a worker, as counted by its agent.
@@ -132,6 +147,10 @@
     pub labels: Vec<String>,
     /// Whether the worker is draining and takes no new tasks.
     pub draining: bool,
+    /// Data centre of the worker; `None` if it names none.
+    pub data_centre: Option<String>,
+    /// Milliseconds for which the worker will still be slow, because its caches are cold.
+    pub cold_ms: u32,
 }
 
 /// How a run ended or why it did not start.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -20,6 +20,7 @@
 
 mod apply;
 mod discovery;
+mod evacuation;
 mod membership;
 mod recent_jobs;
 mod requests;
@@ -78,6 +79,8 @@
     cancels: BTreeMap<JobId, Vec<Origin>>,
     /// Origins that wait for a version of the configuration to be committed.
     configs: Vec<(u64, Origin)>,
+    /// Origins of the requests about evacuations that are in the log, in its order.
+    evacuations: VecDeque<Origin>,
     /// Queries for jobs whose end is not committed yet.
     queries: BTreeMap<JobId, Vec<Origin>>,
     /// Origins that wait for the end of a volatile job.
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -130,6 +130,11 @@
                 dispatcher.agent_registered(address, session, fence)
             }
             Change::AgentDeregistered(address) => dispatcher.agent_deregistered(address),
+            Change::EvacuationDecided {
+                data_centre,
+                evacuated,
+                decision,
+            } => self.on_evacuation_decided(&data_centre, evacuated, decision),
         }
     }
 
@@ -157,7 +162,8 @@
                     .chain(waiters.cancels.into_values());
                 let jobs = jobs.chain(waiters.queries.into_values());
                 let configs = waiters.configs.into_iter().map(|(_, origin)| origin);
-                let all = jobs.flatten().chain(configs).collect();
+                let operators = configs.chain(waiters.evacuations);
+                let all = jobs.flatten().chain(operators).collect();
                 self.answer_all(Some(all), &Answer::OutcomeUnknown);
             }
             return;
@@ -171,7 +177,8 @@
             .earlier_jobs(self.options.min_resubmit_delay);
         let address = self.options.address;
         let dispatcher = Dispatcher::new(&self.state, address, term, now, wall_ms)
-            .with_earlier_jobs(earlier_jobs);
+            .with_earlier_jobs(earlier_jobs)
+            .with_limits(self.options.limits);
         let agents = dispatcher.agents_with_unknown_runs();
         self.dispatcher = Some(dispatcher);
         self.placement_due = true;
--- /dev/null
+++ b/crates/figdeal-queue/src/node/evacuation.rs
@@ -0,0 +1,79 @@
+//! Requests to evacuate a data centre: the leader rejects unknown data centres, and the log decides the others in its
+//! order.
+
+use super::{Answer, Node, Origin};
+use crate::{
+    message::RefusalReason,
+    state::{Command, EvacuationDecision},
+};
+
+/// Milliseconds after which an operator may try again if a new leader does not know all workers yet.
+const WORKERS_UNKNOWN_RETRY_AFTER_MS: u32 = 500;
+
+impl Node {
+    /// Handles a request to evacuate a data centre or to revoke its evacuation. Returns `None` if the answer follows
+    /// after the commit.
+    pub(super) fn set_evacuation(
+        &mut self,
+        origin: Origin,
+        data_centre: String,
+        evacuated: bool,
+    ) -> Option<Answer> {
+        let dispatcher = self
+            .dispatcher
+            .as_ref()
+            .expect("a serving node must be the leader");
+        let is_certain = self.options.data_centres.contains(&data_centre)
+            || self.state.evacuated.contains(&data_centre);
+        // Without a list in the settings, the workers tell which data centres exist, so a leader that does not know all
+        // workers can neither say that a data centre does not exist nor that it is the last one.
+        if !is_certain && dispatcher.awaits_agents() {
+            return Some(Answer::Refused {
+                retry_after_ms: WORKERS_UNKNOWN_RETRY_AFTER_MS,
+                reason: RefusalReason::WorkersUnknown,
+            });
+        }
+        let mut known = self.options.data_centres.clone();
+        known.extend(dispatcher.data_centres().map(str::to_owned));
+        if !is_certain && !known.contains(&data_centre) {
+            log::info!(
+                "E680 rejected an evacuation request for an unknown data centre \
+                 data_centre={data_centre:?} evacuated={evacuated}"
+            );
+            return Some(Answer::UnknownDataCentre);
+        }
+        self.waiters.evacuations.push_back(origin);
+        self.push_command(Command::SetEvacuation {
+            data_centre,
+            evacuated,
+            known,
+        });
+        None
+    }
+
+    /// Handles a committed decision: the scheduler follows it before the operator gets the acknowledgement.
+    pub(super) fn on_evacuation_decided(
+        &mut self,
+        data_centre: &str,
+        evacuated: bool,
+        decision: EvacuationDecision,
+    ) {
+        log::info!(
+            "E681 evacuation request decided data_centre={data_centre:?} evacuated={evacuated} \
+             decision={decision:?} evacuated_data_centres={:?}",
+            self.state.evacuated
+        );
+        if let Some(dispatcher) = &mut self.dispatcher {
+            dispatcher.set_evacuated(&self.state.evacuated);
+        }
+        let answer = match decision {
+            EvacuationDecision::Changed | EvacuationDecision::Unchanged => Answer::EvacuationSet,
+            EvacuationDecision::LastDataCentre => Answer::LastDataCentre,
+        };
+        // The leader has an origin for each such command of its term, and no scheduler before all earlier commands are
+        // applied.
+        if let Some(origin) = self.waiters.evacuations.pop_front() {
+            self.answer(origin, answer);
+        }
+    }
+}
--- a/crates/figdeal-queue/src/node/membership.rs
+++ b/crates/figdeal-queue/src/node/membership.rs
@@ -1,11 +1,16 @@
 //! Membership of the group: chooses the initial voters and replaces lost ones.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use figdeal_core::time::Timestamp;
 
 use super::Node;
 use crate::{
+    dispatch::Limits,
     message::{Hello, PeerMessage},
     raft::{Member, NodeId},
 };
@@ -36,6 +41,10 @@
     pub voter_count: usize,
     /// Minimum delay after which a caller resubmits a volatile job; zero if that is not known.
     pub min_resubmit_delay: Duration,
+    /// Data centres of the deployment; empty if the settings do not list them.
+    pub data_centres: BTreeSet<String>,
+    /// Limits of the scheduler.
+    pub limits: Limits,
 }
 
 /// A node with a disk, which may become a voter.
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -10,6 +10,8 @@
 
 /// Timeout of every request that is not a volatile job. Callers wait for 1.5 s.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of a request about an evacuation. Its operator tries another node after 1 s.
+const EVACUATION_TIMEOUT: Duration = Duration::from_millis(800);
 /// Fraction of its critical path, by estimated run times, for which a new volatile job waits for a leader. The
 /// response-time goal is at least the run time, so the wait stays well under half of the goal.
 const FIRST_LEADER_WAIT_FRACTION: f64 = 0.35;
@@ -69,10 +71,10 @@
             };
             return self.actions.push(Action::Reply(token, refused));
         }
-        let timeout = if is_volatile {
-            max_wait
-        } else {
-            max_wait.min(REQUEST_TIMEOUT)
+        let timeout = match &request {
+            Request::SetEvacuation { .. } => max_wait.min(EVACUATION_TIMEOUT),
+            _ if is_volatile => max_wait,
+            _ => max_wait.min(REQUEST_TIMEOUT),
         };
         let pending = PendingRequest {
             leader: None,
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -43,13 +43,17 @@
                 Some(config) => Answer::Config(config.text.clone()),
                 None => no_config(),
             }),
+            Request::SetEvacuation {
+                data_centre,
+                evacuated,
+            } => self.set_evacuation(origin, data_centre, evacuated),
         };
         if let Some(answer) = answer {
             self.answer(origin, answer);
         }
     }
 
-    fn push_command(&mut self, command: Command) {
+    pub(super) fn push_command(&mut self, command: Command) {
         let dispatcher = self
             .dispatcher
             .as_mut()
--- a/crates/figdeal-queue/src/state.rs
+++ b/crates/figdeal-queue/src/state.rs
@@ -61,6 +61,15 @@
         /// Address of the agent.
         address: SocketAddr,
     },
+    /// Evacuates a data centre unless it is the last one, or revokes its evacuation.
+    SetEvacuation {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Whether the data centre is evacuated from now on.
+        evacuated: bool,
+        /// All data centres that the leader knew. Replicas do not know those of the workers.
+        known: BTreeSet<String>,
+    },
 }
 
 /// Commands of one log entry.
@@ -139,6 +148,26 @@
     AgentRegistered(SocketAddr, u64, u64),
     /// An agent was removed.
     AgentDeregistered(SocketAddr),
+    /// A request about an evacuation was decided.
+    EvacuationDecided {
+        /// Name of the data centre.
+        data_centre: String,
+        /// What the request asked for.
+        evacuated: bool,
+        /// The decision.
+        decision: EvacuationDecision,
+    },
+}
+
+/// Decision about a request to evacuate a data centre or to revoke its evacuation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvacuationDecision {
+    /// The evacuation began or was revoked.
+    Changed,
+    /// The state was as requested before.
+    Unchanged,
+    /// No data centre would be left.
+    LastDataCentre,
 }
 
 /// Replicated state of one group.
@@ -154,6 +183,8 @@
     ended: VecDeque<JobId>,
     /// Registered agents, which may have runs.
     pub agents: BTreeSet<SocketAddr>,
+    /// Data centres in which no task may start.
+    pub evacuated: BTreeSet<String>,
 }
 
 impl ReplicatedState {
@@ -227,6 +258,11 @@
                 self.agents.remove(&address);
                 Some(Change::AgentDeregistered(address))
             }
+            Command::SetEvacuation {
+                data_centre,
+                evacuated,
+                known,
+            } => Some(self.set_evacuation(data_centre, evacuated, &known)),
         }
     }
 
@@ -246,6 +282,32 @@
         }
     }
 
+    fn set_evacuation(
+        &mut self,
+        data_centre: String,
+        evacuated: bool,
+        known: &BTreeSet<String>,
+    ) -> Change {
+        let is_left = |name: &String| *name != data_centre && !self.evacuated.contains(name);
+        let decision = match (evacuated, self.evacuated.contains(&data_centre)) {
+            (true, true) | (false, false) => EvacuationDecision::Unchanged,
+            (true, false) if !known.iter().any(is_left) => EvacuationDecision::LastDataCentre,
+            (true, false) => {
+                self.evacuated.insert(data_centre.clone());
+                EvacuationDecision::Changed
+            }
+            (false, true) => {
+                self.evacuated.remove(&data_centre);
+                EvacuationDecision::Changed
+            }
+        };
+        Change::EvacuationDecided {
+            data_centre,
+            evacuated,
+            decision,
+        }
+    }
+
     fn apply_run_end(
         &mut self,
         time_ms: u64,
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -109,6 +109,8 @@
             capacity: needs,
             labels: Vec::new(),
             draining: false,
+            data_centre: None,
+            cold_time: Duration::ZERO,
         },
     );
     agent.on_message(now, orders(now, 1, Vec::new()));
@@ -197,6 +199,8 @@
         capacity: Resources::default(),
         labels: Vec::new(),
         draining: true,
+        data_centre: None,
+        cold_time: Duration::ZERO,
     };
     let odd = [
         foreign("w", Some(1), "other"),
@@ -307,6 +311,8 @@
         },
         labels: Vec::new(),
         draining: false,
+        data_centre: None,
+        cold_time: Duration::ZERO,
     }
 }
 
--- a/crates/figdeal-queue/tests/log_lines/agent.rs
+++ b/crates/figdeal-queue/tests/log_lines/agent.rs
@@ -37,6 +37,8 @@
         capacity: Resources::default(),
         labels: Vec::new(),
         draining: false,
+        data_centre: None,
+        cold_time: Duration::ZERO,
     }
 }
 
--- a/crates/figdeal-queue/tests/log_lines/leader.rs
+++ b/crates/figdeal-queue/tests/log_lines/leader.rs
@@ -103,6 +103,8 @@
                 capacity: NEEDS,
                 labels: Vec::new(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: Some(running.collect()),
             undecided: Vec::new(),
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -1,9 +1,10 @@
 //! Tests of one node in isolation: the answers to callers without a leader and during a shutdown.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
+    dispatch::Limits,
     job::{JobSpec, Step},
     message::{Answer, LeaderInfo, PeerMessage, RefusalReason, Request},
     node::{Action, Clock, Node, Options},
@@ -28,6 +29,8 @@
         seeds: Vec::new(),
         voter_count: 3,
         min_resubmit_delay: Duration::ZERO,
+        data_centres: BTreeSet::new(),
+        limits: Limits::default(),
     };
     let now = clock(0);
     let raft = Raft::new(NodeId(1), HardState::default(), Log::default(), now.now, 1);
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -330,6 +330,8 @@
                 capacity: capacity(),
                 labels: Vec::new(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: is_periodic.then(|| running.collect()),
             undecided: Vec::new(),
--- a/crates/figdeal-queue/tests/placement.rs
+++ b/crates/figdeal-queue/tests/placement.rs
@@ -81,6 +81,8 @@
                 },
                 labels: self.labels.clone(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: Some(Vec::new()),
             undecided: Vec::new(),
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -14,6 +14,7 @@
         Action as AgentAction, Agent, CALL_TIMEOUT, Heartbeat, ListedOutcome, PollCall,
         START_TIMEOUT, StartCall, StartReply, StopCall,
     },
+    dispatch::Limits,
     job::{JobId, JobSpec, Policy, Queue, QueueConfig, Resources, Step},
     message::{Answer, PeerMessage, Request},
     node::{Action, Clock, Node, Options},
@@ -233,6 +234,11 @@
     SocketAddr::from(([10, 0, 1, n as u8 + 1], 7_001))
 }
 
+/// Data centre of a worker.
+fn data_centre_of(n: usize) -> String {
+    format!("z{}", n % 2)
+}
+
 impl Simulation {
     pub(crate) fn new(plan: Plan) -> Simulation {
         let mut simulation = Simulation {
@@ -346,6 +352,8 @@
             seeds,
             voter_count: 3,
             min_resubmit_delay: RESUBMIT_DELAY,
+            data_centres: BTreeSet::new(),
+            limits: Limits::default(),
         };
         machine.is_first_start = false;
         let raft = Raft::new(machine.id, hard_state, log, clock.now, seed);
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -422,6 +422,8 @@
             capacity: host.worker.capacity,
             labels: Vec::new(),
             draining: false,
+            data_centre: Some(data_centre_of(n)),
+            cold_time: Duration::ZERO,
         }
     }
 
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -90,6 +90,8 @@
             capacity: self.worker.capacity,
             labels: Vec::new(),
             draining: false,
+            data_centre: None,
+            cold_time: Duration::ZERO,
         };
         self.agent.on_heartbeat(self.now, heartbeat);
     }
--- a/crates/figdeal-stand-in/src/server.rs
+++ b/crates/figdeal-stand-in/src/server.rs
@@ -1,6 +1,7 @@
 //! Stand-in workers that are called over HTTP, with faults that a test can inject.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -42,9 +43,16 @@
 const FIRST_START_MS: u64 = 1_000_000;
 /// Largest step in milliseconds by which the time of day goes back before a restart.
 const MAX_CLOCK_STEP_MS: u64 = 60_000;
+/// Time after the acknowledgement of an evacuation for which runs may still start in the data centre.
+const EVACUATION_GRACE: Duration = Duration::from_millis(5_000);
 /// Time after the acknowledgement of `draining` for which runs may still start.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
+/// Returns the data centre of a worker, of which there are two.
+pub fn data_centre_of(n: usize) -> String {
+    format!("z{}", n % 2)
+}
+
 /// Faults of one worker.
 #[derive(Debug, Clone, Copy)]
 pub struct WorkerFaults {
@@ -109,6 +117,8 @@
     rng: SmallRng,
     /// Fraction of runs that fail.
     failure_fraction: f64,
+    /// Evacuated data centres, and when their evacuation was acknowledged.
+    evacuated: BTreeMap<String, Timestamp>,
     /// What the workers have executed, each with the time of day in UTC, to be compared with the logs of the processes.
     pub events: Vec<String>,
 }
@@ -122,6 +132,7 @@
             checker: Checker::default(),
             rng: SmallRng::seed_from_u64(seed),
             failure_fraction: 0.0,
+            evacuated: BTreeMap::new(),
             events: Vec::new(),
         }
     }
@@ -177,6 +188,17 @@
         self.workers[n].faults = faults;
     }
 
+    /// Records the acknowledgement of an evacuation. No run may start in the data centre after [`EVACUATION_GRACE`].
+    pub fn evacuate(&mut self, data_centre: &str) {
+        let now = self.now();
+        self.evacuated.insert(data_centre.to_owned(), now);
+    }
+
+    /// Records that an operator is about to revoke an evacuation, which may take effect at once.
+    pub fn revoke_evacuation(&mut self, data_centre: &str) {
+        self.evacuated.remove(data_centre);
+    }
+
     /// Makes the heartbeats of the worker say that it is draining.
     pub fn drain(&mut self, n: usize) {
         self.workers[n].draining = true;
@@ -234,6 +256,8 @@
             started_at_ms: entry.worker.incarnation,
             sequence: entry.sequence,
             draining: entry.draining,
+            data_centre: data_centre_of(n),
+            cold_ms: 0,
         }
     }
 
@@ -265,6 +289,14 @@
             );
             self.checker.violations.push(text);
         }
+        let evacuated_at = self.evacuated.get(&data_centre_of(n));
+        if evacuated_at.is_some_and(|at| *at + EVACUATION_GRACE < now) {
+            let text = format!(
+                "EVACUATED: {} starts on worker {n}, whose data centre is evacuated",
+                call.task
+            );
+            self.checker.violations.push(text);
+        }
         let Some(job) = self.checker.jobs.get(&call.task.job) else {
             return answer;
         };
