Set aside steps that cannot be placed until a wake condition is met

A step that cannot be placed is now set aside with a wake condition; the first of those with a common condition is woken, and the next follows when it leaves the backlog.

Steps that were set aside no longer count as demand, labelled ones only once they are placed, and the margin is at most the reserve. A requeued task costs O(log n) instead of a look at all tasks of its job.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -33,13 +33,14 @@
 mod room;
 mod slow_runs;
 mod view;
+mod waiting;
 mod worker_health;
 
 pub use admission::Rejection;
 use backlog::{Backlog, BacklogKey};
 pub use overload::{
-    PoolRoom, QueueLoad, decayed_peak, is_overloaded, predicted_wait, reserve, retry_after,
-    service_order,
+    PoolRoom, QueueLoad, decayed_peak, fragmentation_margin, is_overloaded, predicted_wait,
+    reserve, retry_after, service_order,
 };
 use room::Pools;
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
@@ -106,7 +107,11 @@
     commands: Vec<Command>,
     /// Runs that agents reported as lost since the last [`Dispatcher::take_losses`].
     losses: LossCounts,
+    /// Time of the last sweep.
+    swept_at: Timestamp,
     next_sweep: Timestamp,
+    /// Whether the next placement checks for steps that were not woken.
+    check_wakes: bool,
 }
 
 impl Dispatcher {
@@ -141,7 +146,9 @@
             committed_batch: 0,
             commands: Vec::new(),
             losses: LossCounts::default(),
+            swept_at: now,
             next_sweep: now,
+            check_wakes: false,
         };
         for (id, job) in &state.jobs {
             dispatcher.add_stored(now, wall_ms, *id, job, true);
@@ -293,14 +300,6 @@
         self.jobs.get_mut(&task.job)?.task_mut(task)
     }
 
-    /// Makes a task ready to be started again.
-    fn requeue(&mut self, task: TaskId) {
-        if let Some(state) = self.task_mut(task) {
-            *state = TaskState::Blocked;
-            self.unblock(task.job);
-        }
-    }
-
     /// Handles a committed job.
     pub fn job_accepted(&mut self, now: Timestamp, wall_ms: u64, id: JobId, job: &Job) {
         self.add_stored(now, wall_ms, id, job, false);
@@ -458,6 +457,7 @@
         if now < self.next_sweep {
             return;
         }
+        let last_sweep = std::mem::replace(&mut self.swept_at, now);
         self.next_sweep = now + SWEEP_INTERVAL;
         self.refresh_kinds();
         for backlog in self.backlogs.values_mut() {
@@ -480,6 +480,8 @@
             self.release_held_jobs(now);
         }
         self.limit_ejection(now);
+        self.wake_for_available(last_sweep, now);
+        self.check_wakes = true;
         self.stop_stalled_runs(now);
         self.sort_out_unplaceable();
         self.shed_load(now);
--- a/crates/figdeal-queue/src/dispatch/audit.rs
+++ b/crates/figdeal-queue/src/dispatch/audit.rs
@@ -61,6 +61,13 @@
                 .filter(|p| p.backlog == key)
                 .map(|p| u64::from(p.needs.millicores))
                 .sum();
+            let (awake, set_aside) = backlog.waiting.counts();
+            assert_eq!(
+                awake + set_aside,
+                backlog.steps.len(),
+                "waiting steps of queue {}",
+                backlog.queue
+            );
             let counted = (
                 backlog.ready_tasks,
                 backlog.steps.len(),
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -9,6 +9,7 @@
     Dispatcher, TaskState,
     overload::{QueueLoad, decayed_peak},
     view::{JobView, PlacedRun, StepView},
+    waiting::{WaitingSteps, WakeCondition},
 };
 use crate::job::{JobId, Step, TaskId};
 
@@ -53,6 +54,8 @@
     pub(super) priority: u8,
     /// Steps with ready tasks.
     pub(super) steps: BTreeSet<StepRank>,
+    /// The same steps, by what they wait for.
+    pub(super) waiting: WaitingSteps,
     /// Number of ready tasks.
     pub(super) ready_tasks: usize,
     /// Work of the ready tasks by their estimates, in millicores times milliseconds.
@@ -76,6 +79,7 @@
             pool: pool.to_owned(),
             priority,
             steps: BTreeSet::new(),
+            waiting: WaitingSteps::default(),
             ready_tasks: 0,
             waiting_work: 0,
             waiting_millicores: 0,
@@ -95,8 +99,35 @@
         self.ready_tasks += 1;
         self.waiting_work += task_work(step);
         self.waiting_millicores += u64::from(step.needs.millicores);
-        let demand = self.used_millicores + self.waiting_millicores;
-        self.peak_millicores = self.peak_millicores.max(demand);
+        if step.label.is_none() {
+            self.raise_peak();
+        }
+    }
+
+    /// Returns the millicores that the queue uses or can use. The steps that were set aside can use none of the free
+    /// room.
+    fn demand(&self) -> u64 {
+        self.used_millicores + self.waiting_millicores - self.waiting.aside_millicores()
+    }
+
+    fn raise_peak(&mut self) {
+        self.peak_millicores = self.peak_millicores.max(self.demand());
+    }
+
+    /// Adds a waiting step, or lets it be tried again.
+    fn insert_step(&mut self, rank: StepRank) {
+        self.steps.insert(rank);
+        self.waiting.insert(rank);
+    }
+
+    /// Removes a waiting step, and lets the next one that waits for the same room be tried. Returns whether it waited.
+    fn remove_step(&mut self, rank: &StepRank, step: &Step) -> bool {
+        let was_waiting = self.steps.remove(rank);
+        if was_waiting {
+            self.waiting.remove(rank);
+            self.waiting.wake_first(&WakeCondition::room(step));
+        }
+        was_waiting
     }
 
     fn subtract_ready(&mut self, step: &Step, count: usize) {
@@ -107,8 +138,7 @@
 
     /// Lets the recent peak of the demand fade.
     pub(super) fn decay_peak(&mut self) {
-        let demand = self.used_millicores + self.waiting_millicores;
-        self.peak_millicores = decayed_peak(self.peak_millicores, demand);
+        self.peak_millicores = decayed_peak(self.peak_millicores, self.demand());
     }
 
     /// Records the slack of an accepted job.
@@ -163,15 +193,16 @@
             if !step.depends_on.iter().all(|d| done[usize::from(*d)]) {
                 continue;
             }
+            let before = step.ready_tasks.len();
             for (index, task) in step.tasks.iter_mut().enumerate() {
                 if *task == TaskState::Blocked {
                     *task = TaskState::Ready;
-                    step.ready_tasks.push_back(index as u32);
+                    step.ready_tasks.insert(index as u32);
                     backlog.add_ready(&job.spec.steps[number]);
                 }
             }
-            if !step.ready_tasks.is_empty() {
-                backlog.steps.insert(rank(step, id, number as u16));
+            if step.ready_tasks.len() > before {
+                backlog.insert_step(rank(step, id, number as u16));
             }
         }
         if job.started {
@@ -179,33 +210,57 @@
         }
     }
 
-    /// Takes the next ready task of a step.
-    pub(super) fn pop_ready(&mut self, id: JobId, number: u16) -> Option<u32> {
-        let step = &mut self.jobs.get_mut(&id)?.steps[usize::from(number)];
-        let index = step.ready_tasks.pop_front()?;
-        self.count_removed(id, number, 1);
-        Some(index)
+    /// Makes a single task ready again, if the steps that its step depends on are done.
+    pub(super) fn requeue(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let number = usize::from(task.step);
+        let depends_on = &job.steps[number].depends_on;
+        let mut before = depends_on.iter().map(|d| &job.steps[usize::from(*d)]);
+        let is_blocked = job.is_held || before.any(|step| step.open_tasks > 0);
+        let step = &mut job.steps[number];
+        if is_blocked {
+            step.tasks[task.index as usize] = TaskState::Blocked;
+            return;
+        }
+        step.tasks[task.index as usize] = TaskState::Ready;
+        let backlog = &mut self.backlogs[job.backlog];
+        // A step that was set aside counts its ready tasks, so it is woken first.
+        backlog.insert_step(rank(step, task.job, task.step));
+        if step.ready_tasks.insert(task.index) {
+            backlog.add_ready(&job.spec.steps[number]);
+        }
     }
 
-    /// Removes a task from the backlog if it is ready.
-    pub(super) fn remove_ready(&mut self, task: TaskId) {
+    /// Takes a ready task of a step.
+    pub(super) fn take_ready(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         let step = &mut job.steps[usize::from(task.step)];
-        let before = step.ready_tasks.len();
-        step.ready_tasks.retain(|index| *index != task.index);
-        let removed = before - step.ready_tasks.len();
-        self.count_removed(task.job, task.step, removed);
+        if step.ready_tasks.remove(&task.index) {
+            self.count_removed(task.job, task.step, 1);
+        }
+    }
+
+    /// Removes a task from the backlog if it is ready.
+    pub(super) fn remove_ready(&mut self, task: TaskId) {
+        self.take_ready(task);
     }
 
     fn count_removed(&mut self, id: JobId, number: u16, removed: usize) {
         let job = &self.jobs[&id];
         let step = &job.steps[usize::from(number)];
+        let spec = &job.spec.steps[usize::from(number)];
         let backlog = &mut self.backlogs[job.backlog];
-        backlog.subtract_ready(&job.spec.steps[usize::from(number)], removed);
-        if step.ready_tasks.is_empty() {
-            backlog.steps.remove(&rank(step, id, number));
+        backlog.subtract_ready(spec, removed);
+        match step.ready_tasks.is_empty() {
+            true => {
+                backlog.remove_step(&rank(step, id, number), spec);
+            }
+            // A step that was set aside counts its ready tasks.
+            false => backlog.waiting.wake(id, number),
         }
     }
 
@@ -214,7 +269,7 @@
         let backlog = &mut self.backlogs[job.backlog];
         for (number, (step, spec)) in job.steps.iter().zip(&job.spec.steps).enumerate() {
             backlog.subtract_ready(spec, step.ready_tasks.len());
-            backlog.steps.remove(&rank(step, id, number as u16));
+            backlog.remove_step(&rank(step, id, number as u16), spec);
         }
     }
 
@@ -229,10 +284,14 @@
                 continue;
             }
             let number = number as u16;
-            let is_waiting = backlog.steps.remove(&rank(step, id, number));
+            if step.class == class {
+                continue;
+            }
+            let spec = &job.spec.steps[usize::from(number)];
+            let is_waiting = backlog.remove_step(&rank(step, id, number), spec);
             step.class = class;
             if is_waiting {
-                backlog.steps.insert(rank(step, id, number));
+                backlog.insert_step(rank(step, id, number));
             }
         }
     }
@@ -254,7 +313,8 @@
         for (key, rank) in changed {
             let job = self.jobs.get_mut(&rank.job).expect("the job must be known");
             let step = &mut job.steps[usize::from(rank.step)];
-            self.backlogs[key].steps.remove(&rank);
+            let spec = &job.spec.steps[usize::from(rank.step)];
+            self.backlogs[key].remove_step(&rank, spec);
             step.class = match rank.class {
                 Class::Unplaceable if job.started => Class::Started,
                 // A step that is late by now is found with the next check.
@@ -268,7 +328,7 @@
                 step.class != Class::Unplaceable
             );
             let rank = self::rank(step, rank.job, rank.step);
-            self.backlogs[key].steps.insert(rank);
+            self.backlogs[key].insert_step(rank);
         }
     }
 
@@ -292,6 +352,7 @@
         }
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores += u64::from(placed.needs.millicores);
+            backlog.raise_peak();
         }
         self.update_room(key);
     }
@@ -311,6 +372,7 @@
         }
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores -= u64::from(placed.needs.millicores);
+            backlog.waiting.run_ended(task.job, task.step);
         }
         self.update_room(key);
     }
--- a/crates/figdeal-queue/src/dispatch/overload.rs
+++ b/crates/figdeal-queue/src/dispatch/overload.rs
@@ -207,6 +207,19 @@
     unused.sum::<u64>() * excess / share
 }
 
+/// Returns the millicores that have to be free beyond a reserve, because about half a task does not fit into the free
+/// room of each worker. The margin is at most the reserve, so that a small reserve does not keep much room empty.
+///
+/// ```
+/// use figdeal_queue::dispatch::fragmentation_margin;
+///
+/// assert_eq!(fragmentation_margin(50_000, 10, 1_300), 6_500);
+/// assert_eq!(fragmentation_margin(1_000, 10, 1_300), 1_000);
+/// ```
+pub fn fragmentation_margin(reserve: u64, workers: u64, task_millicores: u32) -> u64 {
+    reserve.min(workers * u64::from(task_millicores) / 2)
+}
+
 /// Returns after which delay a refused caller may be served: when the present backlog has drained. Callers are spread
 /// over the same time again, by `seed`, so that they do not return together.
 ///
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -6,24 +6,25 @@
 
 use super::{
     AgentKey, Dispatcher, PlacedRun, TaskState,
-    backlog::{BacklogKey, StepRank},
-    overload::{PoolRoom, reserve, service_order},
+    backlog::{self, BacklogKey, StepRank},
+    overload::{PoolRoom, fragmentation_margin, reserve, service_order},
+    waiting::WakeCondition,
 };
 use crate::{
-    job::{JobId, Resources, Step, TaskId},
+    job::{Step, TaskId},
     message::Order,
 };
 
-/// Number of steps of a queue that are tried in a row if no worker has room for them.
-const MAX_PLACEMENT_MISSES: usize = 32;
 /// Factor by which a task is assumed to run longer on a worker in another rack than its data.
 pub(super) const REMOTE_RACK_FACTOR: f64 = 1.5;
 
 impl Dispatcher {
     /// Starts ready tasks while workers have room: queue by queue as their shares decide, and within a queue first the
-    /// jobs that have started, then by latest start.
+    /// jobs that have started, then by latest start. Steps that cannot be placed are set aside.
     pub fn place(&mut self, now: Timestamp) {
-        let waiting = self.backlogs.iter().filter(|(_, b)| b.ready_tasks > 0);
+        self.wake_due(now);
+        let waiting = self.backlogs.iter();
+        let waiting = waiting.filter(|(_, b)| b.waiting.first_awake().is_some());
         let mut open: Vec<(BacklogKey, PoolRoom)> = waiting
             .map(|(key, b)| (key, self.pool_room(&b.pool, None)))
             .collect();
@@ -32,6 +33,9 @@
                 open.swap_remove(position);
             }
         }
+        if std::mem::take(&mut self.check_wakes) {
+            self.wake_missed(now);
+        }
     }
 
     /// Returns the position of the queue that gets the next free room.
@@ -41,63 +45,86 @@
         (0..open.len()).min_by_key(|position| order(&open[*position]))
     }
 
-    /// Places tasks of the first step of the queue that a worker has room for. Returns whether there is one.
+    /// Places tasks of the first step of the queue that a worker has room for, and sets aside the steps before it.
+    /// Returns whether there is one.
     fn place_next(&mut self, now: Timestamp, key: BacklogKey) -> bool {
-        let steps = self.backlogs[key].steps.iter().take(MAX_PLACEMENT_MISSES);
-        let steps: Vec<StepRank> = steps.copied().collect();
-        steps
-            .iter()
-            .any(|rank| self.place_step(now, key, rank.job, rank.step))
+        while let Some(rank) = self.backlogs[key].waiting.first_awake() {
+            if self.place_step(now, key, rank) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Returns whether a task of the queue may take room that more urgent queues need next.
-    fn is_allowed(&self, key: BacklogKey, needs: Resources) -> bool {
+    pub(super) fn is_allowed(&self, key: BacklogKey, millicores: u32) -> bool {
         let backlog = &self.backlogs[key];
         let room = self.pool_room(&backlog.pool, None);
         let same_pool = self.backlogs.values().filter(|b| b.pool == backlog.pool);
         let reserve = reserve(backlog.load(), same_pool.map(|b| b.load()), room);
-        // About half a task does not fit into the free room of each worker.
         let workers = self
             .pools
             .get(&backlog.pool)
             .map_or(0, |p| p.worker_count());
-        let unusable = workers * u64::from(needs.millicores) / 2;
-        reserve == 0 || room.free_millicores >= reserve + unusable + u64::from(needs.millicores)
+        let needed = reserve + fragmentation_margin(reserve, workers, millicores);
+        reserve == 0 || room.free_millicores >= needed + u64::from(millicores)
     }
 
-    /// Places tasks of one step while workers have room. Returns whether a task found a worker.
-    fn place_step(&mut self, now: Timestamp, key: BacklogKey, id: JobId, number: u16) -> bool {
-        let Some(spec) = self.jobs.get(&id).map(|j| Arc::clone(&j.spec)) else {
-            return false;
-        };
+    /// Places tasks of one step while workers have room, and sets the step aside if tasks are left. Returns whether a
+    /// task found a worker.
+    fn place_step(&mut self, now: Timestamp, key: BacklogKey, rank: StepRank) -> bool {
+        let (id, number) = (rank.job, rank.step);
+        let spec = Arc::clone(&self.jobs[&id].spec);
         let step = &spec.steps[usize::from(number)];
         let mut placed = false;
         while !self.jobs[&id].steps[usize::from(number)]
             .ready_tasks
             .is_empty()
         {
-            let pool = &self.backlogs[key].pool;
-            if !self.is_allowed(key, step.needs) {
-                break;
+            match self.next_start(now, key, rank, step) {
+                Ok((agent, task)) => {
+                    self.set_started(id);
+                    self.take_ready(task);
+                    self.place_task(now, agent, task, step, spec.payload.clone());
+                    placed = true;
+                }
+                Err(condition) => {
+                    let job = &self.jobs[&id];
+                    let rank = backlog::rank(&job.steps[usize::from(number)], id, number);
+                    self.set_aside(key, rank, condition);
+                    break;
+                }
             }
-            let Some(agent) = self.choose_agent(now, id, number, pool, step) else {
-                break;
-            };
-            self.set_started(id);
-            let index = self
-                .pop_ready(id, number)
-                .expect("a ready task must be left");
-            let task = TaskId {
-                job: id,
-                step: number,
-                index,
-            };
-            self.place_task(now, agent, task, step, spec.payload.clone());
-            placed = true;
         }
         placed
     }
 
+    /// Returns the next task of a step and an agent that can start it, or what the step has to wait for.
+    fn next_start(
+        &self,
+        now: Timestamp,
+        key: BacklogKey,
+        rank: StepRank,
+        step: &Step,
+    ) -> Result<(AgentKey, TaskId), WakeCondition> {
+        let (id, number) = (rank.job, rank.step);
+        let millicores = step.needs.millicores;
+        if !self.is_allowed(key, millicores) {
+            return Err(WakeCondition::Reserve { millicores });
+        }
+        let pool = &self.backlogs[key].pool;
+        let Some(agent) = self.choose_agent(now, id, number, pool, step, None) else {
+            return Err(self.wait_condition(now, key, rank, step));
+        };
+        let ready = &self.jobs[&id].steps[usize::from(number)].ready_tasks;
+        let task = TaskId {
+            job: id,
+            step: number,
+            index: *ready.first().expect("a ready task must be left"),
+        };
+        Ok((agent, task))
+    }
+
     fn place_task(
         &mut self,
         now: Timestamp,
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -32,6 +32,7 @@
         if report.term != self.term || report.session != agent.session || !agent.registered {
             return false;
         }
+        let was_reachable = super::room::is_reachable(agent, now);
         agent.heard_at = now;
         // The agent lease counts from the sending of the report, by the agent's own clock.
         agent.lease_start_us = agent.lease_start_us.max(report.sent_us);
@@ -44,7 +45,10 @@
         agent.worker = report.worker;
         if worker_changed {
             self.refresh_kinds();
-            self.update_room(key);
+        }
+        self.update_room(key);
+        if worker_changed || !was_reachable {
+            self.worker_gained(key, true);
         }
         // A report with all runs is answered even without new orders, which renews the agent lease.
         if report.running.is_some() {
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -1,6 +1,9 @@
 //! Index of the free room of the workers, so that the work to place a task does not grow with the fleet.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    ops::RangeInclusive,
+};
 
 use figdeal_core::time::Timestamp;
 
@@ -8,7 +11,7 @@
     AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, overload::PoolRoom,
     place::REMOTE_RACK_FACTOR,
 };
-use crate::job::{JobId, Resources, Step};
+use crate::job::{JobId, Resources, Step, TaskId};
 
 /// Number of workers with room that are compared for one task.
 const MAX_CANDIDATES: usize = 64;
@@ -26,7 +29,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     /// Agents whose workers may take tasks, by free millicores.
-    by_free: BTreeMap<u32, Vec<AgentKey>>,
+    by_free: BTreeMap<u32, BTreeSet<AgentKey>>,
     /// Capacities and labels of all workers, without duplicates.
     kinds: Vec<WorkerKind>,
     /// Number of the workers that take tasks.
@@ -44,7 +47,7 @@
         let Some(keys) = self.by_free.get_mut(&free) else {
             return;
         };
-        keys.retain(|k| *k != key);
+        keys.remove(&key);
         if keys.is_empty() {
             self.by_free.remove(&free);
         }
@@ -64,6 +67,11 @@
         self.worker_count
     }
 
+    /// Returns whether workers that fail or are slow are ejected.
+    pub(super) fn has_ejection(&self) -> bool {
+        !self.ejection_suspended
+    }
+
     /// Returns whether the pool has workers, but none that is large enough even when it is idle.
     pub(super) fn is_too_small(&self, needs: Resources) -> bool {
         self.has_workers() && !self.kinds.iter().any(|k| needs.fits_into(k.capacity))
@@ -77,7 +85,8 @@
     /// Returns whether a worker of the pool can run a task of the step when it is idle.
     pub(super) fn can_run(&self, step: &Step) -> bool {
         let can_run = |kind: &WorkerKind| {
-            step.needs.fits_into(kind.capacity) && has_required_label(&kind.labels, step)
+            step.needs.fits_into(kind.capacity)
+                && has_required_label(&kind.labels, step.label.as_ref())
         };
         self.kinds.iter().any(can_run)
     }
@@ -92,6 +101,36 @@
     pool: String,
     free: Resources,
     capacity: Resources,
+    /// Whether the agent can carry out another start.
+    takes_starts: bool,
+}
+
+impl RoomEntry {
+    pub(super) fn pool(&self) -> &str {
+        &self.pool
+    }
+
+    pub(super) fn is_in(&self, pool: &str) -> bool {
+        self.pool == pool
+    }
+
+    /// Returns what no run uses.
+    pub(super) fn free(&self) -> Resources {
+        self.free
+    }
+
+    /// Returns whether the worker is listed among those with room.
+    pub(super) fn is_listed(&self) -> bool {
+        self.takes_starts
+    }
+
+    /// Returns whether the worker can start tasks that it could not start before.
+    fn has_gained(&self, before: Option<&RoomEntry>) -> bool {
+        let grew = |before: &RoomEntry| {
+            !before.takes_starts || !self.free.fits_into(before.free) || before.pool != self.pool
+        };
+        self.takes_starts && before.is_none_or(grew)
+    }
 }
 
 /// Returns whether the worker may take tasks, apart from pauses, ejection and silence.
@@ -100,7 +139,7 @@
     agent.registered && agent.runs_known && !draining
 }
 
-fn is_reachable(agent: &AgentView, now: Timestamp) -> bool {
+pub(super) fn is_reachable(agent: &AgentView, now: Timestamp) -> bool {
     agent.heard_at + AGENT_SILENCE_TIMEOUT > now
 }
 
@@ -113,11 +152,16 @@
             pool: worker.pool.clone(),
             free: worker.capacity.saturating_sub(agent.used),
             capacity: worker.capacity,
+            takes_starts: true,
         });
         if agent.room == entry {
             return;
         }
         let previous = std::mem::replace(&mut agent.room, entry.clone());
+        let gained = entry
+            .as_ref()
+            .is_some_and(|entry| entry.has_gained(previous.as_ref()));
+        let joined = previous.is_none();
         if let Some(previous) = previous {
             let pool = self.pools.entry(previous.pool).or_default();
             pool.remove(previous.free.millicores, key);
@@ -127,14 +171,17 @@
         }
         if let Some(entry) = entry {
             let pool = self.pools.entry(entry.pool).or_default();
-            pool.by_free
-                .entry(entry.free.millicores)
-                .or_default()
-                .push(key);
+            if entry.takes_starts {
+                let same_free = pool.by_free.entry(entry.free.millicores);
+                same_free.or_default().insert(key);
+            }
             pool.worker_count += 1;
             pool.total_millicores += u64::from(entry.capacity.millicores);
             pool.free_millicores += u64::from(entry.free.millicores);
         }
+        if gained {
+            self.worker_gained(key, joined);
+        }
     }
 
     /// Collects what all workers offer again, also those that take no tasks at the moment.
@@ -162,6 +209,7 @@
                 *ejected.entry(&room.pool).or_default() += 1;
             }
         }
+        let mut reopened = HashSet::new();
         for (name, pool) in &mut self.pools {
             let count = ejected.get(name.as_str()).copied().unwrap_or(0);
             let suspended = count as f64 > pool.worker_count as f64 * MAX_EJECTED_FRACTION;
@@ -173,8 +221,19 @@
                     now.since(self.leading_since).as_millis()
                 );
             }
+            if suspended && !pool.ejection_suspended {
+                reopened.insert(name.clone());
+            }
             pool.ejection_suspended = suspended;
         }
+        let is_reopened = |agent: &AgentView| {
+            let room = agent.room.as_ref();
+            room.is_some_and(|room| reopened.contains(&room.pool))
+        };
+        let agents = self.agents.iter().filter(|(_, agent)| is_reopened(agent));
+        for key in agents.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.worker_gained(key, true);
+        }
     }
 
     /// Returns the room of a pool for its active queues, to which a queue with the priority `added` is counted.
@@ -192,8 +251,9 @@
         )
     }
 
-    /// Returns the agent with the lowest score among those that can start a task of step `number` now. Among equal
-    /// scores, the worker with the least room is taken, which leaves room for larger tasks elsewhere.
+    /// Returns the agent with the lowest score among those that can start a task of step `number` now, other than
+    /// `excluded`. Among equal scores, the worker with the least room is taken, which leaves room for larger tasks
+    /// elsewhere.
     pub(super) fn choose_agent(
         &self,
         now: Timestamp,
@@ -201,6 +261,7 @@
         number: u16,
         pool: &str,
         step: &Step,
+        excluded: Option<AgentKey>,
     ) -> Option<AgentKey> {
         let pool = self.pools.get(pool)?;
         let with_ejection = !pool.ejection_suspended;
@@ -210,28 +271,36 @@
             free.is_some_and(|free| step.needs.fits_into(free))
                 && is_reachable(agent, now)
                 && agent.health.is_available(now, with_ejection)
-                && worker.is_some_and(|w| has_required_label(&w.labels, step))
+                && worker.is_some_and(|w| has_required_label(&w.labels, step.label.as_ref()))
                 && below_worker_limit(agent, id, number, step.max_per_worker)
         };
         let with_room = pool.by_free.range(step.needs.millicores..);
         let candidates = with_room
             .flat_map(|(_, keys)| keys)
             .copied()
-            .filter(|key| fits(&self.agents[*key]))
+            .filter(|key| Some(*key) != excluded && fits(&self.agents[*key]))
             .take(MAX_CANDIDATES);
         let score = |key: &AgentKey| score(&self.agents[*key], step);
         candidates.min_by(|a, b| score(a).total_cmp(&score(b)))
     }
 }
 
-fn has_required_label(labels: &[String], step: &Step) -> bool {
-    step.label.as_ref().is_none_or(|l| labels.contains(l))
+/// Returns whether a worker with these labels has the one that is required, if any.
+pub(super) fn has_required_label(labels: &[String], required: Option<&String>) -> bool {
+    required.is_none_or(|label| labels.contains(label))
+}
+
+/// Returns the identities of all tasks of a step.
+pub(super) fn task_range(job: JobId, step: u16) -> RangeInclusive<TaskId> {
+    let task = |index| TaskId { job, step, index };
+    task(0)..=task(u32::MAX)
 }
 
 /// Returns whether the worker may run another task of the step.
-fn below_worker_limit(agent: &AgentView, id: JobId, number: u16, limit: u32) -> bool {
-    let runs = agent.placed.keys();
-    limit == 0 || runs.filter(|t| t.job == id && t.step == number).count() < limit as usize
+pub(super) fn below_worker_limit(agent: &AgentView, id: JobId, number: u16, limit: u32) -> bool {
+    let limit = limit as usize;
+    let runs = agent.placed.range(task_range(id, number));
+    limit == 0 || runs.take(limit).count() < limit
 }
 
 fn score(agent: &AgentView, step: &Step) -> f64 {
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -61,7 +61,7 @@
         let restart_ms = expected_ms * f64::from(time_factor(slow_stops)) + MOVE_COST_MS;
         let spec = Arc::clone(&job.spec);
         let step = &spec.steps[usize::from(task.step)];
-        let other = self.choose_agent(now, task.job, task.step, &backlog.pool, step);
+        let other = self.choose_agent(now, task.job, task.step, &backlog.pool, step, None);
         let moved = remaining_ms > restart_ms && other.is_some_and(|other| other != key);
         log::info!(
             "E634 run is slow task={task} run={run} agent={} progress_percent={progress_percent} \
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -1,7 +1,7 @@
 //! What the leader knows about agents, jobs and tasks.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -114,7 +114,7 @@
 pub(super) struct StepView {
     pub(super) tasks: Vec<TaskState>,
     /// Indexes of the tasks that may be started.
-    pub(super) ready_tasks: VecDeque<u32>,
+    pub(super) ready_tasks: BTreeSet<u32>,
     /// Number of tasks that are not done.
     pub(super) open_tasks: u32,
     pub(super) depends_on: Vec<u16>,
@@ -224,7 +224,7 @@
             .zip(&critical_paths)
             .map(|(step, critical_path)| StepView {
                 tasks: vec![TaskState::Blocked; step.count as usize],
-                ready_tasks: VecDeque::new(),
+                ready_tasks: BTreeSet::new(),
                 open_tasks: step.count,
                 depends_on: step.depends_on.clone(),
                 latest_start: latest_start(*critical_path),
--- a/crates/figdeal-queue/src/dispatch/worker_health.rs
+++ b/crates/figdeal-queue/src/dispatch/worker_health.rs
@@ -95,6 +95,14 @@
         now >= self.paused_until && (!with_ejection || now >= self.next_trial)
     }
 
+    /// Returns the time from which on [`WorkerHealth::is_available`] holds.
+    pub(super) fn available_at(&self, with_ejection: bool) -> Timestamp {
+        match with_ejection {
+            true => self.paused_until.max(self.next_trial),
+            false => self.paused_until,
+        }
+    }
+
     /// Returns the score of the worker; lower is better.
     pub(super) fn score(&self) -> f64 {
         self.run_time_ratio * (1.0 + FAILURE_PENALTY * self.failure_fraction)
--- a/crates/figdeal-queue/src/job.rs
+++ b/crates/figdeal-queue/src/job.rs
@@ -64,7 +64,9 @@
 }
 
 /// Resources that a task needs or a worker offers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Resources {
     /// Thousandths of a CPU core.
     pub millicores: u32,
