Order no more starts from an agent than it can carry out

The report of an agent now tells how many starts have no reply, the leader adds those that it has ordered since, and the sum stays below 32, which leaves 16 calls for polls and stops. An agent reports after every 16 replies, so that the flow does not wait for the interval. The tests that build a report get the new field, with the value 0.

--- a/crates/figdeal-node/src/worker_client.rs
+++ b/crates/figdeal-node/src/worker_client.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use figdeal_platform::worker::{EXPECTED_INSTANCE_HEADER, WorkerCall};
+use figdeal_queue::agent::MAX_UNANSWERED_STARTS;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header::CONTENT_TYPE};
 use hyper_util::{
@@ -25,6 +26,7 @@
 const MAX_IDLE_CONNECTIONS: usize = MAX_CALLS;
 /// Largest number of concurrent calls. A worker accepts 64 connections.
 const MAX_CALLS: usize = 48;
+const _: () = assert!(MAX_UNANSWERED_STARTS as usize + MIN_FREE_CALLS <= MAX_CALLS);
 /// How often the call yields to other tasks after its timeout before a reply counts as missing.
 const YIELDS_AFTER_TIMEOUT: usize = 3;
 /// Time after the start of a call at which its HTTP exchange is aborted. The exchange goes on after the timeout of the
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -67,6 +67,11 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a start. A start that takes effect later is found by the next poll.
 pub const START_TIMEOUT: Duration = Duration::from_millis(25);
+/// Maximum number of starts without a reply. Of the calls that an agent can make at a time, the rest are left for polls
+/// and stops.
+pub const MAX_UNANSWERED_STARTS: u32 = 32;
+/// Number of replies to starts after which a report is due, so that the leader can order the next ones.
+const REPLIES_PER_REPORT: u32 = MAX_UNANSWERED_STARTS / 2;
 /// Time between two calls of [`Agent::tick`] that only a pause of the process explains.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Delay after which a stop is repeated if the worker has not listed the end of the run.
@@ -213,6 +218,10 @@
     fence: u64,
     /// Runs that may be on the worker.
     runs: BTreeMap<TaskId, Run>,
+    /// Number of starts to which the worker has not replied.
+    unanswered_starts: u32,
+    /// Number of replies to starts since the last report.
+    unreported_replies: u32,
     /// Events that the leader has not acknowledged.
     events: VecDeque<RunEvent>,
     /// Runs that have become slow and are not reported yet.
@@ -275,6 +284,8 @@
             shutting_down: false,
             fence: 0,
             runs: BTreeMap::new(),
+            unanswered_starts: 0,
+            unreported_replies: 0,
             events: VecDeque::new(),
             slow_runs: Vec::new(),
             last_event: 0,
@@ -579,12 +590,14 @@
             undecided: undecided.collect(),
             events,
             slow: std::mem::take(&mut self.slow_runs),
+            unanswered_starts: self.unanswered_starts,
         };
         let leader = lease.leader;
         self.actions
             .push(Action::Send(leader, PeerMessage::Report(Box::new(report))));
         self.last_sent_event = self.last_event;
         self.report_pending = false;
+        self.unreported_replies = 0;
         if is_periodic {
             self.next_report = now + REPORT_INTERVAL;
         }
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -4,7 +4,10 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{Action, Agent, Run, STOP_RETRY_DELAY, StartCall, StopCall, speed::SpeedMeter};
+use super::{
+    Action, Agent, REPLIES_PER_REPORT, Run, STOP_RETRY_DELAY, StartCall, StopCall,
+    speed::SpeedMeter,
+};
 use crate::{
     job::{Resources, TaskId},
     message::{Incarnation, RunOutcome, StartRejection},
@@ -81,6 +84,7 @@
             fence,
             worker_id: worker,
         };
+        self.unanswered_starts += 1;
         self.actions.push(Action::Start(call));
     }
 
@@ -120,8 +124,13 @@
         capacity.saturating_sub(used)
     }
 
-    /// Handles the reply of the worker to a start.
+    /// Handles the reply of the worker to a start. Each start has exactly one, [`StartReply::Unknown`] if there is none.
     pub fn on_start_reply(&mut self, now: Timestamp, task: TaskId, run: u64, reply: StartReply) {
+        self.unanswered_starts = self.unanswered_starts.saturating_sub(1);
+        self.unreported_replies += 1;
+        if self.unreported_replies >= REPLIES_PER_REPORT {
+            self.report_pending = true;
+        }
         let Some(known_run) = self
             .runs
             .get_mut(&task)
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -32,6 +32,7 @@
 mod report;
 mod room;
 mod slow_runs;
+mod start_flow;
 mod view;
 mod waiting;
 mod worker_health;
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -7,7 +7,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{AgentKey, AgentView, Dispatcher, WorkerHealth};
+use super::{AgentKey, AgentView, Dispatcher, WorkerHealth, start_flow::StartFlow};
 use crate::{
     agent::AGENT_LOSS_TIMEOUT,
     job::{Resources, TaskId},
@@ -68,6 +68,7 @@
             used: Resources::default(),
             room: None,
             health: WorkerHealth::default(),
+            start_flow: StartFlow::default(),
             outbox: Vec::new(),
             orders_due: false,
         });
@@ -90,6 +91,7 @@
         agent.unacked_events.clear();
         agent.acked_event = 0;
         agent.outbox.clear();
+        agent.start_flow = StartFlow::default();
         // The next report with all runs shows which orders were lost, whichever message carried them: a placed run
         // that it does not list is lost, and a run whose stop it does not know is stopped again.
         for placed in agent.placed.values_mut() {
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -150,6 +150,8 @@
             stop_number: None,
             backlog,
         };
+        let agent = &mut self.agents[key];
+        agent.start_flow.record_start(agent.last_orders + 1);
         self.add_placed(key, task, placed);
         let ratio = self.backlogs[backlog].run_time_ratio;
         let agent = &mut self.agents[key];
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -34,6 +34,9 @@
         }
         let was_reachable = super::room::is_reachable(agent, now);
         agent.heard_at = now;
+        agent
+            .start_flow
+            .record_report(report.last_orders, report.unanswered_starts);
         // The agent lease counts from the sending of the report, by the agent's own clock.
         agent.lease_start_us = agent.lease_start_us.max(report.sent_us);
         let incarnation_of =
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -152,7 +152,7 @@
             pool: worker.pool.clone(),
             free: worker.capacity.saturating_sub(agent.used),
             capacity: worker.capacity,
-            takes_starts: true,
+            takes_starts: agent.start_flow.is_open(),
         });
         if agent.room == entry {
             return;
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -14,6 +14,7 @@
     backlog::{BacklogKey, Class},
     overload::millis,
     room::RoomEntry,
+    start_flow::StartFlow,
     worker_health::WorkerHealth,
 };
 use crate::{
@@ -92,6 +93,8 @@
     /// Entry in the index of free room, if the worker may take tasks.
     pub(super) room: Option<RoomEntry>,
     pub(super) health: WorkerHealth,
+    /// Starts that the agent has not carried out yet.
+    pub(super) start_flow: StartFlow,
     /// Orders for the next message to the agent.
     pub(super) outbox: Vec<Order>,
     /// Whether a message to the agent is due.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -243,6 +243,8 @@
     pub events: Vec<RunEvent>,
     /// Runs that have become slow since the last report.
     pub slow: Vec<SlowRun>,
+    /// Number of starts to which the worker has not replied, of the orders up to `last_orders`.
+    pub unanswered_starts: u32,
 }
 
 /// A run that progresses far more slowly than expected.
--- a/crates/figdeal-queue/tests/log_lines/leader.rs
+++ b/crates/figdeal-queue/tests/log_lines/leader.rs
@@ -108,6 +108,7 @@
             undecided: Vec::new(),
             events,
             slow: Vec::new(),
+            unanswered_starts: 0,
         };
         assert!(self.dispatcher.on_report(self.now, report));
     }
--- a/crates/figdeal-queue/tests/overload.rs
+++ b/crates/figdeal-queue/tests/overload.rs
@@ -335,6 +335,7 @@
             undecided: Vec::new(),
             events: event.into_iter().collect(),
             slow: Vec::new(),
+            unanswered_starts: 0,
         };
         self.dispatcher.on_report(self.now, report);
         if is_periodic {
--- a/crates/figdeal-queue/tests/placement.rs
+++ b/crates/figdeal-queue/tests/placement.rs
@@ -86,6 +86,7 @@
             undecided: Vec::new(),
             events: Vec::new(),
             slow: Vec::new(),
+            unanswered_starts: 0,
         };
         assert!(self.dispatcher.on_report(self.now, report));
     }
--- a/crates/figdeal-queue/tests/waiting.rs
+++ b/crates/figdeal-queue/tests/waiting.rs
@@ -235,6 +235,7 @@
             undecided: Vec::new(),
             events: std::mem::take(&mut runner.events),
             slow: Vec::new(),
+            unanswered_starts: runner.calls.len() as u32,
         };
         runner.replies = 0;
         if is_periodic {
@@ -369,6 +370,23 @@
     assert_eq!(leader.starts(10..20), 10);
 }
 
+/// Guards against more starts than an agent can carry out, which it rejects and the leader repeats (LOST, review/7).
+#[test]
+fn starts_of_many_small_tasks_are_not_rejected() {
+    let mut leader = Leader::new();
+    for _ in 0..3 {
+        leader.add_runner("a", 64_000);
+    }
+    for id in 0..20 {
+        leader.submit(id, 0, step(390, 5, 500));
+        leader.advance(Duration::from_millis(25));
+    }
+    leader.advance(Duration::from_secs(2));
+    let rejected: usize = leader.runners.iter().map(|r| r.rejected).sum();
+    assert_eq!((leader.starts(0..20), rejected), (7_800, 0));
+    assert_eq!(leader.finished.len(), 20);
+}
+
 /// Guards against room that stays empty in a burst although there is work to place.
 #[test]
 fn a_sustained_burst_uses_the_capacity() {
