Start a failed task on another worker than the one that failed it

A worker that fails a third of its runs frees room with each failure, so it often got the same task again and used up all its attempts. The leader now keeps the last failed worker of each task in memory and starts the task elsewhere.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -30,6 +30,7 @@
 mod overload;
 mod place;
 mod report;
+mod retry;
 mod room;
 mod slow_runs;
 mod start_flow;
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -116,13 +116,7 @@
         let Some(agent) = self.choose_agent(now, id, number, pool, step, None) else {
             return Err(self.wait_condition(now, key, rank, step));
         };
-        let ready = &self.jobs[&id].steps[usize::from(number)].ready_tasks;
-        let task = TaskId {
-            job: id,
-            step: number,
-            index: *ready.first().expect("a ready task must be left"),
-        };
-        Ok((agent, task))
+        self.choose_task(now, key, rank, step, agent)
     }
 
     fn place_task(
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -170,6 +170,9 @@
             _ => *state = TaskState::EndPending(done),
         }
         self.remove_ready(task);
+        if !done && let Some(job) = self.jobs.get_mut(&task.job) {
+            job.record_failed_run(now, task, key);
+        }
         let volatile = self.jobs.get(&task.job).is_some_and(|j| j.spec.volatile);
         // The ends of volatile jobs are not in the log.
         if volatile {
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -13,6 +13,7 @@
     AgentKey,
     backlog::{BacklogKey, Class},
     overload::millis,
+    retry::FailedRun,
     room::RoomEntry,
     start_flow::StartFlow,
     worker_health::WorkerHealth,
@@ -183,6 +184,8 @@
     pub(super) start_counts: HashMap<(u16, u32), u64>,
     /// Number of runs that were stopped because they were too slow, by step and task.
     pub(super) slow_stops: HashMap<(u16, u32), u32>,
+    /// Last failed runs, by step and task.
+    pub(super) last_failures: HashMap<(u16, u32), FailedRun>,
     /// Number of the run before the first one of this leader.
     pub(super) base_run: u64,
     pub(super) steps: Vec<StepView>,
@@ -241,6 +244,7 @@
             failures: HashMap::new(),
             start_counts: HashMap::new(),
             slow_stops: HashMap::new(),
+            last_failures: HashMap::new(),
             base_run: 0,
             steps: steps.collect(),
             started: false,
--- a/crates/figdeal-queue/tests/waiting.rs
+++ b/crates/figdeal-queue/tests/waiting.rs
@@ -387,6 +387,34 @@
     assert_eq!(leader.finished.len(), 20);
 }
 
+/// Guards against a task that fails again and again on the same worker, until its attempts are used up.
+#[test]
+fn a_failed_task_starts_on_another_worker() {
+    let mut leader = Leader::new();
+    for _ in 0..2 {
+        leader.add_runner("a", 1_000);
+    }
+    leader.runners[0].fails = true;
+    for id in 0..4 {
+        leader.submit(id, 0, step(3, 1_000, 40));
+    }
+    leader.advance(Duration::from_secs(5));
+    for id in 0..4 {
+        assert_eq!(leader.finished.get(&id), Some(&VolatileOutcome::Done));
+    }
+}
+
+/// Guards against a task that never starts again because its last run failed on the only worker.
+#[test]
+fn a_failed_task_starts_again_on_the_only_worker() {
+    let mut leader = Leader::new();
+    leader.add_runner("a", 1_000);
+    leader.runners[0].fails = true;
+    leader.submit(1, 0, step(1, 1_000, 40));
+    leader.advance(Duration::from_secs(3));
+    assert_eq!(leader.finished.get(&1), Some(&VolatileOutcome::Failed));
+}
+
 /// Guards against room that stays empty in a burst although there is work to place.
 #[test]
 fn a_sustained_burst_uses_the_capacity() {
