--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -33,17 +33,20 @@
 mod overload;
 mod place;
 mod report;
+mod retry;
 mod room;
 mod slow_runs;
+mod start_flow;
 mod view;
+mod waiting;
 mod worker_health;
 
 pub use admission::Rejection;
 use backlog::{Backlog, BacklogKey};
 pub use limits::{ColdLimit, Limits};
 pub use overload::{
-    PoolRoom, QueueLoad, decayed_peak, is_overloaded, predicted_wait, reserve, retry_after,
-    service_order,
+    PoolRoom, QueueLoad, decayed_peak, fragmentation_margin, is_overloaded, predicted_wait,
+    reserve, retry_after, service_order,
 };
 use room::Pools;
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
@@ -89,6 +92,8 @@
     limits: Limits,
     /// Waiting steps and used room, for each queue.
     backlogs: SlotMap<BacklogKey, Backlog>,
+    /// Agents that can start more tasks than before the last placement.
+    gained_agents: BTreeSet<AgentKey>,
     /// Agents with a placed run of each task, so that the runs of a job are found without a look at each agent.
     placed_tasks: BTreeMap<TaskId, Vec<AgentKey>>,
     /// Volatile jobs of earlier leaders.
@@ -113,7 +118,11 @@
     commands: Vec<Command>,
     /// Runs that agents reported as lost since the last [`Dispatcher::take_losses`].
     losses: LossCounts,
+    /// Time of the last sweep.
+    swept_at: Timestamp,
     next_sweep: Timestamp,
+    /// Whether the next placement checks for steps that were not woken.
+    check_wakes: bool,
 }
 
 impl Dispatcher {
@@ -138,6 +147,7 @@
             evacuated: state.evacuated.clone(),
             limits: Limits::default(),
             backlogs: SlotMap::with_key(),
+            gained_agents: BTreeSet::new(),
             placed_tasks: BTreeMap::new(),
             earlier_jobs: EarlierJobs::default(),
             agents_with_unknown_runs: state.agents.clone(),
@@ -150,7 +160,9 @@
             committed_batch: 0,
             commands: Vec::new(),
             losses: LossCounts::default(),
+            swept_at: now,
             next_sweep: now,
+            check_wakes: false,
         };
         for (id, job) in &state.jobs {
             dispatcher.add_stored(now, wall_ms, *id, job, true);
@@ -307,14 +319,6 @@
         self.jobs.get_mut(&task.job)?.task_mut(task)
     }
 
-    /// Makes a task ready to be started again.
-    fn requeue(&mut self, task: TaskId) {
-        if let Some(state) = self.task_mut(task) {
-            *state = TaskState::Blocked;
-            self.unblock(task.job);
-        }
-    }
-
     /// Handles a committed job.
     pub fn job_accepted(&mut self, now: Timestamp, wall_ms: u64, id: JobId, job: &Job) {
         self.add_stored(now, wall_ms, id, job, false);
@@ -472,6 +476,7 @@
         if now < self.next_sweep {
             return;
         }
+        let last_sweep = std::mem::replace(&mut self.swept_at, now);
         self.next_sweep = now + SWEEP_INTERVAL;
         self.refresh_kinds();
         for backlog in self.backlogs.values_mut() {
@@ -495,6 +500,8 @@
         }
         self.end_cold_times(now);
         self.limit_ejection(now);
+        self.wake_for_available(last_sweep, now);
+        self.check_wakes = true;
         self.stop_stalled_runs(now);
         self.sort_out_unplaceable();
         self.shed_load(now);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -32,7 +32,11 @@
         if report.term != self.term || report.session != agent.session || !agent.registered {
             return false;
         }
+        let was_reachable = super::room::is_reachable(agent, now);
         agent.heard_at = now;
+        agent
+            .start_flow
+            .record_report(report.last_orders, report.unanswered_starts);
         // The agent lease counts from the sending of the report, by the agent's own clock.
         agent.lease_start_us = agent.lease_start_us.max(report.sent_us);
         let incarnation_of =
@@ -50,7 +54,10 @@
         if worker_changed {
             self.refresh_kinds();
             self.log_if_evacuated(key);
-            self.update_room(key);
+        }
+        self.update_room(key);
+        if worker_changed || !was_reachable {
+            self.worker_gained(key, true);
         }
         self.record_cold(now, key, cold_ms.unwrap_or(0));
         // A report with all runs is answered even without new orders, which renews the agent lease.
@@ -170,6 +177,9 @@
             _ => *state = TaskState::EndPending(done),
         }
         self.remove_ready(task);
+        if !done && let Some(job) = self.jobs.get_mut(&task.job) {
+            job.record_failed_run(now, task, key);
+        }
         let volatile = self.jobs.get(&task.job).is_some_and(|j| j.spec.volatile);
         // The ends of volatile jobs are not in the log.
         if volatile {
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -1,7 +1,7 @@
 //! What the leader knows about agents, jobs and tasks.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -13,7 +13,9 @@
     AgentKey,
     backlog::{BacklogKey, Class},
     overload::millis,
+    retry::FailedRun,
     room::RoomEntry,
+    start_flow::StartFlow,
     worker_health::WorkerHealth,
 };
 use crate::{
@@ -94,6 +96,8 @@
     /// Entry in the index of free room, if the worker may take tasks.
     pub(super) room: Option<RoomEntry>,
     pub(super) health: WorkerHealth,
+    /// Starts that the agent has not carried out yet.
+    pub(super) start_flow: StartFlow,
     /// Orders for the next message to the agent.
     pub(super) outbox: Vec<Order>,
     /// Whether a message to the agent is due.
@@ -116,7 +120,7 @@
 pub(super) struct StepView {
     pub(super) tasks: Vec<TaskState>,
     /// Indexes of the tasks that may be started.
-    pub(super) ready_tasks: VecDeque<u32>,
+    pub(super) ready_tasks: BTreeSet<u32>,
     /// Number of tasks that are not done.
     pub(super) open_tasks: u32,
     pub(super) depends_on: Vec<u16>,
@@ -182,6 +186,8 @@
     pub(super) start_counts: HashMap<(u16, u32), u64>,
     /// Number of runs that were stopped because they were too slow, by step and task.
     pub(super) slow_stops: HashMap<(u16, u32), u32>,
+    /// Last failed runs, by step and task.
+    pub(super) last_failures: HashMap<(u16, u32), FailedRun>,
     /// Number of the run before the first one of this leader.
     pub(super) base_run: u64,
     pub(super) steps: Vec<StepView>,
@@ -226,7 +232,7 @@
             .zip(&critical_paths)
             .map(|(step, critical_path)| StepView {
                 tasks: vec![TaskState::Blocked; step.count as usize],
-                ready_tasks: VecDeque::new(),
+                ready_tasks: BTreeSet::new(),
                 open_tasks: step.count,
                 depends_on: step.depends_on.clone(),
                 latest_start: latest_start(*critical_path),
@@ -240,6 +246,7 @@
             failures: HashMap::new(),
             start_counts: HashMap::new(),
             slow_stops: HashMap::new(),
+            last_failures: HashMap::new(),
             base_run: 0,
             steps: steps.collect(),
             started: false,
