Count refusals by reason and queue, and bound lines about jobs

Under a flood, each refused job had a line at its entry and one at the leader (E668, E622 or E630), each volatile job that ended in order two (E632, E630). No metric told the reason or the queue of a refusal, or how much of the fleet was in use.

The process that decides a refusal counts it. LogSample writes the first 10 lines of each event, reason and queue in a second, and the identities of the others together (E930). E630 repeats queue, age and goal, so that it tells all about a late, failed or refused job. The leader shows the millicores of each pool and queue.

Tests of figdeal-queue (log_lines, node, placement, log_limit) and figdeal-node (queue_metrics) pass. With 900 refused jobs, the leader writes 10 lines and all other identities in 5.

--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -11,6 +11,8 @@
 mod metrics_server;
 mod process;
 pub mod queue;
+pub mod queue_metrics;
+mod request_log;
 pub mod store;
 mod worker_client;
 
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -12,9 +12,10 @@
 
 use figdeal_platform::{Response, ingress, operator, settings::Settings};
 use figdeal_queue::{
-    message::{Answer, PeerMessage, Request},
+    message::{Answer, PeerMessage, RefusalReason, Request},
     node::{Action, Clock, Node, Options},
     raft::{NodeId, Raft, StorageWrite, log::Position},
+    refusals::{OVERLOAD_AT_ENTRY, metric_name},
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -27,6 +28,8 @@
     http::{self, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
+    queue_metrics::{self, UsageGauges},
+    request_log::RequestLog,
     store::{Store, StoredState},
 };
 
@@ -129,12 +132,14 @@
     let (node, disk_sender) = open_node(&settings, own_address, input_sender.clone())?;
     let connections = Connections::listen(own_address, settings.bind_address, event_sender).await?;
     let ready = Arc::new(AtomicBool::new(false));
+    let request_log = RequestLog::new();
     start_http_servers(
         &settings_path,
         &settings,
         &input_sender,
         &close_receiver,
         &ready,
+        &request_log,
     )
     .await?;
     metrics_server::start(settings.ip, close_receiver.clone()).await?;
@@ -153,10 +158,13 @@
         pending_answers: HashMap::new(),
         shutdown_grace: settings.shutdown_grace,
         shutdown: None,
+        usage_gauges: UsageGauges::default(),
+        request_log,
     };
     event_loop
         .run(input_receiver, event_receiver, close_sender)
         .await;
+    event_loop.request_log.finish();
     log::info!("E663 stop name={}", settings.name);
     Ok(())
 }
@@ -245,12 +253,18 @@
     input_sender: &mpsc::Sender<Input>,
     close_receiver: &watch::Receiver<bool>,
     ready: &Arc<AtomicBool>,
+    request_log: &RequestLog,
 ) -> Result<()> {
     let caller_address = Settings::require(settings_path, settings.caller_address, "callers")?;
     let sender = input_sender.clone();
-    let node_ready = Arc::clone(ready);
+    let (node_ready, request_log) = (Arc::clone(ready), request_log.clone());
     http::serve(caller_address, close_receiver.clone(), move |request| {
-        handle_caller(request, sender.clone(), Arc::clone(&node_ready))
+        handle_caller(
+            request,
+            sender.clone(),
+            Arc::clone(&node_ready),
+            request_log.clone(),
+        )
     })
     .await?;
     if let Some(address) = settings.readiness_address {
@@ -283,6 +297,7 @@
     http_request: HttpRequest,
     input_sender: mpsc::Sender<Input>,
     ready: Arc<AtomicBool>,
+    request_log: RequestLog,
 ) -> Response {
     let start = clock::now();
     let decoded = ingress::decode_call(
@@ -296,22 +311,16 @@
             submit_to_node(request, http_request.caller_timeout, &input_sender).await
         }
         ingress::ParsedCall::Unsupported(feature) => {
-            log::info!(
-                "E666 job uses an unsupported feature path={} unsupported={feature}",
-                http_request.path
-            );
-            let reason = figdeal_queue::message::RefusalReason::Unsupported;
+            request_log.unsupported(&http_request, feature);
+            let reason = RefusalReason::Unsupported;
+            queue_metrics::count_early_refusal(metric_name(reason));
             Answer::Refused {
                 retry_after_ms: RETRY_AFTER_MS,
                 reason,
             }
         }
         ingress::ParsedCall::Invalid => {
-            log::info!(
-                "E667 invalid request path={} body_bytes={}",
-                http_request.path,
-                http_request.body.len()
-            );
+            request_log.invalid(&http_request);
             Answer::Invalid
         }
         ingress::ParsedCall::UnsupportedMethod => return Response::new(405),
@@ -322,13 +331,7 @@
     response.close_connection = response.status >= 500 && !ready.load(Ordering::Relaxed);
     let elapsed = clock::now().since(start);
     if response.status >= 400 {
-        log::info!(
-            "E668 request failed method={} path={} status={} answer={answer:?} took_ms={}",
-            http_request.method,
-            http_request.path,
-            response.status,
-            elapsed.as_millis()
-        );
+        request_log.failed(&http_request, response.status, &answer, elapsed);
     }
     metrics::counter!("figdeal_queue_requests_total", "status" => response.status.to_string())
         .increment(1);
@@ -368,7 +371,7 @@
     let (answer_sender, answer_receiver) = oneshot::channel();
     let overloaded = Answer::Refused {
         retry_after_ms: RETRY_AFTER_MS,
-        reason: figdeal_queue::message::RefusalReason::Overload,
+        reason: RefusalReason::Overload,
     };
     // Random, since the tokens of a restarted process must differ from those of the process before it at this address.
     let token = rand::random();
@@ -380,6 +383,7 @@
         answer_sender,
     };
     if input_sender.try_send(Input::Request(pending)).is_err() {
+        queue_metrics::count_early_refusal(OVERLOAD_AT_ENTRY);
         return overloaded;
     }
     let mut withdraw_on_drop = WithdrawOnDrop {
@@ -406,6 +410,8 @@
     /// Set when shutdown begins: when the HTTP connections of callers, operators and metrics close, and when the last
     /// requests are answered and the process exits.
     shutdown: Option<(Instant, Instant)>,
+    usage_gauges: UsageGauges,
+    request_log: RequestLog,
 }
 
 impl EventLoop {
@@ -471,6 +477,9 @@
 
     fn update_metrics(&mut self) {
         metrics_server::count_lost_runs(&self.node.take_losses());
+        queue_metrics::count_refusals(&self.node.take_refusals());
+        self.usage_gauges.update(clock::now(), || self.node.usage());
+        self.request_log.write_omitted();
         // Both are 0 on nodes that do not lead.
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -32,6 +32,7 @@
 mod report;
 mod room;
 mod slow_runs;
+mod usage;
 mod view;
 mod worker_health;
 
@@ -42,6 +43,7 @@
     service_order,
 };
 use room::Pools;
+pub use usage::{PoolUsage, QueueUsage, Usage};
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
 pub use view::{Submission, VolatileOutcome};
 use worker_health::WorkerHealth;
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -10,16 +10,18 @@
 use figdeal_core::time::Timestamp;
 
 use crate::{
-    dispatch::Dispatcher,
+    dispatch::{Dispatcher, Usage},
     job::JobId,
     losses::LossCounts,
     message::{Answer, Hello, LeaderInfo, PeerMessage},
     raft::{Index, Member, NodeId, Raft, RaftMessage, StorageWrite, log::Position, log::Snapshot},
+    refusals::RefusalCounts,
     state::{Batch, ReplicatedState},
 };
 
 mod apply;
 mod discovery;
+mod job_log;
 mod membership;
 mod recent_jobs;
 mod requests;
@@ -133,6 +135,7 @@
     discovery: discovery::Discovery,
     membership: membership::Membership,
     recent_jobs: recent_jobs::RecentJobLists,
+    job_log: job_log::JobLog,
     /// When the node noticed that no leader is known.
     leaderless_since: Option<Timestamp>,
     /// Number of [`Action::Store`] that the driver has not reported as stored.
@@ -171,6 +174,7 @@
             waiters: Waiters::default(),
             requests: BTreeMap::new(),
             recent_jobs: recent_jobs::RecentJobLists::default(),
+            job_log: job_log::JobLog::new(),
             leaderless_since: None,
             pending_stores: 0,
             placement_due: false,
@@ -205,6 +209,16 @@
         dispatcher.map(Dispatcher::take_losses).unwrap_or_default()
     }
 
+    /// Takes the number of requests that this node refused since the last call.
+    pub fn take_refusals(&mut self) -> RefusalCounts {
+        self.job_log.take_refusals()
+    }
+
+    /// Returns how much of the fleet is in use, and by which queue, if this node leads.
+    pub fn usage(&self) -> Option<Usage> {
+        self.dispatcher.as_ref().map(Dispatcher::usage)
+    }
+
     /// Returns whether requests can be served or forwarded, so that the load balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         self.shutdown_deadline.is_none() && (self.is_serving() || self.leader_address().is_some())
@@ -245,6 +259,7 @@
         self.tick_discovery();
         self.tick_membership();
         self.tick_requests();
+        self.job_log.tick(clock.now);
         self.advance();
     }
 
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -147,6 +147,7 @@
             if self.dispatcher.take().is_some() {
                 log::warn!("E620 lost the leadership term={}", self.raft.term());
                 self.uncommitted_batches.clear();
+                self.job_log.lose_leadership();
                 let waiters = std::mem::take(&mut self.waiters);
                 let volatile = waiters.volatile.into_values().flatten().collect();
                 // Their entry nodes resubmit them to the next leader.
@@ -188,7 +189,7 @@
         };
         let finished = dispatcher.take_finished();
         for (id, outcome) in finished {
-            log::info!("E630 volatile job ended job={id} outcome={outcome:?}");
+            self.job_log.job_ended(now, id, outcome);
             let waiters = self.waiters.take_volatile(id);
             let answer = match outcome {
                 VolatileOutcome::Done => Answer::VolatileEnded(true),
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -40,6 +40,11 @@
 }
 
 impl PendingRequest {
+    /// Returns the path of the request if it is a volatile job, or `-`.
+    fn path(&self) -> &str {
+        self.volatile_request.as_ref().map_or("-", request_path)
+    }
+
     /// Returns how long the request waits for a first leader.
     fn first_leader_wait(&self) -> Duration {
         let critical_path = match &self.volatile_request {
@@ -58,16 +63,19 @@
     pub fn on_request(&mut self, clock: Clock, token: u64, request: Request, max_wait: Duration) {
         self.clock = clock;
         if matches!(&request, Request::Submit { spec, .. } if !spec.is_valid()) {
-            return self.actions.push(Action::Reply(token, Answer::Invalid));
+            return self.reply(token, Answer::Invalid);
         }
         let is_volatile = matches!(&request, Request::Submit { spec, .. } if spec.volatile);
         if is_volatile && self.ends_before_job(&request) {
-            log::info!("E636 refused a job that would outlast this process token={token}");
+            log::info!(
+                "E636 refused a job that would outlast this process token={token} path={}",
+                request_path(&request)
+            );
             let refused = Answer::Refused {
                 retry_after_ms: NO_LEADER_RETRY_AFTER_MS,
                 reason: RefusalReason::ShuttingDown,
             };
-            return self.actions.push(Action::Reply(token, refused));
+            return self.reply(token, refused);
         }
         let timeout = if is_volatile {
             max_wait
@@ -153,8 +161,8 @@
         if let Some(id) = self.waiters.withdraw(origin)
             && let Some(dispatcher) = &mut self.dispatcher
         {
-            log::info!("E631 withdrew a volatile job job={id}");
             dispatcher.job_ended(id);
+            self.job_log.job_withdrawn(self.clock.now, id);
             self.placement_due = true;
         }
     }
@@ -190,6 +198,19 @@
         } else {
             no_leader()
         };
+        self.reply(token, answer);
+    }
+
+    /// Answers a caller of this node, and counts a refusal that no leader has decided.
+    fn reply(&mut self, token: u64, answer: Answer) {
+        if let Answer::Refused { reason, .. } = &answer
+            && matches!(
+                reason,
+                RefusalReason::NoLeader | RefusalReason::ShuttingDown
+            )
+        {
+            self.job_log.count_refusal(*reason);
+        }
         self.actions.push(Action::Reply(token, answer));
     }
 
@@ -205,7 +226,8 @@
                 } else if answer.rejects_job() && pending.offers > 1 {
                     log::info!(
                         "E640 a rejected job may have run at an earlier leader token={token} \
-                         offers={} answer={answer:?}",
+                         path={} offers={} answer={answer:?}",
+                        pending.path(),
                         pending.offers
                     );
                     self.drop_request(token);
@@ -213,7 +235,7 @@
                         .push(Action::Reply(token, Answer::OutcomeUnknown));
                 } else {
                     self.requests.remove(&token);
-                    self.actions.push(Action::Reply(token, answer));
+                    self.reply(token, answer);
                 }
             }
             Origin::Remote(address, token) => {
@@ -266,14 +288,13 @@
             }
         }
         for token in overdue {
-            log::warn!(
-                "E614 giving up a request without an answer token={token} leader={current:?}"
-            );
+            let path = self.requests[&token].path();
+            self.job_log.request_given_up(now, token, path, current);
             self.give_up_request(token);
         }
         for token in unserved {
             self.requests.remove(&token);
-            self.actions.push(Action::Reply(token, no_leader()));
+            self.reply(token, no_leader());
         }
         for token in to_submit {
             let pending = &self.requests[&token];
@@ -298,6 +319,15 @@
     }
 }
 
+fn request_path(request: &Request) -> &str {
+    match request {
+        Request::Submit { path, .. }
+        | Request::Query { path, .. }
+        | Request::Cancel { path, .. } => path,
+        Request::Configure(_) | Request::ReadConfig => "-",
+    }
+}
+
 pub(super) fn no_leader() -> Answer {
     Answer::Refused {
         retry_after_ms: NO_LEADER_RETRY_AFTER_MS,
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -45,6 +45,9 @@
             }),
         };
         if let Some(answer) = answer {
+            if answer == no_config() {
+                self.job_log.count_refusal(RefusalReason::NoConfig);
+            }
             self.answer(origin, answer);
         }
     }
@@ -103,16 +106,11 @@
             && let Some(rejection) =
                 dispatcher.rejection(self.clock.now, queue, id, &spec, submission.age)
         {
-            let retry_after_ms = rejection.retry_after.as_millis() as u32;
-            let reason = rejection.reason;
-            log::info!(
-                "E622 refused a job job={id} queue={} reason={reason:?} \
-                 retry_after_ms={retry_after_ms}",
-                queue.name
-            );
+            self.job_log
+                .job_refused(self.clock.now, id, &queue.name, rejection);
             return Some(Answer::Refused {
-                retry_after_ms,
-                reason,
+                retry_after_ms: rejection.retry_after.as_millis() as u32,
+                reason: rejection.reason,
             });
         }
         if spec.volatile {
@@ -153,13 +151,8 @@
         spec: JobSpec,
         submission: Submission,
     ) {
-        log::info!(
-            "E632 accepted a volatile job job={id} queue={} age_ms={} resubmitted={}",
-            queue.name,
-            submission.age.as_millis(),
-            submission.resubmitted
-        );
         let now = self.clock.now;
+        self.job_log.job_accepted(now, id, queue, &spec, submission);
         let dispatcher = self
             .dispatcher
             .as_mut()
--- a/crates/figdeal-queue/tests/log_lines/main.rs
+++ b/crates/figdeal-queue/tests/log_lines/main.rs
@@ -1,9 +1,11 @@
-//! Tests of the log lines that an operator needs to explain why a task ran twice.
+//! Tests of the log lines that an operator needs to explain why a task ran twice, and why a job was refused or late.
 
 use std::cell::RefCell;
 
 mod agent;
 mod leader;
+mod node;
+mod sample;
 
 thread_local! {
     /// Lines that the test on this thread has logged.
