--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -139,6 +139,11 @@
             self.commands.push(Command::DeregisterAgent { address });
             self.update_room(key);
             for (task, run) in lost {
+                log::info!(
+                    "E931 run counts as lost with its agent task={task} run={run} agent={address} \
+                     term={}",
+                    self.term
+                );
                 self.remove_placed(key, task);
                 self.run_lost(key, task, run);
             }
