--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -37,6 +37,7 @@
 mod room;
 mod slow_runs;
 mod start_flow;
+mod usage;
 mod view;
 mod waiting;
 mod worker_health;
@@ -49,6 +50,7 @@
     reserve, retry_after, service_order,
 };
 use room::Pools;
+pub use usage::{PoolUsage, QueueUsage, Usage};
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
 pub use view::{Submission, VolatileOutcome};
 use worker_health::WorkerHealth;
