Test evacuations over HTTP, in the simulation and in the formats

The simulation loses the leader, or all nodes with everything that is not durable, right after the acknowledgement of an evacuation. A test with real processes checks the statuses 200, 404, 405, 409 and 503, that no task starts in the evacuated data centre, and that the evacuation is still in force after all nodes were killed.

--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Tests with real processes on loopback: three nodes with a disk, an agent, and a stand-in for its worker.
 
+mod evacuation;
 #[path = "../fleet/processes.rs"]
 mod processes;
 
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use simulation::{
-    ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, Outage, Plan, Simulation,
+    ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, NodeLoss, Outage, Plan, Simulation,
     UNNOTICED_FAULTS,
 };
 
@@ -499,3 +499,22 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against an acknowledged evacuation that a new leader or restarted nodes do not know, and against one that cannot be
+/// revoked afterwards.
+#[test]
+fn an_acknowledged_evacuation_outlasts_lost_nodes() {
+    for loss in [NodeLoss::Leader, NodeLoss::All] {
+        for seed in SEEDS {
+            let mut simulation = Simulation::new(plan(seed));
+            let (during, after, open) = simulation.evacuate_and_lose(loss);
+            let violations = &simulation.checker.violations;
+            assert!(
+                violations.is_empty(),
+                "{loss:?} seed {seed}: {violations:?}"
+            );
+            assert_eq!((during, open), (0, 0), "{loss:?} seed {seed}");
+            assert!(after > 0, "{loss:?} seed {seed}");
+        }
+    }
+}
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -29,6 +29,7 @@
 mod callers;
 mod clock_steps;
 mod departures;
+mod evacuations;
 mod faults;
 mod gone_workers;
 mod late_starts;
@@ -41,6 +42,7 @@
 mod seed_change;
 
 pub(crate) use departures::Departure;
+pub(crate) use evacuations::NodeLoss;
 pub(crate) use gone_workers::Loss;
 pub(crate) use leader_loss::LeaderLoss;
 pub(crate) use lost_orders::Outage;
@@ -130,6 +132,7 @@
     Cancel(JobId),
     Configure(u64),
     ReadConfig,
+    SetEvacuation(bool),
     Heartbeat(usize),
     Fault,
     StartNode(usize),
@@ -156,6 +159,7 @@
     Configure(u64),
     /// Newest version that was acknowledged when the request was sent.
     Read(u64),
+    SetEvacuation(bool),
 }
 
 struct NodeMachine {
@@ -224,6 +228,8 @@
     last_wipe: Timestamp,
     /// Milliseconds that each task of these jobs takes, whatever its estimate.
     run_times: BTreeMap<JobId, u32>,
+    /// Last acknowledged request to evacuate the first data centre, or to revoke that.
+    acknowledged_evacuation: Option<bool>,
 }
 
 fn node_address(n: usize) -> SocketAddr {
@@ -260,6 +266,7 @@
             seeds: vec![0, 1, 2],
             last_wipe: Timestamp::ZERO,
             run_times: BTreeMap::new(),
+            acknowledged_evacuation: None,
         };
         for n in 0..5 {
             simulation.machines.push(NodeMachine {
@@ -571,6 +578,7 @@
                 let known = self.checker.acknowledged_config_version;
                 self.send_request(CallerRequest::Read(known), Request::ReadConfig);
             }
+            Event::SetEvacuation(evacuated) => self.set_evacuation(evacuated),
             Event::Heartbeat(n) => self.heartbeat(n),
             Event::Fault => self.inject_fault(),
             Event::StartNode(n) => self.start_node(n),
--- a/crates/figdeal-queue/tests/sim/simulation/callers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/callers.rs
@@ -175,6 +175,10 @@
             }
             CallerRequest::Query(id) => self.checker.on_query_answer(id, answer),
             CallerRequest::Cancel => {}
+            CallerRequest::SetEvacuation(evacuated) => match answer {
+                Answer::EvacuationSet => self.acknowledged_evacuation = Some(evacuated),
+                _ => self.schedule(Duration::from_millis(200), Event::SetEvacuation(evacuated)),
+            },
             CallerRequest::Configure(version) => match answer {
                 Answer::Configured => {
                     self.checker.acknowledged_config_version =
