--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -475,6 +475,7 @@
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
         metrics::gauge!("figdeal_queue_waiting_tasks").set(waiting_tasks as f64);
+        metrics::gauge!("figdeal_queue_set_aside_steps").set(self.node.set_aside_steps() as f64);
         metrics::gauge!("figdeal_queue_term").set(self.node.raft().term() as f64);
         metrics::gauge!("figdeal_queue_commit").set(self.node.raft().commit() as f64);
     }
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -449,6 +449,11 @@
         (self.jobs.len(), waiting.sum())
     }
 
+    /// Returns the number of steps that were set aside until a wake condition is met.
+    pub fn set_aside_steps(&self) -> usize {
+        self.backlogs.values().map(|b| b.waiting.counts().1).sum()
+    }
+
     /// Takes the number of runs that agents reported as lost since the last call.
     pub fn take_losses(&mut self) -> LossCounts {
         std::mem::take(&mut self.losses)
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -247,6 +247,11 @@
             WakeCondition::Room { .. } | WakeCondition::Reserve { .. }
         );
         let millicores = u64::from(step.needs.millicores) * tasks;
+        log::debug!(
+            "E694 step was set aside job={} step={} tasks={tasks} condition={condition:?}",
+            rank.job,
+            rank.step
+        );
         waiting.set_aside(rank, condition, millicores);
         if !lacks_room {
             waiting.wake_first(&WakeCondition::room(step));
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -199,6 +199,12 @@
         self.dispatcher.as_ref().map(Dispatcher::load)
     }
 
+    /// Returns the number of steps that the scheduler has set aside; 0 if this node does not lead.
+    pub fn set_aside_steps(&self) -> usize {
+        let dispatcher = self.dispatcher.as_ref();
+        dispatcher.map_or(0, Dispatcher::set_aside_steps)
+    }
+
     /// Takes the number of runs that agents reported as lost to this node as the leader since the last call.
     pub fn take_losses(&mut self) -> LossCounts {
         let dispatcher = self.dispatcher.as_mut();
