--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -514,6 +514,7 @@
         metrics::gauge!("figdeal_queue_waiting_tasks").set(waiting_tasks as f64);
         let evacuated = self.node.state().evacuated.len();
         metrics::gauge!("figdeal_queue_evacuated_data_centres").set(evacuated as f64);
+        metrics::gauge!("figdeal_queue_set_aside_steps").set(self.node.set_aside_steps() as f64);
         metrics::gauge!("figdeal_queue_term").set(self.node.raft().term() as f64);
         metrics::gauge!("figdeal_queue_commit").set(self.node.raft().commit() as f64);
     }
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -266,6 +266,11 @@
         let waiting = &mut self.backlogs[key].waiting;
         let lacks_room = condition.lacks_room();
         let millicores = u64::from(step.needs.millicores) * tasks;
+        log::debug!(
+            "E694 step was set aside job={} step={} tasks={tasks} condition={condition:?}",
+            rank.job,
+            rank.step
+        );
         waiting.set_aside(rank, condition, millicores);
         if !lacks_room {
             waiting.wake_first(&WakeCondition::room(step));
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -326,7 +326,7 @@
         Request::Submit { path, .. }
         | Request::Query { path, .. }
         | Request::Cancel { path, .. } => path,
-        Request::Configure(_) | Request::ReadConfig => "-",
+        Request::Configure(_) | Request::ReadConfig | Request::SetEvacuation { .. } => "-",
     }
 }
 
--- a/crates/figdeal-queue/src/refusals.rs
+++ b/crates/figdeal-queue/src/refusals.rs
@@ -22,6 +22,7 @@
         RefusalReason::TooLarge => "too_large",
         RefusalReason::Unsupported => "unsupported",
         RefusalReason::NoWorker => "no_worker",
+        RefusalReason::WorkersUnknown => "workers_unknown",
     }
 }
 
@@ -35,6 +36,7 @@
         RefusalReason::TooLarge => "TooLarge",
         RefusalReason::Unsupported => "Unsupported",
         RefusalReason::NoWorker => "NoWorker",
+        RefusalReason::WorkersUnknown => "WorkersUnknown",
     }
 }
 
