Add the command queue-check for queue configurations

An operator learned of a fault in a configuration only from the 400 of a node, one fault at a time, and not at all of routes that never match, of limits that contradict each other and of versions without effect.

Exit codes: 0 clean, 1 findings, 2 not checked.

--- a/crates/figdeal/src/cli.rs
+++ b/crates/figdeal/src/cli.rs
@@ -32,6 +32,8 @@
     Entry(command::entry::Args),
     /// Runs a node of the durable queue with the platform's settings until SIGTERM
     Queue,
+    /// Checks a configuration of the durable queue before it is sent to a node
+    QueueCheck(command::queue_check::Args),
     /// Runs a stand-in upstream for an agent, for tests
     StandIn(command::stand_in::Args),
     /// Runs entries, agents and upstreams over loopback and compares the measurements with the design targets
@@ -77,6 +79,9 @@
             let _output = figdeal_node::log_output::init();
             figdeal_node::queue::run().map(|()| ExitCode::SUCCESS)
         }
+        Command::QueueCheck(args) => {
+            command::queue_check::write(&args, out, progress).map(ExitCode::from)
+        }
         Command::StandIn(args) => command::stand_in::run(&args),
         Command::Bench(args) => command::bench::run(&args),
         Command::Load(args) => command::load::run(&args),
--- a/crates/figdeal/src/command.rs
+++ b/crates/figdeal/src/command.rs
@@ -12,6 +12,7 @@
 pub mod job;
 pub mod keys;
 pub mod load;
+pub mod queue_check;
 pub mod report;
 pub mod stand_in;
 pub mod status;
--- a/crates/figdeal/tests/offline_commands.rs
+++ b/crates/figdeal/tests/offline_commands.rs
@@ -6,6 +6,7 @@
 use figdeal::command::{
     check::{self, CheckArgs},
     keys::{self, KeysArgs},
+    queue_check,
 };
 use figdeal_config::keys::{PrivateKey, PublicKey};
 
@@ -113,3 +114,87 @@
     );
     assert_eq!(fs::read(file).unwrap(), before);
 }
+
+#[derive(Debug, Parser)]
+struct QueueCheck {
+    #[command(flatten)]
+    args: queue_check::Args,
+}
+
+/// Runs `queue-check` on a file with this content; returns the exit code, the output and the errors.
+fn queue_check(content: &[u8], options: &[&str]) -> (u8, String, String) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("queues.json");
+    fs::write(&file, content).unwrap();
+    let words = [&["x", file.to_str().unwrap()], options].concat();
+    let (mut out, mut errors) = (Vec::new(), Vec::new());
+    let args = QueueCheck::parse_from(words).args;
+    let code = queue_check::write(&args, &mut out, &mut errors).unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (code, text(out), text(errors))
+}
+
+const QUEUES: &str = r#"{"version":3,"routes":[{"name":"a","host":"h","path_prefix":"/a/","timeout_ms":900,
+    "service":"s","stretch":1.6,"target_duration_ms":60}],"services":[{"name":"s"}]}"#;
+
+/// Serves one request with this answer, as a node does.
+fn serve_once(status: &'static str, body: &'static str) -> std::net::SocketAddr {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]).unwrap();
+        let length = body.len();
+        write!(
+            stream,
+            "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+        .unwrap();
+    });
+    address
+}
+
+/// `queue-check` must end with the code that a script tests, and name file, key, both values and the fix.
+#[test]
+fn queue_check_reports_findings_by_its_exit_code() {
+    let (code, out, errors) = queue_check(QUEUES.as_bytes(), &[]);
+    assert_eq!((code, errors.as_str()), (0, ""), "{out}");
+    let broken = QUEUES
+        .replace("900", "60")
+        .replace("\"service\":\"s\"", "\"service\":\"t\"");
+    let (code, out, _) = queue_check(broken.as_bytes(), &[]);
+    assert_eq!((code, out.lines().count()), (1, 2), "{out}");
+    for part in [
+        "queues.json: error: routes[0].service is t, services is s; fix: ",
+        "queues.json: contradiction: routes[0].target_duration_ms is 60, routes[0].timeout_ms is 60; fix: ",
+    ] {
+        assert!(out.contains(part), "{out}");
+    }
+    let (code, out, _) = queue_check(broken.as_bytes(), &["--json"]);
+    let json: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (code, &json["findings"][0]["other_value"]),
+        (1, &"s".into())
+    );
+}
+
+/// `queue-check` must tell what differs from a node, and must not report a clean file when it could not compare it.
+#[test]
+fn queue_check_compares_with_a_node() {
+    let node = serve_once("200 OK", QUEUES).to_string();
+    let (code, out, _) = queue_check(QUEUES.as_bytes(), &["--node", &node]);
+    assert_eq!(code, 0, "{out}");
+    let node = serve_once("200 OK", QUEUES).to_string();
+    let changed = QUEUES.replace("900", "800").replace(":3", ":4");
+    let (code, out, _) = queue_check(changed.as_bytes(), &["--node", &node]);
+    assert_eq!((code, out.lines().count()), (1, 2), "{out}");
+    assert!(
+        out.contains("difference: routes[h/a/].timeout_ms is 800, the value in force is 900"),
+        "{out}"
+    );
+    let node = serve_once("503 Service Unavailable", "{}").to_string();
+    let (code, out, errors) = queue_check(QUEUES.as_bytes(), &["--node", &node]);
+    assert_eq!((code, out.as_str()), (2, ""));
+    assert!(errors.contains("status 503"), "{errors}");
+}
--- a/extra/completions/figdeal.bash
+++ b/extra/completions/figdeal.bash
@@ -61,6 +61,9 @@
             figdeal,queue)
                 cmd="figdeal__subcmd__queue"
                 ;;
+            figdeal,queue-check)
+                cmd="figdeal__subcmd__queue__subcmd__check"
+                ;;
             figdeal,report)
                 cmd="figdeal__subcmd__report"
                 ;;
@@ -190,6 +193,9 @@
             figdeal__subcmd__help,queue)
                 cmd="figdeal__subcmd__help__subcmd__queue"
                 ;;
+            figdeal__subcmd__help,queue-check)
+                cmd="figdeal__subcmd__help__subcmd__queue__subcmd__check"
+                ;;
             figdeal__subcmd__help,report)
                 cmd="figdeal__subcmd__help__subcmd__report"
                 ;;
@@ -263,7 +269,7 @@
 
     case "${cmd}" in
         figdeal)
-            opts="-h -V --help --version demo entry queue stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
+            opts="-h -V --help --version demo entry queue queue-check stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -889,7 +895,7 @@
             return 0
             ;;
         figdeal__subcmd__help)
-            opts="demo entry queue stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
+            opts="demo entry queue queue-check stand-in bench load control config check keys status report submit fetch cancel drain completions man help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -1280,6 +1286,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__help__subcmd__queue__subcmd__check)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__help__subcmd__report)
             opts=""
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -1520,6 +1540,24 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        figdeal__subcmd__queue__subcmd__check)
+            opts="-h --node --json --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --node)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         figdeal__subcmd__report)
             opts="-h --entry --json --help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
