--- a/crates/figdeal-queue/tests/evacuation.rs
+++ b/crates/figdeal-queue/tests/evacuation.rs
@@ -11,7 +11,7 @@
 use figdeal_queue::{
     dispatch::{ColdLimit, Dispatcher, Limits},
     job::{JobId, JobSpec, Policy, Queue, Resources, Step},
-    message::{AgentReport, Announce, Order, RunEvent, RunOutcome, WorkerInfo},
+    message::{AgentReport, Announce, Order, RunEvent, RunId, RunOutcome, RunStatus, WorkerInfo},
     state::{Batch, Change, Command, EvacuationDecision, ReplicatedState},
 };
 
@@ -87,6 +87,8 @@
     /// Runs of each agent that have not ended.
     runs: Vec<BTreeMap<(JobId, u32), (u64, RunEvent)>>,
     event_counts: [u64; AGENTS],
+    /// Number of the newest orders message of each agent.
+    last_orders: [u64; AGENTS],
     cold_ms: [u32; AGENTS],
 }
 
@@ -110,6 +112,7 @@
             dispatcher,
             runs: vec![BTreeMap::new(); AGENTS],
             event_counts: [0; AGENTS],
+            last_orders: [0; AGENTS],
             cold_ms: [0; AGENTS],
         };
         for n in 0..AGENTS {
@@ -131,12 +134,22 @@
         let first_event = self.event_counts[n] + 1;
         self.event_counts[n] += events.len() as u64;
         let label = if is_in_b(n) { RARE_LABEL } else { "usual" };
+        let running = self.runs[n].values().map(|(run, end)| RunStatus {
+            id: RunId {
+                task: end.task,
+                run: *run,
+            },
+            progress_percent: 0,
+            stopping: false,
+            needs_known: true,
+        });
+        let running: Vec<RunStatus> = running.collect();
         let report = AgentReport {
             address: agent_address(n),
             session: SESSION,
             term: 1,
             sent_us: self.now.as_micros(),
-            last_orders: 0,
+            last_orders: self.last_orders[n],
             first_event,
             last_event: self.event_counts[n],
             worker: Some(WorkerInfo {
@@ -151,10 +164,11 @@
                 data_centre: Some(if is_in_b(n) { "b" } else { "a" }.to_owned()),
                 cold_ms: self.cold_ms[n],
             }),
-            running: (events.is_empty()).then(Vec::new),
+            running: (events.is_empty()).then_some(running),
             undecided: Vec::new(),
             events,
             slow: Vec::new(),
+            unanswered_starts: 0,
         };
         assert!(self.dispatcher.on_report(self.now, report));
     }
@@ -185,6 +199,7 @@
         let mut starts = [0; AGENTS];
         for (address, orders) in self.dispatcher.take_orders() {
             let n = (0..AGENTS).find(|n| agent_address(*n) == address).unwrap();
+            self.last_orders[n] = orders.number;
             for order in orders.orders {
                 let Order::Start { task, run, .. } = order else {
                     continue;
--- a/crates/figdeal-queue/tests/log_lines/node.rs
+++ b/crates/figdeal-queue/tests/log_lines/node.rs
@@ -53,6 +53,8 @@
             seeds: vec![own()],
             voter_count: 1,
             min_resubmit_delay: Duration::ZERO,
+            data_centres: BTreeSet::new(),
+            limits: Limits::default(),
         };
         let clock = clock(0);
         let raft = Raft::new(
@@ -198,11 +200,14 @@
                 capacity: NEEDS,
                 labels: Vec::new(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: Some(Vec::new()),
             undecided: Vec::new(),
             events,
             slow: Vec::new(),
+            unanswered_starts: 0,
         };
         self.message(PeerMessage::Report(Box::new(report)));
     }
--- a/crates/figdeal-queue/tests/waiting.rs
+++ b/crates/figdeal-queue/tests/waiting.rs
@@ -230,6 +230,8 @@
                 capacity: cores(runner.millicores),
                 labels: runner.labels.clone(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: is_periodic.then(|| running.collect()),
             undecided: Vec::new(),
