--- a/crates/figdeal-node/tests/fleet/processes.rs
+++ b/crates/figdeal-node/tests/fleet/processes.rs
@@ -41,6 +41,8 @@
     pub(crate) folder: PathBuf,
     /// Whether proxies listen on the addresses for other processes.
     pub(crate) proxied: bool,
+    /// Data centres that the settings list.
+    pub(crate) data_centres: &'static [&'static str],
 }
 
 impl Layout {
@@ -108,7 +110,10 @@
         if self.proxied {
             text += &format!("internal = \"{}\"\n", self.internal(machine).1);
         }
-        text += "[fault_tolerance]\nmachines = 1\n[bounds]\nresend_ms = 1300\n";
+        text += "[fault_tolerance]\nmachines = 1\n[bounds]\nresend_ms = 1300\n[zones]\n";
+        for name in self.data_centres {
+            text += &format!("{name} = \"region\"\n");
+        }
         let path = self.folder.join(format!("settings-{machine}.toml"));
         // Renamed into place, since a process may read the file at any time.
         let temporary = path.with_extension("new");
--- a/crates/figdeal-node/tests/processes/evacuation.rs
+++ b/crates/figdeal-node/tests/processes/evacuation.rs
@@ -29,6 +29,7 @@
         nodes: NODES,
         folder: folder.path().to_owned(),
         proxied: false,
+        data_centres: &[],
     };
     let fleet = SharedFleet::new(WorkerFleet::new(1));
     for machine in NODES + 1..=NODES + AGENTS {
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -41,6 +41,7 @@
         nodes: NODES,
         folder: folder.to_owned(),
         proxied: false,
+        data_centres: &[],
     }
 }
 
--- a/crates/figdeal-node/tests/soak/callers.rs
+++ b/crates/figdeal-node/tests/soak/callers.rs
@@ -21,7 +21,10 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::processes::{self, Layout};
+use crate::{
+    DATA_CENTRES,
+    processes::{self, Layout},
+};
 
 /// Delay after which a caller resubmits a job.
 const RESUBMIT_DELAY: Duration = Duration::from_millis(1_300);
@@ -55,6 +58,11 @@
     Undoable,
 }
 
+/// Interval between two attempts of the operator who evacuates data centres.
+const OPERATOR_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Distinguishes the random numbers of that operator from those of the others.
+const EVACUATION_SEED: u64 = 0xe5ac;
+
 /// State shared by all callers and the operator.
 #[derive(Debug)]
 pub(crate) struct LoadGenerator {
@@ -274,6 +282,51 @@
         }
     }
 
+    /// Evacuates one data centre after the other and revokes each evacuation, also the last one.
+    pub(crate) fn run_evacuations(&self, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed ^ EVACUATION_SEED);
+        let client = processes::client(Duration::from_secs(1));
+        while !self.is_stopped() {
+            let name = DATA_CENTRES[rng.random_range(0..DATA_CENTRES.len())];
+            if self.request_evacuation(&client, &mut rng, "POST", name) {
+                self.fleet.lock().evacuate(name);
+            }
+            let end = Instant::now() + Duration::from_millis(rng.random_range(500..8_000));
+            while Instant::now() < end && !self.is_stopped() {
+                thread::sleep(OPERATOR_RETRY_INTERVAL);
+            }
+            self.fleet.lock().revoke_evacuation(name);
+            self.request_evacuation(&client, &mut rng, "DELETE", name);
+        }
+    }
+
+    /// Repeats a request at random nodes until it is acknowledged. Returns whether that was before the end of the test.
+    fn request_evacuation(
+        &self,
+        client: &ureq::Agent,
+        rng: &mut SmallRng,
+        method: &str,
+        name: &str,
+    ) -> bool {
+        let path = format!("{}{name}", figdeal_platform::operator::EVACUATION_PATH);
+        // A revocation is repeated also after the end of the test, since the open jobs need the workers.
+        while method == "DELETE" || !self.is_stopped() {
+            let machine = rng.random_range(1..=self.layout.nodes);
+            let to = self.layout.control(machine);
+            let reply = processes::exchange(client, to, method, &path, String::new());
+            match reply.map(|(status, _)| status) {
+                Some(200) => return true,
+                Some(status) if status < 500 => {
+                    let text = format!("EVACUATION: {method} {name} answered with {status}");
+                    self.fleet.lock().checker.violations.push(text);
+                    return false;
+                }
+                _ => thread::sleep(OPERATOR_RETRY_INTERVAL),
+            }
+        }
+        false
+    }
+
     fn configure(&self, client: &ureq::Agent, machine: u8, body: String) -> Option<u16> {
         let to = self.layout.control(machine);
         let path = figdeal_platform::operator::CONFIG_PATH;
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -33,6 +33,8 @@
 const DISKS: u8 = 4;
 /// Number of queue nodes, with and without a disk.
 const NODES: u8 = 5;
+/// Data centres of the workers.
+const DATA_CENTRES: [&str; 2] = ["z0", "z1"];
 /// Number of all machines. Those that are not nodes run an agent and a worker.
 const MACHINES: u8 = 9;
 /// CPU capacity of a worker in thousandths of a core.
@@ -98,6 +100,7 @@
         nodes: NODES,
         folder: folder.path().to_owned(),
         proxied: true,
+        data_centres: &DATA_CENTRES,
     };
     let network = Network::default();
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -125,6 +128,7 @@
     });
     let mut injector = FaultInjector::new(&load, &network, seed, MACHINES);
     let operator = spawn_load(&load, move |load| load.run_operator(seed));
+    let evacuations = spawn_load(&load, move |load| load.run_evacuations(seed));
     let start = Instant::now();
     while fleet.lock().checker.acknowledged_config_version == 0 {
         assert!(
@@ -139,7 +143,11 @@
     injector.run(duration);
     load.stop.store(true, Ordering::Relaxed);
     let bursts = injector.take_callers();
-    for caller in callers.into_iter().chain(bursts).chain([operator]) {
+    for caller in callers
+        .into_iter()
+        .chain(bursts)
+        .chain([operator, evacuations])
+    {
         caller.join().unwrap();
     }
     load.wait_for_open_jobs(match Plan::for_seed(seed).has_bursts {
