Prefer warm workers and do not learn from cold ones

A cold worker with little room was taken before a warm one, and the run times there entered the learned ratio of the queue, by which jobs are refused on arrival. Cold workers now come last, their run times are not learned, and they are not ejected as slow. All of this is in force only with the settings of the limit for cold workers.

--- a/crates/figdeal-queue/src/dispatch/cold.rs
+++ b/crates/figdeal-queue/src/dispatch/cold.rs
@@ -9,6 +9,17 @@
 
 use super::{AgentKey, AgentView, Dispatcher, room::Pool};
 
+/// Factor by which a task is assumed to run longer on a cold worker. The platform does not tell how slow the worker is.
+const COLD_FACTOR: f64 = 2.0;
+
+/// Returns by which factor a task is assumed to run longer because the worker is cold.
+pub(super) fn run_time_factor(agent: &AgentView) -> f64 {
+    match agent.cold_until {
+        Some(_) => COLD_FACTOR,
+        None => 1.0,
+    }
+}
+
 impl Dispatcher {
     /// Records for how long a worker will still be cold. Without a limit for cold workers, this has no effect.
     pub(super) fn record_cold(&mut self, now: Timestamp, key: AgentKey, cold_ms: u32) {
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -200,6 +200,12 @@
             self.agents[key].health.record_failure(now);
             return;
         }
+        let agent = &mut self.agents[key];
+        if agent.cold_until.is_some() {
+            // How long a run takes on a cold worker says nothing about the queue, nor about the worker once it is warm.
+            agent.health.record_success(elapsed_ms, 0.0);
+            return;
+        }
         let queue_ratio = &mut self.backlogs[job.backlog].run_time_ratio;
         let estimate = f64::from(placed.estimate_ms);
         self.agents[key]
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -5,7 +5,7 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, evacuation, overload::PoolRoom,
+    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, cold, evacuation, overload::PoolRoom,
     place::REMOTE_RACK_FACTOR,
 };
 use crate::job::{JobId, Resources, Step};
@@ -277,8 +277,9 @@
         .rack
         .as_ref()
         .is_some_and(|r| !worker.labels.contains(r));
+    let score = agent.health.score() * cold::run_time_factor(agent);
     match in_other_rack {
-        true => agent.health.score() * REMOTE_RACK_FACTOR,
-        false => agent.health.score(),
+        true => score * REMOTE_RACK_FACTOR,
+        false => score,
     }
 }
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -27,9 +27,13 @@
             if self.slow_stops(slow_run.task) > 0 {
                 continue;
             }
-            let health = &mut self.agents[key].health;
+            let agent = &mut self.agents[key];
+            let is_cold = agent.cold_until.is_some();
+            let health = &mut agent.health;
             match slow_run.speed_percent < STALLED_SPEED_PERCENT {
                 true => health.record_failure(now),
+                // A cold worker is slow for a known time, so it is not ejected for it.
+                false if is_cold => {}
                 false => health.record_slow(now, slow_run.speed_percent),
             }
         }
--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -476,3 +476,31 @@
         assert_eq!(reported_losses(&mut agent, now), [expected]);
     }
 }
+
+/// Guards against a leader that does not learn the data centre of a worker, or takes it for cold after its cold time.
+#[test]
+fn data_centre_and_remaining_cold_time_are_reported() {
+    let at = |millis| Timestamp::from_micros(1_000_000 + millis * 1_000);
+    let (mut agent, _) = busy_agent(at(0));
+    agent.take_actions();
+    let beat = Heartbeat {
+        sequence: 2,
+        data_centre: Some("a".to_owned()),
+        cold_time: Duration::from_millis(300),
+        ..heartbeat("w", 1, "pool")
+    };
+    agent.on_heartbeat(at(10), beat);
+    let mut reported = Vec::new();
+    for millis in [10, 210, 410] {
+        agent.on_message(at(millis), orders(at(millis), 3 + millis, Vec::new()));
+        agent.tick(at(millis));
+        let reports = agent.take_actions().into_iter();
+        let workers = reports.filter_map(|action| match action {
+            Action::Send(_, PeerMessage::Report(report)) => report.worker,
+            _ => None,
+        });
+        reported.extend(workers.map(|w| (w.data_centre, w.cold_ms)));
+    }
+    let a = Some("a".to_owned());
+    assert_eq!(reported, [(a.clone(), 300), (a.clone(), 100), (a, 0)]);
+}
--- a/crates/figdeal-queue/tests/evacuation.rs
+++ b/crates/figdeal-queue/tests/evacuation.rs
@@ -88,6 +88,10 @@
     runs: Vec<BTreeMap<(JobId, u32), (u64, RunEvent)>>,
     event_counts: [u64; AGENTS],
     cold_ms: [u32; AGENTS],
+    /// Run time that the agents report.
+    elapsed_ms: u32,
+    /// Run time that the leader expected of the newest run.
+    expected_ms: u32,
 }
 
 fn agent_address(n: usize) -> SocketAddr {
@@ -111,6 +115,8 @@
             runs: vec![BTreeMap::new(); AGENTS],
             event_counts: [0; AGENTS],
             cold_ms: [0; AGENTS],
+            elapsed_ms: 100,
+            expected_ms: 0,
         };
         for n in 0..AGENTS {
             let address = agent_address(n);
@@ -186,9 +192,16 @@
         for (address, orders) in self.dispatcher.take_orders() {
             let n = (0..AGENTS).find(|n| agent_address(*n) == address).unwrap();
             for order in orders.orders {
-                let Order::Start { task, run, .. } = order else {
+                let Order::Start {
+                    task,
+                    run,
+                    expected_ms,
+                    ..
+                } = order
+                else {
                     continue;
                 };
+                self.expected_ms = expected_ms;
                 starts[n] += 1;
                 let end = RunEvent {
                     seq: 0,
@@ -211,9 +224,11 @@
     fn end_runs(&mut self, n: usize) {
         let first = self.event_counts[n] + 1;
         let ends = std::mem::take(&mut self.runs[n]).into_values();
-        let ends = ends
-            .zip(first..)
-            .map(|((_, end), seq)| RunEvent { seq, ..end });
+        let ends = ends.zip(first..).map(|((_, end), seq)| RunEvent {
+            seq,
+            elapsed_ms: self.elapsed_ms,
+            ..end
+        });
         self.report(n, ends.collect());
     }
 
@@ -375,3 +390,28 @@
     leader.place();
     assert_eq!(leader.run_counts(), [8; AGENTS]);
 }
+
+/// Guards against tasks that go to a cold worker while a warm one has room, and against run times on cold workers that make
+/// the leader expect longer runs everywhere, so that it refuses jobs after the end of an evacuation.
+#[test]
+fn cold_workers_are_the_last_choice_and_not_learned_from() {
+    let cold = ColdLimit {
+        overage: 1.5,
+        slack: 5.0,
+    };
+    let mut leader = Leader::new(&[], Limits { cold: Some(cold) });
+    // Without regard to cold workers, the one with the least room would come next.
+    leader.submit(1, 2, Some(RARE_LABEL));
+    leader.place();
+    leader.cold_ms = [0, 500, 0, 500];
+    leader.submit(2, 2, None);
+    let starts = leader.advance();
+    assert_eq!((starts[1], starts[3]), (0, 0));
+    let expected_before = leader.expected_ms;
+    leader.elapsed_ms = 400;
+    leader.end_runs(1);
+    leader.end_runs(3);
+    leader.submit(3, 1, None);
+    leader.place();
+    assert_eq!(leader.expected_ms, expected_before);
+}
