--- a/crates/figdeal-queue/tests/log_lines/node.rs
+++ b/crates/figdeal-queue/tests/log_lines/node.rs
@@ -1,10 +1,10 @@
 //! Lines, counts and gauges of a leader whose queue is flooded, and of one whose job is late.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
-    dispatch::{PoolUsage, QueueUsage},
+    dispatch::{Limits, PoolUsage, QueueUsage},
     job::{JobId, JobSpec, Policy, Queue, QueueConfig, Resources, Step},
     message::{
         AgentReport, Announce, Answer, LeaderInfo, Order, PeerMessage, Request, RunEvent,
