--- a/crates/figdeal-queue/tests/log_lines/leader.rs
+++ b/crates/figdeal-queue/tests/log_lines/leader.rs
@@ -178,3 +178,24 @@
         ["false", "-", "-"]
     );
 }
+
+/// Guards against a task that starts again because its agent is unreachable, without a line that names it.
+#[test]
+fn runs_of_an_unreachable_agent_are_named() {
+    let mut leader = Leader::new();
+    let (run, agent) = leader.place();
+    leader.now = leader.now + Duration::from_millis(1_500);
+    leader.dispatcher.tick(leader.now);
+    let [lost] = &lines("E931")[..] else {
+        panic!("one run is lost: {:?}", lines("E931"))
+    };
+    let expected = [
+        ("task", run.task.to_string()),
+        ("run", run.run.to_string()),
+        ("agent", agent.to_string()),
+        ("term", "6".to_owned()),
+    ];
+    for (name, value) in expected {
+        assert_eq!(field(lost, name), value, "{lost}");
+    }
+}
