Keep the remote factor out of the learned run times

A run outside the rack of its data takes longer by a factor that the deployment knows. The leader counted such a run against its worker and its queue, assumed a factor of 1.5 everywhere, and told the agent the local run time, so that remote runs could count as slow.

The setting bounds.remote_factor (default 1.5) reaches the scheduler in dispatch::Limits, through the field limits of the node options. Each placed run has the factor that holds for its worker; expected times, the decisions on slow and stalled runs and the learned ratios use it.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -12,6 +12,7 @@
 
 use figdeal_platform::{Response, ingress, operator, settings::Settings};
 use figdeal_queue::{
+    dispatch::Limits,
     message::{Answer, PeerMessage, Request},
     node::{Action, Clock, Node, Options},
     raft::{NodeId, Raft, StorageWrite, log::Position},
@@ -187,6 +188,9 @@
         seeds: settings.seeds.clone(),
         voter_count: 2 * settings.tolerated_losses + 1,
         min_resubmit_delay: settings.min_resubmit_delay,
+        limits: Limits {
+            remote_factor: settings.remote_factor,
+        },
     };
     let clock = clock::read();
     let last_index = stored.log.last_index();
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -27,6 +27,7 @@
 mod agents;
 mod audit;
 mod backlog;
+mod limits;
 mod overload;
 mod place;
 mod report;
@@ -37,6 +38,7 @@
 
 pub use admission::Rejection;
 use backlog::{Backlog, BacklogKey};
+pub use limits::Limits;
 pub use overload::{
     PoolRoom, QueueLoad, decayed_peak, is_overloaded, predicted_wait, reserve, retry_after,
     service_order,
@@ -73,6 +75,7 @@
     address: SocketAddr,
     term: Term,
     leading_since: Timestamp,
+    limits: Limits,
     agents: SlotMap<AgentKey, AgentView>,
     by_address: HashMap<SocketAddr, AgentKey>,
     jobs: HashMap<JobId, JobView>,
@@ -123,6 +126,7 @@
             address,
             term,
             leading_since: now,
+            limits: Limits::default(),
             agents: SlotMap::with_key(),
             by_address: HashMap::new(),
             jobs: HashMap::new(),
@@ -163,6 +167,11 @@
         }
     }
 
+    /// Sets the bounds of the deployment.
+    pub fn with_limits(self, limits: Limits) -> Dispatcher {
+        Dispatcher { limits, ..self }
+    }
+
     /// Returns the agents of earlier terms that have not reported; they have to be told who is the leader.
     pub fn agents_with_unknown_runs(&self) -> Vec<SocketAddr> {
         self.agents_with_unknown_runs.iter().copied().collect()
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -16,8 +16,6 @@
 
 /// Number of steps of a queue that are tried in a row if no worker has room for them.
 const MAX_PLACEMENT_MISSES: usize = 32;
-/// Factor by which a task is assumed to run longer on a worker in another rack than its data.
-pub(super) const REMOTE_RACK_FACTOR: f64 = 1.5;
 
 impl Dispatcher {
     /// Starts ready tasks while workers have room: queue by queue as their shares decide, and within a queue first the
@@ -113,6 +111,7 @@
         let run = job.base_run + *starts;
         job.steps[usize::from(task.step)].tasks[task.index as usize] = TaskState::Placed(key, run);
         let needs = step.needs;
+        let remote_factor = self.remote_factor(key, step);
         let placed = PlacedRun {
             run,
             needs,
@@ -120,6 +119,7 @@
             progressed_at: now,
             orders_number: self.agents[key].last_orders + 1,
             estimate_ms: step.estimate_ms,
+            remote_factor,
             stop_number: None,
             backlog,
         };
@@ -137,7 +137,7 @@
             run,
             incarnation,
             needs,
-            expected_ms: (f64::from(step.estimate_ms) * ratio) as u32,
+            expected_ms: (f64::from(step.estimate_ms) * ratio * remote_factor) as u32,
             payload,
         });
         self.mark_due(key);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -194,7 +194,8 @@
             return;
         }
         let queue_ratio = &mut self.backlogs[job.backlog].run_time_ratio;
-        let estimate = f64::from(placed.estimate_ms);
+        // The place of the data says nothing about the worker or the estimates of the queue.
+        let estimate = f64::from(placed.estimate_ms) * placed.remote_factor;
         self.agents[key]
             .health
             .record_success(elapsed_ms, estimate * *queue_ratio);
@@ -319,6 +320,7 @@
         let needs = step.needs;
         let estimate = step.estimate_ms;
         let backlog = self.jobs[&task.job].backlog;
+        let remote_factor = agent.remote_factor(step, self.limits);
         let number = agent.last_orders;
         let placed = PlacedRun {
             run,
@@ -327,6 +329,7 @@
             progressed_at: now,
             orders_number: number,
             estimate_ms: estimate,
+            remote_factor,
             stop_number: None,
             backlog,
         };
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -4,10 +4,7 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{
-    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, overload::PoolRoom,
-    place::REMOTE_RACK_FACTOR,
-};
+use super::{AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, Limits, overload::PoolRoom};
 use crate::job::{JobId, Resources, Step};
 
 /// Number of workers with room that are compared for one task.
@@ -104,6 +101,17 @@
     agent.heard_at + AGENT_SILENCE_TIMEOUT > now
 }
 
+impl AgentView {
+    /// Returns by which factor a run of the step takes longer on the worker because of the place of its data.
+    pub(super) fn remote_factor(&self, step: &Step, limits: Limits) -> f64 {
+        let labels = self.worker.as_ref().map_or(&[][..], |w| &w.labels);
+        match step.rack.as_ref().is_some_and(|r| !labels.contains(r)) {
+            true => limits.remote_factor,
+            false => 1.0,
+        }
+    }
+}
+
 impl Dispatcher {
     /// Brings the index up to date after a change of an agent, its worker or its runs.
     pub(super) fn update_room(&mut self, key: AgentKey) {
@@ -192,6 +200,11 @@
         )
     }
 
+    /// Returns by which factor a run of the step takes longer at this agent because of the place of its data.
+    pub(super) fn remote_factor(&self, key: AgentKey, step: &Step) -> f64 {
+        self.agents[key].remote_factor(step, self.limits)
+    }
+
     /// Returns the agent with the lowest score among those that can start a task of step `number` now. Among equal
     /// scores, the worker with the least room is taken, which leaves room for larger tasks elsewhere.
     pub(super) fn choose_agent(
@@ -219,7 +232,7 @@
             .copied()
             .filter(|key| fits(&self.agents[*key]))
             .take(MAX_CANDIDATES);
-        let score = |key: &AgentKey| score(&self.agents[*key], step);
+        let score = |key: &AgentKey| score(&self.agents[*key], step, self.limits);
         candidates.min_by(|a, b| score(a).total_cmp(&score(b)))
     }
 }
@@ -234,14 +247,6 @@
     limit == 0 || runs.filter(|t| t.job == id && t.step == number).count() < limit as usize
 }
 
-fn score(agent: &AgentView, step: &Step) -> f64 {
-    let worker = agent.worker.as_ref().expect("the worker must be known");
-    let in_other_rack = step
-        .rack
-        .as_ref()
-        .is_some_and(|r| !worker.labels.contains(r));
-    match in_other_rack {
-        true => agent.health.score() * REMOTE_RACK_FACTOR,
-        false => agent.health.score(),
-    }
+fn score(agent: &AgentView, step: &Step, limits: Limits) -> f64 {
+    agent.health.score() * agent.remote_factor(step, limits)
 }
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -54,14 +54,17 @@
             return;
         };
         let backlog = &self.backlogs[job.backlog];
-        let expected_ms = f64::from(placed.estimate_ms) * backlog.run_time_ratio;
-        let remaining_ms = expected_ms * f64::from(100 - progress_percent.min(100))
-            / f64::from(speed_percent.max(1));
+        let local_ms = f64::from(placed.estimate_ms) * backlog.run_time_ratio;
+        let remaining_ms =
+            local_ms * placed.remote_factor * f64::from(100 - progress_percent.min(100))
+                / f64::from(speed_percent.max(1));
         let slow_stops = self.slow_stops(task);
-        let restart_ms = expected_ms * f64::from(time_factor(slow_stops)) + MOVE_COST_MS;
         let spec = Arc::clone(&job.spec);
         let step = &spec.steps[usize::from(task.step)];
         let other = self.choose_agent(now, task.job, task.step, &backlog.pool, step);
+        let other_factor = other.map_or(1.0, |other| self.remote_factor(other, step));
+        let restart_ms =
+            local_ms * other_factor * f64::from(time_factor(slow_stops)) + MOVE_COST_MS;
         let moved = remaining_ms > restart_ms && other.is_some_and(|other| other != key);
         log::info!(
             "E634 run is slow task={task} run={run} agent={} progress_percent={progress_percent} \
@@ -94,7 +97,9 @@
         for (key, agent) in &self.agents {
             for (task, placed) in &agent.placed {
                 let ratio = self.backlogs.get(placed.backlog).map(|b| b.run_time_ratio);
-                let expected = f64::from(placed.estimate_ms) * ratio.unwrap_or(1.0).max(1.0);
+                let expected = f64::from(placed.estimate_ms)
+                    * ratio.unwrap_or(1.0).max(1.0)
+                    * placed.remote_factor;
                 let limit =
                     Duration::from_secs_f64(expected / 1_000.0) * STALL_FACTOR + STALL_SLACK;
                 let is_over = |limit| placed.progressed_at + limit < now;
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -37,6 +37,8 @@
     pub(super) orders_number: u64,
     /// Run time as estimated by the caller.
     pub(super) estimate_ms: u32,
+    /// Factor by which the run takes longer because of the place of its data; 1 in the rack of the data.
+    pub(super) remote_factor: f64,
     /// Number of the orders message that carried the stop, if one was ordered.
     pub(super) stop_number: Option<u64>,
     /// Backlog of the queue that the run belongs to.
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -171,7 +171,8 @@
             .earlier_jobs(self.options.min_resubmit_delay);
         let address = self.options.address;
         let dispatcher = Dispatcher::new(&self.state, address, term, now, wall_ms)
-            .with_earlier_jobs(earlier_jobs);
+            .with_earlier_jobs(earlier_jobs)
+            .with_limits(self.options.limits);
         let agents = dispatcher.agents_with_unknown_runs();
         self.dispatcher = Some(dispatcher);
         self.placement_due = true;
--- a/crates/figdeal-queue/src/node/membership.rs
+++ b/crates/figdeal-queue/src/node/membership.rs
@@ -6,6 +6,7 @@
 
 use super::Node;
 use crate::{
+    dispatch::Limits,
     message::{Hello, PeerMessage},
     raft::{Member, NodeId},
 };
@@ -36,6 +37,8 @@
     pub voter_count: usize,
     /// Minimum delay after which a caller resubmits a volatile job; zero if that is not known.
     pub min_resubmit_delay: Duration,
+    /// Bounds of the deployment for the scheduler.
+    pub limits: Limits,
 }
 
 /// A node with a disk, which may become a voter.
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -4,6 +4,7 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
+    dispatch::Limits,
     job::{JobSpec, Step},
     message::{Answer, LeaderInfo, PeerMessage, RefusalReason, Request},
     node::{Action, Clock, Node, Options},
@@ -28,6 +29,7 @@
         seeds: Vec::new(),
         voter_count: 3,
         min_resubmit_delay: Duration::ZERO,
+        limits: Limits::default(),
     };
     let now = clock(0);
     let raft = Raft::new(NodeId(1), HardState::default(), Log::default(), now.now, 1);
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -14,6 +14,7 @@
         Action as AgentAction, Agent, CALL_TIMEOUT, Heartbeat, ListedOutcome, PollCall,
         START_TIMEOUT, StartCall, StartReply, StopCall,
     },
+    dispatch::Limits,
     job::{JobId, JobSpec, Policy, Queue, QueueConfig, Resources, Step},
     message::{Answer, PeerMessage, Request},
     node::{Action, Clock, Node, Options},
@@ -346,6 +347,7 @@
             seeds,
             voter_count: 3,
             min_resubmit_delay: RESUBMIT_DELAY,
+            limits: Limits::default(),
         };
         machine.is_first_start = false;
         let raft = Raft::new(machine.id, hard_state, log, clock.now, seed);
