Learn run times over a time instead of a number of runs

The ratios of workers and queues were averages with a fixed weight for each run. Under thousands of runs a second the ratio of a queue followed noise, and with few long runs a change of a worker's speed took longer than the 1 to 2 s that docs/heavy-load.md asks for; one run of seven times the expected time raised a worker's ratio by a fifth.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -32,6 +32,7 @@
 mod place;
 mod report;
 mod room;
+mod run_times;
 mod slow_runs;
 mod view;
 mod worker_health;
@@ -44,6 +45,7 @@
     service_order,
 };
 use room::Pools;
+pub use run_times::LearnedRatio;
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
 pub use view::{Submission, VolatileOutcome};
 use worker_health::WorkerHealth;
@@ -183,7 +185,7 @@
         let base = self.term.saturating_sub(job.term) * RUNS_PER_TERM;
         let goal = ResponseGoal::new(&job.policy, age);
         let backlog = self.backlog(&job.queue, &job.pool, job.policy.priority);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let mut view = JobView::new(now, &job.queue, backlog, &job.spec, goal, ratio);
         view.base_run = base;
         view.max_attempts = job.policy.max_attempts;
@@ -216,7 +218,7 @@
         let backlog = self.backlog(&queue.name, &queue.pool, queue.policy.priority);
         let slack = self.slack(queue, spec);
         self.backlogs[backlog].record_slack(slack);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let mut view = JobView::new(now, &queue.name, backlog, spec, goal, ratio);
         let past_run = self.past_runs.get(&id).copied();
         // An earlier leader may have started runs of the same job, so its run numbers are skipped.
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -82,7 +82,7 @@
     /// Returns how long a job may wait so that it still meets its response-time goal.
     pub(super) fn slack(&self, queue: &Queue, spec: &JobSpec) -> Duration {
         let backlog = self.find_backlog(&queue.name, &queue.pool);
-        let ratio = backlog.map_or(1.0, |key| self.backlogs[key].run_time_ratio);
+        let ratio = backlog.map_or(1.0, |key| self.backlogs[key].run_time_ratio.value());
         let run_ms = spec.critical_paths_ms().into_iter().max().unwrap_or(0) as f64 * ratio;
         let slack_ms = run_ms * f64::from(queue.policy.goal_factor - 1.0)
             + f64::from(queue.policy.goal_slack_ms);
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use super::{
-    Dispatcher, TaskState,
+    Dispatcher, LearnedRatio, TaskState,
     overload::{QueueLoad, decayed_peak},
     view::{JobView, PlacedRun, StepView},
 };
@@ -64,7 +64,7 @@
     /// Millicores of the placed runs.
     pub(super) used_millicores: u64,
     /// Average ratio of run time to estimate.
-    pub(super) run_time_ratio: f64,
+    pub(super) run_time_ratio: LearnedRatio,
     /// Average slack of the accepted jobs; `None` before the first.
     pub(super) mean_slack: Option<Duration>,
 }
@@ -81,7 +81,7 @@
             waiting_millicores: 0,
             peak_millicores: 0,
             used_millicores: 0,
-            run_time_ratio: 1.0,
+            run_time_ratio: LearnedRatio::for_queue(),
             mean_slack: None,
         }
     }
@@ -124,7 +124,7 @@
             used_millicores: self.used_millicores,
             peak_millicores: self.peak_millicores,
             mean_slack: self.mean_slack.unwrap_or_default(),
-            waiting_work: self.waiting_work as f64 * self.run_time_ratio,
+            waiting_work: self.waiting_work as f64 * self.run_time_ratio.value(),
         }
     }
 }
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -124,7 +124,7 @@
             backlog,
         };
         self.add_placed(key, task, placed);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let agent = &mut self.agents[key];
         agent.health.record_placement(now);
         let incarnation = agent
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -18,8 +18,6 @@
 /// Time without further starts for an agent that found a start outdated or meant for another worker, or whose worker is
 /// silent, so that the same order is not repeated immediately.
 const STALE_START_DELAY: Duration = Duration::from_millis(30);
-/// Weight of a new run in each queue's moving average of the ratio of run time to estimate.
-const RUN_TIME_RATIO_WEIGHT: f64 = 0.02;
 
 impl Dispatcher {
     /// Processes a report. Returns `false` if the sender is not registered in this term with its present session; it
@@ -198,10 +196,9 @@
         let estimate = f64::from(placed.estimate_ms) * placed.remote_factor;
         self.agents[key]
             .health
-            .record_success(elapsed_ms, estimate * *queue_ratio);
+            .record_success(now, elapsed_ms, estimate * queue_ratio.value());
         if estimate > 0.0 {
-            let ratio = (f64::from(elapsed_ms) / estimate).clamp(0.2, 5.0);
-            *queue_ratio += RUN_TIME_RATIO_WEIGHT * (ratio - *queue_ratio);
+            queue_ratio.record(now, f64::from(elapsed_ms) / estimate);
         }
     }
 
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -54,7 +54,7 @@
             return;
         };
         let backlog = &self.backlogs[job.backlog];
-        let local_ms = f64::from(placed.estimate_ms) * backlog.run_time_ratio;
+        let local_ms = f64::from(placed.estimate_ms) * backlog.run_time_ratio.value();
         let remaining_ms =
             local_ms * placed.remote_factor * f64::from(100 - progress_percent.min(100))
                 / f64::from(speed_percent.max(1));
@@ -96,7 +96,8 @@
         let mut stalled = Vec::new();
         for (key, agent) in &self.agents {
             for (task, placed) in &agent.placed {
-                let ratio = self.backlogs.get(placed.backlog).map(|b| b.run_time_ratio);
+                let backlog = self.backlogs.get(placed.backlog);
+                let ratio = backlog.map(|b| b.run_time_ratio.value());
                 let expected = f64::from(placed.estimate_ms)
                     * ratio.unwrap_or(1.0).max(1.0)
                     * placed.remote_factor;
--- a/crates/figdeal-queue/src/dispatch/worker_health.rs
+++ b/crates/figdeal-queue/src/dispatch/worker_health.rs
@@ -4,8 +4,8 @@
 
 use figdeal_core::time::Timestamp;
 
-/// Weight of one run in the average run time ratio of its worker.
-const SPEED_WEIGHT: f64 = 0.05;
+use super::LearnedRatio;
+
 /// Weight of one run in the average failure fraction of its worker.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Failure fraction above which a worker is ejected.
@@ -20,8 +20,8 @@
 /// Run times and failures of one worker.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WorkerHealth {
-    /// Moving average of run time over expected run time.
-    run_time_ratio: f64,
+    /// Ratio of run time to expected run time.
+    run_time_ratio: LearnedRatio,
     /// Moving average of the fraction of failed runs.
     failure_fraction: f64,
     /// Whether runs were far too slow and none has ended in about the expected time since.
@@ -35,7 +35,7 @@
 impl Default for WorkerHealth {
     fn default() -> WorkerHealth {
         WorkerHealth {
-            run_time_ratio: 1.0,
+            run_time_ratio: LearnedRatio::for_worker(),
             failure_fraction: 0.0,
             is_slow: false,
             paused_until: Timestamp::ZERO,
@@ -46,14 +46,14 @@
 
 impl WorkerHealth {
     /// Records a successful run. Both times are in milliseconds.
-    pub(super) fn record_success(&mut self, elapsed_ms: u32, expected_ms: f64) {
+    pub(super) fn record_success(&mut self, now: Timestamp, elapsed_ms: u32, expected_ms: f64) {
         self.failure_fraction *= 1.0 - FAILURE_WEIGHT;
         if expected_ms > 0.0 {
-            let ratio = (f64::from(elapsed_ms) / expected_ms).clamp(0.2, 5.0);
-            self.run_time_ratio += SPEED_WEIGHT * (ratio - self.run_time_ratio);
+            let ratio = f64::from(elapsed_ms) / expected_ms;
+            self.run_time_ratio.record(now, ratio);
             if self.is_slow && ratio < RECOVERED_RUN_TIME_RATIO {
                 self.is_slow = false;
-                self.run_time_ratio = ratio;
+                self.run_time_ratio.set(ratio.max(0.2));
             }
         }
     }
@@ -61,7 +61,9 @@
     /// Records a run that progresses at `speed` percent of its expected speed.
     pub(super) fn record_slow(&mut self, now: Timestamp, speed: u8) {
         self.is_slow = true;
-        self.run_time_ratio = self.run_time_ratio.max(100.0 / f64::from(speed.max(1)));
+        let ratio = 100.0 / f64::from(speed.max(1));
+        self.run_time_ratio
+            .set(self.run_time_ratio.value().max(ratio));
         self.next_trial = now + TRIAL_INTERVAL;
     }
 
@@ -97,6 +99,6 @@
 
     /// Returns the score of the worker; lower is better.
     pub(super) fn score(&self) -> f64 {
-        self.run_time_ratio * (1.0 + FAILURE_PENALTY * self.failure_fraction)
+        self.run_time_ratio.value() * (1.0 + FAILURE_PENALTY * self.failure_fraction)
     }
 }
--- a/crates/figdeal-queue/tests/locality.rs
+++ b/crates/figdeal-queue/tests/locality.rs
@@ -10,7 +10,7 @@
     job::{JobId, Resources, Step},
     message::Order,
 };
-use scheduler::{Fleet, Site, rack};
+use scheduler::{Fleet, LOAD_DURATION, Site, WORK_PARTS, rack};
 
 /// A deployment of racks with two workers.
 const SITE: Site = Site {
@@ -100,3 +100,22 @@
     let next = starts(&mut fleet);
     assert_eq!(next[0].1, filler[0].1, "{filler:?} {next:?}");
 }
+
+/// Guards against a worker that goes on getting tasks while it is slow: its speed was noticed too late.
+#[test]
+fn tasks_avoid_a_worker_within_two_seconds_after_it_becomes_slow() {
+    let mut fleet = Fleet::new(4, 79);
+    fleet.offer(0.4, 4, WORK_PARTS);
+    let changed_at = fleet.now + LOAD_DURATION / 2;
+    fleet.run_until(changed_at);
+    let before = fleet.agents[0].events;
+    fleet.agents[0].run_time_factor = 2.5;
+    fleet.run_until(changed_at + Duration::from_secs(2));
+    let noticed = fleet.agents[0].events;
+    fleet.run();
+    let after = fleet.agents[0].events - noticed;
+    assert!(
+        after * 4 < before,
+        "{before} runs in 4 s, then {after} in 2 s"
+    );
+}
