Let tasks wait for room in the rack of their data where it pays off

A step whose rack had no room ran elsewhere at once, however soon there was room and however much longer the run took there. Tasks that could run anywhere took room in the rack, and workers of the rack that were not among the first 64 with room were not found.

dispatch/locality.rs decides from the expected wait, both run times, the latest local start and the use of the pool; dispatch/racks.rs keeps the sums that it needs with each run, and the waiting steps. A step waits in its backlog, is left out when steps are taken, and is looked at again when room returns, its time has passed or the rack is lost. Workers of a rack with much local demand count as slower for other tasks. In a pool that is over 80% in use, a volatile job that would be late in its rack and elsewhere is refused.

--- a/crates/figdeal-node/src/metrics_server.rs
+++ b/crates/figdeal-node/src/metrics_server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use figdeal_platform::{Response, settings::METRICS_PORT};
-use figdeal_queue::losses::LossCounts;
+use figdeal_queue::{dispatch::RackWaitCounts, losses::LossCounts};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::sync::watch;
 
@@ -36,3 +36,11 @@
         metrics::counter!("figdeal_queue_runs_lost_total", "reason" => reason).increment(count);
     }
 }
+
+/// Adds waits for racks that have ended to the counter of this process.
+pub(crate) fn count_rack_waits(counts: RackWaitCounts) {
+    let outcomes = [("local", counts.local), ("gave_up", counts.gave_up)];
+    for (outcome, count) in outcomes.into_iter().filter(|(_, count)| *count > 0) {
+        metrics::counter!("figdeal_queue_rack_waits_total", "outcome" => outcome).increment(count);
+    }
+}
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -475,6 +475,7 @@
 
     fn update_metrics(&mut self) {
         metrics_server::count_lost_runs(&self.node.take_losses());
+        metrics_server::count_rack_waits(self.node.take_rack_waits());
         // Both are 0 on nodes that do not lead.
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -28,8 +28,10 @@
 mod audit;
 mod backlog;
 mod limits;
+mod locality;
 mod overload;
 mod place;
+mod racks;
 mod report;
 mod room;
 mod run_times;
@@ -38,12 +40,15 @@
 mod worker_health;
 
 pub use admission::Rejection;
-use backlog::{Backlog, BacklogKey};
+use backlog::{Backlog, BacklogKey, StepRank};
 pub use limits::Limits;
+pub use locality::{Choice, RackLoad, expected_wait, is_contended, is_hopeless, wait_end};
 pub use overload::{
     PoolRoom, QueueLoad, decayed_peak, is_overloaded, predicted_wait, reserve, retry_after,
     service_order,
 };
+pub use racks::RackWaitCounts;
+use racks::{Rack, RackKey};
 use room::Pools;
 pub use run_times::LearnedRatio;
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
@@ -87,6 +92,14 @@
     pools: Pools,
     /// Waiting steps and used room, for each queue.
     backlogs: SlotMap<BacklogKey, Backlog>,
+    /// Racks that hold the data of steps.
+    racks: SlotMap<RackKey, Rack>,
+    /// Racks whose room has changed while steps wait for them.
+    racks_to_wake: Vec<RackKey>,
+    /// Steps that wait for a rack, by the time after which they no longer wait.
+    wait_ends: BTreeSet<(Timestamp, BacklogKey, StepRank)>,
+    /// Waits for racks that have ended since the last [`Dispatcher::take_rack_waits`].
+    rack_wait_counts: RackWaitCounts,
     /// Agents with a placed run of each task, so that the runs of a job are found without a look at each agent.
     placed_tasks: BTreeMap<TaskId, Vec<AgentKey>>,
     /// Volatile jobs of earlier leaders.
@@ -135,6 +148,10 @@
             due_agents: Vec::new(),
             pools: Pools::new(),
             backlogs: SlotMap::with_key(),
+            racks: SlotMap::with_key(),
+            racks_to_wake: Vec::new(),
+            wait_ends: BTreeSet::new(),
+            rack_wait_counts: RackWaitCounts::default(),
             placed_tasks: BTreeMap::new(),
             earlier_jobs: EarlierJobs::default(),
             agents_with_unknown_runs: state.agents.clone(),
@@ -492,6 +509,7 @@
         }
         self.limit_ejection(now);
         self.stop_stalled_runs(now);
+        self.review_racks(now);
         self.sort_out_unplaceable();
         self.shed_load(now);
         if cfg!(debug_assertions) {
@@ -501,7 +519,8 @@
 
     /// Returns when [`Dispatcher::tick`] has to be called next.
     pub fn next_tick(&self) -> Timestamp {
-        self.next_sweep
+        let wait_end = self.wait_ends.first().map(|(until, ..)| *until);
+        wait_end.map_or(self.next_sweep, |end| end.min(self.next_sweep))
     }
 
     /// Handles a run that ended without a result.
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -55,17 +55,23 @@
                 retry_after: NO_WORKER_RETRY_DELAY,
             });
         }
-        let backlog = self
-            .find_backlog(&queue.name, &queue.pool)
-            .map(|key| &self.backlogs[key]);
+        let known = self.find_backlog(&queue.name, &queue.pool);
+        let backlog = known.map(|key| &self.backlogs[key]);
         let is_idle = backlog.is_none_or(|b| !b.is_active());
         let room = self.pool_room(&queue.pool, is_idle.then_some(queue.policy.priority));
         if !spec.volatile || room.total_millicores == 0 {
             return None;
         }
+        let slack = self.slack(queue, spec);
+        let left = slack.saturating_sub(age);
+        if let Some(wait) = known.and_then(|key| self.hopeless_rack_wait(now, key, spec, left)) {
+            return Some(Rejection {
+                reason: RefusalReason::Overload,
+                retry_after: retry_after(wait, id.0),
+            });
+        }
         let load = backlog.map_or(QueueLoad::idle(queue.policy.priority), |b| b.load());
         let wait = predicted_wait(load, room);
-        let slack = self.slack(queue, spec);
         let mean_slack = backlog.and_then(|b| b.mean_slack).unwrap_or(slack);
         let hold_time = match self.is_held(now, id, false) {
             true => self.remaining_hold_time(now),
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -67,6 +67,7 @@
             placed: BTreeMap::new(),
             used: Resources::default(),
             room: None,
+            racks: Vec::new(),
             health: WorkerHealth::default(),
             outbox: Vec::new(),
             orders_due: false,
@@ -107,6 +108,7 @@
             return;
         };
         if self.agents[key].deregistering {
+            self.list_in_racks(key, false);
             self.agents.remove(key);
             self.by_address.remove(&address);
         }
--- a/crates/figdeal-queue/src/dispatch/audit.rs
+++ b/crates/figdeal-queue/src/dispatch/audit.rs
@@ -11,6 +11,7 @@
     pub(super) fn assert_summaries(&self) {
         self.assert_pools();
         self.assert_backlogs();
+        self.assert_racks();
         let placed: usize = self.agents.values().map(|a| a.placed.len()).sum();
         let listed: usize = self.placed_tasks.values().map(Vec::len).sum();
         assert_eq!(listed, placed, "number of placed runs");
@@ -41,6 +42,29 @@
         }
     }
 
+    fn assert_racks(&self) {
+        for (key, rack) in &self.racks {
+            let agents = self.agents.values().filter(|a| a.racks.contains(&key));
+            let (mut total, mut free, mut running, mut ends) = (0, 0, 0, 0);
+            for agent in agents {
+                if let Some(room) = &agent.room {
+                    total += u64::from(room.capacity.millicores);
+                    free += u64::from(room.free.millicores);
+                }
+                for run in agent.placed.values() {
+                    let millicores = run.needs.millicores;
+                    running += u64::from(millicores);
+                    ends += u128::from(millicores) * u128::from(run.expected_end.as_micros());
+                }
+            }
+            let steps = self.jobs.values().flat_map(|job| &job.steps);
+            let waits = steps.filter_map(|s| s.rack_wait);
+            let waiting = waits.filter(|wait| wait.rack() == key).count();
+            let counted = (total, free, running, ends, waiting);
+            assert_eq!(rack.totals(), counted, "rack {key:?}");
+        }
+    }
+
     fn assert_backlogs(&self) {
         for (key, backlog) in &self.backlogs {
             let mut ready = 0;
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -53,6 +53,10 @@
     pub(super) priority: u8,
     /// Steps with ready tasks.
     pub(super) steps: BTreeSet<StepRank>,
+    /// Those of `steps` that wait for a rack.
+    pub(super) rack_waits: BTreeSet<StepRank>,
+    /// Expected work of these, in millicores times microseconds.
+    pub(super) rack_work: u128,
     /// Number of ready tasks.
     pub(super) ready_tasks: usize,
     /// Work of the ready tasks by their estimates, in millicores times milliseconds.
@@ -76,6 +80,8 @@
             pool: pool.to_owned(),
             priority,
             steps: BTreeSet::new(),
+            rack_waits: BTreeSet::new(),
+            rack_work: 0,
             ready_tasks: 0,
             waiting_work: 0,
             waiting_millicores: 0,
@@ -119,12 +125,15 @@
 
     /// Returns the load of the queue for the decisions under overload.
     pub(super) fn load(&self) -> QueueLoad {
+        // What waits for a rack does not compete for the other room of the pool.
+        let rack_work = self.rack_work as f64 / 1_000.0;
         QueueLoad {
             priority: self.priority,
             used_millicores: self.used_millicores,
             peak_millicores: self.peak_millicores,
             mean_slack: self.mean_slack.unwrap_or_default(),
-            waiting_work: self.waiting_work as f64 * self.run_time_ratio.value(),
+            waiting_work: (self.waiting_work as f64 * self.run_time_ratio.value() - rack_work)
+                .max(0.0),
         }
     }
 }
@@ -154,6 +163,7 @@
 
     /// Makes the blocked tasks of a job ready if the steps that they depend on are done.
     pub(super) fn unblock(&mut self, id: JobId) {
+        self.end_job_waits(id);
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_held) else {
             return;
         };
@@ -200,6 +210,7 @@
     }
 
     fn count_removed(&mut self, id: JobId, number: u16, removed: usize) {
+        self.end_step_wait(id, number);
         let job = &self.jobs[&id];
         let step = &job.steps[usize::from(number)];
         let backlog = &mut self.backlogs[job.backlog];
@@ -211,6 +222,9 @@
 
     /// Removes all steps of a job that has ended from its backlog.
     pub(super) fn remove_steps(&mut self, id: JobId, job: &JobView) {
+        for wait in job.steps.iter().filter_map(|step| step.rack_wait) {
+            self.end_wait(job.backlog, wait);
+        }
         let backlog = &mut self.backlogs[job.backlog];
         for (number, (step, spec)) in job.steps.iter().zip(&job.spec.steps).enumerate() {
             backlog.subtract_ready(spec, step.ready_tasks.len());
@@ -220,6 +234,7 @@
 
     /// Moves the steps of a job to another class of its backlog, but those that no worker can run.
     pub(super) fn move_steps(&mut self, id: JobId, class: Class) {
+        self.end_job_waits(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -252,6 +267,7 @@
             }
         }
         for (key, rank) in changed {
+            self.end_step_wait(rank.job, rank.step);
             let job = self.jobs.get_mut(&rank.job).expect("the job must be known");
             let step = &mut job.steps[usize::from(rank.step)];
             self.backlogs[key].steps.remove(&rank);
@@ -293,6 +309,7 @@
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores += u64::from(placed.needs.millicores);
         }
+        self.add_rack_run(key, &placed);
         self.update_room(key);
     }
 
@@ -312,6 +329,7 @@
         if let Some(backlog) = self.backlogs.get_mut(placed.backlog) {
             backlog.used_millicores -= u64::from(placed.needs.millicores);
         }
+        self.remove_rack_run(key, &placed);
         self.update_room(key);
     }
 }
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -5,7 +5,7 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AgentKey, Dispatcher, PlacedRun, TaskState,
+    AgentKey, Dispatcher, PlacedRun, RackKey, TaskState,
     backlog::{BacklogKey, StepRank},
     overload::{PoolRoom, reserve, service_order},
 };
@@ -21,6 +21,7 @@
     /// Starts ready tasks while workers have room: queue by queue as their shares decide, and within a queue first the
     /// jobs that have started, then by latest start.
     pub fn place(&mut self, now: Timestamp) {
+        self.wake_rack_waits(now);
         let waiting = self.backlogs.iter().filter(|(_, b)| b.ready_tasks > 0);
         let mut open: Vec<(BacklogKey, PoolRoom)> = waiting
             .map(|(key, b)| (key, self.pool_room(&b.pool, None)))
@@ -41,11 +42,15 @@
 
     /// Places tasks of the first step of the queue that a worker has room for. Returns whether there is one.
     fn place_next(&mut self, now: Timestamp, key: BacklogKey) -> bool {
-        let steps = self.backlogs[key].steps.iter().take(MAX_PLACEMENT_MISSES);
-        let steps: Vec<StepRank> = steps.copied().collect();
-        steps
+        let backlog = &self.backlogs[key];
+        let waits = backlog.rack_waits.len();
+        // Steps that wait for their rack do not count as misses.
+        let steps = backlog.steps.difference(&backlog.rack_waits);
+        let steps: Vec<StepRank> = steps.take(MAX_PLACEMENT_MISSES).copied().collect();
+        let placed = steps
             .iter()
-            .any(|rank| self.place_step(now, key, rank.job, rank.step))
+            .any(|rank| self.place_step(now, key, rank.job, rank.step));
+        placed || self.backlogs[key].rack_waits.len() > waits
     }
 
     /// Returns whether a task of the queue may take room that more urgent queues need next.
@@ -70,17 +75,23 @@
         };
         let step = &spec.steps[usize::from(number)];
         let mut placed = false;
+        let pool = self.backlogs[key].pool.clone();
+        let rack = self.rack_of(&pool, step);
         while !self.jobs[&id].steps[usize::from(number)]
             .ready_tasks
             .is_empty()
         {
-            let pool = &self.backlogs[key].pool;
             if !self.is_allowed(key, step.needs) {
                 break;
             }
-            let Some(agent) = self.choose_agent(now, id, number, pool, step) else {
+            let Some(agent) = self.choose_agent(now, id, number, &pool, step, rack) else {
                 break;
             };
+            if self.waits_for_rack(now, id, number, rack, agent) {
+                break;
+            }
+            let is_local = rack.is_some_and(|rack| self.agents[agent].racks.contains(&rack));
+            self.count_wait_outcome(now, id, number, is_local);
             self.set_started(id);
             let index = self
                 .pop_ready(id, number)
@@ -90,7 +101,7 @@
                 step: number,
                 index,
             };
-            self.place_task(now, agent, task, step, spec.payload.clone());
+            self.place_task(now, agent, task, step, rack, spec.payload.clone());
             placed = true;
         }
         placed
@@ -102,6 +113,7 @@
         key: AgentKey,
         task: TaskId,
         step: &Step,
+        data_rack: Option<RackKey>,
         payload: String,
     ) {
         let job = self.jobs.get_mut(&task.job).expect("the job must be known");
@@ -120,6 +132,9 @@
             orders_number: self.agents[key].last_orders + 1,
             estimate_ms: step.estimate_ms,
             remote_factor,
+            placed_at: now,
+            expected_end: now + self.expected_run_time(key, backlog, step),
+            data_rack,
             stop_number: None,
             backlog,
         };
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -42,6 +42,7 @@
         agent.worker = report.worker;
         if worker_changed {
             self.refresh_kinds();
+            self.update_racks(key);
             self.update_room(key);
         }
         // A report with all runs is answered even without new orders, which renews the agent lease.
@@ -296,6 +297,14 @@
         let placed_agent = placed_key
             .and_then(|k| self.agents.get(k))
             .map(|a| a.address);
+        let pool = self
+            .jobs
+            .get(&task.job)
+            .map(|j| self.backlogs[j.backlog].pool.clone());
+        let data_rack = match (pool, step) {
+            (Some(pool), Some(step)) => self.rack_of(&pool, step),
+            _ => None,
+        };
         let agent = &mut self.agents[key];
         let Some(step) = step.filter(|_| is_unplaced && !agent.placed.contains_key(&task)) else {
             log::info!(
@@ -327,10 +336,15 @@
             orders_number: number,
             estimate_ms: estimate,
             remote_factor,
+            placed_at: now,
+            expected_end: now + self.expected_run_time(key, backlog, step),
+            data_rack,
             stop_number: None,
             backlog,
         };
-        agent.outbox.push(Order::Adopt { task, run, needs });
+        self.agents[key]
+            .outbox
+            .push(Order::Adopt { task, run, needs });
         self.add_placed(key, task, placed);
         self.remove_ready(task);
         self.set_started(task.job);
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -1,10 +1,17 @@
 //! Index of the free room of the workers, so that the work to place a task does not grow with the fleet.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
 
 use figdeal_core::time::Timestamp;
 
-use super::{AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, Limits, overload::PoolRoom};
+use super::{
+    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, Limits, RackKey,
+    backlog::BacklogKey,
+    overload::{PoolRoom, millis},
+};
 use crate::job::{JobId, Resources, Step};
 
 /// Number of workers with room that are compared for one task.
@@ -32,6 +39,8 @@
     total_millicores: u64,
     /// Millicores of these workers that no run uses.
     free_millicores: u64,
+    /// Racks of its workers that hold the data of steps, by label.
+    pub(super) racks: HashMap<String, RackKey>,
     /// Whether so many workers are slow or fail that the tasks must be the cause. None is ejected then.
     ejection_suspended: bool,
 }
@@ -71,6 +80,11 @@
         !self.kinds.is_empty()
     }
 
+    /// Returns whether a worker of the pool has the label.
+    pub(super) fn has_label(&self, label: &String) -> bool {
+        self.kinds.iter().any(|kind| kind.labels.contains(label))
+    }
+
     /// Returns whether a worker of the pool can run a task of the step when it is idle.
     pub(super) fn can_run(&self, step: &Step) -> bool {
         let can_run = |kind: &WorkerKind| {
@@ -87,8 +101,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct RoomEntry {
     pool: String,
-    free: Resources,
-    capacity: Resources,
+    pub(super) free: Resources,
+    pub(super) capacity: Resources,
 }
 
 /// Returns whether the worker may take tasks, apart from pauses, ejection and silence.
@@ -126,6 +140,7 @@
             return;
         }
         let previous = std::mem::replace(&mut agent.room, entry.clone());
+        self.update_rack_room(key, previous.as_ref());
         if let Some(previous) = previous {
             let pool = self.pools.entry(previous.pool).or_default();
             pool.remove(previous.free.millicores, key);
@@ -200,6 +215,36 @@
         )
     }
 
+    /// Returns the rack of a step's data, if it is known.
+    pub(super) fn known_rack(&self, pool: &str, step: &Step) -> Option<RackKey> {
+        let racks = &self.pools.get(pool)?.racks;
+        racks.get(step.rack.as_ref()?).copied()
+    }
+
+    /// Returns how long a run of the step is expected to take at this agent.
+    pub(super) fn expected_run_time(
+        &self,
+        key: AgentKey,
+        backlog: BacklogKey,
+        step: &Step,
+    ) -> Duration {
+        let agent = &self.agents[key];
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
+        let factor = ratio * agent.health.run_time_ratio() * self.remote_factor(key, step);
+        millis(f64::from(step.estimate_ms) * factor)
+    }
+
+    /// Returns the score of an agent for a task of the step; lower is better. It grows with the expected end of the run,
+    /// and for workers of racks that other tasks need more.
+    fn score(&self, key: AgentKey, step: &Step, rack: Option<RackKey>) -> f64 {
+        let agent = &self.agents[key];
+        let own = agent.health.score() * agent.remote_factor(step, self.limits);
+        match self.is_in_contended_rack(agent, rack) {
+            true => own * self.limits.remote_factor,
+            false => own,
+        }
+    }
+
     /// Returns by which factor a run of the step takes longer at this agent because of the place of its data.
     pub(super) fn remote_factor(&self, key: AgentKey, step: &Step) -> f64 {
         self.agents[key].remote_factor(step, self.limits)
@@ -214,6 +259,7 @@
         number: u16,
         pool: &str,
         step: &Step,
+        rack: Option<RackKey>,
     ) -> Option<AgentKey> {
         let pool = self.pools.get(pool)?;
         let with_ejection = !pool.ejection_suspended;
@@ -232,8 +278,18 @@
             .copied()
             .filter(|key| fits(&self.agents[*key]))
             .take(MAX_CANDIDATES);
-        let score = |key: &AgentKey| score(&self.agents[*key], step, self.limits);
-        candidates.min_by(|a, b| score(a).total_cmp(&score(b)))
+        // The workers of the rack need not be among the first with room.
+        let in_rack = rack.and_then(|rack| self.racks.get(rack)).into_iter();
+        let in_rack = in_rack
+            .flat_map(|rack| rack.by_free.range(step.needs.millicores..))
+            .flat_map(|(_, keys)| keys)
+            .copied()
+            .filter(|key| fits(&self.agents[*key]))
+            .take(MAX_CANDIDATES);
+        let score = |key: AgentKey| (self.score(key, step, rack), key);
+        let scores = in_rack.chain(candidates).map(score);
+        let best = scores.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, key)| key)
     }
 }
 
@@ -246,7 +302,3 @@
     let runs = agent.placed.keys();
     limit == 0 || runs.filter(|t| t.job == id && t.step == number).count() < limit as usize
 }
-
-fn score(agent: &AgentView, step: &Step, limits: Limits) -> f64 {
-    agent.health.score() * agent.remote_factor(step, limits)
-}
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -13,6 +13,7 @@
     AgentKey,
     backlog::{BacklogKey, Class},
     overload::millis,
+    racks::{RackKey, RackWait},
     room::RoomEntry,
     worker_health::WorkerHealth,
 };
@@ -39,6 +40,12 @@
     pub(super) estimate_ms: u32,
     /// Factor by which the run takes longer because of the place of its data; 1 in the rack of the data.
     pub(super) remote_factor: f64,
+    /// When the run was placed or adopted.
+    pub(super) placed_at: Timestamp,
+    /// When the run is expected to end.
+    pub(super) expected_end: Timestamp,
+    /// Rack of the data of the task, if it is known.
+    pub(super) data_rack: Option<RackKey>,
     /// Number of the orders message that carried the stop, if one was ordered.
     pub(super) stop_number: Option<u64>,
     /// Backlog of the queue that the run belongs to.
@@ -93,6 +100,8 @@
     pub(super) used: Resources,
     /// Entry in the index of free room, if the worker may take tasks.
     pub(super) room: Option<RoomEntry>,
+    /// Known racks that the worker is in.
+    pub(super) racks: Vec<RackKey>,
     pub(super) health: WorkerHealth,
     /// Orders for the next message to the agent.
     pub(super) outbox: Vec<Order>,
@@ -124,6 +133,10 @@
     pub(super) latest_start: Timestamp,
     /// Class of the step in its backlog.
     pub(super) class: Class,
+    /// Wait for the rack of the step's data; until its end the step is not placed.
+    pub(super) rack_wait: Option<RackWait>,
+    /// Since when the step has waited for its rack, if no task has started since.
+    pub(super) waiting_since: Option<Timestamp>,
 }
 
 /// How a volatile job ended.
@@ -231,6 +244,8 @@
                 depends_on: step.depends_on.clone(),
                 latest_start: latest_start(*critical_path),
                 class: Class::Waiting,
+                rack_wait: None,
+                waiting_since: None,
             });
         JobView {
             queue: queue.to_owned(),
--- a/crates/figdeal-queue/src/dispatch/worker_health.rs
+++ b/crates/figdeal-queue/src/dispatch/worker_health.rs
@@ -97,6 +97,11 @@
         now >= self.paused_until && (!with_ejection || now >= self.next_trial)
     }
 
+    /// Returns the learned ratio of run time to expected run time.
+    pub(super) fn run_time_ratio(&self) -> f64 {
+        self.run_time_ratio.value()
+    }
+
     /// Returns the score of the worker; lower is better.
     pub(super) fn score(&self) -> f64 {
         self.run_time_ratio.value() * (1.0 + FAILURE_PENALTY * self.failure_fraction)
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -10,7 +10,7 @@
 use figdeal_core::time::Timestamp;
 
 use crate::{
-    dispatch::Dispatcher,
+    dispatch::{Dispatcher, RackWaitCounts},
     job::JobId,
     losses::LossCounts,
     message::{Answer, Hello, LeaderInfo, PeerMessage},
@@ -205,6 +205,14 @@
         dispatcher.map(Dispatcher::take_losses).unwrap_or_default()
     }
 
+    /// Takes the numbers of waits for racks that have ended at this node as the leader since the last call.
+    pub fn take_rack_waits(&mut self) -> RackWaitCounts {
+        let dispatcher = self.dispatcher.as_mut();
+        dispatcher
+            .map(Dispatcher::take_rack_waits)
+            .unwrap_or_default()
+    }
+
     /// Returns whether requests can be served or forwarded, so that the load balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         self.shutdown_deadline.is_none() && (self.is_serving() || self.leader_address().is_some())
--- a/crates/figdeal-queue/tests/fleet/scheduler.rs
+++ b/crates/figdeal-queue/tests/fleet/scheduler.rs
@@ -128,6 +128,8 @@
     pub(crate) work: f64,
     /// Starts of tasks whose data is in a rack: in that rack, and elsewhere.
     pub(crate) hot_starts: [u32; 2],
+    /// Work of the offered jobs whose data is in a rack, in millicores times milliseconds.
+    pub(crate) hot_work: f64,
     /// Outcome of the jobs whose data is in a rack: offered, in time.
     pub(crate) hot_jobs: [u32; 2],
 }
@@ -332,7 +334,10 @@
             ..Step::default()
         };
         self.served.offered[kind] += 1;
-        self.served.hot_jobs[0] += u32::from(rack.is_some());
+        if rack.is_some() {
+            self.served.hot_jobs[0] += 1;
+            self.served.hot_work += run_ms * f64::from(count * KINDS[kind].millicores);
+        }
         if !self.submit(id, kind, step, run_ms) {
             self.served.refused += 1;
         }
@@ -411,7 +416,7 @@
         }
     }
 
-    fn end_run(&mut self, index: usize, task: TaskId, run: u64) {
+    pub(crate) fn end_run(&mut self, index: usize, task: TaskId, run: u64) {
         let agent = &mut self.agents[index];
         if agent.runs.get(&task) != Some(&run) {
             return;
