--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -508,6 +508,7 @@
         queue_metrics::count_refusals(&self.node.take_refusals());
         self.usage_gauges.update(clock::now(), || self.node.usage());
         self.request_log.write_omitted();
+        metrics_server::count_rack_waits(self.node.take_rack_waits());
         // Both are 0 on nodes that do not lead.
         let (jobs, waiting_tasks) = self.node.load().unwrap_or_default();
         metrics::gauge!("figdeal_queue_jobs").set(jobs as f64);
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -30,11 +30,14 @@
 mod cold;
 mod evacuation;
 mod limits;
+mod locality;
 mod overload;
 mod place;
+mod racks;
 mod report;
 mod retry;
 mod room;
+mod run_times;
 mod slow_runs;
 mod start_flow;
 mod usage;
@@ -43,13 +46,17 @@
 mod worker_health;
 
 pub use admission::Rejection;
-use backlog::{Backlog, BacklogKey};
+use backlog::{Backlog, BacklogKey, StepRank};
 pub use limits::{ColdLimit, Limits};
+pub use locality::{Choice, RackLoad, expected_wait, is_contended, is_hopeless, wait_end};
 pub use overload::{
     PoolRoom, QueueLoad, decayed_peak, fragmentation_margin, is_overloaded, predicted_wait,
     reserve, retry_after, service_order,
 };
+pub use racks::RackWaitCounts;
+use racks::{Rack, RackKey};
 use room::Pools;
+pub use run_times::LearnedRatio;
 pub use usage::{PoolUsage, QueueUsage, Usage};
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
 pub use view::{Submission, VolatileOutcome};
@@ -82,6 +89,7 @@
     address: SocketAddr,
     term: Term,
     leading_since: Timestamp,
+    limits: Limits,
     agents: SlotMap<AgentKey, AgentView>,
     by_address: HashMap<SocketAddr, AgentKey>,
     jobs: HashMap<JobId, JobView>,
@@ -91,11 +99,18 @@
     pools: Pools,
     /// Data centres in which no task may start.
     evacuated: BTreeSet<String>,
-    limits: Limits,
     /// Waiting steps and used room, for each queue.
     backlogs: SlotMap<BacklogKey, Backlog>,
     /// Agents that can start more tasks than before the last placement.
     gained_agents: BTreeSet<AgentKey>,
+    /// Racks that hold the data of steps.
+    racks: SlotMap<RackKey, Rack>,
+    /// Racks whose room has changed while steps wait for them.
+    racks_to_wake: Vec<RackKey>,
+    /// Steps that wait for a rack, by the time after which they no longer wait.
+    wait_ends: BTreeSet<(Timestamp, BacklogKey, StepRank)>,
+    /// Waits for racks that have ended since the last [`Dispatcher::take_rack_waits`].
+    rack_wait_counts: RackWaitCounts,
     /// Agents with a placed run of each task, so that the runs of a job are found without a look at each agent.
     placed_tasks: BTreeMap<TaskId, Vec<AgentKey>>,
     /// Volatile jobs of earlier leaders.
@@ -141,15 +156,19 @@
             address,
             term,
             leading_since: now,
+            limits: Limits::default(),
             agents: SlotMap::with_key(),
             by_address: HashMap::new(),
             jobs: HashMap::new(),
             due_agents: Vec::new(),
             pools: Pools::new(),
             evacuated: state.evacuated.clone(),
-            limits: Limits::default(),
             backlogs: SlotMap::with_key(),
             gained_agents: BTreeSet::new(),
+            racks: SlotMap::with_key(),
+            racks_to_wake: Vec::new(),
+            wait_ends: BTreeSet::new(),
+            rack_wait_counts: RackWaitCounts::default(),
             placed_tasks: BTreeMap::new(),
             earlier_jobs: EarlierJobs::default(),
             agents_with_unknown_runs: state.agents.clone(),
@@ -186,7 +205,7 @@
         }
     }
 
-    /// Replaces the limits, of which there are none otherwise.
+    /// Sets the bounds of the deployment.
     pub fn with_limits(self, limits: Limits) -> Dispatcher {
         Dispatcher { limits, ..self }
     }
@@ -202,7 +221,7 @@
         let base = self.term.saturating_sub(job.term) * RUNS_PER_TERM;
         let goal = ResponseGoal::new(&job.policy, age);
         let backlog = self.backlog(&job.queue, &job.pool, job.policy.priority);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let mut view = JobView::new(now, &job.queue, backlog, &job.spec, goal, ratio);
         view.base_run = base;
         view.max_attempts = job.policy.max_attempts;
@@ -235,7 +254,7 @@
         let backlog = self.backlog(&queue.name, &queue.pool, queue.policy.priority);
         let slack = self.slack(queue, spec);
         self.backlogs[backlog].record_slack(slack);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let mut view = JobView::new(now, &queue.name, backlog, spec, goal, ratio);
         let past_run = self.past_runs.get(&id).copied();
         // An earlier leader may have started runs of the same job, so its run numbers are skipped.
@@ -510,6 +529,7 @@
         self.wake_for_available(last_sweep, now);
         self.check_wakes = true;
         self.stop_stalled_runs(now);
+        self.review_racks(now);
         self.sort_out_unplaceable();
         self.shed_load(now);
         if cfg!(debug_assertions) {
@@ -519,7 +539,8 @@
 
     /// Returns when [`Dispatcher::tick`] has to be called next.
     pub fn next_tick(&self) -> Timestamp {
-        self.next_sweep
+        let wait_end = self.wait_ends.first().map(|(until, ..)| *until);
+        wait_end.map_or(self.next_sweep, |end| end.min(self.next_sweep))
     }
 
     /// Handles a run that ended without a result.
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -55,17 +55,23 @@
                 retry_after: NO_WORKER_RETRY_DELAY,
             });
         }
-        let backlog = self
-            .find_backlog(&queue.name, &queue.pool)
-            .map(|key| &self.backlogs[key]);
+        let known = self.find_backlog(&queue.name, &queue.pool);
+        let backlog = known.map(|key| &self.backlogs[key]);
         let is_idle = backlog.is_none_or(|b| !b.is_active());
         let room = self.pool_room(&queue.pool, is_idle.then_some(queue.policy.priority));
         if !spec.volatile || room.total_millicores == 0 {
             return None;
         }
+        let slack = self.slack(queue, spec);
+        let left = slack.saturating_sub(age);
+        if let Some(wait) = known.and_then(|key| self.hopeless_rack_wait(now, key, spec, left)) {
+            return Some(Rejection {
+                reason: RefusalReason::Overload,
+                retry_after: retry_after(wait, id.0),
+            });
+        }
         let load = backlog.map_or(QueueLoad::idle(queue.policy.priority), |b| b.load());
         let wait = predicted_wait(load, room);
-        let slack = self.slack(queue, spec);
         let mean_slack = backlog.and_then(|b| b.mean_slack).unwrap_or(slack);
         let hold_time = match self.is_held(now, id, false) {
             true => self.remaining_hold_time(now),
@@ -82,7 +88,7 @@
     /// Returns how long a job may wait so that it still meets its response-time goal.
     pub(super) fn slack(&self, queue: &Queue, spec: &JobSpec) -> Duration {
         let backlog = self.find_backlog(&queue.name, &queue.pool);
-        let ratio = backlog.map_or(1.0, |key| self.backlogs[key].run_time_ratio);
+        let ratio = backlog.map_or(1.0, |key| self.backlogs[key].run_time_ratio.value());
         let run_ms = spec.critical_paths_ms().into_iter().max().unwrap_or(0) as f64 * ratio;
         let slack_ms = run_ms * f64::from(queue.policy.goal_factor - 1.0)
             + f64::from(queue.policy.goal_slack_ms);
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -68,6 +68,7 @@
             placed: BTreeMap::new(),
             used: Resources::default(),
             room: None,
+            racks: Vec::new(),
             health: WorkerHealth::default(),
             start_flow: StartFlow::default(),
             outbox: Vec::new(),
@@ -110,6 +111,7 @@
             return;
         };
         if self.agents[key].deregistering {
+            self.list_in_racks(key, false);
             self.agents.remove(key);
             self.by_address.remove(&address);
         }
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use super::{
-    Dispatcher, TaskState,
+    Dispatcher, LearnedRatio, TaskState,
     overload::{QueueLoad, decayed_peak},
     view::{JobView, PlacedRun, StepView},
     waiting::{WaitingSteps, WakeCondition},
@@ -56,6 +56,8 @@
     pub(super) steps: BTreeSet<StepRank>,
     /// The same steps, by what they wait for.
     pub(super) waiting: WaitingSteps,
+    /// Expected work of the steps that wait for a rack, in millicores times microseconds.
+    pub(super) rack_work: u128,
     /// Number of ready tasks.
     pub(super) ready_tasks: usize,
     /// Work of the ready tasks by their estimates, in millicores times milliseconds.
@@ -67,7 +69,7 @@
     /// Millicores of the placed runs.
     pub(super) used_millicores: u64,
     /// Average ratio of run time to estimate.
-    pub(super) run_time_ratio: f64,
+    pub(super) run_time_ratio: LearnedRatio,
     /// Average slack of the accepted jobs; `None` before the first.
     pub(super) mean_slack: Option<Duration>,
 }
@@ -80,12 +82,13 @@
             priority,
             steps: BTreeSet::new(),
             waiting: WaitingSteps::default(),
+            rack_work: 0,
             ready_tasks: 0,
             waiting_work: 0,
             waiting_millicores: 0,
             peak_millicores: 0,
             used_millicores: 0,
-            run_time_ratio: 1.0,
+            run_time_ratio: LearnedRatio::for_queue(),
             mean_slack: None,
         }
     }
@@ -149,12 +152,15 @@
 
     /// Returns the load of the queue for the decisions under overload.
     pub(super) fn load(&self) -> QueueLoad {
+        // What waits for a rack does not compete for the other room of the pool.
+        let rack_work = self.rack_work as f64 / 1_000.0;
         QueueLoad {
             priority: self.priority,
             used_millicores: self.used_millicores,
             peak_millicores: self.peak_millicores,
             mean_slack: self.mean_slack.unwrap_or_default(),
-            waiting_work: self.waiting_work as f64 * self.run_time_ratio,
+            waiting_work: (self.waiting_work as f64 * self.run_time_ratio.value() - rack_work)
+                .max(0.0),
         }
     }
 }
@@ -184,6 +190,7 @@
 
     /// Makes the blocked tasks of a job ready if the steps that they depend on are done.
     pub(super) fn unblock(&mut self, id: JobId) {
+        self.end_job_waits(id);
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_held) else {
             return;
         };
@@ -212,6 +219,7 @@
 
     /// Makes a single task ready again, if the steps that its step depends on are done.
     pub(super) fn requeue(&mut self, task: TaskId) {
+        self.end_step_wait(task.job, task.step);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -250,6 +258,7 @@
     }
 
     fn count_removed(&mut self, id: JobId, number: u16, removed: usize) {
+        self.end_step_wait(id, number);
         let job = &self.jobs[&id];
         let step = &job.steps[usize::from(number)];
         let spec = &job.spec.steps[usize::from(number)];
@@ -266,6 +275,9 @@
 
     /// Removes all steps of a job that has ended from its backlog.
     pub(super) fn remove_steps(&mut self, id: JobId, job: &JobView) {
+        for wait in job.steps.iter().filter_map(|step| step.rack_wait) {
+            self.end_wait(job.backlog, wait);
+        }
         let backlog = &mut self.backlogs[job.backlog];
         for (number, (step, spec)) in job.steps.iter().zip(&job.spec.steps).enumerate() {
             backlog.subtract_ready(spec, step.ready_tasks.len());
@@ -275,6 +287,7 @@
 
     /// Moves the steps of a job to another class of its backlog, but those that no worker can run.
     pub(super) fn move_steps(&mut self, id: JobId, class: Class) {
+        self.end_job_waits(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -311,6 +324,7 @@
             }
         }
         for (key, rank) in changed {
+            self.end_step_wait(rank.job, rank.step);
             let job = self.jobs.get_mut(&rank.job).expect("the job must be known");
             let step = &mut job.steps[usize::from(rank.step)];
             let spec = &job.spec.steps[usize::from(rank.step)];
@@ -354,6 +368,7 @@
             backlog.used_millicores += u64::from(placed.needs.millicores);
             backlog.raise_peak();
         }
+        self.add_rack_run(key, &placed);
         self.update_room(key);
     }
 
@@ -374,6 +389,7 @@
             backlog.used_millicores -= u64::from(placed.needs.millicores);
             backlog.waiting.run_ended(task.job, task.step);
         }
+        self.remove_rack_run(key, &placed);
         self.update_room(key);
     }
 }
--- a/crates/figdeal-queue/src/dispatch/limits.rs
+++ b/crates/figdeal-queue/src/dispatch/limits.rs
@@ -1,12 +1,33 @@
-//! Limits of the scheduler that the settings of a deployment give.
+//! Bounds that the settings of a deployment give the scheduler.
 
-/// Limits of the scheduler. The default has none.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+/// Factor by which a run outside the rack of its data takes longer, where the settings have none.
+const DEFAULT_REMOTE_FACTOR: f64 = 1.5;
+
+/// Bounds of a deployment. The default is for a deployment whose settings have none.
+///
+/// ```
+/// use figdeal_queue::dispatch::Limits;
+///
+/// let limits = Limits { remote_factor: 3.0, ..Limits::default() };
+/// assert_eq!(limits.remote_factor, 3.0);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
+    /// Factor by which a run outside the rack of its step's data takes longer; at least 1.
+    pub remote_factor: f64,
     /// Limit of the runs of cold workers; `None` for no limit.
     pub cold: Option<ColdLimit>,
 }
 
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            remote_factor: DEFAULT_REMOTE_FACTOR,
+            cold: None,
+        }
+    }
+}
+
 /// Limit of the runs of a cold worker, relative to the warm workers of its pool.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdLimit {
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -5,19 +5,16 @@
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AgentKey, Dispatcher, PlacedRun, TaskState,
+    AgentKey, Dispatcher, PlacedRun, RackKey, TaskState,
     backlog::{self, BacklogKey, StepRank},
     overload::{PoolRoom, fragmentation_margin, reserve, service_order},
     waiting::WakeCondition,
 };
 use crate::{
-    job::{Step, TaskId},
+    job::{JobId, Step, TaskId},
     message::Order,
 };
 
-/// Factor by which a task is assumed to run longer on a worker in another rack than its data.
-pub(super) const REMOTE_RACK_FACTOR: f64 = 1.5;
-
 /// Result of an attempt to place tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Attempt {
@@ -33,6 +30,7 @@
     /// Starts ready tasks while workers have room: queue by queue as their shares decide, and within a queue first the
     /// jobs that have started, then by latest start. Steps that cannot be placed are set aside.
     pub fn place(&mut self, now: Timestamp) {
+        self.wake_rack_waits(now);
         self.wake_due(now);
         self.wake_for_room();
         while self.place_awake(now) && !self.gained_agents.is_empty() {
@@ -101,24 +99,42 @@
         let spec = Arc::clone(&self.jobs[&id].spec);
         let step = &spec.steps[usize::from(number)];
         let mut attempt = Attempt::NoRoom;
+        let pool = self.backlogs[key].pool.clone();
+        let rack = self.rack_of(&pool, step);
         while !self.jobs[&id].steps[usize::from(number)]
             .ready_tasks
             .is_empty()
         {
-            match self.next_start(now, key, rank, step) {
+            match self.next_start(now, key, rank, step, rack) {
+                Ok((agent, _)) if self.waits_for_rack(now, id, number, rack, agent) => {
+                    if attempt != Attempt::Placed {
+                        attempt = Attempt::Elsewhere;
+                    }
+                    self.set_aside_step(
+                        key,
+                        id,
+                        number,
+                        WakeCondition::Rack {
+                            job: id,
+                            step: number,
+                        },
+                    );
+                    break;
+                }
                 Ok((agent, task)) => {
+                    let is_local =
+                        rack.is_some_and(|rack| self.agents[agent].racks.contains(&rack));
+                    self.count_wait_outcome(now, id, number, is_local);
                     self.set_started(id);
                     self.take_ready(task);
-                    self.place_task(now, agent, task, step, spec.payload.clone());
+                    self.place_task(now, agent, task, step, rack, spec.payload.clone());
                     attempt = Attempt::Placed;
                 }
                 Err(condition) => {
                     if attempt != Attempt::Placed && !condition.lacks_room() {
                         attempt = Attempt::Elsewhere;
                     }
-                    let job = &self.jobs[&id];
-                    let rank = backlog::rank(&job.steps[usize::from(number)], id, number);
-                    self.set_aside(key, rank, condition);
+                    self.set_aside_step(key, id, number, condition);
                     break;
                 }
             }
@@ -126,6 +142,18 @@
         attempt
     }
 
+    fn set_aside_step(
+        &mut self,
+        key: BacklogKey,
+        id: JobId,
+        number: u16,
+        condition: WakeCondition,
+    ) {
+        let step = &self.jobs[&id].steps[usize::from(number)];
+        let rank = backlog::rank(step, id, number);
+        self.set_aside(key, rank, condition);
+    }
+
     /// Returns the next task of a step and an agent that can start it, or what the step has to wait for.
     fn next_start(
         &self,
@@ -133,6 +161,7 @@
         key: BacklogKey,
         rank: StepRank,
         step: &Step,
+        rack: Option<RackKey>,
     ) -> Result<(AgentKey, TaskId), WakeCondition> {
         let (id, number) = (rank.job, rank.step);
         let millicores = step.needs.millicores;
@@ -140,7 +169,7 @@
             return Err(WakeCondition::Reserve { millicores });
         }
         let pool = &self.backlogs[key].pool;
-        let Some(agent) = self.choose_agent(now, id, number, pool, step, None) else {
+        let Some(agent) = self.choose_agent(now, id, number, pool, step, rack, None) else {
             return Err(self.wait_condition(now, key, rank, step));
         };
         self.choose_task(now, key, rank, step, agent)
@@ -152,6 +181,7 @@
         key: AgentKey,
         task: TaskId,
         step: &Step,
+        data_rack: Option<RackKey>,
         payload: String,
     ) {
         let job = self.jobs.get_mut(&task.job).expect("the job must be known");
@@ -161,6 +191,7 @@
         let run = job.base_run + *starts;
         job.steps[usize::from(task.step)].tasks[task.index as usize] = TaskState::Placed(key, run);
         let needs = step.needs;
+        let remote_factor = self.remote_factor(key, step);
         let placed = PlacedRun {
             run,
             needs,
@@ -168,13 +199,17 @@
             progressed_at: now,
             orders_number: self.agents[key].last_orders + 1,
             estimate_ms: step.estimate_ms,
+            remote_factor,
+            placed_at: now,
+            expected_end: now + self.expected_run_time(key, backlog, step),
+            data_rack,
             stop_number: None,
             backlog,
         };
         let agent = &mut self.agents[key];
         agent.start_flow.record_start(agent.last_orders + 1);
         self.add_placed(key, task, placed);
-        let ratio = self.backlogs[backlog].run_time_ratio;
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
         let agent = &mut self.agents[key];
         agent.health.record_placement(now);
         let incarnation = agent
@@ -187,7 +222,7 @@
             run,
             incarnation,
             needs,
-            expected_ms: (f64::from(step.estimate_ms) * ratio) as u32,
+            expected_ms: (f64::from(step.estimate_ms) * ratio * remote_factor) as u32,
             payload,
         });
         self.mark_due(key);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -18,8 +18,6 @@
 /// Time without further starts for an agent that found a start outdated or meant for another worker, or whose worker is
 /// silent, so that the same order is not repeated immediately.
 const STALE_START_DELAY: Duration = Duration::from_millis(30);
-/// Weight of a new run in each queue's moving average of the ratio of run time to estimate.
-const RUN_TIME_RATIO_WEIGHT: f64 = 0.02;
 
 impl Dispatcher {
     /// Processes a report. Returns `false` if the sender is not registered in this term with its present session; it
@@ -54,6 +52,7 @@
         if worker_changed {
             self.refresh_kinds();
             self.log_if_evacuated(key);
+            self.update_racks(key);
         }
         self.update_room(key);
         if worker_changed || !was_reachable {
@@ -213,17 +212,17 @@
         let agent = &mut self.agents[key];
         if agent.cold_until.is_some() {
             // How long a run takes on a cold worker says nothing about the queue, nor about the worker once it is warm.
-            agent.health.record_success(elapsed_ms, 0.0);
+            agent.health.record_success(now, elapsed_ms, 0.0);
             return;
         }
         let queue_ratio = &mut self.backlogs[job.backlog].run_time_ratio;
-        let estimate = f64::from(placed.estimate_ms);
+        // The place of the data says nothing about the worker or the estimates of the queue.
+        let estimate = f64::from(placed.estimate_ms) * placed.remote_factor;
         self.agents[key]
             .health
-            .record_success(elapsed_ms, estimate * *queue_ratio);
+            .record_success(now, elapsed_ms, estimate * queue_ratio.value());
         if estimate > 0.0 {
-            let ratio = (f64::from(elapsed_ms) / estimate).clamp(0.2, 5.0);
-            *queue_ratio += RUN_TIME_RATIO_WEIGHT * (ratio - *queue_ratio);
+            queue_ratio.record(now, f64::from(elapsed_ms) / estimate);
         }
     }
 
@@ -321,6 +320,14 @@
         let placed_agent = placed_key
             .and_then(|k| self.agents.get(k))
             .map(|a| a.address);
+        let pool = self
+            .jobs
+            .get(&task.job)
+            .map(|j| self.backlogs[j.backlog].pool.clone());
+        let data_rack = match (pool, step) {
+            (Some(pool), Some(step)) => self.rack_of(&pool, step),
+            _ => None,
+        };
         let agent = &mut self.agents[key];
         let Some(step) = step.filter(|_| is_unplaced && !agent.placed.contains_key(&task)) else {
             log::info!(
@@ -342,6 +349,7 @@
         let needs = step.needs;
         let estimate = step.estimate_ms;
         let backlog = self.jobs[&task.job].backlog;
+        let remote_factor = agent.remote_factor(step, self.limits);
         let number = agent.last_orders;
         let placed = PlacedRun {
             run,
@@ -350,10 +358,16 @@
             progressed_at: now,
             orders_number: number,
             estimate_ms: estimate,
+            remote_factor,
+            placed_at: now,
+            expected_end: now + self.expected_run_time(key, backlog, step),
+            data_rack,
             stop_number: None,
             backlog,
         };
-        agent.outbox.push(Order::Adopt { task, run, needs });
+        self.agents[key]
+            .outbox
+            .push(Order::Adopt { task, run, needs });
         self.add_placed(key, task, placed);
         self.remove_ready(task);
         self.set_started(task.job);
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -3,13 +3,16 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     ops::RangeInclusive,
+    time::Duration,
 };
 
 use figdeal_core::time::Timestamp;
 
 use super::{
-    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, cold, evacuation, overload::PoolRoom,
-    place::REMOTE_RACK_FACTOR,
+    AGENT_SILENCE_TIMEOUT, AgentKey, AgentView, Dispatcher, Limits, RackKey,
+    backlog::BacklogKey,
+    cold, evacuation,
+    overload::{PoolRoom, millis},
 };
 use crate::job::{JobId, Resources, Step, TaskId};
 
@@ -51,6 +54,8 @@
     warm_count: u64,
     /// Number of the runs of these workers.
     warm_runs: u64,
+    /// Racks of its workers that hold the data of steps, by label.
+    pub(super) racks: HashMap<String, RackKey>,
     /// Whether so many workers are slow or fail that the tasks must be the cause. None is ejected then.
     ejection_suspended: bool,
 }
@@ -100,6 +105,11 @@
         !self.kinds.is_empty()
     }
 
+    /// Returns whether a worker of the pool has the label.
+    pub(super) fn has_label(&self, label: &String) -> bool {
+        self.kinds.iter().any(|kind| kind.labels.contains(label))
+    }
+
     /// Returns whether a worker of the pool can run a task of the step when it is idle.
     pub(super) fn can_run(&self, step: &Step) -> bool {
         self.kinds.iter().any(|kind| kind.can_run(step))
@@ -119,8 +129,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct RoomEntry {
     pool: String,
-    free: Resources,
-    capacity: Resources,
+    pub(super) free: Resources,
+    pub(super) capacity: Resources,
     runs: u64,
     is_cold: bool,
     /// Whether the agent can carry out another start.
@@ -166,6 +176,17 @@
     agent.heard_at + AGENT_SILENCE_TIMEOUT > now
 }
 
+impl AgentView {
+    /// Returns by which factor a run of the step takes longer on the worker because of the place of its data.
+    pub(super) fn remote_factor(&self, step: &Step, limits: Limits) -> f64 {
+        let labels = self.worker.as_ref().map_or(&[][..], |w| &w.labels);
+        match step.rack.as_ref().is_some_and(|r| !labels.contains(r)) {
+            true => limits.remote_factor,
+            false => 1.0,
+        }
+    }
+}
+
 impl Dispatcher {
     /// Brings the index up to date after a change of an agent, its worker or its runs.
     pub(super) fn update_room(&mut self, key: AgentKey) {
@@ -189,6 +210,7 @@
             .as_ref()
             .is_some_and(|entry| entry.has_gained(previous.as_ref()));
         let joined = previous.is_none();
+        self.update_rack_room(key, previous.as_ref());
         if let Some(previous) = previous {
             let pool = self.pools.entry(previous.pool).or_default();
             pool.remove(previous.free.millicores, key);
@@ -288,6 +310,43 @@
         )
     }
 
+    /// Returns the rack of a step's data, if it is known.
+    pub(super) fn known_rack(&self, pool: &str, step: &Step) -> Option<RackKey> {
+        let racks = &self.pools.get(pool)?.racks;
+        racks.get(step.rack.as_ref()?).copied()
+    }
+
+    /// Returns how long a run of the step is expected to take at this agent.
+    pub(super) fn expected_run_time(
+        &self,
+        key: AgentKey,
+        backlog: BacklogKey,
+        step: &Step,
+    ) -> Duration {
+        let agent = &self.agents[key];
+        let ratio = self.backlogs[backlog].run_time_ratio.value();
+        let factor = ratio * agent.health.run_time_ratio() * self.remote_factor(key, step);
+        millis(f64::from(step.estimate_ms) * factor)
+    }
+
+    /// Returns the score of an agent for a task of the step; lower is better. It grows with the expected end of the run,
+    /// and for workers of racks that other tasks need more.
+    fn score(&self, key: AgentKey, step: &Step, rack: Option<RackKey>) -> f64 {
+        let agent = &self.agents[key];
+        let own = agent.health.score()
+            * agent.remote_factor(step, self.limits)
+            * cold::run_time_factor(agent);
+        match self.is_in_contended_rack(agent, rack) {
+            true => own * self.limits.remote_factor,
+            false => own,
+        }
+    }
+
+    /// Returns by which factor a run of the step takes longer at this agent because of the place of its data.
+    pub(super) fn remote_factor(&self, key: AgentKey, step: &Step) -> f64 {
+        self.agents[key].remote_factor(step, self.limits)
+    }
+
     /// Returns the agent with the lowest score among those that can start a task of step `number` now, other than
     /// `excluded`. Among equal scores, the worker with the least room is taken, which leaves room for larger tasks
     /// elsewhere.
@@ -298,6 +357,7 @@
         number: u16,
         pool: &str,
         step: &Step,
+        rack: Option<RackKey>,
         excluded: Option<AgentKey>,
     ) -> Option<AgentKey> {
         let pool = self.pools.get(pool)?;
@@ -318,8 +378,18 @@
             .copied()
             .filter(|key| Some(*key) != excluded && fits(&self.agents[*key]))
             .take(MAX_CANDIDATES);
-        let score = |key: &AgentKey| score(&self.agents[*key], step);
-        candidates.min_by(|a, b| score(a).total_cmp(&score(b)))
+        // The workers of the rack need not be among the first with room.
+        let in_rack = rack.and_then(|rack| self.racks.get(rack)).into_iter();
+        let in_rack = in_rack
+            .flat_map(|rack| rack.by_free.range(step.needs.millicores..))
+            .flat_map(|(_, keys)| keys)
+            .copied()
+            .filter(|key| Some(*key) != excluded && fits(&self.agents[*key]))
+            .take(MAX_CANDIDATES);
+        let score = |key: AgentKey| (self.score(key, step, rack), key);
+        let scores = in_rack.chain(candidates).map(score);
+        let best = scores.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, key)| key)
     }
 }
 
@@ -340,16 +410,3 @@
     let runs = agent.placed.range(task_range(id, number));
     limit == 0 || runs.take(limit).count() < limit
 }
-
-fn score(agent: &AgentView, step: &Step) -> f64 {
-    let worker = agent.worker.as_ref().expect("the worker must be known");
-    let in_other_rack = step
-        .rack
-        .as_ref()
-        .is_some_and(|r| !worker.labels.contains(r));
-    let score = agent.health.score() * cold::run_time_factor(agent);
-    match in_other_rack {
-        true => score * REMOTE_RACK_FACTOR,
-        false => score,
-    }
-}
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -41,6 +41,8 @@
     Reserve { millicores: u32 },
     /// The time has come.
     Time { at: Timestamp },
+    /// The wait of this step for the rack of its data ends, see [`super::racks`].
+    Rack { job: JobId, step: u16 },
 }
 
 impl WakeCondition {
@@ -81,7 +83,8 @@
             } => offers(needs, label) && below_worker_limit(agent, *job, *step, *max_per_worker),
             WakeCondition::RunEnd { .. }
             | WakeCondition::Reserve { .. }
-            | WakeCondition::Time { .. } => false,
+            | WakeCondition::Time { .. }
+            | WakeCondition::Rack { .. } => false,
         }
     }
 }
@@ -197,7 +200,9 @@
                     (joined || limit_checks <= MAX_LIMIT_CHECKS) && condition.is_met_by(agent)
                 }
                 WakeCondition::RunEnd { .. } => joined,
-                WakeCondition::Reserve { .. } | WakeCondition::Time { .. } => break,
+                WakeCondition::Reserve { .. }
+                | WakeCondition::Time { .. }
+                | WakeCondition::Rack { .. } => break,
             };
             if is_met {
                 met.push(condition.clone());
@@ -293,7 +298,7 @@
         };
         let lacks_room = step.max_per_worker == 0
             || self
-                .choose_agent(now, job, number, pool, &unlimited, None)
+                .choose_agent(now, job, number, pool, &unlimited, None, None)
                 .is_none();
         if lacks_room {
             return WakeCondition::room(step);
@@ -402,7 +407,9 @@
             for (condition, rank) in backlog.waiting.firsts() {
                 if matches!(
                     condition,
-                    WakeCondition::Reserve { .. } | WakeCondition::Time { .. }
+                    WakeCondition::Reserve { .. }
+                        | WakeCondition::Time { .. }
+                        | WakeCondition::Rack { .. }
                 ) {
                     break;
                 }
@@ -410,7 +417,7 @@
                 let step = &spec.steps[usize::from(rank.step)];
                 let can_start = self.is_allowed(key, step.needs.millicores)
                     && self
-                        .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None)
+                        .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None, None)
                         .is_some();
                 if can_start {
                     missed.push((key, rank, condition.clone()));
--- a/crates/figdeal-queue/src/node/membership.rs
+++ b/crates/figdeal-queue/src/node/membership.rs
@@ -43,7 +43,7 @@
     pub min_resubmit_delay: Duration,
     /// Data centres of the deployment; empty if the settings do not list them.
     pub data_centres: BTreeSet<String>,
-    /// Limits of the scheduler.
+    /// Bounds of the deployment for the scheduler.
     pub limits: Limits,
 }
 
--- a/crates/figdeal-queue/tests/evacuation.rs
+++ b/crates/figdeal-queue/tests/evacuation.rs
@@ -372,7 +372,10 @@
         overage: 0.5,
         slack: 1.0,
     };
-    let limited = Limits { cold: Some(cold) };
+    let limited = Limits {
+        cold: Some(cold),
+        ..Limits::default()
+    };
     // The warm workers have 8 runs each, so a cold one may have 0.5 * 8 + 1 = 5.
     for (limits, expected) in [(limited, [8, 5, 8, 5]), (Limits::default(), [8, 8, 8, 8])] {
         let mut leader = Leader::new(&["b"], limits);
@@ -395,7 +398,13 @@
         overage: 0.0,
         slack: 0.0,
     };
-    let mut leader = Leader::new(&[], Limits { cold: Some(cold) });
+    let mut leader = Leader::new(
+        &[],
+        Limits {
+            cold: Some(cold),
+            ..Limits::default()
+        },
+    );
     leader.cold_ms = [0, 150, 0, 150];
     leader.submit(1, 64, None);
     leader.advance();
@@ -414,7 +423,13 @@
         overage: 1.5,
         slack: 5.0,
     };
-    let mut leader = Leader::new(&[], Limits { cold: Some(cold) });
+    let mut leader = Leader::new(
+        &[],
+        Limits {
+            cold: Some(cold),
+            ..Limits::default()
+        },
+    );
     // Without regard to cold workers, the one with the least room would come next.
     leader.submit(1, 2, Some(RARE_LABEL));
     leader.place();
