Refuse evacuation requests that waited through a pause

A request that waited in the socket of a paused node could take effect after the operator had repeated it at another node and then sent the opposite one. A node that has not run for more than a second answers evacuation requests with 503 for another second. E685 shows the answer.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -370,16 +370,15 @@
     input_sender: mpsc::Sender<Input>,
 ) -> Response {
     let start = clock::now();
-    let response = match operator::decode_evacuation(&http_request.method, &http_request.path) {
-        Ok(request) => {
-            let timeout = http_request.caller_timeout;
-            let answer = submit_to_node(request, timeout, &input_sender).await;
-            operator::encode_evacuation_answer(&answer)
-        }
-        Err(response) => response,
+    let decoded = operator::decode_evacuation(&http_request.method, &http_request.path);
+    let request = match decoded {
+        Ok(request) => request,
+        Err(response) => return response,
     };
+    let answer = submit_to_node(request, http_request.caller_timeout, &input_sender).await;
+    let response = operator::encode_evacuation_answer(&answer);
     log::info!(
-        "E685 evacuation request answered method={} path={:?} status={} took_ms={}",
+        "E685 evacuation request answered method={} path={:?} status={} answer={answer:?} took_ms={}",
         http_request.method,
         http_request.path,
         response.status,
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -129,6 +129,8 @@
     NoWorker,
     /// A new leader does not know the data centres of all workers yet.
     WorkersUnknown,
+    /// The node was paused, so the request may be so old that its operator has sent others since.
+    AfterPause,
 }
 
 /// Number of an incarnation of a worker, as counted by its agent.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -140,6 +140,10 @@
     leaderless_since: Option<Timestamp>,
     /// Number of [`Action::Store`] that the driver has not reported as stored.
     pending_stores: usize,
+    /// Last call of [`Node::tick`].
+    ticked_at: Timestamp,
+    /// When the process last went on after a pause.
+    resumed_at: Option<Timestamp>,
     /// Whether something has happened that may let a task start.
     placement_due: bool,
     /// Time at which the process exits at the latest, once it shuts down.
@@ -176,6 +180,8 @@
             recent_jobs: recent_jobs::RecentJobLists::default(),
             leaderless_since: None,
             pending_stores: 0,
+            ticked_at: clock.now,
+            resumed_at: None,
             placement_due: false,
             shutdown_deadline: None,
             actions: Vec::new(),
@@ -237,6 +243,7 @@
     /// Handles timeouts and periodic work that are due.
     pub fn tick(&mut self, clock: Clock) {
         self.clock = clock;
+        self.detect_pause();
         self.raft.tick(clock.now);
         if let Some(dispatcher) = &mut self.dispatcher
             && self.raft.is_serving(clock.now)
--- a/crates/figdeal-queue/src/node/evacuation.rs
+++ b/crates/figdeal-queue/src/node/evacuation.rs
@@ -1,6 +1,8 @@
 //! Requests to evacuate a data centre: the leader rejects unknown data centres, and the log decides the others in its
 //! order.
 
+use std::time::Duration;
+
 use super::{Answer, Node, Origin};
 use crate::{
     message::RefusalReason,
@@ -10,7 +12,30 @@
 /// Milliseconds after which an operator may try again if a new leader does not know all workers yet.
 const WORKERS_UNKNOWN_RETRY_AFTER_MS: u32 = 500;
 
+/// Milliseconds after which an operator may try again at a node that was paused.
+const AFTER_PAUSE_RETRY_AFTER_MS: u32 = 1_000;
+/// Time between two calls of [`Node::tick`] that only a pause of the process explains.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_000);
+/// Time after a pause within which a node still reads requests that were sent during the pause.
+const STALE_REQUEST_WINDOW: Duration = Duration::from_millis(1_000);
+
 impl Node {
+    /// Notices that the process was paused, for example with its machine.
+    pub(super) fn detect_pause(&mut self) {
+        if self.ticked_at + PAUSE_THRESHOLD < self.clock.now {
+            self.resumed_at = Some(self.clock.now);
+        }
+        self.ticked_at = self.clock.now;
+    }
+
+    /// Returns whether a request may have been sent so long ago that its operator has repeated it at another node and has
+    /// even sent the opposite one since.
+    pub(super) fn has_just_resumed(&mut self) -> bool {
+        self.detect_pause();
+        self.resumed_at
+            .is_some_and(|at| at + STALE_REQUEST_WINDOW > self.clock.now)
+    }
+
     /// Handles a request to evacuate a data centre or to revoke its evacuation. Returns `None` if the answer follows
     /// after the commit.
     pub(super) fn set_evacuation(
@@ -77,3 +102,11 @@
         }
     }
 }
+
+/// Returns the answer to a request that reached a node right after a pause.
+pub(super) fn after_pause() -> Answer {
+    Answer::Refused {
+        retry_after_ms: AFTER_PAUSE_RETRY_AFTER_MS,
+        reason: RefusalReason::AfterPause,
+    }
+}
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -71,6 +71,11 @@
             };
             return self.actions.push(Action::Reply(token, refused));
         }
+        if matches!(request, Request::SetEvacuation { .. }) && self.has_just_resumed() {
+            return self
+                .actions
+                .push(Action::Reply(token, super::evacuation::after_pause()));
+        }
         let timeout = match &request {
             Request::SetEvacuation { .. } => max_wait.min(EVACUATION_TIMEOUT),
             _ if is_volatile => max_wait,
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -218,3 +218,47 @@
         assert_eq!(replies(&mut node), [(1, Answer::Invalid)], "{dependency}");
     }
 }
+
+/// Guards against a request about an evacuation that waited in the socket of a paused node and takes effect after its operator
+/// has sent the opposite one to another node.
+#[test]
+fn evacuation_requests_from_before_a_pause_are_refused() {
+    let mut node = node();
+    let leader = "127.0.0.2:7000".parse().unwrap();
+    let info = LeaderInfo {
+        from: leader,
+        leader: Some(leader),
+        serving: true,
+        term: 1,
+        members: Vec::new(),
+    };
+    let request = Request::SetEvacuation {
+        data_centre: "a".to_owned(),
+        evacuated: true,
+    };
+    let mut send = |at: u64| {
+        let info = PeerMessage::LeaderInfo(info.clone());
+        node.on_message(clock(at), info);
+        node.take_actions();
+        node.on_request(clock(at), at, request.clone(), CALLER_TIMEOUT);
+        let actions = node.take_actions();
+        for later in 1..10 {
+            node.tick(clock(at + later * 100));
+        }
+        node.take_actions();
+        actions
+    };
+    let is_forwarded = |actions: &[Action]| {
+        let forward = |a: &Action| matches!(a, Action::Send(_, PeerMessage::Forward { .. }));
+        actions.iter().any(forward)
+    };
+    assert!(is_forwarded(&send(100)));
+    let refused = send(4_000);
+    let reasons = refused.iter().filter_map(|action| match action {
+        Action::Reply(_, answer) => reason(answer),
+        _ => None,
+    });
+    assert!(reasons.eq([RefusalReason::AfterPause]));
+    assert!(!is_forwarded(&refused));
+    assert!(is_forwarded(&send(5_100)));
+}
