Predict the wait with the capacity that is left

The predicted wait counted the room of runs that go on in an evacuated data centre as room that the queue keeps, so right after an evacuation jobs were accepted that could not be served in time. The room of a queue is now at most that of the workers that take tasks.

--- a/crates/figdeal-queue/src/dispatch/overload.rs
+++ b/crates/figdeal-queue/src/dispatch/overload.rs
@@ -140,7 +140,9 @@
 /// assert_eq!(predicted_wait(load, room), Duration::from_millis(200));
 /// ```
 pub fn predicted_wait(load: QueueLoad, room: PoolRoom) -> Duration {
-    let reachable = (load.used_millicores + room.free_millicores).max(room.share(load.priority));
+    // Runs on workers that take no more tasks, for example evacuated ones, leave no room for the queue.
+    let reachable = (load.used_millicores + room.free_millicores).min(room.total_millicores);
+    let reachable = reachable.max(room.share(load.priority));
     let wait_ms = load.waiting_work / reachable.max(1) as f64;
     millis(wait_ms)
 }
