--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -109,8 +109,8 @@
     commands: Vec<Command>,
     /// Runs that agents reported as lost since the last [`Dispatcher::take_losses`].
     losses: LossCounts,
-    /// Time of the last sweep.
-    swept_at: Timestamp,
+    /// When the steps were woken for workers that became available by themselves.
+    availability_checked_at: Timestamp,
     next_sweep: Timestamp,
     /// Whether the next placement checks for steps that were not woken.
     check_wakes: bool,
@@ -148,7 +148,7 @@
             committed_batch: 0,
             commands: Vec::new(),
             losses: LossCounts::default(),
-            swept_at: now,
+            availability_checked_at: now,
             next_sweep: now,
             check_wakes: false,
         };
@@ -464,7 +464,6 @@
         if now < self.next_sweep {
             return;
         }
-        let last_sweep = std::mem::replace(&mut self.swept_at, now);
         self.next_sweep = now + SWEEP_INTERVAL;
         self.refresh_kinds();
         for backlog in self.backlogs.values_mut() {
@@ -487,7 +486,6 @@
             self.release_held_jobs(now);
         }
         self.limit_ejection(now);
-        self.wake_for_available(last_sweep, now);
         self.check_wakes = true;
         self.stop_stalled_runs(now);
         self.sort_out_unplaceable();
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -23,6 +23,11 @@
     /// jobs that have started, then by latest start. Steps that cannot be placed are set aside.
     pub fn place(&mut self, now: Timestamp) {
         self.wake_due(now);
+        let check_wakes = std::mem::take(&mut self.check_wakes);
+        if check_wakes {
+            let since = std::mem::replace(&mut self.availability_checked_at, now);
+            self.wake_for_available(since, now);
+        }
         let waiting = self.backlogs.iter();
         let waiting = waiting.filter(|(_, b)| b.waiting.first_awake().is_some());
         let mut open: Vec<(BacklogKey, PoolRoom)> = waiting
@@ -33,7 +38,7 @@
                 open.swap_remove(position);
             }
         }
-        if std::mem::take(&mut self.check_wakes) {
+        if check_wakes {
             self.wake_missed(now);
         }
     }
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -298,9 +298,12 @@
 
 /// Returns whether the worker may run another task of the step.
 pub(super) fn below_worker_limit(agent: &AgentView, id: JobId, number: u16, limit: u32) -> bool {
+    if limit == 0 {
+        return true;
+    }
     let limit = limit as usize;
     let runs = agent.placed.range(task_range(id, number));
-    limit == 0 || runs.take(limit).count() < limit
+    runs.take(limit).count() < limit
 }
 
 fn score(agent: &AgentView, step: &Step) -> f64 {
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -4,7 +4,10 @@
 //! success is not tried again before its condition is met. Of the steps that wait for the same room only the first is
 //! woken; the next one follows when that one leaves the backlog, so a run that ends costs the same whatever the backlog.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    ops::Bound::{Excluded, Unbounded},
+};
 
 use figdeal_core::time::Timestamp;
 
@@ -19,6 +22,9 @@
 /// others.
 const MAX_LIMIT_CHECKS: usize = 16;
 
+/// Number of conditions of a queue that one sweep checks for missed wake-ups. Each check may look at all workers.
+const MAX_WAKE_CHECKS: usize = 32;
+
 /// What makes a step that was set aside be tried again. The variants that a worker can meet come first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum WakeCondition {
@@ -95,6 +101,8 @@
     by_condition: BTreeMap<WakeCondition, BTreeSet<StepRank>>,
     /// Millicores that the ready tasks of the steps that were set aside need.
     aside_millicores: u64,
+    /// Condition that the sweep has checked last, if some are left.
+    checked: Option<WakeCondition>,
 }
 
 impl WaitingSteps {
@@ -225,12 +233,18 @@
         }
     }
 
-    /// Returns the first step for each condition.
-    fn firsts(&self) -> impl Iterator<Item = (&WakeCondition, StepRank)> {
-        let with_first = |(condition, same): (_, &BTreeSet<StepRank>)| {
-            same.first().map(|rank| (condition, *rank))
+    /// Returns the first step for each of the next [`MAX_WAKE_CHECKS`] conditions, so that each has its turn.
+    fn next_checks(&mut self) -> Vec<(WakeCondition, StepRank)> {
+        let start = self.checked.take().map_or(Unbounded, Excluded);
+        let with_first = |(condition, same): (&WakeCondition, &BTreeSet<StepRank>)| {
+            same.first().map(|rank| (condition.clone(), *rank))
         };
-        self.by_condition.iter().filter_map(with_first)
+        let next = self.by_condition.range((start, Unbounded));
+        let checks: Vec<_> = next.filter_map(with_first).take(MAX_WAKE_CHECKS).collect();
+        if checks.len() == MAX_WAKE_CHECKS {
+            self.checked = checks.last().map(|(condition, _)| condition.clone());
+        }
+        checks
     }
 }
 
@@ -351,15 +365,22 @@
         }
     }
 
-    /// Wakes steps that were set aside although a task of them can be started. That is a missed wake-up, except for the
+    /// Wakes steps that were set aside although a task of them can be started, as far as this sweep checks them. That is a missed wake-up, except for the
     /// conditions that [`MAX_LIMIT_CHECKS`] has left out.
     ///
     /// # Panics
     /// Panics on a missed wake-up in debug builds.
     pub(super) fn wake_missed(&mut self, now: Timestamp) {
         let mut missed = Vec::new();
-        for (key, backlog) in &self.backlogs {
-            for (condition, rank) in backlog.waiting.firsts() {
+        for key in self.backlogs.keys().collect::<Vec<_>>() {
+            let waiting = &mut self.backlogs[key].waiting;
+            // The reserve is looked at with each placement, and may have changed since the steps were tried.
+            if waiting.smallest_reserved().is_some() {
+                continue;
+            }
+            let checks = waiting.next_checks();
+            let backlog = &self.backlogs[key];
+            for (condition, rank) in checks {
                 if matches!(
                     condition,
                     WakeCondition::Reserve { .. } | WakeCondition::Time { .. }
@@ -373,7 +394,7 @@
                         .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None)
                         .is_some();
                 if can_start {
-                    missed.push((key, rank, condition.clone()));
+                    missed.push((key, rank, condition));
                 }
             }
         }
