--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -135,8 +135,8 @@
     commands: Vec<Command>,
     /// Runs that agents reported as lost since the last [`Dispatcher::take_losses`].
     losses: LossCounts,
-    /// Time of the last sweep.
-    swept_at: Timestamp,
+    /// When the steps were woken for workers that became available by themselves.
+    availability_checked_at: Timestamp,
     next_sweep: Timestamp,
     /// Whether the next placement checks for steps that were not woken.
     check_wakes: bool,
@@ -181,7 +181,7 @@
             committed_batch: 0,
             commands: Vec::new(),
             losses: LossCounts::default(),
-            swept_at: now,
+            availability_checked_at: now,
             next_sweep: now,
             check_wakes: false,
         };
@@ -502,7 +502,6 @@
         if now < self.next_sweep {
             return;
         }
-        let last_sweep = std::mem::replace(&mut self.swept_at, now);
         self.next_sweep = now + SWEEP_INTERVAL;
         self.refresh_kinds();
         for backlog in self.backlogs.values_mut() {
@@ -526,7 +525,6 @@
         }
         self.end_cold_times(now);
         self.limit_ejection(now);
-        self.wake_for_available(last_sweep, now);
         self.check_wakes = true;
         self.stop_stalled_runs(now);
         self.review_racks(now);
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -32,12 +32,17 @@
     pub fn place(&mut self, now: Timestamp) {
         self.wake_rack_waits(now);
         self.wake_due(now);
+        let check_wakes = std::mem::take(&mut self.check_wakes);
+        if check_wakes {
+            let since = std::mem::replace(&mut self.availability_checked_at, now);
+            self.wake_for_available(since, now);
+        }
         self.wake_for_room();
         while self.place_awake(now) && !self.gained_agents.is_empty() {
             self.wake_for_room();
         }
         self.gained_agents.clear();
-        if std::mem::take(&mut self.check_wakes) {
+        if check_wakes {
             self.wake_missed(now);
         }
     }
