--- a/crates/figdeal-node/tests/fleet/processes.rs
+++ b/crates/figdeal-node/tests/fleet/processes.rs
@@ -41,6 +41,8 @@
     pub(crate) folder: PathBuf,
     /// Whether proxies listen on the addresses for other processes.
     pub(crate) proxied: bool,
+    /// Table `limits` of the settings; empty for the defaults.
+    pub(crate) limits: String,
 }
 
 impl Layout {
@@ -109,6 +111,7 @@
             text += &format!("internal = \"{}\"\n", self.internal(machine).1);
         }
         text += "[fault_tolerance]\nmachines = 1\n[bounds]\nresend_ms = 1300\n";
+        text += &self.limits;
         let path = self.folder.join(format!("settings-{machine}.toml"));
         // Renamed into place, since a process may read the file at any time.
         let temporary = path.with_extension("new");
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -40,6 +40,7 @@
         nodes: NODES,
         folder: folder.to_owned(),
         proxied: false,
+        limits: String::new(),
     }
 }
 
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -98,6 +98,7 @@
         nodes: NODES,
         folder: folder.path().to_owned(),
         proxied: true,
+        limits: String::new(),
     };
     let network = Network::default();
     let runtime = tokio::runtime::Builder::new_current_thread()
