Bound what hostile clients hold in a node or agent

Cause: each request body of up to 1 MiB was collected before anything else, without a bound over all requests; parts of one byte each kept a read buffer; connections had no bound at all; a peer message allocated its announced length.

Change: all HTTP listeners of a process share a table of connections (`client_table`, no I/O), and so do the connections that other processes open. What an unfinished request holds is taken from a budget before it is read and returned when its connection or value is dropped. When the budget or a bound on connections is short, the connection with the least recent progress is evicted; one whose request is being handled never is. An announced length over the limit is answered with 413 before a byte of the body is read. One check each 500 ms replaces the header timer that hyper set for each request. The limits are the table `[limits]` of the settings. A body is dropped once it is decoded. E659 is now a debug line, since a client can cause any number of them.

The tests `processes` and `client_table` pass.

--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -18,9 +18,12 @@
 };
 
 use crate::{
-    Result, clock,
+    Result,
+    client_table::Class,
+    clock,
     connections::{ConnectionEvent, Connections},
-    http::{self, HttpRequest},
+    gate::{self, Gate},
+    http::{self, HttpLimits, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
     worker_client::{CallError, WorkerClient},
@@ -74,13 +77,20 @@
         settings.name,
         settings.seeds
     );
-    let connections = Connections::listen(own_address, settings.bind_address, event_sender).await?;
+    let http_limits = HttpLimits::start(&settings.client_limits);
+    let peer_gate = Gate::start("peers", gate::agent_peer_limits(&settings.client_limits));
+    let connections =
+        Connections::listen(own_address, settings.bind_address, peer_gate, event_sender).await?;
     let sender = input_sender.clone();
-    http::serve(control, close_receiver.clone(), move |request| {
-        handle_heartbeat(request, sender.clone())
-    })
+    http::serve(
+        control,
+        Class::Ordinary,
+        &http_limits,
+        close_receiver.clone(),
+        move |request| handle_heartbeat(request, sender.clone()),
+    )
     .await?;
-    metrics_server::start(settings.ip, close_receiver).await?;
+    metrics_server::start(settings.ip, &http_limits, close_receiver).await?;
     process::watch_settings_and_signals(
         settings_path,
         settings.clone(),
--- a/crates/figdeal-node/src/connections.rs
+++ b/crates/figdeal-node/src/connections.rs
@@ -23,11 +23,15 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time::timeout,
 };
 
-use crate::clock;
+use crate::{
+    client_table::{Class, Refusal},
+    clock,
+    gate::{Client, Gate, Reservation},
+};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -46,6 +50,8 @@
 const FRAME_HEADER_BYTES: usize = 4;
 /// Initial size of the read buffer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Smallest number of known peers at which those without a connection are removed.
+const MIN_PRUNED_PEERS: usize = 64;
 /// Timeout for the address that the connecting side sends first.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -162,6 +168,8 @@
 struct SharedState {
     next_id: AtomicU64,
     peers: Mutex<HashMap<SocketAddr, Arc<PeerState>>>,
+    /// Number of entries in `peers` at which those without a connection are removed: any client may state an address.
+    prune_at: AtomicUsize,
 }
 
 impl SharedState {
@@ -171,12 +179,18 @@
 
     fn peer_state(&self, peer: SocketAddr) -> Arc<PeerState> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if peers.len() >= self.prune_at.load(Ordering::Relaxed) {
+            peers.retain(|_, state| Arc::strong_count(state) > 1);
+            let prune_at = (2 * peers.len()).max(MIN_PRUNED_PEERS);
+            self.prune_at.store(prune_at, Ordering::Relaxed);
+        }
         Arc::clone(peers.entry(peer).or_default())
     }
 }
 
 impl Connections {
-    /// Listens on `bind_address`, or on `own_address` if there is none, and reports to `events`. The two differ when a
+    /// Listens on `bind_address`, or on `own_address` if there is none, and reports to `events`. Connections that other
+    /// processes open pass `gate`. The two addresses differ when a
     /// forwarder listens on `own_address`.
     ///
     /// # Errors
@@ -184,6 +198,7 @@
     pub(crate) async fn listen(
         own_address: SocketAddr,
         bind_address: Option<SocketAddr>,
+        gate: Arc<Gate>,
         events: mpsc::Sender<ConnectionEvent>,
     ) -> io::Result<Connections> {
         let listener = TcpListener::bind(bind_address.unwrap_or(own_address)).await?;
@@ -198,6 +213,7 @@
         tokio::spawn(accept_loop(
             listener,
             own_address,
+            gate,
             connections.events.clone(),
             Arc::clone(&connections.shared),
         ));
@@ -251,6 +267,7 @@
             connection_id: id,
             peer_state,
             opened_by: Opener::Own,
+            client: None,
         };
         let (events, own_address) = (self.events.clone(), self.own_address);
         tokio::spawn(async move {
@@ -278,23 +295,31 @@
 async fn accept_loop(
     listener: TcpListener,
     own_address: SocketAddr,
+    gate: Arc<Gate>,
     events: mpsc::Sender<ConnectionEvent>,
     shared: Arc<SharedState>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 log::warn!("E654 cannot accept a connection error={e}");
                 tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
                 continue;
             }
         };
+        let Some((client, mut evicted)) = gate.open(address.ip(), Class::Ordinary) else {
+            continue;
+        };
         let events = events.clone();
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
             let mut stream = stream;
-            let Ok(Ok(peer)) = timeout(GREETING_TIMEOUT, read_greeting(&mut stream)).await else {
+            let greeting = tokio::select! {
+                _ = &mut evicted => return,
+                greeting = timeout(GREETING_TIMEOUT, read_greeting(&mut stream)) => greeting,
+            };
+            let Ok(Ok(peer)) = greeting else {
                 return;
             };
             let (connection_id, peer_state) = (shared.allocate_id(), shared.peer_state(peer));
@@ -309,6 +334,7 @@
                     connection_id,
                     peer_state,
                     opened_by: Opener::Peer,
+                    client: Some((Arc::new(client), evicted)),
                 };
                 run_connection(stream, accepted, own_address, send_queue, events).await;
             }
@@ -380,6 +406,8 @@
     connection_id: u64,
     peer_state: Arc<PeerState>,
     opened_by: Opener,
+    /// Admission of a connection that the peer opened; the receiver ends when it is evicted.
+    client: Option<(Arc<Client>, oneshot::Receiver<()>)>,
 }
 
 impl PeerConnection {
@@ -420,11 +448,12 @@
 /// address first.
 async fn run_connection(
     mut stream: TcpStream,
-    connection: PeerConnection,
+    mut connection: PeerConnection,
     own_address: SocketAddr,
     send_queue: SendQueue,
     events: mpsc::Sender<ConnectionEvent>,
 ) {
+    let (client, evicted) = connection.client.take().unzip();
     let peer_state = &connection.peer_state;
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
@@ -438,9 +467,10 @@
     }
     let (input, output) = stream.into_split();
     let reason = tokio::select! {
-        end = read_frames(input, peer_state, &events) => end,
+        end = read_frames(input, client, peer_state, &events) => end,
         end = write_frames(output, peer_state, send_queue) => end,
         () = wait_for_silence(peer_state) => Ok("no answer in time"),
+        () = wait_for_eviction(evicted) => Ok("evicted"),
     };
     let reason = reason.unwrap_or_else(|e| {
         log::debug!("E655 connection failed peer={} error={e}", connection.peer);
@@ -462,18 +492,32 @@
     }
 }
 
+/// Returns once an accepted connection is evicted. Other connections never are.
+async fn wait_for_eviction(evicted: Option<oneshot::Receiver<()>>) {
+    match evicted {
+        Some(evicted) => drop(evicted.await),
+        None => std::future::pending().await,
+    }
+}
+
 async fn read_frames(
     mut input: OwnedReadHalf,
+    client: Option<Arc<Client>>,
     peer_state: &PeerState,
     events: &mpsc::Sender<ConnectionEvent>,
 ) -> io::Result<&'static str> {
-    let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    let mut buffer = FrameBuffer {
+        bytes: BytesMut::with_capacity(READ_BUFFER_BYTES),
+        client,
+        reservation: None,
+    };
     loop {
-        if input.read_buf(&mut buffer).await? == 0 {
+        let received = input.read_buf(&mut buffer.bytes).await?;
+        if received == 0 {
             return Ok("closed by the peer");
         }
         peer_state.first_unanswered_us.store(0, Ordering::Relaxed);
-        while let Some(frame) = split_frame(&mut buffer)? {
+        while let Some(frame) = buffer.split_frame()? {
             let message = postcard::from_bytes(&frame).map_err(io::Error::other)?;
             peer_state.learn_role(Some(Role::of_sender(&message)));
             if events
@@ -484,24 +528,67 @@
                 return Ok("shutting down");
             }
         }
+        buffer.count(received).map_err(io::Error::other)?;
     }
 }
 
-/// Splits the first frame off the buffer. Returns `None` if the frame is incomplete.
-fn split_frame(buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
-    let Some(header) = buffer.get(..FRAME_HEADER_BYTES) else {
-        return Ok(None);
-    };
-    let length = u32::from_le_bytes(header.try_into().expect("four bytes")) as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::Error::other("the message is too long"));
+/// Received bytes that are not yet a complete frame.
+struct FrameBuffer {
+    bytes: BytesMut,
+    client: Option<Arc<Client>>,
+    /// What the bytes hold beyond the initial buffer.
+    reservation: Option<Reservation>,
+}
+
+impl FrameBuffer {
+    /// Splits the first frame off the buffer. Returns `None` if the frame is incomplete.
+    fn split_frame(&mut self) -> io::Result<Option<BytesMut>> {
+        let Some(header) = self.bytes.get(..FRAME_HEADER_BYTES) else {
+            return Ok(None);
+        };
+        let length = u32::from_le_bytes(header.try_into().expect("four bytes")) as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(io::Error::other("the message is too long"));
+        }
+        let size = FRAME_HEADER_BYTES + length;
+        if self.bytes.len() < size {
+            self.grow(size).map_err(io::Error::other)?;
+            return Ok(None);
+        }
+        self.bytes.advance(FRAME_HEADER_BYTES);
+        Ok(Some(self.bytes.split_to(length)))
     }
-    if buffer.len() < FRAME_HEADER_BYTES + length {
-        buffer.reserve(FRAME_HEADER_BYTES + length - buffer.len());
-        return Ok(None);
+
+    /// Makes room for more of a frame. The buffer doubles until the frame fits, since its length is only announced.
+    fn grow(&mut self, size: usize) -> Result<(), Refusal> {
+        let capacity = size.min((2 * self.bytes.len()).max(READ_BUFFER_BYTES));
+        if capacity <= self.bytes.capacity() {
+            return Ok(());
+        }
+        if let Some(client) = &self.client
+            && capacity > READ_BUFFER_BYTES
+        {
+            self.reservation = None;
+            self.reservation = Some(client.reserve(capacity)?);
+        }
+        self.bytes.reserve(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    /// Counts received bytes. If no frame is incomplete, the connection becomes idle.
+    fn count(&mut self, received: usize) -> Result<(), Refusal> {
+        let Some(client) = &self.client else {
+            return Ok(());
+        };
+        if !self.bytes.is_empty() {
+            return client.on_received(received, 0);
+        }
+        if self.reservation.take().is_some() {
+            self.bytes = BytesMut::with_capacity(READ_BUFFER_BYTES);
+        }
+        client.end_message();
+        Ok(())
     }
-    buffer.advance(FRAME_HEADER_BYTES);
-    Ok(Some(buffer.split_to(length)))
 }
 
 async fn write_frames(
--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -4,8 +4,12 @@
 //! disk writes to it on a second thread.
 
 pub mod agent;
+mod body;
+mod client_stream;
+pub mod client_table;
 pub mod clock;
 mod connections;
+mod gate;
 mod http;
 pub mod log_output;
 mod metrics_server;
--- a/crates/figdeal-node/src/metrics_server.rs
+++ b/crates/figdeal-node/src/metrics_server.rs
@@ -7,7 +7,10 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::sync::watch;
 
-use crate::http;
+use crate::{
+    client_table::Class,
+    http::{self, HttpLimits},
+};
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const DURATION_BUCKETS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
@@ -18,6 +21,7 @@
 /// Fails when it cannot listen on the port or another metrics recorder is installed.
 pub(crate) async fn start(
     ip: std::net::IpAddr,
+    limits: &HttpLimits,
     closing: watch::Receiver<bool>,
 ) -> crate::Result<()> {
     let builder = PrometheusBuilder::new().set_buckets(&DURATION_BUCKETS)?;
@@ -27,7 +31,7 @@
         let text = handle.render();
         async move { Response::with_body(200, text) }
     };
-    Ok(http::serve(address, closing, handler).await?)
+    Ok(http::serve(address, Class::Reserved, limits, closing, handler).await?)
 }
 
 /// Adds lost runs to the counter of this process.
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -22,9 +22,12 @@
 };
 
 use crate::{
-    Result, clock,
+    Result,
+    client_table::Class,
+    clock,
     connections::{ConnectionEvent, Connections},
-    http::{self, HttpRequest},
+    gate::{self, Gate},
+    http::{self, HttpLimits, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
     store::{Store, StoredState},
@@ -127,17 +130,21 @@
         settings.seeds
     );
     let (node, disk_sender) = open_node(&settings, own_address, input_sender.clone())?;
-    let connections = Connections::listen(own_address, settings.bind_address, event_sender).await?;
+    let http_limits = HttpLimits::start(&settings.client_limits);
+    let peer_gate = Gate::start("peers", gate::peer_limits(&settings.client_limits));
+    let connections =
+        Connections::listen(own_address, settings.bind_address, peer_gate, event_sender).await?;
     let ready = Arc::new(AtomicBool::new(false));
     start_http_servers(
         &settings_path,
         &settings,
+        &http_limits,
         &input_sender,
         &close_receiver,
         &ready,
     )
     .await?;
-    metrics_server::start(settings.ip, close_receiver.clone()).await?;
+    metrics_server::start(settings.ip, &http_limits, close_receiver.clone()).await?;
     process::watch_settings_and_signals(
         settings_path,
         settings.clone(),
@@ -242,6 +249,7 @@
 async fn start_http_servers(
     settings_path: &Path,
     settings: &Settings,
+    limits: &HttpLimits,
     input_sender: &mpsc::Sender<Input>,
     close_receiver: &watch::Receiver<bool>,
     ready: &Arc<AtomicBool>,
@@ -249,16 +257,20 @@
     let caller_address = Settings::require(settings_path, settings.caller_address, "callers")?;
     let sender = input_sender.clone();
     let node_ready = Arc::clone(ready);
-    http::serve(caller_address, close_receiver.clone(), move |request| {
-        handle_caller(request, sender.clone(), Arc::clone(&node_ready))
-    })
+    http::serve(
+        caller_address,
+        Class::Ordinary,
+        limits,
+        close_receiver.clone(),
+        move |request| handle_caller(request, sender.clone(), Arc::clone(&node_ready)),
+    )
     .await?;
     if let Some(address) = settings.readiness_address {
         let ready = Arc::clone(ready);
         // The load balancer checks readiness until the process exits. The sender is dropped at once, so these
         // connections never close earlier.
         let (_, open) = watch::channel(false);
-        http::serve(address, open, move |request| {
+        http::serve(address, Class::Reserved, limits, open, move |request| {
             let known = request.path == ingress::READINESS_PATH;
             let status = match (known, ready.load(Ordering::Relaxed)) {
                 (false, _) => 404,
@@ -271,16 +283,20 @@
     }
     if let Some(address) = settings.control_address {
         let sender = input_sender.clone();
-        http::serve(address, close_receiver.clone(), move |request| {
-            handle_operator(request, sender.clone())
-        })
+        http::serve(
+            address,
+            Class::Reserved,
+            &limits.with_large_answers(),
+            close_receiver.clone(),
+            move |request| handle_operator(request, sender.clone()),
+        )
         .await?;
     }
     Ok(())
 }
 
 async fn handle_caller(
-    http_request: HttpRequest,
+    mut http_request: HttpRequest,
     input_sender: mpsc::Sender<Input>,
     ready: Arc<AtomicBool>,
 ) -> Response {
@@ -291,6 +307,8 @@
         &http_request.path,
         &http_request.body,
     );
+    // The job may wait for long, and its body is not needed any more.
+    let body_bytes = std::mem::take(&mut http_request.body).len();
     let answer = match decoded {
         ingress::ParsedCall::Valid(request) => {
             submit_to_node(request, http_request.caller_timeout, &input_sender).await
@@ -308,9 +326,8 @@
         }
         ingress::ParsedCall::Invalid => {
             log::info!(
-                "E667 invalid request path={} body_bytes={}",
-                http_request.path,
-                http_request.body.len()
+                "E667 invalid request path={} body_bytes={body_bytes}",
+                http_request.path
             );
             Answer::Invalid
         }
@@ -336,13 +353,16 @@
     response
 }
 
-async fn handle_operator(http_request: HttpRequest, input_sender: mpsc::Sender<Input>) -> Response {
+async fn handle_operator(
+    mut http_request: HttpRequest,
+    input_sender: mpsc::Sender<Input>,
+) -> Response {
     if http_request.path != operator::CONFIG_PATH {
         return Response::new(404);
     }
     let request = match http_request.method.as_str() {
         "GET" => Request::ReadConfig,
-        "PUT" => match operator::decode_config(&http_request.body) {
+        "PUT" => match operator::decode_config(&std::mem::take(&mut http_request.body)) {
             Ok(request) => request,
             Err(e) => {
                 log::info!("E669 operator sent an invalid queue configuration error=\"{e}\"");
