Make two tests of the client table sensitive

Nine mutations of the table were run against its tests. Two passed: progress without its cap, and a bound by address that evicts any connection. The scenes now contain the client that such a fault would spare or drop; all nine mutations fail a test.

--- a/crates/figdeal-node/tests/client_table.rs
+++ b/crates/figdeal-node/tests/client_table.rs
@@ -47,14 +47,14 @@
     table.enter(START, stopped, Phase::Body);
     table.take(stopped, 900 * KIB).unwrap();
     table.progress(at(5), stopped, 900 * KIB);
-    let slow = open(&mut table, at(1_000), 2);
-    table.enter(at(1_000), slow, Phase::Body);
+    let slow = open(&mut table, at(500), 2);
+    table.enter(at(500), slow, Phase::Body);
     table.take(slow, 50 * KIB).unwrap();
-    for step in 0..100 {
-        table.progress(at(1_000 + 20 * step), slow, 200);
+    for step in 0..25 {
+        table.progress(at(500 + 20 * step), slow, 200);
     }
-    let new = open(&mut table, at(3_000), 3);
-    table.enter(at(3_000), new, Phase::Body);
+    let new = open(&mut table, at(1_000), 3);
+    table.enter(at(1_000), new, Phase::Body);
     table.take(new, 100 * KIB).unwrap();
     assert_eq!(evicted(&mut table), [(stopped, Refusal::Budget)]);
     assert_eq!(table.held_bytes(), 150 * KIB);
@@ -95,12 +95,12 @@
 #[test]
 fn bounds_of_connections_hold_by_address_and_class() {
     let mut table = table();
-    let first: Vec<_> = (0..3).map(|n| open(&mut table, at(n), 1)).collect();
+    let other = open(&mut table, START, 2);
+    let first: Vec<_> = (1..4).map(|n| open(&mut table, at(n), 1)).collect();
     open(&mut table, at(10), 1);
     assert_eq!(evicted(&mut table), [(first[0], Refusal::Address)]);
-    open(&mut table, at(20), 2);
-    open(&mut table, at(30), 3);
-    assert_eq!(evicted(&mut table), [(first[1], Refusal::Connections)]);
+    open(&mut table, at(20), 3);
+    assert_eq!(evicted(&mut table), [(other, Refusal::Connections)]);
     let operator = table.open(at(40), address(1), Class::Reserved).unwrap();
     assert!(evicted(&mut table).is_empty());
     table.open(at(50), address(2), Class::Reserved).unwrap();
