--- a/crates/figdeal-node/src/request_log.rs
+++ b/crates/figdeal-node/src/request_log.rs
@@ -41,12 +41,11 @@
         }
     }
 
-    pub(crate) fn invalid(&self, request: &HttpRequest) {
+    pub(crate) fn invalid(&self, request: &HttpRequest, body_bytes: usize) {
         if self.admit("E667", "Invalid", request) {
             log::info!(
-                "E667 invalid request path={} body_bytes={}",
-                request.path,
-                request.body.len()
+                "E667 invalid request path={} body_bytes={body_bytes}",
+                request.path
             );
         }
     }
--- a/crates/figdeal-node/tests/fleet/processes.rs
+++ b/crates/figdeal-node/tests/fleet/processes.rs
@@ -43,6 +43,8 @@
     pub(crate) proxied: bool,
     /// Data centres that the settings list.
     pub(crate) data_centres: &'static [&'static str],
+    /// Table `limits` of the settings; empty for the defaults.
+    pub(crate) limits: String,
 }
 
 impl Layout {
@@ -114,6 +116,7 @@
         for name in self.data_centres {
             text += &format!("{name} = \"region\"\n");
         }
+        text += &self.limits;
         let path = self.folder.join(format!("settings-{machine}.toml"));
         // Renamed into place, since a process may read the file at any time.
         let temporary = path.with_extension("new");
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -42,6 +42,7 @@
         folder: folder.to_owned(),
         proxied: false,
         data_centres: &[],
+        limits: String::new(),
     }
 }
 
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -101,6 +101,7 @@
         folder: folder.path().to_owned(),
         proxied: true,
         data_centres: &DATA_CENTRES,
+        limits: String::new(),
     };
     let network = Network::default();
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/figdeal-queue/src/refusals.rs
+++ b/crates/figdeal-queue/src/refusals.rs
@@ -23,6 +23,7 @@
         RefusalReason::Unsupported => "unsupported",
         RefusalReason::NoWorker => "no_worker",
         RefusalReason::WorkersUnknown => "workers_unknown",
+        RefusalReason::AfterPause => "after_pause",
     }
 }
 
@@ -37,6 +38,7 @@
         RefusalReason::Unsupported => "Unsupported",
         RefusalReason::NoWorker => "NoWorker",
         RefusalReason::WorkersUnknown => "WorkersUnknown",
+        RefusalReason::AfterPause => "AfterPause",
     }
 }
 
