Test that a new leader does not deny a known data centre

After the loss of the leader or of all nodes, the simulation evacuates a data centre that only workers name. The answers 404 and 409 count as violations, since they would end the operator's attempts.

Without the check for agents that have not reported, the new test fails.

--- a/crates/figdeal-queue/tests/sim/simulation/callers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/callers.rs
@@ -177,6 +177,10 @@
             CallerRequest::Cancel => {}
             CallerRequest::SetEvacuation(evacuated) => match answer {
                 Answer::EvacuationSet => self.acknowledged_evacuation = Some(evacuated),
+                Answer::UnknownDataCentre | Answer::LastDataCentre => {
+                    let text = format!("EVACUATION: evacuated={evacuated} answered {answer:?}");
+                    self.checker.violations.push(text);
+                }
                 _ => self.schedule(Duration::from_millis(200), Event::SetEvacuation(evacuated)),
             },
             CallerRequest::Configure(version) => match answer {
--- a/crates/figdeal-queue/tests/sim/simulation/evacuations.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/evacuations.rs
@@ -4,7 +4,7 @@
 
 /// Time after the acknowledgement after which no task may start in the data centre.
 const EVACUATION_TIME: Duration = Duration::from_millis(5_000);
-/// Time for which an operator repeats a request. No fault begins before the acknowledgement.
+/// Time for which an operator repeats a request.
 const ACK_LIMIT: Duration = Duration::from_millis(5_000);
 const NODE_DOWN_TIME: Duration = Duration::from_millis(500);
 /// Shorter than a run, so that each run is seen.
@@ -36,7 +36,20 @@
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(5));
         let mut ids = self.submit_jobs(0x5000, JOBS, JOBS_TIME, RUN_TIME_MS);
-        self.await_evacuation(true);
+        self.await_evacuation(true, ACK_LIMIT);
+        self.lose_nodes(loss);
+        self.run_until(self.now + EVACUATION_TIME);
+        let during = self.count_runs(&mut ids, 0x6000);
+        self.await_evacuation(false, ACK_LIMIT);
+        let after = self.count_runs(&mut ids, 0x7000);
+        let open = self.count_open(&ids).1;
+        // The next leader does not know the workers at first, but it must not say that the data centre does not exist.
+        self.lose_nodes(loss);
+        self.await_evacuation(true, ACK_LIMIT + CALLER_TIMEOUT);
+        (during, after, open)
+    }
+
+    fn lose_nodes(&mut self, loss: NodeLoss) {
         for n in 0..self.machines.len() {
             let node = self.machines[n].node.as_ref();
             if loss == NodeLoss::All || node.is_some_and(Node::is_serving) {
@@ -44,18 +57,13 @@
                 self.schedule(NODE_DOWN_TIME, Event::StartNode(n));
             }
         }
-        self.run_until(self.now + EVACUATION_TIME);
-        let during = self.count_runs(&mut ids, 0x6000);
-        self.await_evacuation(false);
-        let after = self.count_runs(&mut ids, 0x7000);
-        (during, after, self.count_open(&ids).1)
     }
 
-    fn await_evacuation(&mut self, evacuated: bool) {
+    fn await_evacuation(&mut self, evacuated: bool, limit: Duration) {
         self.schedule(Duration::ZERO, Event::SetEvacuation(evacuated));
         let start = self.now;
         while self.acknowledged_evacuation != Some(evacuated) {
-            assert!(self.now < start + ACK_LIMIT, "no acknowledgement in time");
+            assert!(self.now < start + limit, "no acknowledgement in time");
             self.run_until(self.now + CHECK_INTERVAL);
         }
     }
