--- a/crates/figdeal-queue/tests/agent.rs
+++ b/crates/figdeal-queue/tests/agent.rs
@@ -470,3 +470,36 @@
         assert_eq!(reported_losses(&mut agent, now), [expected]);
     }
 }
+
+/// Guards against a leader that waits for the interval between two reports although the worker has replied to the starts
+/// that it ordered.
+#[test]
+fn replies_to_starts_are_reported_before_the_interval() {
+    let mut now = Timestamp::from_micros(1_000_000);
+    let (mut agent, first) = busy_agent(now);
+    let tasks = (1..=32).map(|index| TaskId { index, ..first });
+    let starts = tasks.clone().map(|task| Order::Start {
+        task,
+        run: 1,
+        incarnation: 1,
+        needs: Resources::default(),
+        expected_ms: 100,
+        payload: "x".to_owned(),
+    });
+    // A periodic report comes first, which counts from there.
+    now = now + Duration::from_millis(150);
+    agent.tick(now);
+    agent.take_actions();
+    agent.on_message(now, orders(now, 3, starts.collect()));
+    let mut reported = Vec::new();
+    for task in tasks {
+        agent.on_start_reply(now, task, 1, StartReply::Started);
+        agent.tick(now);
+        for action in agent.take_actions() {
+            if let Action::Send(_, PeerMessage::Report(report)) = action {
+                reported.push((report.last_orders, report.unanswered_starts));
+            }
+        }
+    }
+    assert_eq!(reported, [(3, 16), (3, 0)]);
+}
