End no wait for a rack at once after its latest start

A step past its latest start with an expected wait of zero got a wait that was over at once, so that the leader took it up again and again without placing it. The example of wait_end has the case.

--- a/crates/figdeal-queue/src/dispatch/locality.rs
+++ b/crates/figdeal-queue/src/dispatch/locality.rs
@@ -105,6 +105,7 @@
 /// let now = now + Duration::from_millis(150);
 /// let wait = Duration::from_millis(5);
 /// assert_eq!(wait_end(now, choice, Some(wait)), Some(choice.latest_start));
+/// assert_eq!(wait_end(choice.latest_start, choice, Some(Duration::ZERO)), None);
 /// ```
 pub fn wait_end(now: Timestamp, choice: Choice, wait: Option<Duration>) -> Option<Timestamp> {
     let wait = wait?;
@@ -112,7 +113,7 @@
     // In a full pool the longer run keeps other tasks waiting for as long.
     let crowding = (choice.used_fraction - CROWDED_FRACTION) / (1.0 - CROWDED_FRACTION);
     let worth = difference.mul_f64(1.0 + crowding.clamp(0.0, 1.0));
-    if wait >= worth || wait > max_wait(now, choice) {
+    if wait >= worth || wait > max_wait(now, choice) || now >= choice.latest_start {
         return None;
     }
     let reconsider = (wait * RECONSIDER_FACTOR).max(MIN_RECONSIDER_DELAY);
