--- a/crates/figdeal-node/tests/processes/evacuation.rs
+++ b/crates/figdeal-node/tests/processes/evacuation.rs
@@ -30,6 +30,7 @@
         folder: folder.path().to_owned(),
         proxied: false,
         data_centres: &[],
+        limits: String::new(),
     };
     let fleet = SharedFleet::new(WorkerFleet::new(1));
     for machine in NODES + 1..=NODES + AGENTS {
