--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -110,7 +110,7 @@
             .ready_tasks
             .is_empty()
         {
-            match self.next_start(now, key, rank, step, rack) {
+            match self.next_start(now, key, rank, step) {
                 Ok((agent, _)) if self.waits_for_rack(now, id, number, rack, agent) => {
                     if attempt != Attempt::Placed {
                         attempt = Attempt::Elsewhere;
@@ -166,7 +166,6 @@
         key: BacklogKey,
         rank: StepRank,
         step: &Step,
-        rack: Option<RackKey>,
     ) -> Result<(AgentKey, TaskId), WakeCondition> {
         let (id, number) = (rank.job, rank.step);
         let millicores = step.needs.millicores;
@@ -174,7 +173,7 @@
             return Err(WakeCondition::Reserve { millicores });
         }
         let pool = &self.backlogs[key].pool;
-        let Some(agent) = self.choose_agent(now, id, number, pool, step, rack, None) else {
+        let Some(agent) = self.choose_agent(now, id, number, pool, step, None) else {
             return Err(self.wait_condition(now, key, rank, step));
         };
         self.choose_task(now, key, rank, step, agent)
--- a/crates/figdeal-queue/src/dispatch/retry.rs
+++ b/crates/figdeal-queue/src/dispatch/retry.rs
@@ -56,7 +56,6 @@
         let pool = &self.backlogs[key].pool;
         let job = &self.jobs[&rank.job];
         let ready = job.steps[usize::from(rank.step)].ready_tasks.iter();
-        let rack = self.known_rack(pool, step);
         let mut other = None;
         for &index in ready.take(MAX_RETRY_CHECKS) {
             let task = TaskId {
@@ -69,7 +68,7 @@
                 return Ok((agent, task));
             };
             let other = *other.get_or_insert_with(|| {
-                self.choose_agent(now, rank.job, rank.step, pool, step, rack, Some(agent))
+                self.choose_agent(now, rank.job, rank.step, pool, step, Some(agent))
             });
             if let Some(other) = other {
                 return Ok((other, task));
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -357,9 +357,9 @@
         number: u16,
         pool: &str,
         step: &Step,
-        rack: Option<RackKey>,
         excluded: Option<AgentKey>,
     ) -> Option<AgentKey> {
+        let rack = self.known_rack(pool, step);
         let pool = self.pools.get(pool)?;
         let with_ejection = !pool.ejection_suspended;
         let fits = |agent: &AgentView| {
--- a/crates/figdeal-queue/src/dispatch/slow_runs.rs
+++ b/crates/figdeal-queue/src/dispatch/slow_runs.rs
@@ -65,8 +65,7 @@
         let slow_stops = self.slow_stops(task);
         let spec = Arc::clone(&job.spec);
         let step = &spec.steps[usize::from(task.step)];
-        let rack = self.known_rack(&backlog.pool, step);
-        let other = self.choose_agent(now, task.job, task.step, &backlog.pool, step, rack, None);
+        let other = self.choose_agent(now, task.job, task.step, &backlog.pool, step, None);
         let other_factor = other.map_or(1.0, |other| self.remote_factor(other, step));
         let restart_ms =
             local_ms * other_factor * f64::from(time_factor(slow_stops)) + MOVE_COST_MS;
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -312,7 +312,7 @@
         };
         let lacks_room = step.max_per_worker == 0
             || self
-                .choose_agent(now, job, number, pool, &unlimited, None, None)
+                .choose_agent(now, job, number, pool, &unlimited, None)
                 .is_none();
         if lacks_room {
             return WakeCondition::room(step);
@@ -438,7 +438,7 @@
                 let step = &spec.steps[usize::from(rank.step)];
                 let can_start = self.is_allowed(key, step.needs.millicores)
                     && self
-                        .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None, None)
+                        .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None)
                         .is_some();
                 if can_start {
                     missed.push((key, rank, condition));
