Check that an announced length is refused before the body

The other tests of hostile clients would also pass if the process read a part of the body first. A request that announces 1 GiB and sends no byte of it must get 413.

--- a/crates/figdeal-node/src/gate.rs
+++ b/crates/figdeal-node/src/gate.rs
@@ -26,7 +26,7 @@
 /// Descriptors that are kept for files and for connections that this process opens.
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Stands for no limit of time. Connections of other processes may be idle.
-const UNLIMITED: Duration = Duration::MAX;
+const UNLIMITED: Duration = Duration::from_secs(365 * 86_400);
 /// Largest budget for the messages that an agent receives, in bytes. Nodes send it no snapshots.
 const MAX_AGENT_BUDGET_BYTES: usize = 16 * 1024 * 1024;
 
--- a/crates/figdeal-node/tests/hostile/main.rs
+++ b/crates/figdeal-node/tests/hostile/main.rs
@@ -9,7 +9,8 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    io::Read,
+    net::{SocketAddr, TcpStream},
     sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -196,6 +197,19 @@
     });
 }
 
+/// Guards against waiting for a body whose announced length is over the limit.
+#[test]
+fn an_announced_length_is_refused_before_the_body() {
+    attack(TARGET, |fleet| {
+        let mut stream = TcpStream::connect(fleet.layout.front(TARGET)).unwrap();
+        crowd::send_body(&mut stream, 1 << 30, 0, 1).unwrap();
+        stream.set_read_timeout(Some(STEP_TIMEOUT)).unwrap();
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).unwrap();
+        assert_eq!(&status, b"HTTP/1.1 413");
+    });
+}
+
 /// Guards against connections that hold descriptors and buffers because their headers never end.
 #[test]
 fn headers_that_never_end() {
