--- a/crates/figdeal-queue/tests/sim/simulation/callers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/callers.rs
@@ -111,6 +111,8 @@
                 gpus: 0,
             },
             estimate_ms: TYPICAL_ESTIMATE_MS,
+            // No worker is in the third rack.
+            rack: Some(format!("rack-{}", n % 3)),
             depends_on: if n > 0 { vec![n - 1] } else { Vec::new() },
             ..Step::default()
         });
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -420,7 +420,7 @@
             sequence: host.heartbeat_sequence,
             pool: POOL.to_owned(),
             capacity: host.worker.capacity,
-            labels: Vec::new(),
+            labels: vec![format!("rack-{}", n % 2)],
             draining: false,
         }
     }
