--- a/crates/figdeal-queue/examples/placement_cost.rs
+++ b/crates/figdeal-queue/examples/placement_cost.rs
@@ -94,6 +94,8 @@
                 capacity: resources(WORKER_MILLICORES),
                 labels: Vec::new(),
                 draining: false,
+                data_centre: None,
+                cold_ms: 0,
             }),
             running: is_full.then(Vec::new),
             undecided: Vec::new(),
