Leave the room of ejected and silent workers out of the admission

Cause: the predicted wait, the shares and the reserve counted the free room of workers that get no tasks, because they are ejected or have not reported for 350 ms.

--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -525,6 +525,7 @@
         }
         self.end_cold_times(now);
         self.limit_ejection(now);
+        self.count_withheld_room(now);
         self.check_wakes = true;
         self.stop_stalled_runs(now);
         self.review_racks(now);
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -50,6 +50,8 @@
     total_millicores: u64,
     /// Millicores of these workers that no run uses.
     free_millicores: u64,
+    /// Part of `free_millicores` at the last sweep that was on ejected and unreachable workers.
+    withheld_millicores: u64,
     /// Number of the workers that take tasks and are not cold.
     warm_count: u64,
     /// Number of the runs of these workers.
@@ -295,6 +297,26 @@
         }
     }
 
+    /// Counts the free room of workers that get no tasks at present. Without that, a job would be accepted for room that it
+    /// cannot have, wait in vain and be late.
+    pub(super) fn count_withheld_room(&mut self, now: Timestamp) {
+        for pool in self.pools.values_mut() {
+            pool.withheld_millicores = 0;
+        }
+        for agent in self.agents.values() {
+            let Some(room) = &agent.room else {
+                continue;
+            };
+            let Some(pool) = self.pools.get_mut(&room.pool) else {
+                continue;
+            };
+            let is_ejected = agent.health.is_ejected() && pool.has_ejection();
+            if is_ejected || !is_reachable(agent, now) {
+                pool.withheld_millicores += u64::from(room.free.millicores);
+            }
+        }
+    }
+
     /// Returns the room of a pool for its active queues, to which a queue with the priority `added` is counted.
     pub(super) fn pool_room(&self, name: &str, added: Option<u8>) -> PoolRoom {
         let active = self
@@ -302,12 +324,12 @@
             .values()
             .filter(|b| b.pool == name && b.is_active());
         let priorities: Vec<u8> = active.map(|b| b.priority).chain(added).collect();
-        let pool = self.pools.get(name);
-        PoolRoom::new(
-            pool.map_or(0, |p| p.total_millicores),
-            pool.map_or(0, |p| p.free_millicores),
-            &priorities,
-        )
+        let (total, free) = self.pools.get(name).map_or((0, 0), |pool| {
+            let withheld = pool.withheld_millicores.min(pool.free_millicores);
+            let total = pool.total_millicores - withheld;
+            (total, pool.free_millicores - withheld)
+        });
+        PoolRoom::new(total, free, &priorities)
     }
 
     /// Returns the rack of a step's data, if it is known.
