Let scenarios last until a task can have failed three times

Change: the scenarios with runs of 4 s go on for as long as the allowed failed runs and a lost one take.

--- a/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/clock_steps.rs
@@ -17,6 +17,8 @@
 /// Longer than the longest lease.
 const MEDIUM_RUN_TIME_MS: u32 = 1_200;
 const LONG_RUN_TIME_MS: u32 = 4_000;
+/// Time in which every job with long tasks ends: a task has up to three failed runs, and waits between.
+const LONG_FINISH_TIME: Duration = Duration::from_millis(4 * LONG_RUN_TIME_MS as u64);
 
 impl Simulation {
     /// Lets all workers start again with an earlier start while jobs arrive, and submits more jobs later. Returns how
@@ -69,7 +71,7 @@
         for (n, heartbeat) in hosts.zip(former) {
             self.deliver_heartbeat(n, heartbeat);
         }
-        self.run_until(self.now + Duration::from_secs(9));
+        self.run_until(self.now + LONG_FINISH_TIME);
         self.count_open(&ids)
     }
 }
--- a/crates/figdeal-queue/tests/sim/simulation/departures.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/departures.rs
@@ -9,6 +9,8 @@
 const EARLY_DEPARTURE: Duration = Duration::from_millis(500);
 /// Run time of the tasks, which outlasts the heartbeats that follow a departure.
 const RUN_TIME_MS: u32 = 4_000;
+/// Time in which every job ends: a task has up to three failed runs, one that is lost with the worker, and waits between.
+const FINISH_TIME: Duration = Duration::from_millis(5 * RUN_TIME_MS as u64);
 const JOBS: u32 = 24;
 
 /// What becomes of a worker whose departure arrives.
@@ -49,7 +51,7 @@
             self.run_until(self.now + Duration::from_secs(1));
             self.crash_worker(busiest);
         }
-        self.run_until(self.now + Duration::from_secs(12));
+        self.run_until(self.now + FINISH_TIME);
         self.count_open(&ids)
     }
 }
