Mend faults that a read-through of the merged parts found

- Steps with a rack went past the flow control of starts, since the index of a rack lists all of its workers.
They now wait some milliseconds for the replies.
Tests: many small tasks in a rack, and the full rack of tests/locality.rs, which relied on the fault.
- With 24 workers compared from the least room up, idle fast ones could be left out.
Half of them are now taken from the other end.
- The decision about a wait for a rack used scores, which include failures, as run times, and left out that a worker is cold.
- A job was refused for a rack whose workers have all gone.
- One report of a very slow run could set a run time ratio beyond its range.
- Two reasons of refusals (`after_pause`, `workers_unknown`) were not counted.
- HTTP connections could take all descriptors that its half and the reserve allow together, instead of half of them.

--- a/crates/figdeal-node/src/gate.rs
+++ b/crates/figdeal-node/src/gate.rs
@@ -34,12 +34,13 @@
 pub(crate) fn http_limits(limits: &ClientLimits) -> Limits {
     // At most half of the descriptors, so that the other half is left to connections of other processes.
     let available = available_descriptors() / 2;
-    let connections = limits.connections.min(available);
+    let reserved = limits.reserved_connections.min(available / 2);
+    let connections = limits.connections.min(available - reserved);
     Limits {
         budget_bytes: limits.budget_bytes,
         connections,
         connections_per_address: limits.connections_per_address,
-        reserved_connections: limits.reserved_connections.min(available),
+        reserved_connections: reserved,
         idle_time: limits.idle_time,
         header_time: limits.header_time,
         transfer_time: limits.transfer_time,
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -30,8 +30,8 @@
     Waiting,
     /// The latest start has passed.
     Late,
-    /// No worker of the pool outside the evacuated data centres can run the step, even when it is idle. Steps that have to wait for a worker to join must not
-    /// hold up the others.
+    /// No worker of the pool outside the evacuated data centres can run the step, even when it is idle. Steps that have
+    /// to wait for a worker to join must not hold up the others.
     Unplaceable,
 }
 
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Places ready tasks: which queue comes next, and which of its steps.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use figdeal_core::time::Timestamp;
 
@@ -15,6 +15,9 @@
     message::Order,
 };
 
+/// Time after which a step looks again for a worker of its rack that has not replied to its last starts.
+const START_REPLY_DELAY: Duration = Duration::from_millis(5);
+
 /// Result of an attempt to place tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Attempt {
@@ -111,6 +114,14 @@
             .is_empty()
         {
             match self.next_start(now, key, rank, step) {
+                Ok((agent, _)) if self.awaits_start_replies(now, id, number, rack, agent) => {
+                    if attempt != Attempt::Placed {
+                        attempt = Attempt::Elsewhere;
+                    }
+                    let at = now + START_REPLY_DELAY;
+                    self.set_aside_step(key, id, number, WakeCondition::Time { at });
+                    break;
+                }
                 Ok((agent, _)) if self.waits_for_rack(now, id, number, rack, agent) => {
                     if attempt != Attempt::Placed {
                         attempt = Attempt::Elsewhere;
--- a/crates/figdeal-queue/src/dispatch/racks.rs
+++ b/crates/figdeal-queue/src/dispatch/racks.rs
@@ -9,13 +9,14 @@
 use slotmap::new_key_type;
 
 use super::{
-    AgentKey, AgentView, Dispatcher, PlacedRun,
+    AgentKey, AgentView, Dispatcher, PlacedRun, SWEEP_INTERVAL,
     backlog::{BacklogKey, StepRank, rank},
+    cold,
     locality::{
         Choice, MIN_RECONSIDER_DELAY, RackLoad, expected_wait, is_contended, is_hopeless, wait_end,
     },
     overload::{decayed_peak, millis},
-    room::RoomEntry,
+    room::{MAX_CANDIDATES, RoomEntry, is_reachable},
 };
 use crate::job::{JobId, JobSpec, Step};
 
@@ -23,8 +24,8 @@
 const MAX_SPEED_SAMPLES: usize = 16;
 /// Number of waiting steps that are summed for an estimate; if more are before a step, all are assumed to be.
 const MAX_SUMMED_WAITS: usize = 128;
-/// How long after its latest start a step that cannot meet its goal still waits for the sweep that refuses its job.
-const REFUSAL_DELAY: Duration = Duration::from_millis(60);
+/// Time after the latest start of a step within which the sweep has refused its job.
+const REFUSAL_DELAY: Duration = SWEEP_INTERVAL.saturating_add(Duration::from_millis(10));
 /// A run that takes longer than expected is assumed to go on for its time so far divided by this.
 const OVERDUE_DIVISOR: u32 = 2;
 
@@ -306,6 +307,32 @@
             .any(Rack::is_contended)
     }
 
+    /// Returns whether a worker in the rack of a step's data has room and takes the next start as soon as it has replied to
+    /// the last ones, so that a start at `other` does not pay off.
+    pub(super) fn awaits_start_replies(
+        &self,
+        now: Timestamp,
+        id: JobId,
+        number: u16,
+        rack: Option<RackKey>,
+        other: AgentKey,
+    ) -> bool {
+        let Some(rack) = rack.filter(|rack| !self.agents[other].racks.contains(rack)) else {
+            return false;
+        };
+        let job = &self.jobs[&id];
+        let needs = job.spec.steps[usize::from(number)].needs;
+        let is_busy = |key: &AgentKey| {
+            let agent = &self.agents[*key];
+            let room = agent.room.as_ref();
+            room.is_some_and(|room| !room.is_listed() && needs.fits_into(room.free))
+                && is_reachable(agent, now)
+        };
+        let with_room = self.racks[rack].by_free.range(needs.millicores..);
+        let mut with_room = with_room.flat_map(|(_, keys)| keys).take(MAX_CANDIDATES);
+        now < job.steps[usize::from(number)].latest_start && with_room.any(is_busy)
+    }
+
     /// Decides whether a step waits for the rack of its data instead of a start at `other` now, and records the wait.
     pub(super) fn waits_for_rack(
         &mut self,
@@ -326,7 +353,10 @@
         if rack.by_free.range(step.needs.millicores..).next().is_some() {
             return false;
         }
-        let factor = self.agents[other].health.score() * self.remote_factor(other, step);
+        let other = &self.agents[other];
+        let factor = other.health.run_time_ratio()
+            * other.remote_factor(step, self.limits)
+            * cold::run_time_factor(other);
         let choice = self.rack_choice(job.backlog, step, rack, factor, view.latest_start);
         // The job ends with the last task of the step.
         let ready = view.ready_tasks.len() as u64;
@@ -367,7 +397,7 @@
         let pool = self.pools.get(&backlog.pool);
         let (_, total, free) = pool.map_or((0, 0, 0), |p| p.totals());
         Choice {
-            local: millis(normal_ms * self.mean_score(rack)),
+            local: millis(normal_ms * self.mean_run_time_ratio(rack)),
             remote: millis(normal_ms * factor),
             used_fraction: 1.0 - free as f64 / total.max(1) as f64,
             latest_start,
@@ -387,7 +417,8 @@
         let hopeless = spec.steps.iter().filter_map(|step| {
             let rack = &self.racks[self.known_rack(pool, step)?];
             let needs = u64::from(step.needs.millicores) * u64::from(step.count);
-            if needs <= rack.free_millicores {
+            // Nothing waits for a rack without workers.
+            if rack.total_millicores == 0 || needs <= rack.free_millicores {
                 return None;
             }
             let factor = self.limits.remote_factor;
@@ -398,11 +429,11 @@
         hopeless.max()
     }
 
-    /// Returns the mean score of the workers of a rack.
-    fn mean_score(&self, rack: &Rack) -> f64 {
+    /// Returns the mean ratio of run time to expected run time on the workers of a rack.
+    fn mean_run_time_ratio(&self, rack: &Rack) -> f64 {
         let keys = rack.by_free.values().flatten().take(MAX_SPEED_SAMPLES);
-        let scores = keys.map(|key| self.agents[*key].health.score());
-        let (sum, count) = scores.fold((0.0, 0.0), |(sum, n), score| (sum + score, n + 1.0));
+        let ratios = keys.map(|key| self.agents[*key].health.run_time_ratio());
+        let (sum, count) = ratios.fold((0.0, 0.0), |(sum, n), ratio| (sum + ratio, n + 1.0));
         if count > 0.0 { sum / count } else { 1.0 }
     }
 
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -17,7 +17,7 @@
 use crate::job::{JobId, Resources, Step, TaskId};
 
 /// Number of workers with room that are compared for one task.
-const MAX_CANDIDATES: usize = 24;
+pub(super) const MAX_CANDIDATES: usize = 24;
 /// Largest fraction of the workers of a pool that may be ejected at a time.
 const MAX_EJECTED_FRACTION: f64 = 0.5;
 
@@ -370,8 +370,8 @@
     }
 
     /// Returns the agent with the lowest score among those that can start a task of step `number` now, other than
-    /// `excluded`. Among equal scores, the worker with the least room is taken, which leaves room for larger tasks
-    /// elsewhere.
+    /// `excluded`. Compared are the workers with the least and with the most room, at most [`MAX_CANDIDATES`], and as many
+    /// in the rack of the data. Among equal scores the least room wins, which leaves room for larger tasks elsewhere.
     pub(super) fn choose_agent(
         &self,
         now: Timestamp,
@@ -385,31 +385,36 @@
         let pool = self.pools.get(pool)?;
         let with_ejection = !pool.ejection_suspended;
         let fits = |agent: &AgentView| {
-            let free = agent.room.as_ref().map(|room| room.free);
+            let room = agent.room.as_ref().filter(|room| room.is_listed());
             let worker = agent.worker.as_ref();
-            free.is_some_and(|free| step.needs.fits_into(free))
+            room.is_some_and(|room| step.needs.fits_into(room.free))
                 && is_reachable(agent, now)
                 && self.is_below_cold_limit(pool, agent)
                 && agent.health.is_available(now, with_ejection)
                 && worker.is_some_and(|w| has_required_label(&w.labels, step.label.as_ref()))
                 && below_worker_limit(agent, id, number, step.max_per_worker)
         };
-        let with_room = pool.by_free.range(step.needs.millicores..);
-        let candidates = with_room
-            .flat_map(|(_, keys)| keys)
-            .copied()
-            .filter(|key| Some(*key) != excluded && fits(&self.agents[*key]))
-            .take(MAX_CANDIDATES);
-        // The workers of the rack need not be among the first with room.
+        let can_start = |key: &AgentKey| Some(*key) != excluded && fits(&self.agents[*key]);
+        let with_room = || {
+            let by_room = pool.by_free.range(step.needs.millicores..);
+            by_room
+                .flat_map(|(_, keys)| keys)
+                .copied()
+                .filter(can_start)
+        };
+        // Fast workers have the least room under load and the most after it.
+        let fullest = with_room().take(MAX_CANDIDATES / 2);
+        let emptiest = with_room().rev().take(MAX_CANDIDATES / 2);
+        // The workers of the rack need not be among these.
         let in_rack = rack.and_then(|rack| self.racks.get(rack)).into_iter();
         let in_rack = in_rack
             .flat_map(|rack| rack.by_free.range(step.needs.millicores..))
             .flat_map(|(_, keys)| keys)
             .copied()
-            .filter(|key| Some(*key) != excluded && fits(&self.agents[*key]))
+            .filter(can_start)
             .take(MAX_CANDIDATES);
         let score = |key: AgentKey| (self.score(key, step, rack), key);
-        let scores = in_rack.chain(candidates).map(score);
+        let scores = in_rack.chain(fullest).chain(emptiest).map(score);
         let best = scores.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, key)| key)
     }
--- a/crates/figdeal-queue/src/dispatch/run_times.rs
+++ b/crates/figdeal-queue/src/dispatch/run_times.rs
@@ -84,6 +84,6 @@
 
     /// Replaces the average, because one run shows that the former no longer holds.
     pub(super) fn set(&mut self, ratio: f64) {
-        self.value = ratio;
+        self.value = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1);
     }
 }
--- a/crates/figdeal-queue/src/dispatch/waiting.rs
+++ b/crates/figdeal-queue/src/dispatch/waiting.rs
@@ -3,6 +3,7 @@
 //! The load that is meant: thousands of waiting steps, of which most cannot be placed now. A step that was tried without
 //! success is not tried again before its condition is met. Of the steps of a queue that wait for room only the first is
 //! woken for a worker; the next one follows once that one is placed, so few steps are tried for each run that ends.
+//! Finding that first one costs a look at each distinct combination of needs and label among them.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -205,7 +206,7 @@
                 WakeCondition::Room { .. } => continue,
                 WakeCondition::RoomElsewhere { .. } => {
                     limit_checks += 1;
-                    (joined || limit_checks <= MAX_LIMIT_CHECKS) && condition.is_met_by(agent)
+                    condition.is_met_by(agent)
                 }
                 WakeCondition::RunEnd { .. } => joined,
                 WakeCondition::Reserve { .. }
@@ -410,8 +411,8 @@
         }
     }
 
-    /// Wakes steps that were set aside although a task of them can be started, as far as this sweep checks them. That is a missed wake-up, except for the
-    /// conditions that [`MAX_LIMIT_CHECKS`] has left out.
+    /// Wakes steps that were set aside although a task of them can be started, for some conditions of each queue in turn.
+    /// Such a step is a missed wake-up, unless [`MAX_LIMIT_CHECKS`] left its condition out.
     ///
     /// # Panics
     /// Panics on a missed wake-up in debug builds.
@@ -419,10 +420,7 @@
         let mut missed = Vec::new();
         for key in self.backlogs.keys().collect::<Vec<_>>() {
             let waiting = &mut self.backlogs[key].waiting;
-            // The reserve is looked at with each placement, and may have changed since the steps were tried.
-            if waiting.smallest_reserved().is_some() {
-                continue;
-            }
+            let has_reserved = waiting.smallest_reserved().is_some();
             let checks = waiting.next_checks();
             let backlog = &self.backlogs[key];
             for (condition, rank) in checks {
@@ -441,12 +439,13 @@
                         .choose_agent(now, rank.job, rank.step, &backlog.pool, step, None)
                         .is_some();
                 if can_start {
-                    missed.push((key, rank, condition));
+                    missed.push((key, rank, condition, has_reserved));
                 }
             }
         }
-        for (key, rank, condition) in missed {
-            if !matches!(condition, WakeCondition::RoomElsewhere { .. }) {
+        for (key, rank, condition, has_reserved) in missed {
+            // The reserve may have changed since the step was tried.
+            if !has_reserved && !matches!(condition, WakeCondition::RoomElsewhere { .. }) {
                 log::warn!(
                     "E693 step was not woken although it can start job={} step={} \
                      condition={condition:?} term={}",
--- a/crates/figdeal-queue/src/dispatch/worker_health.rs
+++ b/crates/figdeal-queue/src/dispatch/worker_health.rs
@@ -56,7 +56,7 @@
             self.run_time_ratio.record(now, ratio);
             if self.is_slow && ratio < RECOVERED_RUN_TIME_RATIO {
                 self.is_slow = false;
-                self.run_time_ratio.set(ratio.max(0.2));
+                self.run_time_ratio.set(ratio);
             }
         }
     }
--- a/crates/figdeal-queue/src/node/evacuation.rs
+++ b/crates/figdeal-queue/src/node/evacuation.rs
@@ -53,6 +53,7 @@
         // Without a list in the settings, the workers tell which data centres exist, so a leader that does not know all
         // workers can neither say that a data centre does not exist nor that it is the last one.
         if !is_certain && dispatcher.awaits_agents() {
+            self.job_log.count_refusal(RefusalReason::WorkersUnknown);
             return Some(Answer::Refused {
                 retry_after_ms: WORKERS_UNKNOWN_RETRY_AFTER_MS,
                 reason: RefusalReason::WorkersUnknown,
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -80,9 +80,7 @@
             return self.reply(token, refused);
         }
         if matches!(request, Request::SetEvacuation { .. }) && self.has_just_resumed() {
-            return self
-                .actions
-                .push(Action::Reply(token, super::evacuation::after_pause()));
+            return self.reply(token, super::evacuation::after_pause());
         }
         let timeout = match &request {
             Request::SetEvacuation { .. } => max_wait.min(EVACUATION_TIMEOUT),
@@ -213,7 +211,7 @@
         if let Answer::Refused { reason, .. } = &answer
             && matches!(
                 reason,
-                RefusalReason::NoLeader | RefusalReason::ShuttingDown
+                RefusalReason::NoLeader | RefusalReason::ShuttingDown | RefusalReason::AfterPause
             )
         {
             self.job_log.count_refusal(*reason);
--- a/crates/figdeal-queue/tests/locality.rs
+++ b/crates/figdeal-queue/tests/locality.rs
@@ -94,7 +94,17 @@
     };
     let count = filler.count as usize;
     assert!(fleet.submit(JobId(1_000), 0, filler, f64::from(estimate_ms)));
-    let filled = starts(&mut fleet);
+    let mut filled = Vec::new();
+    while filled.len() < count {
+        // An agent gets no more starts than it can carry out before its next report.
+        let more = starts(&mut fleet);
+        assert!(!more.is_empty(), "{} of {count} tasks start", filled.len());
+        filled.extend(more);
+        for agent in 0..2 {
+            fleet.report(agent, None);
+        }
+        fleet.now = fleet.now + Duration::from_millis(5);
+    }
     assert!(filled.len() == count && filled.iter().all(|start| start.1 < 2));
     (fleet, step)
 }
--- a/crates/figdeal-queue/tests/waiting.rs
+++ b/crates/figdeal-queue/tests/waiting.rs
@@ -375,12 +375,26 @@
 /// Guards against more starts than an agent can carry out, which it rejects and the leader repeats (LOST, review/7).
 #[test]
 fn starts_of_many_small_tasks_are_not_rejected() {
+    start_many_small_tasks(None);
+}
+
+/// Guards against the same for tasks whose data is in the rack of the workers, which are found in an index of their own.
+#[test]
+fn starts_of_many_small_tasks_in_a_rack_are_not_rejected() {
+    start_many_small_tasks(Some("a".to_owned()));
+}
+
+fn start_many_small_tasks(rack: Option<String>) {
     let mut leader = Leader::new();
     for _ in 0..3 {
         leader.add_runner("a", 64_000);
     }
     for id in 0..20 {
-        leader.submit(id, 0, step(390, 5, 500));
+        let step = Step {
+            rack: rack.clone(),
+            ..step(390, 5, 500)
+        };
+        leader.submit(id, 0, step);
         leader.advance(Duration::from_millis(25));
     }
     leader.advance(Duration::from_secs(2));
--- a/crates/figdeal-stand-in/src/server.rs
+++ b/crates/figdeal-stand-in/src/server.rs
@@ -188,7 +188,7 @@
         self.workers[n].faults = faults;
     }
 
-    /// Records the acknowledgement of an evacuation. No run may start in the data centre after [`EVACUATION_GRACE`].
+    /// Records the acknowledgement of an evacuation. No run may start in the data centre after `EVACUATION_GRACE`.
     pub fn evacuate(&mut self, data_centre: &str) {
         let now = self.now();
         self.evacuated.insert(data_centre.to_owned(), now);
