--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -48,7 +48,9 @@
 pub use admission::Rejection;
 use backlog::{Backlog, BacklogKey, StepRank};
 pub use limits::{ColdLimit, Limits};
-pub use locality::{Choice, RackLoad, expected_wait, is_contended, is_hopeless, wait_end};
+pub use locality::{
+    Choice, RackLoad, expected_wait, is_contended, misses_goal_everywhere, wait_end,
+};
 pub use overload::{
     PoolRoom, QueueLoad, decayed_peak, fragmentation_margin, is_overloaded, predicted_wait,
     reserve, retry_after, service_order,
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -64,7 +64,7 @@
         }
         let slack = self.slack(queue, spec);
         let left = slack.saturating_sub(age);
-        if let Some(wait) = known.and_then(|key| self.hopeless_rack_wait(now, key, spec, left)) {
+        if let Some(wait) = known.and_then(|key| self.rack_wait_beyond_goal(now, key, spec, left)) {
             return Some(Rejection {
                 reason: RefusalReason::Overload,
                 retry_after: retry_after(wait, id.0),
--- a/crates/figdeal-queue/src/dispatch/locality.rs
+++ b/crates/figdeal-queue/src/dispatch/locality.rs
@@ -12,7 +12,7 @@
 use super::overload::millis;
 
 /// Part of the pool's room in use from which on a remote run starts to take room from others.
-const CROWDED_FRACTION: f64 = 0.8;
+const HIGH_USE_FRACTION: f64 = 0.8;
 /// Part of a rack's room that its own tasks have needed recently, from which on other tasks avoid the rack.
 const CONTENDED_FRACTION: f64 = 0.3;
 /// Part of the time until the latest start that an expected wait may take. The rest covers estimates that are off.
@@ -111,8 +111,8 @@
     let wait = wait?;
     let difference = choice.remote.saturating_sub(choice.local);
     // In a full pool the longer run keeps other tasks waiting for as long.
-    let crowding = (choice.used_fraction - CROWDED_FRACTION) / (1.0 - CROWDED_FRACTION);
-    let worth = difference.mul_f64(1.0 + crowding.clamp(0.0, 1.0));
+    let excess_use = (choice.used_fraction - HIGH_USE_FRACTION) / (1.0 - HIGH_USE_FRACTION);
+    let worth = difference.mul_f64(1.0 + excess_use.clamp(0.0, 1.0));
     if wait >= worth || wait > max_wait(now, choice) || now >= choice.latest_start {
         return None;
     }
@@ -132,7 +132,7 @@
 /// use std::time::Duration;
 ///
 /// use figdeal_core::time::Timestamp;
-/// use figdeal_queue::dispatch::{Choice, is_hopeless};
+/// use figdeal_queue::dispatch::{Choice, misses_goal_everywhere};
 ///
 /// let now = Timestamp::from_micros(0);
 /// let choice = Choice {
@@ -142,14 +142,14 @@
 ///     latest_start: now + Duration::from_millis(180),
 /// };
 /// let wait = Some(Duration::from_millis(200));
-/// assert!(is_hopeless(now, choice, wait));
-/// assert!(!is_hopeless(now, Choice { used_fraction: 0.5, ..choice }, wait));
-/// assert!(!is_hopeless(now, Choice { remote: Duration::from_millis(300), ..choice }, wait));
+/// assert!(misses_goal_everywhere(now, choice, wait));
+/// assert!(!misses_goal_everywhere(now, Choice { used_fraction: 0.5, ..choice }, wait));
+/// assert!(!misses_goal_everywhere(now, Choice { remote: Duration::from_millis(300), ..choice }, wait));
 /// ```
-pub fn is_hopeless(now: Timestamp, choice: Choice, wait: Option<Duration>) -> bool {
+pub fn misses_goal_everywhere(now: Timestamp, choice: Choice, wait: Option<Duration>) -> bool {
     let late_elsewhere = now + choice.remote > choice.latest_start + choice.local;
     let late_in_rack = wait.is_none_or(|wait| wait > max_wait(now, choice));
-    choice.used_fraction >= CROWDED_FRACTION && late_elsewhere && late_in_rack
+    choice.used_fraction >= HIGH_USE_FRACTION && late_elsewhere && late_in_rack
 }
 
 /// Returns whether tasks that could run anywhere should leave the rack to its own, which needed `peak_millicores`
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -24,7 +24,7 @@
     /// A task found a worker.
     Placed,
     /// The step waits for something else than room, so that the room is left to others.
-    Elsewhere,
+    OtherCondition,
     /// No worker has room for the step, or its queue has to leave the room to others.
     NoRoom,
 }
@@ -116,7 +116,7 @@
             match self.next_start(now, key, rank, step) {
                 Ok((agent, _)) if self.awaits_start_replies(now, id, number, rack, agent) => {
                     if attempt != Attempt::Placed {
-                        attempt = Attempt::Elsewhere;
+                        attempt = Attempt::OtherCondition;
                     }
                     let at = now + START_REPLY_DELAY;
                     self.set_aside_step(key, id, number, WakeCondition::Time { at });
@@ -124,7 +124,7 @@
                 }
                 Ok((agent, _)) if self.waits_for_rack(now, id, number, rack, agent) => {
                     if attempt != Attempt::Placed {
-                        attempt = Attempt::Elsewhere;
+                        attempt = Attempt::OtherCondition;
                     }
                     self.set_aside_step(
                         key,
@@ -148,7 +148,7 @@
                 }
                 Err(condition) => {
                     if attempt != Attempt::Placed && !condition.lacks_room() {
-                        attempt = Attempt::Elsewhere;
+                        attempt = Attempt::OtherCondition;
                     }
                     self.set_aside_step(key, id, number, condition);
                     break;
--- a/crates/figdeal-queue/src/dispatch/racks.rs
+++ b/crates/figdeal-queue/src/dispatch/racks.rs
@@ -13,7 +13,8 @@
     backlog::{BacklogKey, StepRank, rank},
     cold,
     locality::{
-        Choice, MIN_RECONSIDER_DELAY, RackLoad, expected_wait, is_contended, is_hopeless, wait_end,
+        Choice, MIN_RECONSIDER_DELAY, RackLoad, expected_wait, is_contended,
+        misses_goal_everywhere, wait_end,
     },
     overload::{decayed_peak, millis},
     room::{MAX_CANDIDATES, RoomEntry, is_reachable},
@@ -364,7 +365,8 @@
         let wait = expected_wait(rack.load(now, view.latest_start), needs);
         let can_be_refused = job.spec.volatile && !job.resubmitted && !job.started;
         let refusal = view.latest_start + REFUSAL_DELAY;
-        let is_refused_soon = can_be_refused && is_hopeless(now, choice, wait) && now < refusal;
+        let is_refused_soon =
+            can_be_refused && misses_goal_everywhere(now, choice, wait) && now < refusal;
         let until = wait_end(now, choice, wait)
             .or_else(|| is_refused_soon.then(|| refusal.min(now + MIN_RECONSIDER_DELAY)));
         let Some(until) = until else {
@@ -406,7 +408,7 @@
 
     /// Returns how long a new job would wait for the racks of its data, if it would then miss its response-time goal and
     /// would miss it elsewhere as well. `slack` is the time that the job may wait.
-    pub(super) fn hopeless_rack_wait(
+    pub(super) fn rack_wait_beyond_goal(
         &self,
         now: Timestamp,
         backlog: BacklogKey,
@@ -414,7 +416,7 @@
         slack: Duration,
     ) -> Option<Duration> {
         let pool = &self.backlogs[backlog].pool;
-        let hopeless = spec.steps.iter().filter_map(|step| {
+        let late = spec.steps.iter().filter_map(|step| {
             let rack = &self.racks[self.known_rack(pool, step)?];
             let needs = u64::from(step.needs.millicores) * u64::from(step.count);
             // Nothing waits for a rack without workers.
@@ -424,9 +426,9 @@
             let factor = self.limits.remote_factor;
             let choice = self.rack_choice(backlog, step, rack, factor, now + slack);
             let wait = expected_wait(rack.load(now, now + slack), needs);
-            is_hopeless(now, choice, wait).then_some(wait.unwrap_or_default())
+            misses_goal_everywhere(now, choice, wait).then_some(wait.unwrap_or_default())
         });
-        hopeless.max()
+        late.max()
     }
 
     /// Returns the mean ratio of run time to expected run time on the workers of a rack.
--- a/crates/figdeal-queue/src/dispatch/room.rs
+++ b/crates/figdeal-queue/src/dispatch/room.rs
@@ -297,8 +297,8 @@
         }
     }
 
-    /// Counts the free room of workers that get no tasks at present. Without that, a job would be accepted for room that it
-    /// cannot have, wait in vain and be late.
+    /// Counts the free room of workers that get no tasks at present. Without that, a job would be accepted for room that
+    /// it cannot have, wait in vain and be late.
     pub(super) fn count_withheld_room(&mut self, now: Timestamp) {
         for pool in self.pools.values_mut() {
             pool.withheld_millicores = 0;
--- a/crates/figdeal-queue/src/dispatch/worker_health.rs
+++ b/crates/figdeal-queue/src/dispatch/worker_health.rs
@@ -12,8 +12,8 @@
 const EJECTION_FAILURE_FRACTION: f64 = 0.55;
 /// Interval between two trial runs on a worker that is ejected because of its failures.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Interval between two trial runs on a slow worker. A run there is found to be slow within an eighth of its time and moved,
-/// so a trial costs little, and a worker that has recovered is in use again soon.
+/// Interval between two trial runs on a slow worker. A run there is found to be slow within an eighth of its time and
+/// moved, so a trial costs little, and a worker that has recovered is in use again soon.
 const SLOW_TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Run time ratio of a run below which a slow worker counts as recovered.
 const RECOVERED_RUN_TIME_RATIO: f64 = 2.0;
