Decide in one place what a step with a rack waits for

Cause: place_step had three arms that set a step aside in the same way, and two decisions about racks began with the same check of the worker. remove_ready only called take_ready.

Change: rack_condition returns the condition of a step with a rack, and the step is set aside in one arm. take_ready is gone. No decision changes.

--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -241,8 +241,8 @@
         }
     }
 
-    /// Takes a ready task of a step.
-    pub(super) fn take_ready(&mut self, task: TaskId) {
+    /// Removes a task from the backlog if it is ready.
+    pub(super) fn remove_ready(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -252,11 +252,6 @@
         }
     }
 
-    /// Removes a task from the backlog if it is ready.
-    pub(super) fn remove_ready(&mut self, task: TaskId) {
-        self.take_ready(task);
-    }
-
     fn count_removed(&mut self, id: JobId, number: u16, removed: usize) {
         self.end_step_wait(id, number);
         let job = &self.jobs[&id];
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -113,36 +113,20 @@
             .ready_tasks
             .is_empty()
         {
-            match self.next_start(now, key, rank, step) {
-                Ok((agent, _)) if self.awaits_start_replies(now, id, number, rack, agent) => {
-                    if attempt != Attempt::Placed {
-                        attempt = Attempt::OtherCondition;
-                    }
-                    let at = now + START_REPLY_DELAY;
-                    self.set_aside_step(key, id, number, WakeCondition::Time { at });
-                    break;
-                }
-                Ok((agent, _)) if self.waits_for_rack(now, id, number, rack, agent) => {
-                    if attempt != Attempt::Placed {
-                        attempt = Attempt::OtherCondition;
-                    }
-                    self.set_aside_step(
-                        key,
-                        id,
-                        number,
-                        WakeCondition::Rack {
-                            job: id,
-                            step: number,
-                        },
-                    );
-                    break;
+            let start = self.next_start(now, key, rank, step);
+            let start = start.and_then(|(agent, task)| {
+                match self.rack_condition(now, id, number, rack, agent) {
+                    Some(condition) => Err(condition),
+                    None => Ok((agent, task)),
                 }
+            });
+            match start {
                 Ok((agent, task)) => {
                     let is_local =
                         rack.is_some_and(|rack| self.agents[agent].racks.contains(&rack));
                     self.count_wait_outcome(now, id, number, is_local);
                     self.set_started(id);
-                    self.take_ready(task);
+                    self.remove_ready(task);
                     self.place_task(now, agent, task, step, rack, spec.payload.clone());
                     attempt = Attempt::Placed;
                 }
@@ -158,6 +142,27 @@
         attempt
     }
 
+    /// Returns what a step waits for instead of a start at `agent`, if a start in the rack of its data is worth it.
+    fn rack_condition(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        number: u16,
+        rack: Option<RackKey>,
+        agent: AgentKey,
+    ) -> Option<WakeCondition> {
+        let rack = rack.filter(|rack| !self.agents[agent].racks.contains(rack))?;
+        if self.awaits_start_replies(now, id, number, rack) {
+            let at = now + START_REPLY_DELAY;
+            return Some(WakeCondition::Time { at });
+        }
+        let waits = self.waits_for_rack(now, id, number, rack, agent);
+        waits.then_some(WakeCondition::Rack {
+            job: id,
+            step: number,
+        })
+    }
+
     fn set_aside_step(
         &mut self,
         key: BacklogKey,
--- a/crates/figdeal-queue/src/dispatch/racks.rs
+++ b/crates/figdeal-queue/src/dispatch/racks.rs
@@ -309,18 +309,14 @@
     }
 
     /// Returns whether a worker in the rack of a step's data has room and takes the next start as soon as it has replied to
-    /// the last ones, so that a start at `other` does not pay off.
+    /// the last ones, so that a start elsewhere does not pay off.
     pub(super) fn awaits_start_replies(
         &self,
         now: Timestamp,
         id: JobId,
         number: u16,
-        rack: Option<RackKey>,
-        other: AgentKey,
+        rack: RackKey,
     ) -> bool {
-        let Some(rack) = rack.filter(|rack| !self.agents[other].racks.contains(rack)) else {
-            return false;
-        };
         let job = &self.jobs[&id];
         let needs = job.spec.steps[usize::from(number)].needs;
         let is_busy = |key: &AgentKey| {
@@ -334,18 +330,16 @@
         now < job.steps[usize::from(number)].latest_start && with_room.any(is_busy)
     }
 
-    /// Decides whether a step waits for the rack of its data instead of a start at `other` now, and records the wait.
+    /// Decides whether a step waits for the rack of its data instead of a start at `other`, which is in another rack, now.
+    /// Records the wait.
     pub(super) fn waits_for_rack(
         &mut self,
         now: Timestamp,
         id: JobId,
         number: u16,
-        rack: Option<RackKey>,
+        rack_key: RackKey,
         other: AgentKey,
     ) -> bool {
-        let Some(rack_key) = rack.filter(|rack| !self.agents[other].racks.contains(rack)) else {
-            return false;
-        };
         let job = &self.jobs[&id];
         let step = &job.spec.steps[usize::from(number)];
         let view = &job.steps[usize::from(number)];
