Keep the bounds and the job of a log line in one place

Cause: the log of failed requests and the log of jobs had the same bounds and found the identity of a job in a path by the same code.

Change: SampleLimits::FAULTS and JobId::of_path. No line changes.

--- a/crates/figdeal-node/src/request_log.rs
+++ b/crates/figdeal-node/src/request_log.rs
@@ -17,19 +17,13 @@
 
 use crate::{clock, http::HttpRequest};
 
-/// Bounds for failed requests. A node names all jobs of the largest load of the design, 930 a second.
-const LIMITS: SampleLimits = SampleLimits {
-    lines: 10,
-    jobs: 2_000,
-};
-
 /// Log of failed requests, shared by the handlers of all connections.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLog(Arc<Mutex<LogSample>>);
 
 impl RequestLog {
     pub(crate) fn new() -> RequestLog {
-        RequestLog(Arc::new(Mutex::new(LogSample::new(LIMITS))))
+        RequestLog(Arc::new(Mutex::new(LogSample::new(SampleLimits::FAULTS))))
     }
 
     pub(crate) fn unsupported(&self, request: &HttpRequest, feature: &str) {
@@ -78,8 +72,7 @@
     }
 
     fn admit(&self, event: &'static str, reason: &'static str, request: &HttpRequest) -> bool {
-        let job = request.path.rsplit('/').next();
-        let job = job.and_then(|id| id.parse::<JobId>().ok());
+        let job = JobId::of_path(&request.path);
         self.sample()
             .admit(clock::now(), event, reason, UNKNOWN_QUEUE, job)
     }
--- a/crates/figdeal-queue/src/job.rs
+++ b/crates/figdeal-queue/src/job.rs
@@ -19,6 +19,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
 
+impl JobId {
+    /// Returns the identity that a path ends with, if it names a job.
+    ///
+    /// ```
+    /// use figdeal_queue::job::JobId;
+    ///
+    /// assert_eq!(JobId::of_path("/queue/000000000000002a"), Some(JobId(42)));
+    /// assert_eq!(JobId::of_path("/queue/"), None);
+    /// ```
+    pub fn of_path(path: &str) -> Option<JobId> {
+        path.rsplit('/').next()?.parse().ok()
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/figdeal-queue/src/log_sample.rs
+++ b/crates/figdeal-queue/src/log_sample.rs
@@ -30,6 +30,15 @@
     pub jobs: usize,
 }
 
+impl SampleLimits {
+    /// Bounds for jobs that were refused, late, failed, withdrawn or submitted again. The largest load of the design is
+    /// 930 jobs a second, so that all of them are named.
+    pub const FAULTS: SampleLimits = SampleLimits {
+        lines: 10,
+        jobs: 2_000,
+    };
+}
+
 /// Lines of one event, reason and queue.
 #[derive(Debug)]
 struct Group {
--- a/crates/figdeal-queue/src/node/job_log.rs
+++ b/crates/figdeal-queue/src/node/job_log.rs
@@ -15,12 +15,6 @@
     refusals::{OVERLOAD_IN_QUEUE, RefusalCounts, UNKNOWN_QUEUE, log_name, metric_name},
 };
 
-/// Bounds for jobs that were refused, late, failed, withdrawn or submitted again. The largest load of the design is 930
-/// jobs a second, so that all of them are named.
-const FAULT_LIMITS: SampleLimits = SampleLimits {
-    lines: 10,
-    jobs: 2_000,
-};
 /// Bounds for jobs that are accepted and end in order.
 const ROUTINE_LIMITS: SampleLimits = SampleLimits { lines: 10, jobs: 0 };
 
@@ -47,7 +41,7 @@
 impl JobLog {
     pub(super) fn new() -> JobLog {
         JobLog {
-            faults: LogSample::new(FAULT_LIMITS),
+            faults: LogSample::new(SampleLimits::FAULTS),
             routine: LogSample::new(ROUTINE_LIMITS),
             refusals: RefusalCounts::default(),
             open: HashMap::new(),
@@ -165,7 +159,7 @@
         path: &str,
         leader: Option<SocketAddr>,
     ) {
-        let job = path.rsplit('/').next().and_then(|id| id.parse().ok());
+        let job = JobId::of_path(path);
         let queue = UNKNOWN_QUEUE;
         if self.faults.admit(now, "E614", "NoAnswer", queue, job) {
             log::warn!(
