Acknowledge ends while a cut list leaves a start undecided

What callers saw: with more ended runs at a worker than it lists at a time and a start without an answer, no end was read and no task was started there for 12.5 s.

Cause: an agent acknowledges no ends while a start has no answer, since the worker may have restarted, and a cut list does not decide the start. Without an acknowledgement the worker lists the same ends again, so neither moves.

Change: a start counts against the acknowledgement only until the worker has replied under a higher fencing token. That reply tells that the worker has not restarted, as any other does.

--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -320,7 +320,7 @@
         // A worker that has restarted numbers its ends from 1 again, so ends are acknowledged right after a reply only.
         let may_have_restarted = !self.poll.follows_reply
             || !self.poll.pending.is_empty()
-            || self.runs.values().any(|run| run.start_unanswered);
+            || self.has_unanswered_start();
         let acked_end = match may_have_restarted {
             true => 0,
             false => self.poll.acked_end,
@@ -338,6 +338,14 @@
         self.send_poll(now, call);
     }
 
+    /// Returns whether a start had no answer since the last reply. One from before stays undecided as long as the list
+    /// of ends is cut, and says nothing about the worker since.
+    fn has_unanswered_start(&self) -> bool {
+        let replied = self.poll.replied_fence;
+        let mut runs = self.runs.values();
+        runs.any(|run| run.start_unanswered && replied.is_none_or(|replied| replied <= run.fence))
+    }
+
     /// Polls whichever incarnation of the worker runs, without a renewal or an acknowledgement, which are meant for the
     /// known one only.
     pub(super) fn poll_any_incarnation(&mut self, now: Timestamp) {
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -138,6 +138,13 @@
     }
 }
 
+/// Guards against ends that nobody reads for seconds because a start without an answer keeps the agent from acknowledging
+/// the ends before them.
+#[test]
+fn cut_lists_are_read_to_their_end_beside_an_unanswered_start() {
+    assert_jobs_end(|simulation| simulation.end_runs_beside_lost_start(CUT_LIST));
+}
+
 /// Guards against a second concurrent run of a task because a worker carries out a call seconds late.
 #[test]
 fn promises_hold_with_late_orders() {
--- a/crates/figdeal-queue/tests/sim/simulation/cut_lists.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/cut_lists.rs
@@ -42,4 +42,18 @@
         self.run_until(self.now + FINISH_TIME);
         self.count_open(&ids)
     }
+
+    /// Lets more runs end than a list holds while a start has no answer. Returns how many jobs were accepted, and how many
+    /// of these have not ended in time.
+    pub(crate) fn end_runs_beside_lost_start(&mut self, max_listed: usize) -> (usize, usize) {
+        self.start_with_lists_of(max_listed);
+        let mut ids = self.submit_small_jobs(0x5000, JOBS);
+        self.run_until(self.now + OUTAGE_AFTER);
+        for host in &mut self.agent_hosts {
+            host.starts_lost_until = self.now + OUTAGE_AFTER;
+        }
+        ids.extend(self.submit_small_jobs(0x6000, JOBS / 20));
+        self.run_until(self.now + FINISH_TIME);
+        self.count_open(&ids)
+    }
 }
