Wait for runs that may have begun after their agent's last report

What callers saw: a worker restarted unnoticed, got a start, and its agent froze.

Cause: the worker's new clock makes its longest lease, 1 s, of an expiry by the former one. The leader gave up the agent 1.15 s after its last report, which covers a start before that report, but not one after it.

Change: an agent starts runs only within 0.35 s of the report that the orders answer. The leader takes runs whose order a report acknowledges as lost after 1.15 s, as before, and the others after 1.55 s. It removes the agent from the log only then, and a new leader waits that long for agents out of reach.

The test of E931 waits for both timeouts now, since its run begins after the last report.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -48,9 +48,15 @@
 pub const FORMER_CLOCK_LOSS_TIMEOUT: Duration = Duration::from_millis(1_180);
 /// Time after which a start without an answer is not carried out any more. The calls themselves are given up earlier.
 pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
-/// Time after the last report of an unreachable agent by which all its runs have ended: [`AGENT_LEASE`] by a slow
-/// clock, plus [`RUN_LOSS_TIMEOUT`].
-pub const AGENT_LOSS_TIMEOUT: Duration = Duration::from_millis(1_150);
+/// Age of the agent lease from which on the agent starts no run. It goes on with those that it has.
+pub const START_WINDOW: Duration = Duration::from_millis(350);
+/// Time after the last report of an unreachable agent by which all its runs have ended. One may begin after that report,
+/// at the end of [`START_WINDOW`] by a slow clock, and then lasts for up to [`FORMER_CLOCK_LOSS_TIMEOUT`], because its
+/// worker may have restarted unnoticed.
+pub const AGENT_LOSS_TIMEOUT: Duration = Duration::from_millis(1_550);
+/// Time after the last report of an unreachable agent by which the runs have ended that began before the report:
+/// [`AGENT_LEASE`] by a slow clock, plus [`RUN_LOSS_TIMEOUT`]. It covers the longest lease from the report on.
+pub const REPORTED_RUN_LOSS_TIMEOUT: Duration = Duration::from_millis(1_150);
 /// Interval between two reports if nothing changes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval between two announcements while the agent looks for a leader.
@@ -333,6 +339,12 @@
             .is_some_and(|l| l.start + AGENT_LEASE > now)
     }
 
+    /// Returns whether the agent lease is recent enough to start runs.
+    fn may_start(&self, now: Timestamp) -> bool {
+        let lease = self.lease.as_ref();
+        lease.is_some_and(|l| l.start + START_WINDOW > now)
+    }
+
     /// Returns the number of runs that may be on the worker.
     pub fn run_count(&self) -> usize {
         self.runs.len()
--- a/crates/figdeal-queue/src/agent/start.rs
+++ b/crates/figdeal-queue/src/agent/start.rs
@@ -102,7 +102,7 @@
         if worker.incarnation != incarnation || is_leaving {
             return Some(StartRejection::WrongWorker);
         }
-        if !self.has_agent_lease(now)
+        if !self.may_start(now)
             || self.new_lease_expiry(now).is_none()
             || !self.poll.runs_known(self.fence)
         {
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -7,9 +7,9 @@
 
 use figdeal_core::time::Timestamp;
 
-use super::{AgentKey, AgentView, Dispatcher, WorkerHealth, start_flow::StartFlow};
+use super::{AgentKey, AgentView, Dispatcher, PlacedRun, WorkerHealth, start_flow::StartFlow};
 use crate::{
-    agent::AGENT_LOSS_TIMEOUT,
+    agent::{AGENT_LOSS_TIMEOUT, REPORTED_RUN_LOSS_TIMEOUT},
     job::{Resources, TaskId},
     message::{Announce, Orders},
     state::Command,
@@ -25,7 +25,7 @@
         if new_session {
             agent.lease_start_us = announce.sent_us;
         }
-        if new_session || agent.deregistering {
+        if new_session || agent.given_up {
             log::info!(
                 "E603 agent asks for registration address={} session={:016x}",
                 announce.address,
@@ -34,6 +34,7 @@
             agent.session = announce.session;
             agent.registered = false;
             agent.runs_known = false;
+            agent.given_up = false;
             agent.deregistering = false;
             let (address, session) = (announce.address, announce.session);
             self.commands
@@ -53,6 +54,7 @@
             session: 0,
             fence: 0,
             registered: false,
+            given_up: false,
             deregistering: false,
             lease_start_us: 0,
             heard_at: now,
@@ -60,6 +62,7 @@
             // An agent that was removed and registers again ignores numbers that are not higher than before, so the
             // numbers start at the present time.
             last_orders: now.as_micros(),
+            received_orders: 0,
             received_event: None,
             unacked_events: VecDeque::new(),
             acked_event: 0,
@@ -117,42 +120,62 @@
         }
     }
 
-    /// Handles the runs of agents without a report for [`AGENT_LOSS_TIMEOUT`] as lost, and proposes the removal of
-    /// these agents from the log.
+    /// Gives up agents without a report for [`REPORTED_RUN_LOSS_TIMEOUT`]: the runs that began before their last report
+    /// are lost. Their other runs are lost after [`AGENT_LOSS_TIMEOUT`], and their removal from the log is proposed.
     pub(super) fn drop_unreachable_agents(&mut self, now: Timestamp) {
-        let is_lost = |a: &AgentView| !a.deregistering && a.heard_at + AGENT_LOSS_TIMEOUT < now;
-        let keys: Vec<AgentKey> = self
-            .agents
-            .iter()
-            .filter(|(_, a)| is_lost(a))
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
+        let silent_for = |a: &AgentView, time| a.heard_at + time < now;
+        let in_use = |a: &AgentView| !a.given_up && silent_for(a, REPORTED_RUN_LOSS_TIMEOUT);
+        for key in self.agents_with(in_use) {
+            self.give_up_agent(now, key);
+        }
+        let removable =
+            |a: &AgentView| a.given_up && !a.deregistering && silent_for(a, AGENT_LOSS_TIMEOUT);
+        for key in self.agents_with(removable) {
             let agent = &mut self.agents[key];
             agent.deregistering = true;
-            agent.registered = false;
-            agent.runs_known = false;
-            agent.worker = None;
             let address = agent.address;
-            let lost: Vec<(TaskId, u64)> = agent.placed.iter().map(|(t, p)| (*t, p.run)).collect();
-            log::warn!(
-                "E606 agent is unreachable address={address} silent_ms={} lost_runs={} term={}",
-                now.since(agent.heard_at).as_millis(),
-                lost.len(),
+            self.commands.push(Command::DeregisterAgent { address });
+            self.lose_runs(key, |_, _| true);
+        }
+    }
+
+    fn agents_with(&self, condition: impl Fn(&AgentView) -> bool) -> Vec<AgentKey> {
+        let agents = self.agents.iter().filter(|(_, agent)| condition(agent));
+        agents.map(|(key, _)| key).collect()
+    }
+
+    fn give_up_agent(&mut self, now: Timestamp, key: AgentKey) {
+        let agent = &mut self.agents[key];
+        agent.given_up = true;
+        agent.registered = false;
+        agent.runs_known = false;
+        agent.worker = None;
+        log::warn!(
+            "E606 agent is unreachable address={} silent_ms={} runs={} term={}",
+            agent.address,
+            now.since(agent.heard_at).as_millis(),
+            agent.placed.len(),
+            self.term
+        );
+        self.orphan_runs.retain(|_, (found_at, _)| *found_at != key);
+        self.update_room(key);
+        self.lose_runs(key, |agent, placed| agent.has_received(placed));
+    }
+
+    /// Handles the placed runs of an unreachable agent that have ended as lost.
+    fn lose_runs(&mut self, key: AgentKey, has_ended: impl Fn(&AgentView, &PlacedRun) -> bool) {
+        let agent = &self.agents[key];
+        let address = agent.address;
+        let ended = agent.placed.iter().filter(|(_, p)| has_ended(agent, p));
+        let lost: Vec<(TaskId, u64)> = ended.map(|(t, p)| (*t, p.run)).collect();
+        for (task, run) in lost {
+            log::info!(
+                "E931 run counts as lost with its agent task={task} run={run} agent={address} \
+                 term={}",
                 self.term
             );
-            self.commands.push(Command::DeregisterAgent { address });
-            self.orphan_runs.retain(|_, (found_at, _)| *found_at != key);
-            self.update_room(key);
-            for (task, run) in lost {
-                log::info!(
-                    "E931 run counts as lost with its agent task={task} run={run} agent={address} \
-                     term={}",
-                    self.term
-                );
-                self.remove_placed(key, task);
-                self.run_lost(key, task, run);
-            }
+            self.remove_placed(key, task);
+            self.run_lost(key, task, run);
         }
     }
 
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -79,6 +79,8 @@
     pub(super) fence: u64,
     /// Whether `session` is registered in the log; otherwise the entry for that is not committed yet.
     pub(super) registered: bool,
+    /// Whether the agent has sent no report for so long that it has to register again.
+    pub(super) given_up: bool,
     /// Whether the removal of the agent from the log is proposed and not committed yet.
     pub(super) deregistering: bool,
     /// Newest `sent_us` of the agent; its lease counts from it.
@@ -89,6 +91,8 @@
     pub(super) runs_known: bool,
     /// Number of the newest orders message to the agent.
     pub(super) last_orders: u64,
+    /// Number of the newest orders message that the agent had received when it sent a report.
+    pub(super) received_orders: u64,
     /// Number of the newest event received from the session; `None` before its first report.
     pub(super) received_event: Option<u64>,
     /// Events that are not acknowledged to the agent, each with the batch that must be committed first.
@@ -115,6 +119,13 @@
     pub(super) orders_due: bool,
 }
 
+impl AgentView {
+    /// Returns whether a report has told that the agent had received the order to start this run.
+    pub(super) fn has_received(&self, placed: &PlacedRun) -> bool {
+        placed.orders_number <= self.received_orders
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum TaskState {
     /// Waits for earlier steps, or for the reports of agents after a change of the leader.
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -190,7 +190,7 @@
     NoRoom,
     /// The worker is draining or gone, or is another incarnation than the one meant.
     WrongWorker,
-    /// The agent had no valid lease or did not know all runs under its present registration, or the worker rejected the
+    /// The agent had no recent lease or did not know all runs under its present registration, or the worker rejected the
     /// start as outdated.
     StaleOrder,
     /// The worker refused the start for any other reason.
--- a/crates/figdeal-queue/tests/given_up.rs
+++ b/crates/figdeal-queue/tests/given_up.rs
@@ -4,6 +4,9 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
+    agent::{
+        AGENT_LOSS_TIMEOUT, FORMER_CLOCK_LOSS_TIMEOUT, REPORTED_RUN_LOSS_TIMEOUT, START_WINDOW,
+    },
     dispatch::{Dispatcher, Submission},
     job::{JobId, JobSpec, Policy, Queue, Resources, Step, TaskId},
     message::{AgentReport, Announce, Order, RunEvent, RunId, RunOutcome, RunStatus, WorkerInfo},
@@ -242,3 +245,44 @@
     leader.advance(STEP);
     assert_eq!(leader.starts_of(1).len(), 1);
 }
+
+/// Guards against a second run of a task whose start began after the last report of its agent: its worker had restarted
+/// unnoticed and took the expiry for its longest lease (TWICE, review/10).
+#[test]
+fn a_run_that_may_have_begun_after_the_last_report_is_lost_later() {
+    let mut leader = Leader::new(2);
+    leader.advance(Duration::from_millis(155));
+    leader.submit(1);
+    leader.advance(STEP);
+    let (ordered_at, first) = leader.starts_of(1)[0];
+    leader.agents[first].reports = false;
+    leader.advance(Duration::from_millis(2_000));
+    let starts = leader.starts_of(1);
+    let wait = starts[1].0.since(ordered_at);
+    let longest = START_WINDOW + FORMER_CLOCK_LOSS_TIMEOUT;
+    assert_eq!(starts[1].1, 1 - first);
+    assert!(
+        wait >= longest.saturating_sub(Duration::from_millis(150)),
+        "{wait:?}"
+    );
+    assert!(
+        wait <= AGENT_LOSS_TIMEOUT + Duration::from_millis(100),
+        "{wait:?}"
+    );
+}
+
+/// Guards against tasks of an unreachable agent that wait for longer than their leases can last.
+#[test]
+fn runs_from_before_the_last_report_are_lost_first() {
+    let mut leader = Leader::new(2);
+    leader.submit(1);
+    leader.advance(Duration::from_millis(500));
+    let (_, first) = leader.starts_of(1)[0];
+    leader.report(first);
+    leader.agents[first].reports = false;
+    let silent_since = leader.now;
+    leader.advance(Duration::from_millis(2_000));
+    let wait = leader.starts_of(1)[1].0.since(silent_since);
+    let limit = REPORTED_RUN_LOSS_TIMEOUT..REPORTED_RUN_LOSS_TIMEOUT + Duration::from_millis(100);
+    assert!(limit.contains(&wait), "{wait:?}");
+}
--- a/crates/figdeal-queue/tests/log_lines/leader.rs
+++ b/crates/figdeal-queue/tests/log_lines/leader.rs
@@ -4,6 +4,7 @@
 
 use figdeal_core::time::Timestamp;
 use figdeal_queue::{
+    agent::{AGENT_LOSS_TIMEOUT, REPORTED_RUN_LOSS_TIMEOUT},
     dispatch::Dispatcher,
     job::{JobId, JobSpec, Policy, Resources, Step, TaskId},
     message::{
@@ -187,8 +188,10 @@
 fn runs_of_an_unreachable_agent_are_named() {
     let mut leader = Leader::new();
     let (run, agent) = leader.place();
-    leader.now = leader.now + Duration::from_millis(1_500);
-    leader.dispatcher.tick(leader.now);
+    for timeout in [REPORTED_RUN_LOSS_TIMEOUT, AGENT_LOSS_TIMEOUT] {
+        leader.now = leader.now + timeout;
+        leader.dispatcher.tick(leader.now);
+    }
     let [lost] = &lines("E931")[..] else {
         panic!("one run is lost: {:?}", lines("E931"))
     };
