Send no call to a worker on a connection that opens late

What callers could see: a task that runs twice, because a start without an answer reaches the next incarnation of the worker after its agent has reported the run as lost.

Cause: a call waited for its connection without a limit of its own. If the worker's queue of new connections is full, the kernel repeats the opening packet after a second or more, and whichever incarnation listens then gets the start.

The client is public for its test.

--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod queue_metrics;
 mod request_log;
 pub mod store;
-mod worker_client;
+pub mod worker_client;
 
 /// Result of running a process.
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
--- a/crates/figdeal-node/src/worker_client.rs
+++ b/crates/figdeal-node/src/worker_client.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use figdeal_platform::worker::{EXPECTED_INSTANCE_HEADER, WorkerCall};
-use figdeal_queue::agent::MAX_UNANSWERED_STARTS;
+use figdeal_queue::agent::{MAX_UNANSWERED_STARTS, START_TIMEOUT};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header::CONTENT_TYPE};
 use hyper_util::{
@@ -27,6 +27,10 @@
 /// Largest number of concurrent calls. A worker accepts 64 connections.
 const MAX_CALLS: usize = 48;
 const _: () = assert!(MAX_UNANSWERED_STARTS as usize + MIN_FREE_CALLS <= MAX_CALLS);
+/// Time within which a connection must be open. The worker runs on the same machine; its kernel repeats a lost opening
+/// packet only after a second. A start without an answer has been sent by its timeout or never is, so it can reach no
+/// incarnation of the worker that begins after that.
+const CONNECT_TIMEOUT: Duration = START_TIMEOUT;
 /// How often the call yields to other tasks after its timeout before a reply counts as missing.
 const YIELDS_AFTER_TIMEOUT: usize = 3;
 /// Time after the start of a call at which its HTTP exchange is aborted. The exchange goes on after the timeout of the
@@ -38,11 +42,11 @@
 const MIN_FREE_CALLS: usize = 16;
 
 /// Status and body of the response to a call.
-type Result = std::result::Result<(u16, Bytes), CallError>;
+pub type Result = std::result::Result<(u16, Bytes), CallError>;
 
 /// Why a call has no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// No connection could be opened or was free, so the call cannot be carried out.
     NotSent,
     /// There was no response in time. The call may be carried out, also later.
@@ -51,7 +55,7 @@
 
 /// Client of one worker with a bounded number of concurrent calls.
 #[derive(Debug, Clone)]
-pub(crate) struct WorkerClient {
+pub struct WorkerClient {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
     call_permits: Arc<Semaphore>,
@@ -61,9 +65,17 @@
 
 impl WorkerClient {
     /// Creates a client that connects on its first call.
-    pub(crate) fn new(address: SocketAddr) -> WorkerClient {
+    ///
+    /// ```
+    /// use figdeal_node::worker_client::WorkerClient;
+    ///
+    /// let client = WorkerClient::new("127.0.0.1:8080".parse().unwrap());
+    /// assert_eq!(client.outstanding_calls(), 0);
+    /// ```
+    pub fn new(address: SocketAddr) -> WorkerClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(None)
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
@@ -77,7 +89,7 @@
     }
 
     /// Number of calls in progress, overdue ones included.
-    pub(crate) fn outstanding_calls(&self) -> u32 {
+    pub fn outstanding_calls(&self) -> u32 {
         (MAX_CALLS - self.call_permits.available_permits()) as u32
     }
 
@@ -108,7 +120,10 @@
     }
 
     /// Makes a call, and waits for the response for at most `call_timeout`.
-    pub(crate) async fn call(&self, call: WorkerCall, call_timeout: Duration) -> Result {
+    ///
+    /// # Errors
+    /// Fails if the call was not sent, and if there is no response in time.
+    pub async fn call(&self, call: WorkerCall, call_timeout: Duration) -> Result {
         let path = call.path;
         self.abort_oldest_if_scarce();
         let Ok(permit) = Arc::clone(&self.call_permits).try_acquire_owned() else {
