Let a new leader wait for agents whose process does not know its runs

What callers could see: a task of a stored job that starts although its run goes on or has ended as done (TWICE).

Cause: 1.15 s after its election a leader released all jobs of earlier terms, whether or not agents had told their runs. That is counted from the last news of an earlier leader. An agent that has got a lease since, above all a new process that has not seen the worker's whole list, was taken at its silence.

Change: for each agent the wait counts from the election if it is out of reach, from its last message if it has only announced itself, but no longer than twice the timeout, and from the start of its session if it has reported. A process that does not know all runs does not renew the worker's lease, so the runs that it has not told have ended by then.

--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -308,11 +308,9 @@
     fn poll_worker(&mut self, now: Timestamp, wait: Duration) {
         // Without the worker's clock no expiry is sent. One far in the future is no substitute: the worker would cap it
         // at its longest lease, counted from when it carries out the call, which may be seconds later.
-        let lease_expiry_ms = if self.is_worker_out_of_use(now) {
-            None
-        } else {
-            self.new_lease_expiry(now)
-        };
+        // Runs that are not known are not prolonged either, so that a new leader knows when they have ended.
+        let may_renew = self.poll.listing == Listing::Complete && !self.is_worker_out_of_use(now);
+        let lease_expiry_ms = self.new_lease_expiry(now).filter(|_| may_renew);
         if lease_expiry_ms.is_some() {
             self.poll.set_renewed(now);
         }
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -14,7 +14,6 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    agent::AGENT_LOSS_TIMEOUT,
     job::{JobId, JobSpec, JobState, Queue, TaskId},
     losses::LossCounts,
     message::{AgentReport, Order, RunId},
@@ -510,21 +509,7 @@
             backlog.decay_peak();
         }
         self.drop_unreachable_agents(now);
-        if !self.agents_with_unknown_runs.is_empty()
-            && now >= self.leading_since + AGENT_LOSS_TIMEOUT
-        {
-            log::warn!(
-                "E605 agents of earlier terms did not report in time agents={:?} term={}",
-                self.agents_with_unknown_runs,
-                self.term
-            );
-            for address in std::mem::take(&mut self.agents_with_unknown_runs) {
-                if !self.by_address.contains_key(&address) {
-                    self.commands.push(Command::DeregisterAgent { address });
-                }
-            }
-            self.release_held_jobs(now);
-        }
+        self.end_waits_for_agents(now);
         self.end_cold_times(now);
         self.limit_ejection(now);
         self.count_withheld_room(now);
--- a/crates/figdeal-queue/src/dispatch/admission.rs
+++ b/crates/figdeal-queue/src/dispatch/admission.rs
@@ -10,7 +10,6 @@
     overload::{QueueLoad, is_overloaded, millis, predicted_wait, retry_after},
 };
 use crate::{
-    agent::AGENT_LOSS_TIMEOUT,
     job::{JobId, JobSpec, Queue},
     message::RefusalReason,
 };
@@ -101,7 +100,7 @@
             || now < self.leading_since + AGENT_REPORT_WINDOW;
         match no_wait {
             true => Duration::ZERO,
-            false => (self.leading_since + AGENT_LOSS_TIMEOUT).since(now),
+            false => self.all_runs_known_by().since(now),
         }
     }
 
--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -36,6 +36,8 @@
             agent.runs_known = false;
             agent.given_up = false;
             agent.deregistering = false;
+            agent.has_reported = false;
+            agent.joined_at = now;
             let (address, session) = (announce.address, announce.session);
             self.commands
                 .push(Command::RegisterAgent { address, session });
@@ -58,6 +60,8 @@
             deregistering: false,
             lease_start_us: 0,
             heard_at: now,
+            joined_at: now,
+            has_reported: false,
             runs_known: false,
             // An agent that was removed and registers again ignores numbers that are not higher than before, so the
             // numbers start at the present time.
@@ -179,6 +183,47 @@
         }
     }
 
+    /// Ends the waits for agents of earlier terms that have not told their runs, once all of these must have ended.
+    pub(super) fn end_waits_for_agents(&mut self, now: Timestamp) {
+        let unknown = self.agents_with_unknown_runs.iter().copied();
+        let over = unknown.filter(|address| self.runs_end_by(*address) <= now);
+        let over: Vec<SocketAddr> = over.collect();
+        if over.is_empty() {
+            return;
+        }
+        log::warn!(
+            "E605 agents of earlier terms did not report in time agents={over:?} term={}",
+            self.term
+        );
+        for address in over {
+            self.agents_with_unknown_runs.remove(&address);
+            if !self.by_address.contains_key(&address) {
+                self.commands.push(Command::DeregisterAgent { address });
+            }
+        }
+        self.release_held_jobs(now);
+    }
+
+    /// Returns when the runs of an agent of an earlier term must have ended that it has not told. Until it knows all
+    /// runs, its process renews the lease of none that it does not report as undecided. One that announces itself again
+    /// and again may get no answers, so that wait is bounded.
+    fn runs_end_by(&self, address: SocketAddr) -> Timestamp {
+        let agent = self.by_address.get(&address).map(|key| &self.agents[*key]);
+        let since = match agent {
+            None => self.leading_since,
+            Some(agent) if agent.has_reported => agent.joined_at,
+            Some(agent) => agent.heard_at.min(agent.joined_at + AGENT_LOSS_TIMEOUT),
+        };
+        since + AGENT_LOSS_TIMEOUT
+    }
+
+    /// Returns by when the runs of all agents of earlier terms are known, at the latest.
+    pub(super) fn all_runs_known_by(&self) -> Timestamp {
+        let unknown = self.agents_with_unknown_runs.iter();
+        let ends = unknown.map(|address| self.runs_end_by(*address));
+        ends.max().unwrap_or(self.leading_since)
+    }
+
     /// Takes the messages to agents.
     pub fn take_orders(&mut self) -> Vec<(SocketAddr, Orders)> {
         let (leader, term) = (self.address, self.term);
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -32,6 +32,7 @@
         }
         let was_reachable = super::room::is_reachable(agent, now);
         agent.heard_at = now;
+        agent.has_reported = true;
         agent.received_orders = agent.received_orders.max(report.last_orders);
         agent
             .start_flow
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -87,6 +87,10 @@
     pub(super) lease_start_us: u64,
     /// When the agent last reported or announced itself.
     pub(super) heard_at: Timestamp,
+    /// When the session was first heard of.
+    pub(super) joined_at: Timestamp,
+    /// Whether the agent has sent a report since then.
+    pub(super) has_reported: bool,
     /// Whether the agent has reported all runs of the session.
     pub(super) runs_known: bool,
     /// Number of the newest orders message to the agent.
--- a/crates/figdeal-queue/tests/given_up.rs
+++ b/crates/figdeal-queue/tests/given_up.rs
@@ -10,11 +10,12 @@
     dispatch::{Dispatcher, Submission},
     job::{JobId, JobSpec, Policy, Queue, Resources, Step, TaskId},
     message::{AgentReport, Announce, Order, RunEvent, RunId, RunOutcome, RunStatus, WorkerInfo},
-    state::ReplicatedState,
+    state::{Batch, Command, ReplicatedState},
 };
 
 const POOL: &str = "pool";
-const SESSION: u64 = 1;
+const SESSION: u64 = 2;
+const TERM: u64 = 2;
 const STEP: Duration = Duration::from_millis(10);
 /// Interval between two reports, in steps.
 const REPORT_STEPS: u64 = 15;
@@ -28,6 +29,8 @@
 struct Agent {
     address: SocketAddr,
     reports: bool,
+    /// Whether it tells its runs. Otherwise its worker has not listed all of them.
+    runs_known: bool,
     /// Number of the newest orders that it has got; it is told in its next report.
     last_orders: u64,
     runs: BTreeMap<TaskId, u64>,
@@ -46,37 +49,47 @@
 
 impl Leader {
     fn new(agent_count: u16) -> Leader {
+        let mut leader = Leader::with_state(&ReplicatedState::default());
+        for _ in 0..agent_count {
+            leader.add_agent(true);
+        }
+        leader
+    }
+
+    /// Returns a leader without agents that has this state from earlier leaders.
+    fn with_state(state: &ReplicatedState) -> Leader {
         let now = Timestamp::from_micros(1_000_000);
-        let state = ReplicatedState::default();
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        let mut leader = Leader {
+        Leader {
             now,
             steps: 0,
-            dispatcher: Dispatcher::new(&state, address, 1, now, 0),
+            dispatcher: Dispatcher::new(state, agent_address(0), TERM, now, 0),
             agents: Vec::new(),
             starts: Vec::new(),
-        };
-        for n in 0..agent_count {
-            let address = SocketAddr::from(([127, 0, 0, 1], 2 + n));
-            let announce = Announce {
-                address,
-                session: SESSION,
-                sent_us: now.as_micros(),
-            };
-            leader.dispatcher.on_announce(now, &announce);
-            leader.commit();
-            let fence = u64::from(n) + 1;
-            leader.dispatcher.agent_registered(address, SESSION, fence);
-            leader.agents.push(Agent {
-                address,
-                reports: true,
-                last_orders: 0,
-                runs: BTreeMap::new(),
-                events: Vec::new(),
-            });
-            leader.report(usize::from(n));
         }
-        leader
+    }
+
+    /// Registers a new process of the next agent, and lets it report.
+    fn add_agent(&mut self, runs_known: bool) {
+        let n = self.agents.len();
+        let address = agent_address(n + 1);
+        let announce = Announce {
+            address,
+            session: SESSION,
+            sent_us: self.now.as_micros(),
+        };
+        self.dispatcher.on_announce(self.now, &announce);
+        self.commit();
+        let fence = n as u64 + 1;
+        self.dispatcher.agent_registered(address, SESSION, fence);
+        self.agents.push(Agent {
+            address,
+            reports: true,
+            runs_known,
+            last_orders: 0,
+            runs: BTreeMap::new(),
+            events: Vec::new(),
+        });
+        self.report(n);
     }
 
     fn commit(&mut self) {
@@ -99,7 +112,7 @@
         let report = AgentReport {
             address: agent.address,
             session: SESSION,
-            term: 1,
+            term: TERM,
             sent_us: self.now.as_micros(),
             last_orders: agent.last_orders,
             first_event: 1,
@@ -113,7 +126,7 @@
                 data_centre: None,
                 cold_ms: 0,
             }),
-            running: Some(running.collect()),
+            running: agent.runs_known.then(|| running.collect()),
             undecided: Vec::new(),
             events: agent.events.clone(),
             slow: Vec::new(),
@@ -124,21 +137,11 @@
 
     /// Submits a volatile job of one task.
     fn submit(&mut self, id: u64) {
-        let spec = JobSpec {
-            steps: vec![Step {
-                count: 1,
-                needs: NEEDS,
-                estimate_ms: 5_000,
-                ..Step::default()
-            }],
-            volatile: true,
-            ..JobSpec::default()
-        };
         let submission = Submission {
             age: Duration::ZERO,
             resubmitted: false,
         };
-        let (id, spec) = (JobId(id), Arc::new(spec));
+        let (id, spec) = (JobId(id), Arc::new(job(true)));
         self.dispatcher
             .submit(self.now, id, &queue(), &spec, submission);
     }
@@ -188,6 +191,24 @@
     }
 }
 
+fn agent_address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1 + n as u16))
+}
+
+/// Returns a job of one task.
+fn job(volatile: bool) -> JobSpec {
+    JobSpec {
+        steps: vec![Step {
+            count: 1,
+            needs: NEEDS,
+            estimate_ms: 5_000,
+            ..Step::default()
+        }],
+        volatile,
+        ..JobSpec::default()
+    }
+}
+
 fn queue() -> Queue {
     Queue {
         name: "q".to_owned(),
@@ -286,3 +307,87 @@
     let limit = REPORTED_RUN_LOSS_TIMEOUT..REPORTED_RUN_LOSS_TIMEOUT + Duration::from_millis(100);
     assert!(limit.contains(&wait), "{wait:?}");
 }
+/// Returns what an earlier leader has left: two agents, and a stored job that one of them may have started.
+fn state_with_job(id: u64) -> ReplicatedState {
+    let register = |n| Command::RegisterAgent {
+        address: agent_address(n),
+        session: 1,
+    };
+    let accept = Command::Accept {
+        id: JobId(id),
+        queue: "q".to_owned(),
+        pool: POOL.to_owned(),
+        policy: queue().policy,
+        spec: Arc::new(job(false)),
+        term: 1,
+    };
+    let mut state = ReplicatedState::default();
+    let entry = Batch {
+        time_ms: 0,
+        commands: vec![register(1), register(2), accept],
+    };
+    state.apply(1, entry);
+    state
+}
+
+/// Guards against a task that starts although a run of it may go on or has ended as done, because a new leader took the
+/// silence of an agent's new process on its runs for their end.
+#[test]
+fn a_new_leader_waits_for_a_process_that_does_not_know_its_runs_yet() {
+    let mut leader = Leader::with_state(&state_with_job(1));
+    leader.add_agent(true);
+    leader.advance(Duration::from_millis(1_400));
+    let joined_at = leader.now;
+    leader.add_agent(false);
+    leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(100));
+    let starts = leader.starts_of(1);
+    assert_eq!(starts.len(), 1, "the wait is bounded");
+    let wait = starts[0].0.since(joined_at);
+    assert!(wait >= AGENT_LOSS_TIMEOUT, "{wait:?}");
+}
+
+/// Guards against a new leader that holds the jobs of earlier ones for longer than the runs of unreachable agents can last.
+#[test]
+fn a_new_leader_does_not_wait_for_agents_that_are_gone() {
+    let mut leader = Leader::with_state(&state_with_job(1));
+    let elected_at = leader.now;
+    leader.add_agent(true);
+    leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(100));
+    let wait = leader.starts_of(1)[0].0.since(elected_at);
+    assert!(wait >= AGENT_LOSS_TIMEOUT, "{wait:?}");
+}
+
+/// Guards against a held job that starts although the agent that got a lease since the election has not reported.
+#[test]
+fn a_new_leader_waits_for_the_lease_of_an_agent_that_announced_itself() {
+    let mut leader = Leader::with_state(&state_with_job(1));
+    leader.add_agent(true);
+    leader.advance(Duration::from_millis(1_400));
+    let announce = Announce {
+        address: agent_address(2),
+        session: 1,
+        sent_us: leader.now.as_micros(),
+    };
+    leader.dispatcher.on_announce(leader.now, &announce);
+    let announced_at = leader.now;
+    leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(200));
+    let wait = leader.starts_of(1)[0].0.since(announced_at);
+    assert!(wait >= AGENT_LOSS_TIMEOUT, "{wait:?}");
+}
+
+/// Guards against stored jobs that wait for ever for an agent whose messages arrive, but that gets no answers (LOST).
+#[test]
+fn a_new_leader_does_not_wait_for_ever_for_an_agent_that_only_announces_itself() {
+    let mut leader = Leader::with_state(&state_with_job(1));
+    leader.add_agent(true);
+    for _ in 0..40 {
+        let announce = Announce {
+            address: agent_address(2),
+            session: 1,
+            sent_us: leader.now.as_micros(),
+        };
+        leader.dispatcher.on_announce(leader.now, &announce);
+        leader.advance(Duration::from_millis(100));
+    }
+    assert_eq!(leader.starts_of(1).len(), 1);
+}
