Wait for an agent that announces itself again after a report

What callers could see: a task of a stored job that starts although its run goes on.

Change: a report from before the last announcement does not count, so the wait goes on from that announcement, within its bound.

Run: a_new_leader_waits_for_an_agent_that_announces_itself_again failed before and passes.

--- a/crates/figdeal-queue/src/dispatch/agents.rs
+++ b/crates/figdeal-queue/src/dispatch/agents.rs
@@ -36,7 +36,6 @@
             agent.runs_known = false;
             agent.given_up = false;
             agent.deregistering = false;
-            agent.has_reported = false;
             agent.joined_at = now;
             let (address, session) = (announce.address, announce.session);
             self.commands
@@ -45,6 +44,7 @@
         let agent = &mut self.agents[key];
         let was_reachable = super::room::is_reachable(agent, now);
         agent.heard_at = now;
+        agent.has_reported = false;
         self.mark_due(key);
         self.update_room(key);
         if !was_reachable {
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -89,7 +89,7 @@
     pub(super) heard_at: Timestamp,
     /// When the session was first heard of.
     pub(super) joined_at: Timestamp,
-    /// Whether the agent has sent a report since then.
+    /// Whether the agent has sent a report since it last announced itself.
     pub(super) has_reported: bool,
     /// Whether the agent has reported all runs of the session.
     pub(super) runs_known: bool,
--- a/crates/figdeal-queue/tests/given_up.rs
+++ b/crates/figdeal-queue/tests/given_up.rs
@@ -395,6 +395,27 @@
     assert!(wait >= AGENT_LOSS_TIMEOUT, "{wait:?}");
 }
 
+/// Guards against a held job that starts although an agent that has reported before has got a new lease since, under which
+/// it may have come to know its runs.
+#[test]
+fn a_new_leader_waits_for_an_agent_that_announces_itself_again() {
+    let mut leader = Leader::with_state(&state_with_job(1));
+    leader.add_agent(true);
+    leader.add_agent(false);
+    leader.agents[1].reports = false;
+    leader.advance(Duration::from_millis(1_000));
+    let announce = Announce {
+        address: agent_address(2),
+        session: SESSION,
+        sent_us: leader.now.as_micros(),
+    };
+    leader.dispatcher.on_announce(leader.now, &announce);
+    let announced_at = leader.now;
+    leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(200));
+    let wait = leader.starts_of(1)[0].0.since(announced_at);
+    assert!(wait >= AGENT_LOSS_TIMEOUT, "{wait:?}");
+}
+
 /// Guards against stored jobs that wait for ever for an agent whose messages arrive, but that gets no answers (LOST).
 #[test]
 fn a_new_leader_does_not_wait_for_ever_for_an_agent_that_only_announces_itself() {
