Count the longest lease for runs that an agent finds on its worker

What callers could see: a task that starts elsewhere while its run goes on (TWICE).

Cause: a run that a new process of an agent finds, or whose start was undecided until the worker lists it, may have a lease by a former clock, of up to 1 s.

Tests of long waits use the constant that they wait for.

Run: a_run_that_a_new_process_finds_is_lost_only_after_the_longest_lease failed before and passes.

--- a/crates/figdeal-queue/src/agent/poll.rs
+++ b/crates/figdeal-queue/src/agent/poll.rs
@@ -111,7 +111,8 @@
     /// When a poll or a start that renews the worker lease was last sent.
     renewed_at: Option<Timestamp>,
     /// Latest time at which the worker may have taken an expiry that `renewed_at` does not tell of: until the agent
-    /// learned of a new incarnation, or found runs although the lease that it knows of had expired.
+    /// learned of a new incarnation, found a run that it did not know to be there, or found runs although the lease
+    /// that it knows of had expired.
     unknown_renewal_at: Option<Timestamp>,
     /// When the worker last replied, or when the polls began.
     replied_at: Option<Timestamp>,
@@ -308,7 +309,7 @@
     fn poll_worker(&mut self, now: Timestamp, wait: Duration) {
         // Without the worker's clock no expiry is sent. One far in the future is no substitute: the worker would cap it
         // at its longest lease, counted from when it carries out the call, which may be seconds later.
-        // Runs that are not known are not prolonged either, so that a new leader knows when they have ended.
+        // Runs that are not known are not prolonged, so that a new leader knows when they have ended.
         let may_renew = self.poll.listing == Listing::Complete && !self.is_worker_out_of_use(now);
         let lease_expiry_ms = self.new_lease_expiry(now).filter(|_| may_renew);
         if lease_expiry_ms.is_some() {
@@ -483,6 +484,7 @@
                     self.known_worker()
                 );
                 self.runs.insert(task, found_run);
+                self.poll.unknown_renewal_at = Some(now);
             }
         }
         let mut missing = Vec::new();
@@ -495,7 +497,10 @@
             if let Some(progress) = listed.get(&(*task, run.run)) {
                 run.confirmed_at.get_or_insert(now);
                 run.listed_by = Some(self.incarnation);
-                run.start_unanswered = false;
+                if std::mem::take(&mut run.start_unanswered) {
+                    // The start may just have been carried out, with an expiry by a former clock.
+                    self.poll.unknown_renewal_at = Some(now);
+                }
                 if let Some(progress) = progress {
                     run.speed.record(now, *progress);
                 }
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -6,7 +6,7 @@
 use figdeal_queue::{
     agent::{
         AGENT_LOSS_TIMEOUT, Action, Agent, Heartbeat, ListedOutcome, PollCall, PollReply,
-        StartCall, StartReply,
+        StartCall, StartReply, UNANSWERED_START_TIMEOUT,
     },
     job::{JobId, Resources, TaskId},
     message::{AgentReport, LossReason, Order, Orders, PeerMessage, RunOutcome, StartRejection},
@@ -22,6 +22,8 @@
 /// Run time of a task, unless a test sets another one.
 const RUN_TIME: Duration = Duration::from_millis(400);
 const ID: &str = "w";
+/// Identity of the first process of the agent.
+const FIRST_SESSION: u64 = 7;
 const LOST: RunOutcome = RunOutcome::Lost(LossReason::LeaseExpired);
 const NOT_LISTED: RunOutcome = RunOutcome::Lost(LossReason::NotListed);
 const NEEDS: Resources = Resources {
@@ -42,6 +44,8 @@
     polls_hang: bool,
     run_time: Duration,
     steps: u64,
+    /// Identity of the agent's process.
+    session: u64,
     /// Whether the leader renews the lease of the agent.
     renews: bool,
     /// Start of the agent's lease in messages of the leader, if it is not the present time.
@@ -59,7 +63,7 @@
         let now = Timestamp::ZERO + WORKER_AGE;
         let seed = "127.0.0.3:7000".parse().unwrap();
         let mut pair = Pair {
-            agent: Agent::new("127.0.0.9:7000".parse().unwrap(), 7, vec![seed]),
+            agent: Agent::new("127.0.0.9:7000".parse().unwrap(), FIRST_SESSION, vec![seed]),
             worker: Worker::new(Timestamp::ZERO, started_at_ms, 8_000),
             now,
             answers: true,
@@ -67,6 +71,7 @@
             polls_hang: false,
             run_time: RUN_TIME,
             steps: 0,
+            session: FIRST_SESSION,
             renews: true,
             lease_start: None,
             term: 1,
@@ -102,8 +107,8 @@
         let message = Orders {
             leader: "127.0.0.3:7000".parse().unwrap(),
             term: self.term,
-            session: 7,
-            fence: 4 + self.term,
+            session: self.session,
+            fence: 4 + self.term + self.session - FIRST_SESSION,
             lease_start_us: self.lease_start.unwrap_or(self.now).as_micros(),
             number: self.last_orders,
             acked_event: self.last_event,
@@ -140,6 +145,16 @@
         self.worker = Worker::new(self.now, started_at_ms, 8_000);
     }
 
+    /// Replaces the process of the agent, which the leader registers.
+    fn replace_agent(&mut self) {
+        let seed = "127.0.0.3:7000".parse().unwrap();
+        self.session += 1;
+        self.agent = Agent::new("127.0.0.9:7000".parse().unwrap(), self.session, vec![seed]);
+        self.last_event = 0;
+        self.heartbeat();
+        self.order(Vec::new());
+    }
+
     fn advance(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -304,9 +319,9 @@
     let mut pair = Pair::new(1);
     pair.answers = false;
     let task = pair.start(0);
-    pair.advance(Duration::from_millis(12_000));
+    pair.advance(UNANSWERED_START_TIMEOUT);
     assert_eq!(pair.outcomes_of(task), []);
-    pair.advance(Duration::from_millis(1_000));
+    pair.advance(Duration::from_millis(100));
     assert_eq!(pair.outcomes_of(task), [LOST]);
 }
 
@@ -386,7 +401,7 @@
 fn an_agent_without_a_worker_reports_that_nothing_runs() {
     let mut pair = Pair::new(1);
     pair.answers = false;
-    pair.advance(Duration::from_millis(13_000));
+    pair.advance(UNANSWERED_START_TIMEOUT + Duration::from_millis(500));
     let running = pair.report.as_ref().and_then(|r| r.running.clone());
     assert_eq!(running.map(|r| r.len()), Some(0));
     let reported = pair.report.as_ref().and_then(|r| r.worker.clone());
@@ -454,7 +469,7 @@
     pair.answers = false;
     let task = pair.start(0);
     pair.worker.pause(pair.now);
-    pair.now = pair.now + Duration::from_millis(13_000);
+    pair.now = pair.now + UNANSWERED_START_TIMEOUT + Duration::from_millis(500);
     pair.worker.resume(pair.now, PausedClock::StandsStill);
     pair.agent.tick(pair.now);
     pair.run_actions();
@@ -516,3 +531,25 @@
     let time = pair.now.since(lease_start);
     assert!(time <= AGENT_LOSS_TIMEOUT, "it ended after {time:?}");
 }
+
+/// Guards against a run that is started elsewhere before it ends, because a new process of the agent takes its lease for one
+/// that it has granted itself.
+#[test]
+fn a_run_that_a_new_process_finds_is_lost_only_after_the_longest_lease() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.restart(2);
+    let task = pair.start(0);
+    // The new process polls for 0.1 s only, and gets its next lease before the run ends.
+    pair.renews = false;
+    pair.lease_start = Some(Timestamp::from_micros(pair.now.as_micros() - 450_000));
+    pair.replace_agent();
+    pair.advance(Duration::from_millis(20));
+    pair.answers = false;
+    pair.advance(Duration::from_millis(700));
+    pair.lease_start = None;
+    pair.order(Vec::new());
+    pair.advance(STEP);
+    assert!(pair.runs(task));
+    assert_eq!(pair.outcomes_of(task), []);
+}
