Wait for the lease of a start that is carried out last

What callers could see: a task that starts elsewhere while its run goes on (TWICE).

Cause: a start without an answer counted as lost 12.5 s after it was sent. A call is given up after 12 s, and the run that it begins then at a worker that has restarted unnoticed has a lease of up to 1 s.

Change: 13.2 s: 12 s, and 1.18 s for the longest lease.

Run: a_start_that_is_carried_out_last_is_lost_only_after_its_lease failed before and passes.

--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -46,8 +46,9 @@
 /// by which every run has ended. The next incarnation may take the expiry for its longest lease: 1 s from the call,
 /// which may be answered after 97 ms, by a clock that is 2% slow, plus the 50 ms that it takes to end a run.
 pub const FORMER_CLOCK_LOSS_TIMEOUT: Duration = Duration::from_millis(1_180);
-/// Time after which a start without an answer is not carried out any more. The calls themselves are given up earlier.
-pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(12_500);
+/// Time by which a start without an answer is not carried out any more and its run has ended. The calls themselves are
+/// given up after 12 s; the run may have the longest lease, as for [`FORMER_CLOCK_LOSS_TIMEOUT`].
+pub const UNANSWERED_START_TIMEOUT: Duration = Duration::from_millis(13_200);
 /// Age of the agent lease from which on the agent starts no run. It goes on with those that it has.
 pub const START_WINDOW: Duration = Duration::from_millis(350);
 /// Time after the last report of an unreachable agent by which all its runs have ended. One may begin after that report,
--- a/crates/figdeal-queue/tests/worker_restart.rs
+++ b/crates/figdeal-queue/tests/worker_restart.rs
@@ -553,3 +553,18 @@
     assert!(pair.runs(task));
     assert_eq!(pair.outcomes_of(task), []);
 }
+/// Guards against a run that is started elsewhere before it ends, because its start was carried out as late as a call can
+/// be and got the longest lease.
+#[test]
+fn a_start_that_is_carried_out_last_is_lost_only_after_its_lease() {
+    let mut pair = Pair::new(1);
+    pair.run_time = Duration::from_secs(5);
+    pair.restart(2);
+    pair.answers = false;
+    let task = pair.start(0);
+    pair.advance(Duration::from_millis(12_000));
+    pair.carry_out_held_starts();
+    assert!(pair.runs(task));
+    assert_eq!(pair.overlap(task), Duration::ZERO);
+    assert_eq!(pair.outcomes_of(task), [LOST]);
+}
