Keep the output of processes when their test fails

The soak kept it for broken promises, not for a panic.

Change: RunFolder keeps the folder if the test panics, and names it.

--- a/crates/figdeal-node/tests/fleet/processes.rs
+++ b/crates/figdeal-node/tests/fleet/processes.rs
@@ -7,6 +7,8 @@
     process::{Child, Command, Stdio},
 };
 
+use tempfile::TempDir;
+
 /// Environment variable with the role, with which the test program starts itself as a node or agent.
 pub(crate) const ROLE_VARIABLE: &str = "FIGDEAL_TEST_ROLE";
 /// Port on which nodes listen for other processes; agents use the next one.
@@ -126,6 +128,38 @@
     }
 }
 
+/// Folder for the data and the output of the processes of a test. It is kept if the test fails.
+#[derive(Debug)]
+pub(crate) struct RunFolder(Option<TempDir>);
+
+impl RunFolder {
+    pub(crate) fn new() -> RunFolder {
+        RunFolder(Some(tempfile::tempdir().unwrap()))
+    }
+
+    pub(crate) fn path(&self) -> &Path {
+        self.0
+            .as_ref()
+            .expect("the folder is there until the end")
+            .path()
+    }
+
+    /// Keeps the folder and names it.
+    pub(crate) fn keep(&mut self) {
+        if let Some(folder) = self.0.take() {
+            eprintln!("output of the processes: {}", folder.keep().display());
+        }
+    }
+}
+
+impl Drop for RunFolder {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.keep();
+        }
+    }
+}
+
 /// A child process that is killed when this value is dropped.
 #[derive(Debug)]
 pub(crate) struct Process(pub(crate) Child);
--- a/crates/figdeal-node/tests/hostile/main.rs
+++ b/crates/figdeal-node/tests/hostile/main.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use processes::{Layout, Process};
+use processes::{Layout, Process, RunFolder};
 
 /// Timeout of one step. Only a failing test reaches it.
 const STEP_TIMEOUT: Duration = Duration::from_secs(60);
@@ -54,13 +54,13 @@
 struct Fleet {
     layout: Layout,
     processes: Vec<Process>,
-    _folder: tempfile::TempDir,
+    _folder: RunFolder,
 }
 
 impl Fleet {
     /// Starts the processes and waits until a configuration is in force.
     fn start() -> Fleet {
-        let folder = tempfile::tempdir().unwrap();
+        let folder = RunFolder::new();
         let layout = Layout {
             subnet: SUBNET,
             disks: NODES,
--- a/crates/figdeal-node/tests/processes/evacuation.rs
+++ b/crates/figdeal-node/tests/processes/evacuation.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     CONFIG, NODES, exchange,
-    processes::{Layout, Process},
+    processes::{Layout, Process, RunFolder},
     register_job, wait_for_reply,
 };
 
@@ -22,7 +22,7 @@
 /// acknowledged evacuation that is lost when all nodes are killed and restarted.
 #[test]
 fn evacuations_are_acknowledged_durably() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = RunFolder::new();
     let layout = Layout {
         subnet: SUBNET,
         disks: NODES,
--- a/crates/figdeal-node/tests/processes/main.rs
+++ b/crates/figdeal-node/tests/processes/main.rs
@@ -17,7 +17,7 @@
     checker::SubmittedJob,
     server::{SharedFleet, WorkerFleet},
 };
-use processes::{Layout, Process};
+use processes::{Layout, Process, RunFolder};
 
 /// Timeout of one step. Only a failing test reaches it.
 const STEP_TIMEOUT: Duration = Duration::from_secs(60);
@@ -106,7 +106,7 @@
 /// Guards against the loss of jobs or of the configuration when any one node is killed and restarted.
 #[test]
 fn nothing_is_lost_when_nodes_are_killed() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = RunFolder::new();
     let layout = layout(folder.path());
     let agent_machine = NODES + 1;
     let fleet = SharedFleet::new(WorkerFleet::new(1));
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -26,7 +26,7 @@
 use callers::LoadGenerator;
 use faults::{FaultInjector, Plan};
 use figdeal_stand_in::server::{SharedFleet, WorkerFleet};
-use processes::Layout;
+use processes::{Layout, RunFolder};
 use proxy::Network;
 
 /// Number of machines with a disk.
@@ -93,7 +93,7 @@
 
 /// Runs one seed. Returns the violated guarantees.
 fn run_seed(seed: u64, duration: Duration) -> Vec<String> {
-    let folder = tempfile::tempdir().unwrap();
+    let mut folder = RunFolder::new();
     let layout = Layout {
         subnet: FIRST_SUBNET + (seed % 200) as u8,
         disks: DISKS,
@@ -173,11 +173,8 @@
     if !violations.is_empty() {
         let events = fleet.lock().events.join("\n");
         fs::write(folder.path().join("workers.log"), events).unwrap();
-        eprintln!(
-            "{}\noutput kept in {}",
-            injector.history.join("\n"),
-            folder.keep().display()
-        );
+        eprintln!("{}", injector.history.join("\n"));
+        folder.keep();
     }
     drop(injector);
     let _ = stop.send(());
