--- a/crates/figdeal-queue/tests/given_up.rs
+++ b/crates/figdeal-queue/tests/given_up.rs
@@ -72,12 +72,7 @@
     fn add_agent(&mut self, runs_known: bool) {
         let n = self.agents.len();
         let address = agent_address(n + 1);
-        let announce = Announce {
-            address,
-            session: SESSION,
-            sent_us: self.now.as_micros(),
-        };
-        self.dispatcher.on_announce(self.now, &announce);
+        self.announce(n + 1, SESSION);
         self.commit();
         let fence = n as u64 + 1;
         self.dispatcher.agent_registered(address, SESSION, fence);
@@ -92,6 +87,16 @@
         self.report(n);
     }
 
+    /// Delivers the announcement of the agent at [`agent_address`] of `n`.
+    fn announce(&mut self, n: usize, session: u64) {
+        let announce = Announce {
+            address: agent_address(n),
+            session,
+            sent_us: self.now.as_micros(),
+        };
+        self.dispatcher.on_announce(self.now, &announce);
+    }
+
     fn commit(&mut self) {
         while let Some((batch, _)) = self.dispatcher.take_commands() {
             self.dispatcher.on_batch_committed(batch);
@@ -242,12 +247,7 @@
     leader.submit(1);
     leader.advance(STEP);
     assert_eq!(leader.starts_of(1).len(), 0);
-    let announce = Announce {
-        address: agent_address(1),
-        session: SESSION,
-        sent_us: leader.now.as_micros(),
-    };
-    leader.dispatcher.on_announce(leader.now, &announce);
+    leader.announce(1, SESSION);
     leader.advance(STEP);
     assert_eq!(leader.starts_of(1).len(), 1);
 }
@@ -383,12 +383,7 @@
     let mut leader = Leader::with_state(&state_with_job(1));
     leader.add_agent(true);
     leader.advance(Duration::from_millis(1_400));
-    let announce = Announce {
-        address: agent_address(2),
-        session: 1,
-        sent_us: leader.now.as_micros(),
-    };
-    leader.dispatcher.on_announce(leader.now, &announce);
+    leader.announce(2, 1);
     let announced_at = leader.now;
     leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(200));
     let wait = leader.starts_of(1)[0].0.since(announced_at);
@@ -404,12 +399,7 @@
     leader.add_agent(false);
     leader.agents[1].reports = false;
     leader.advance(Duration::from_millis(1_000));
-    let announce = Announce {
-        address: agent_address(2),
-        session: SESSION,
-        sent_us: leader.now.as_micros(),
-    };
-    leader.dispatcher.on_announce(leader.now, &announce);
+    leader.announce(2, SESSION);
     let announced_at = leader.now;
     leader.advance(AGENT_LOSS_TIMEOUT + Duration::from_millis(200));
     let wait = leader.starts_of(1)[0].0.since(announced_at);
@@ -422,12 +412,7 @@
     let mut leader = Leader::with_state(&state_with_job(1));
     leader.add_agent(true);
     for _ in 0..40 {
-        let announce = Announce {
-            address: agent_address(2),
-            session: 1,
-            sent_us: leader.now.as_micros(),
-        };
-        leader.dispatcher.on_announce(leader.now, &announce);
+        leader.announce(2, 1);
         leader.advance(Duration::from_millis(100));
     }
     assert_eq!(leader.starts_of(1).len(), 1);
