Keep every whole record of a store, and report damage

A wrong length or checksum anywhere was read the same way.

Damage is reported with file and offset (E686), the file stays as it is, and the process ends. Records are read one at a time. The format of the file has changed; files of the former one are refused.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -186,7 +186,9 @@
     let new_id = NodeId(rand::random());
     let (id, stored, disk_sender) = match &settings.data_directory {
         Some(folder) => {
-            let (store, stored) = Store::open(folder, new_id)?;
+            let (store, stored) = Store::open(folder, new_id).inspect_err(|e| {
+                log::error!("E686 cannot open the store, exiting error=\"{e}\"");
+            })?;
             let (disk_sender, disk_receiver) = std_mpsc::channel();
             let id = store.id();
             thread::spawn(move || run_disk_writer(store, &disk_receiver, &input_sender));
--- a/crates/figdeal-node/src/store.rs
+++ b/crates/figdeal-node/src/store.rs
@@ -1,21 +1,21 @@
 //! Durable storage of a node: the Raft log, the term and vote, and the last snapshot, in its data folder.
 //!
-//! One file holds records, each with its length, checksum and content. A snapshot starts a new file, which replaces the
-//! previous file only after it is synced and renamed. A torn record and everything after it were never reported as
-//! durable and are truncated.
+//! A file begins with its format, then has records. The first records hold the node id, the term and vote, and a
+//! snapshot in parts; they are synced before the file gets its name. Each later record holds what one sync makes
+//! durable, so only the last one can be torn: it was never reported as durable, and is truncated. Anything else that
+//! cannot be read is damage: the store is not opened, and the file stays as it is. A snapshot starts a new file, which
+//! replaces the previous one.
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::{self, Read, Write as _},
+    io::{self, Write as _},
     path::{Path, PathBuf},
 };
 
 use figdeal_queue::raft::{HardState, Log, NodeId, StorageWrite, log::Snapshot};
 
-/// Size of the length and checksum before the content of a record.
-const RECORD_HEADER_BYTES: usize = 8;
-/// Largest record. A larger length field means that the header is torn.
-const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
+mod format;
+mod record;
 
 /// Result of a storage operation.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -32,19 +32,19 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// {0:?} holds a record that this version cannot read
+    /// {0:?} does not have the format of this version
     Format(PathBuf),
+    /// {path:?} is damaged at byte {offset}; give this node an empty data directory, see docs/OPERATIONS.md
+    Damaged {
+        /// Damaged file. It was not changed.
+        path: PathBuf,
+        /// Offset of the first record that cannot be read.
+        offset: u64,
+    },
 }
 
 impl std::error::Error for Error {}
 
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
-enum Record {
-    /// Node id of the store, the first record of each file.
-    Identity(NodeId),
-    Write(StorageWrite),
-}
-
 /// State that was read when the store was opened.
 #[derive(Debug, Default)]
 pub struct StoredState {
@@ -63,6 +63,7 @@
     /// Number in the name of the current file.
     file_number: u64,
     file: File,
+    file_bytes: u64,
     id: NodeId,
     /// Term and vote in the file.
     hard_state: HardState,
@@ -77,49 +78,31 @@
     folder.join(format!("log-{number:08}"))
 }
 
-/// Appends an encoded record with its header to `out`.
-fn encode(record: &Record, out: &mut Vec<u8>) {
-    let content = postcard::to_stdvec(record).expect("records can be encoded");
-    out.extend_from_slice(&(content.len() as u32).to_le_bytes());
-    out.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
-    out.extend_from_slice(&content);
-}
-
-/// Splits the first record off. Returns its content and the remaining bytes, or `None` if the record is incomplete or
-/// its checksum is wrong.
-fn split_record(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
-    let (header, rest) = bytes.split_at_checked(RECORD_HEADER_BYTES)?;
-    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
-    let checksum = u32::from_le_bytes(header[4..].try_into().ok()?);
-    if length == 0 || length > MAX_RECORD_BYTES {
-        return None;
+/// Returns the numbers of the store files in a folder, in order.
+fn file_numbers(folder: &Path) -> Result<Vec<u64>> {
+    let mut numbers = Vec::new();
+    for entry in fs::read_dir(folder).map_err(io_error("listing", folder))? {
+        let name = entry.map_err(io_error("listing", folder))?.file_name();
+        let number = name.to_str().and_then(|n| n.strip_prefix("log-"));
+        numbers.extend(number.and_then(|n| n.parse::<u64>().ok()));
     }
-    let (content, rest) = rest.split_at_checked(length)?;
-    (crc32fast::hash(content) == checksum).then_some((content, rest))
+    numbers.sort_unstable();
+    Ok(numbers)
 }
 
 impl Store {
     /// Opens the store in a folder, or creates one with `new_id` as its node id.
     ///
     /// # Errors
-    /// Fails when a file cannot be read or written; the error names the file and the step.
+    /// Fails when a file cannot be read or written, or is damaged; the error names the file and the step or offset.
     pub fn open(folder: &Path, new_id: NodeId) -> Result<(Store, StoredState)> {
         fs::create_dir_all(folder).map_err(io_error("creation", folder))?;
-        let mut numbers = Vec::new();
-        for entry in fs::read_dir(folder).map_err(io_error("listing", folder))? {
-            let entry = entry.map_err(io_error("listing", folder))?;
-            let name = entry.file_name();
-            let number = name
-                .to_str()
-                .and_then(|n| n.strip_prefix("log-")?.parse::<u64>().ok());
-            numbers.extend(number);
-        }
-        numbers.sort_unstable();
+        let numbers = file_numbers(folder)?;
         let Some(&number) = numbers.last() else {
             let store = Store::create_file(folder, 1, new_id, HardState::default(), &[])?;
             return Ok((store, StoredState::default()));
         };
-        let (store, stored) = Store::read_file(folder, number)?;
+        let (store, stored) = Store::open_file(folder, number)?;
         for old in &numbers[..numbers.len() - 1] {
             let path = log_path(folder, *old);
             fs::remove_file(&path).map_err(io_error("removal", &path))?;
@@ -132,53 +115,33 @@
         self.id
     }
 
-    fn read_file(folder: &Path, number: u64) -> Result<(Store, StoredState)> {
+    fn open_file(folder: &Path, number: u64) -> Result<(Store, StoredState)> {
         let path = log_path(folder, number);
-        let mut file = OpenOptions::new()
+        let file = OpenOptions::new()
             .read(true)
             .append(true)
             .open(&path)
             .map_err(io_error("opening", &path))?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes)
-            .map_err(io_error("reading", &path))?;
-        let (mut id, mut stored) = (None, StoredState::default());
-        let mut rest = &bytes[..];
-        while let Some((record, after)) = split_record(rest) {
-            let record = postcard::from_bytes(record).map_err(|_| Error::Format(path.clone()))?;
-            match record {
-                Record::Identity(own_id) => id = Some(own_id),
-                Record::Write(StorageWrite::HardState(hard)) => stored.hard_state = hard,
-                Record::Write(StorageWrite::Entry(entry)) => stored.log.append(entry),
-                Record::Write(StorageWrite::Snapshot(snapshot)) => {
-                    stored.log = Log::from_snapshot(snapshot.last, snapshot.members.clone());
-                    stored.snapshot = Some(snapshot);
-                }
-            }
-            rest = after;
-        }
-        let id = id.ok_or_else(|| Error::Format(path.clone()))?;
-        if !rest.is_empty() {
+        let length = file.metadata().map_err(io_error("opening", &path))?.len();
+        let format::StoredFile { id, stored, end } = format::read(&path, &file, length)?;
+        if end < length {
             log::warn!(
-                "E651 truncated torn records at the end file={path:?} bytes={}",
-                rest.len()
+                "E651 truncated a torn record at the end file={path:?} bytes={}",
+                length - end
             );
-            let length = (bytes.len() - rest.len()) as u64;
-            file.set_len(length)
-                .map_err(io_error("shortening", &path))?;
+            file.set_len(end).map_err(io_error("shortening", &path))?;
             file.sync_data().map_err(io_error("sync", &path))?;
         }
-        let hard = stored.hard_state;
-        Ok((
-            Store {
-                folder: folder.to_owned(),
-                file_number: number,
-                file,
-                id,
-                hard_state: hard,
-            },
-            stored,
-        ))
+        let hard_state = stored.hard_state;
+        let store = Store {
+            folder: folder.to_owned(),
+            file_number: number,
+            file,
+            file_bytes: end,
+            id,
+            hard_state,
+        };
+        Ok((store, stored))
     }
 
     /// Writes and syncs a new file under a temporary name and renames it to its final name.
@@ -186,21 +149,17 @@
         folder: &Path,
         number: u64,
         id: NodeId,
-        hard: HardState,
-        records: &[u8],
+        hard_state: HardState,
+        writes: &[StorageWrite],
     ) -> Result<Store> {
         let path = log_path(folder, number);
-        let temporary = folder.join("draft");
-        let mut bytes = Vec::new();
-        encode(&Record::Identity(id), &mut bytes);
-        encode(&Record::Write(StorageWrite::HardState(hard)), &mut bytes);
-        bytes.extend_from_slice(records);
-        let mut file = File::create(&temporary).map_err(io_error("creation", &temporary))?;
-        file.write_all(&bytes)
-            .map_err(io_error("writing", &temporary))?;
-        file.sync_data().map_err(io_error("sync", &temporary))?;
+        let draft = folder.join("draft");
+        let file = File::create(&draft).map_err(io_error("creation", &draft))?;
+        let (file, file_bytes) = format::write_first(file, id, hard_state, writes)
+            .map_err(io_error("writing", &draft))?;
+        file.sync_data().map_err(io_error("sync", &draft))?;
         drop(file);
-        fs::rename(&temporary, &path).map_err(io_error("renaming", &path))?;
+        fs::rename(&draft, &path).map_err(io_error("renaming", &path))?;
         let directory = File::open(folder).map_err(io_error("opening", folder))?;
         directory.sync_all().map_err(io_error("sync", folder))?;
         let file = OpenOptions::new()
@@ -211,8 +170,9 @@
             folder: folder.to_owned(),
             file_number: number,
             file,
+            file_bytes,
             id,
-            hard_state: hard,
+            hard_state: format::last_hard_state(writes).unwrap_or(hard_state),
         })
     }
 
@@ -224,39 +184,28 @@
         let last_snapshot = writes
             .iter()
             .rposition(|w| matches!(w, StorageWrite::Snapshot(_)));
-        if let Some(snapshot_index) = last_snapshot {
-            return self.start_new_file(writes, snapshot_index);
+        if let Some(index) = last_snapshot {
+            return self.start_new_file(&writes[..index], &writes[index..]);
         }
-        let mut bytes = Vec::new();
-        self.encode_all(writes, &mut bytes);
-        let path = log_path(&self.folder, self.file_number);
-        self.file
-            .write_all(&bytes)
-            .map_err(io_error("writing", &path))?;
-        self.file.sync_data().map_err(io_error("sync", &path))
-    }
-
-    /// Encodes the records and updates `hard_state` to the last term and vote among them.
-    fn encode_all(&mut self, writes: &[StorageWrite], bytes: &mut Vec<u8>) {
-        for write in writes {
-            if let StorageWrite::HardState(hard) = write {
-                self.hard_state = *hard;
-            }
-            encode(&Record::Write(write.clone()), bytes);
+        for bytes in format::encode_batches(writes, self.file_bytes) {
+            let path = log_path(&self.folder, self.file_number);
+            self.file
+                .write_all(&bytes)
+                .map_err(io_error("writing", &path))?;
+            self.file.sync_data().map_err(io_error("sync", &path))?;
+            self.file_bytes += bytes.len() as u64;
         }
+        self.hard_state = format::last_hard_state(writes).unwrap_or(self.hard_state);
+        Ok(())
     }
 
-    /// Starts a new file at the last snapshot in `writes`. Of the records before it, only the term and vote are kept.
-    fn start_new_file(&mut self, writes: &[StorageWrite], snapshot_index: usize) -> Result<()> {
-        // These bytes are discarded; the call only updates `hard_state`.
-        self.encode_all(&writes[..snapshot_index], &mut Vec::new());
-        let hard = self.hard_state;
-        let mut bytes = Vec::new();
-        self.encode_all(&writes[snapshot_index..], &mut bytes);
-        let last_hard_state = self.hard_state;
+    /// Starts a new file with `writes`, which begin with a snapshot. Of what is `replaced`, only the term and vote are
+    /// kept.
+    fn start_new_file(&mut self, replaced: &[StorageWrite], writes: &[StorageWrite]) -> Result<()> {
+        let hard_state = format::last_hard_state(replaced).unwrap_or(self.hard_state);
         let old = log_path(&self.folder, self.file_number);
-        *self = Store::create_file(&self.folder, self.file_number + 1, self.id, hard, &bytes)?;
-        self.hard_state = last_hard_state;
+        let number = self.file_number + 1;
+        *self = Store::create_file(&self.folder, number, self.id, hard_state, writes)?;
         fs::remove_file(&old).map_err(io_error("removal", &old))
     }
 }
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -252,7 +252,9 @@
         let snapshot = Snapshot {
             last: Position { term, index },
             members: self.raft.log().members_at(index),
-            data: postcard::to_stdvec(&self.state).expect("the state can be encoded"),
+            data: postcard::to_stdvec(&self.state)
+                .expect("the state can be encoded")
+                .into(),
         };
         log::info!(
             "E621 log compacted index={index} snapshot_bytes={}",
--- a/crates/figdeal-queue/src/raft.rs
+++ b/crates/figdeal-queue/src/raft.rs
@@ -61,6 +61,23 @@
     Snapshot(Snapshot),
 }
 
+impl StorageWrite {
+    /// Returns the approximate size, at least 1.
+    ///
+    /// ```
+    /// use figdeal_queue::raft::{HardState, StorageWrite};
+    ///
+    /// assert!(StorageWrite::HardState(HardState::default()).approximate_bytes() > 0);
+    /// ```
+    pub fn approximate_bytes(&self) -> usize {
+        match self {
+            StorageWrite::HardState(_) => size_of::<HardState>(),
+            StorageWrite::Entry(entry) => log::entry_bytes(entry),
+            StorageWrite::Snapshot(snapshot) => size_of::<Snapshot>() + snapshot.data.len(),
+        }
+    }
+}
+
 /// What the driver has to do after an input.
 #[derive(Debug, Default)]
 pub struct RaftOutput {
--- a/crates/figdeal-queue/src/raft/log.rs
+++ b/crates/figdeal-queue/src/raft/log.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use super::{Index, Term, message::Member};
@@ -45,8 +46,7 @@
     /// Voters as of that entry.
     pub members: Vec<Member>,
     /// Encoded state.
-    #[serde(with = "serde_bytes")]
-    pub data: Vec<u8>,
+    pub data: Bytes,
 }
 
 /// Log after a snapshot.
@@ -200,7 +200,7 @@
 }
 
 /// Returns the approximate size of an entry.
-fn entry_bytes(entry: &Entry) -> usize {
+pub(super) fn entry_bytes(entry: &Entry) -> usize {
     const ENTRY_OVERHEAD_BYTES: usize = 24;
     match &entry.payload {
         Payload::Data(data) => ENTRY_OVERHEAD_BYTES + data.len(),
