Bound what stored and volatile jobs hold

Callers saw 504 for seconds, and nodes held up to 2 GB, when clients submitted complete jobs of legal size that nobody served. Nothing counted what a job holds after its request is complete: a body of 100 bytes with 10,000 tasks took 160 KB at each node and 400 KB more at the leader.

Half of the bound belongs to the queues in equal parts. Outcomes, entries that are not committed and volatile jobs count too.

--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -206,6 +206,7 @@
         min_resubmit_delay: settings.min_resubmit_delay,
         data_centres: settings.data_centres.clone(),
         limits: settings.limits,
+        stored_bytes: settings.stored_bytes,
     };
     let clock = clock::read();
     let last_index = stored.log.last_index();
--- a/crates/figdeal-node/tests/hostile/stored.rs
+++ b/crates/figdeal-node/tests/hostile/stored.rs
@@ -106,18 +106,21 @@
         }
     }
 
-    fn count_lines(&self, machine: u8, parts: &[&str]) -> usize {
+    /// Returns whether the newest set of voters that a machine knows has `voter` and no longer has `former`.
+    fn is_replaced(&self, machine: u8, former: &str, voter: &str) -> bool {
         let log = fs::read_to_string(self.layout.log(machine)).unwrap();
-        let matching = log.lines().filter(|l| parts.iter().all(|p| l.contains(p)));
-        matching.count()
+        let voters = log.lines().rfind(|l| l.contains("E616 set of voters"));
+        voters.is_some_and(|line| line.contains(voter) && !line.contains(former))
     }
 
-    /// Returns the identity of the storage that the newest process of a machine has opened.
+    /// Returns the identity of the storage that the newest process of a machine has opened, as the list of voters in
+    /// the log shows it.
     fn node_id(&self, machine: u8) -> Option<String> {
         let log = fs::read_to_string(self.layout.log(machine)).ok()?;
         let line = log.lines().rfind(|l| l.contains("E664 node created"))?;
         let id = line.split("node=").nth(1)?.split(' ').next()?;
-        Some(id.to_owned())
+        let id = u64::from_str_radix(id, 16).unwrap();
+        Some(format!("NodeId({id})"))
     }
 }
 
@@ -167,14 +170,12 @@
     let wiped = NODES;
     fleet.kill(wiped);
     fs::remove_dir_all(fleet.layout.data(wiped)).unwrap();
-    let former_id = fleet.node_id(wiped);
+    let former = fleet.node_id(wiped).unwrap();
     fleet.restart(wiped);
     let start = Instant::now();
     let joined = |fleet: &Fleet| {
-        let id = fleet
-            .node_id(wiped)
-            .filter(|id| Some(id) != former_id.as_ref());
-        id.is_some_and(|id| fleet.count_lines(wiped, &["E616 set of voters committed", &id]) > 0)
+        let voter = fleet.node_id(wiped).filter(|id| *id != former);
+        voter.is_some_and(|voter| fleet.is_replaced(wiped, &former, &voter))
     };
     while !joined(&fleet) {
         assert!(start.elapsed() < STEP_TIMEOUT, "the wiped node is no voter");
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -60,7 +60,9 @@
 pub use run_times::LearnedRatio;
 pub use usage::{PoolUsage, QueueUsage, Usage};
 use view::{AgentView, JobView, PlacedRun, ResponseGoal, TaskState};
-pub use view::{Submission, VolatileOutcome};
+pub use view::{
+    BOOK_BYTES_PER_JOB, BOOK_BYTES_PER_STEP, BOOK_BYTES_PER_TASK, Submission, VolatileOutcome,
+};
 use worker_health::WorkerHealth;
 
 new_key_type! {
@@ -226,15 +228,15 @@
         let mut view = JobView::new(now, &job.queue, backlog, &job.spec, goal, ratio);
         view.base_run = base;
         view.max_attempts = job.policy.max_attempts;
-        for (step, records) in view.steps.iter_mut().zip(&job.tasks) {
-            for (task, record) in step.tasks.iter_mut().zip(records) {
-                if record.done {
+        for (step, record) in view.steps.iter_mut().zip(&job.steps) {
+            for (index, task) in step.tasks.iter_mut().enumerate() {
+                if record.done.contains(index as u32) {
                     *task = TaskState::Done;
                     step.open_tasks -= 1;
                 }
             }
         }
-        view.started = held && job.tasks.iter().flatten().any(|r| r.done || r.failures > 0);
+        view.started = held && job.has_ended_runs();
         view.is_held = held;
         self.add_job(now, id, view);
     }
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -27,6 +27,15 @@
 /// A volatile job expires after its response-time goal multiplied by this.
 const EXPIRY_FACTOR: u32 = 3;
 
+/// What a job holds in the books of the dispatcher, beside its steps.
+pub const BOOK_BYTES_PER_JOB: usize = size_of::<JobView>();
+/// What a step holds in the books of the dispatcher, beside its tasks.
+pub const BOOK_BYTES_PER_STEP: usize = size_of::<StepView>();
+/// What a task holds in the books of the dispatcher: its state, its index among the ready ones, and the number of its
+/// starts with its key.
+pub const BOOK_BYTES_PER_TASK: usize =
+    size_of::<TaskState>() + 2 * size_of::<u32>() + 2 * size_of::<((u16, u32), u64)>();
+
 /// A run that the leader has ordered.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlacedRun {
--- a/crates/figdeal-queue/src/lib.rs
+++ b/crates/figdeal-queue/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod raft;
 pub mod refusals;
 pub mod state;
+pub mod stored_size;
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -131,6 +131,8 @@
     WorkersUnknown,
     /// The node was paused, so the request may be so old that its operator has sent others since.
     AfterPause,
+    /// The jobs of the queue hold as much memory as they may.
+    Storage,
 }
 
 /// Number of an incarnation of a worker, as counted by its agent.
--- a/crates/figdeal-queue/src/node.rs
+++ b/crates/figdeal-queue/src/node.rs
@@ -24,6 +24,7 @@
 mod evacuation;
 mod job_log;
 mod membership;
+mod open_jobs;
 mod recent_jobs;
 mod requests;
 mod serve;
@@ -134,6 +135,7 @@
     /// Batches in the log that are not committed: index of the entry, number of the batch.
     uncommitted_batches: VecDeque<(Index, u64)>,
     waiters: Waiters,
+    open_jobs: open_jobs::OpenJobs,
     requests: BTreeMap<u64, requests::PendingRequest>,
     discovery: discovery::Discovery,
     membership: membership::Membership,
@@ -163,7 +165,7 @@
         clock: Clock,
     ) -> Result<Node, postcard::Error> {
         let state = match &snapshot {
-            Some(snapshot) => postcard::from_bytes(&snapshot.data)?,
+            Some(snapshot) => ReplicatedState::decode(&snapshot.data)?,
             None => ReplicatedState::default(),
         };
         let applied = raft.log().base().index;
@@ -179,6 +181,7 @@
             dispatcher: None,
             uncommitted_batches: VecDeque::new(),
             waiters: Waiters::default(),
+            open_jobs: open_jobs::OpenJobs::default(),
             requests: BTreeMap::new(),
             recent_jobs: recent_jobs::RecentJobLists::default(),
             job_log: job_log::JobLog::new(),
--- a/crates/figdeal-queue/src/node/apply.rs
+++ b/crates/figdeal-queue/src/node/apply.rs
@@ -2,17 +2,20 @@
 //! replica.
 
 use super::{
-    Action, Answer, Node, Origin, SNAPSHOT_LOG_BYTES, decode, requests::no_leader,
-    serve::OVERLOAD_RETRY_AFTER_MS,
+    Action, Answer, Node, Origin, SNAPSHOT_LOG_BYTES, decode, open_jobs::OpenJobs,
+    requests::no_leader, serve::OVERLOAD_RETRY_AFTER_MS,
 };
 use crate::{
     dispatch::{Dispatcher, VolatileOutcome},
     job::JobState,
     message::{PeerMessage, RefusalReason},
     raft::{Payload, RaftMessage, log::Position, log::Snapshot},
-    state::{Batch, Change},
+    state::{Batch, Change, Command, ReplicatedState},
 };
 
+/// Size of the commands after which further ones of a batch go into the next log entry.
+const ENTRY_BYTES: usize = 128 * 1024;
+
 impl Node {
     /// Applies committed entries, lets the leader place tasks and propose commands, and collects messages and records.
     /// Runs after every input.
@@ -29,7 +32,7 @@
         let Some(snapshot) = self.raft.take_installed_snapshot() else {
             return;
         };
-        match postcard::from_bytes(&snapshot.data) {
+        match ReplicatedState::decode(&snapshot.data) {
             Ok(state) => {
                 log::info!(
                     "E615 installed a snapshot from the leader index={}",
@@ -92,10 +95,13 @@
                     dispatcher.job_accepted(now, wall_ms, id, job);
                     log::info!("E617 job accepted job={id} queue={}", job.queue);
                 }
+                self.open_jobs.remove(id);
                 let waiters = self.waiters.submits.remove(&id);
                 self.answer_all(waiters, &Answer::Accepted);
             }
             Change::JobAlreadyKnown(id) => {
+                self.open_jobs.remove(id);
+                self.open_jobs.remove(id);
                 let waiters = self.waiters.submits.remove(&id);
                 self.answer_all(waiters, &Answer::Accepted);
             }
@@ -153,6 +159,7 @@
                 log::warn!("E620 lost the leadership term={}", self.raft.term());
                 self.uncommitted_batches.clear();
                 self.job_log.lose_leadership();
+                self.open_jobs = OpenJobs::default();
                 let waiters = std::mem::take(&mut self.waiters);
                 let volatile = waiters.volatile.into_values().flatten().collect();
                 // Their entry nodes resubmit them to the next leader.
@@ -197,6 +204,7 @@
         let finished = dispatcher.take_finished();
         for (id, outcome) in finished {
             self.job_log.job_ended(now, id, outcome);
+            self.open_jobs.remove(id);
             let waiters = self.waiters.take_volatile(id);
             let answer = match outcome {
                 VolatileOutcome::Done => Answer::VolatileEnded(true),
@@ -221,17 +229,20 @@
                     .push(Action::Send(address, PeerMessage::Orders(orders)));
             }
         }
-        // Only one entry is written to the own disk at a time; commands that arrive meanwhile share the next entry.
+        // Only one batch is written to the own disk at a time; commands that arrive meanwhile share the next one.
         if dispatcher.has_commands() && self.raft.is_synced() {
             let (batch, commands) = dispatcher
                 .take_commands()
                 .expect("commands must be waiting");
-            let entry = Batch {
-                time_ms: self.clock.wall_ms,
-                commands,
-            };
-            let data = postcard::to_stdvec(&entry).expect("commands can be encoded");
-            if let Some(index) = self.raft.propose(now, data) {
+            let mut last_index = None;
+            let time_ms = self.clock.wall_ms;
+            for entry in entries(time_ms, commands) {
+                let data = postcard::to_stdvec(&entry).expect("commands can be encoded");
+                if let Some(index) = self.raft.propose(now, data) {
+                    last_index = Some(index);
+                }
+            }
+            if let Some(index) = last_index {
                 self.uncommitted_batches.push_back((index, batch));
             }
         }
@@ -252,9 +263,7 @@
         let snapshot = Snapshot {
             last: Position { term, index },
             members: self.raft.log().members_at(index),
-            data: postcard::to_stdvec(&self.state)
-                .expect("the state can be encoded")
-                .into(),
+            data: self.state.encode().into(),
         };
         log::info!(
             "E621 log compacted index={index} snapshot_bytes={}",
@@ -336,3 +345,21 @@
         self.state.outcome_of(id).or(open_state)
     }
 }
+
+/// Distributes the commands of a batch over log entries of about [`ENTRY_BYTES`].
+fn entries(time_ms: u64, commands: Vec<Command>) -> Vec<Batch> {
+    let (mut entries, mut bytes) = (Vec::new(), ENTRY_BYTES);
+    for command in commands {
+        if bytes >= ENTRY_BYTES {
+            bytes = 0;
+            entries.push(Batch {
+                time_ms,
+                commands: Vec::new(),
+            });
+        }
+        bytes += command.approximate_bytes();
+        let entry = entries.last_mut().expect("there is an entry");
+        entry.commands.push(command);
+    }
+    entries
+}
--- a/crates/figdeal-queue/src/node/membership.rs
+++ b/crates/figdeal-queue/src/node/membership.rs
@@ -45,6 +45,8 @@
     pub data_centres: BTreeSet<String>,
     /// Bounds of the deployment for the scheduler.
     pub limits: Limits,
+    /// Bytes that all jobs and outcomes may hold, see [`stored_size`](crate::stored_size).
+    pub stored_bytes: usize,
 }
 
 /// A node with a disk, which may become a voter.
--- a/crates/figdeal-queue/src/node/requests.rs
+++ b/crates/figdeal-queue/src/node/requests.rs
@@ -167,6 +167,7 @@
             && let Some(dispatcher) = &mut self.dispatcher
         {
             dispatcher.job_ended(id);
+            self.open_jobs.remove(id);
             self.job_log.job_withdrawn(self.clock.now, id);
             self.placement_due = true;
         }
--- a/crates/figdeal-queue/src/node/serve.rs
+++ b/crates/figdeal-queue/src/node/serve.rs
@@ -1,19 +1,22 @@
 //! Serves requests at the leader.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{Answer, Node, Origin};
 use crate::{
-    dispatch::Submission,
+    dispatch::{Rejection, Submission},
     job::{JobId, JobSpec, Queue},
     message::{RefusalReason, Request},
     state::Command,
+    stored_size::{has_room, job_bytes},
 };
 
 /// Milliseconds after which a caller may try again if there is no configuration yet.
 const NO_CONFIG_RETRY_AFTER_MS: u32 = 1_000;
 /// Milliseconds after which a caller may try again if its volatile job was dropped because no worker was free in time.
 pub(super) const OVERLOAD_RETRY_AFTER_MS: u32 = 1_000;
+/// Time after which a caller may try again if the jobs of its queue hold as much memory as they may.
+const STORAGE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 impl Node {
     /// Serves a request. This node must be the leader with a valid lease.
@@ -110,13 +113,17 @@
             && let Some(rejection) =
                 dispatcher.rejection(self.clock.now, queue, id, &spec, submission.age)
         {
-            self.job_log
-                .job_refused(self.clock.now, id, &queue.name, rejection);
-            return Some(Answer::Refused {
-                retry_after_ms: rejection.retry_after.as_millis() as u32,
-                reason: rejection.reason,
-            });
+            return Some(self.refuse_job(id, &queue.name.clone(), rejection));
         }
+        let bytes = job_bytes(&spec);
+        if !submission.resubmitted && !is_known && !self.has_room(queue, bytes) {
+            let rejection = Rejection {
+                reason: RefusalReason::Storage,
+                retry_after: STORAGE_RETRY_DELAY,
+            };
+            return Some(self.refuse_job(id, &queue.name.clone(), rejection));
+        }
+        self.open_jobs.add(id, &queue.name, bytes);
         if spec.volatile {
             let queue = queue.clone();
             self.submit_volatile(origin, id, &queue, spec, submission);
@@ -135,6 +142,25 @@
         None
     }
 
+    /// Logs and counts the refusal of a job.
+    fn refuse_job(&mut self, id: JobId, queue: &str, rejection: Rejection) -> Answer {
+        self.job_log
+            .job_refused(self.clock.now, id, queue, rejection);
+        Answer::Refused {
+            retry_after_ms: rejection.retry_after.as_millis() as u32,
+            reason: rejection.reason,
+        }
+    }
+
+    /// Returns whether the jobs of a queue may hold this many bytes more.
+    fn has_room(&self, queue: &Queue, bytes: usize) -> bool {
+        let queues = self.state.queues.iter().flat_map(|config| &config.queues);
+        let names: BTreeSet<&str> = queues.map(|q| q.name.as_str()).collect();
+        let names: Vec<&str> = names.into_iter().collect();
+        let held = [self.state.held(), self.open_jobs.held()];
+        has_room(self.options.stored_bytes, &names, &held, &queue.name, bytes)
+    }
+
     /// Returns whether this leader knows the job as a volatile one and `volatile` is not set, or the other way round.
     fn is_other_kind(&self, id: JobId, volatile: bool) -> bool {
         let is_stored = self.state.contains(id) || self.waiters.submits.contains_key(&id);
--- a/crates/figdeal-queue/src/refusals.rs
+++ b/crates/figdeal-queue/src/refusals.rs
@@ -24,6 +24,7 @@
         RefusalReason::NoWorker => "no_worker",
         RefusalReason::WorkersUnknown => "workers_unknown",
         RefusalReason::AfterPause => "after_pause",
+        RefusalReason::Storage => "storage",
     }
 }
 
@@ -39,6 +40,7 @@
         RefusalReason::NoWorker => "NoWorker",
         RefusalReason::WorkersUnknown => "WorkersUnknown",
         RefusalReason::AfterPause => "AfterPause",
+        RefusalReason::Storage => "Storage",
     }
 }
 
--- a/crates/figdeal-queue/src/state.rs
+++ b/crates/figdeal-queue/src/state.rs
@@ -9,11 +9,15 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use self::task_set::TaskSet;
 use crate::{
     job::{JobId, JobSpec, JobState, Policy, QueueConfig, TaskId},
     raft::Term,
+    stored_size::{OUTCOME_BYTES, QueueBytes, encoded_job_bytes, job_bytes},
 };
 
+mod task_set;
+
 /// How long the outcome of an ended job is kept. Callers may ask for 120 s; the rest allows for clocks of successive
 /// leaders that differ by seconds.
 pub const OUTCOME_RETENTION: Duration = Duration::from_secs(150);
@@ -72,6 +76,23 @@
     },
 }
 
+impl Command {
+    /// Returns the approximate size of the encoded command.
+    pub(crate) fn approximate_bytes(&self) -> usize {
+        const FIXED_BYTES: usize = 64;
+        let content = match self {
+            Command::Accept { spec, .. } => encoded_job_bytes(spec),
+            Command::Configure(config) => 2 * config.text.len(),
+            Command::EndRun { .. }
+            | Command::Cancel(_)
+            | Command::RegisterAgent { .. }
+            | Command::DeregisterAgent { .. }
+            | Command::SetEvacuation { .. } => 0,
+        };
+        FIXED_BYTES + content
+    }
+}
+
 /// Commands of one log entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
@@ -81,15 +102,22 @@
     pub commands: Vec<Command>,
 }
 
-/// Replicated state of a task.
+/// Replicated state of the tasks of a step.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct StepRecord {
+    /// Tasks of which a run was successful.
+    pub done: TaskSet,
+    /// Failed runs of the tasks that have some.
+    pub failures: BTreeMap<u32, Failures>,
+}
+
+/// Failed runs of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct TaskRecord {
-    /// Whether a run of the task was successful.
-    pub done: bool,
+pub struct Failures {
     /// Number of failed runs.
-    pub failures: u32,
+    pub count: u32,
     /// Number of the newest failed run, so that a repeated report counts once.
-    pub failed_run: u64,
+    pub last_run: u64,
 }
 
 /// A job that has not ended.
@@ -107,12 +135,20 @@
     pub term: Term,
     /// When the job was accepted, by the leader's clock in Unix milliseconds.
     pub accepted_at_ms: u64,
-    /// Tasks, grouped by step.
-    pub tasks: Vec<Vec<TaskRecord>>,
+    /// State of the tasks, by step.
+    pub steps: Vec<StepRecord>,
     /// Number of tasks that are not done.
     pub open_tasks: u32,
 }
 
+impl Job {
+    /// Returns whether a run of a task has ended.
+    pub fn has_ended_runs(&self) -> bool {
+        let mut steps = self.steps.iter();
+        steps.any(|s| !s.done.is_empty() || !s.failures.is_empty())
+    }
+}
+
 /// Outcome of a job and when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct JobOutcome {
@@ -120,6 +156,8 @@
     pub state: JobState,
     /// Leader's clock in Unix milliseconds.
     pub ended_at_ms: u64,
+    /// Number of its queue in the state.
+    pub queue: u32,
 }
 
 /// What a command changed, for the dispatcher and the waiting callers.
@@ -185,9 +223,47 @@
     pub agents: BTreeSet<SocketAddr>,
     /// Data centres in which no task may start.
     pub evacuated: BTreeSet<String>,
+    /// Names of all queues that have had jobs; outcomes refer to them by number.
+    queue_names: Vec<String>,
+    /// What the jobs and outcomes hold.
+    #[serde(skip)]
+    held: QueueBytes,
 }
 
 impl ReplicatedState {
+    /// Decodes the data of a snapshot.
+    ///
+    /// # Errors
+    /// Fails on data that are not an encoded state.
+    ///
+    /// ```
+    /// use figdeal_queue::state::ReplicatedState;
+    ///
+    /// let state = ReplicatedState::default();
+    /// assert_eq!(ReplicatedState::decode(&state.encode()).unwrap(), state);
+    /// ```
+    pub fn decode(data: &[u8]) -> Result<ReplicatedState, postcard::Error> {
+        let mut state: ReplicatedState = postcard::from_bytes(data)?;
+        for job in state.jobs.values() {
+            state.held.add(&job.queue, job_bytes(&job.spec));
+        }
+        for outcome in state.outcomes.values() {
+            let queue = &state.queue_names[outcome.queue as usize];
+            state.held.add(queue, OUTCOME_BYTES);
+        }
+        Ok(state)
+    }
+
+    /// Encodes the state as the data of a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the state can be encoded")
+    }
+
+    /// Returns what the jobs and outcomes of each queue hold.
+    pub fn held(&self) -> &QueueBytes {
+        &self.held
+    }
+
     /// Applies the entry at `index` and returns what changed, in order.
     pub fn apply(&mut self, index: u64, batch: Batch) -> Vec<Change> {
         let time_ms = batch.time_ms;
@@ -219,12 +295,8 @@
                 spec,
                 term,
             } => {
-                let record = TaskRecord::default();
-                let tasks = spec
-                    .steps
-                    .iter()
-                    .map(|s| vec![record; s.count as usize])
-                    .collect();
+                self.held.add(&queue, job_bytes(&spec));
+                let steps = vec![StepRecord::default(); spec.steps.len()];
                 let open_tasks = spec.task_count();
                 self.jobs.insert(
                     id,
@@ -235,7 +307,7 @@
                         spec,
                         term,
                         accepted_at_ms: time_ms,
-                        tasks,
+                        steps,
                         open_tasks,
                     },
                 );
@@ -316,45 +388,57 @@
         done: bool,
     ) -> Option<Change> {
         let job = self.jobs.get_mut(&task.job)?;
-        let step = job.tasks.get_mut(usize::from(task.step))?;
-        let record = step.get_mut(task.index as usize)?;
-        if record.done {
+        let step = job.steps.get_mut(usize::from(task.step))?;
+        if task.index >= job.spec.steps[usize::from(task.step)].count
+            || step.done.contains(task.index)
+        {
             return None;
         }
         if done {
-            record.done = true;
+            step.done.insert(task.index);
             job.open_tasks -= 1;
             return match job.open_tasks {
                 0 => Some(self.end_job(time_ms, task.job, JobState::Completed)),
                 _ => Some(Change::TaskDone(task)),
             };
         }
-        if run <= record.failed_run {
+        let failures = step.failures.entry(task.index).or_default();
+        if run <= failures.last_run {
             // An earlier leader stored this failure; the present leader received the report again and waits for its
             // entry.
             return Some(Change::TaskRetry(task));
         }
-        record.failed_run = run;
-        record.failures += 1;
-        match record.failures >= job.policy.max_attempts {
+        failures.last_run = run;
+        failures.count += 1;
+        match failures.count >= job.policy.max_attempts {
             true => Some(self.end_job(time_ms, task.job, JobState::Failed)),
             false => Some(Change::TaskRetry(task)),
         }
     }
 
     fn end_job(&mut self, time_ms: u64, id: JobId, state: JobState) -> Change {
-        self.jobs.remove(&id);
-        self.outcomes.insert(
-            id,
-            JobOutcome {
-                state,
-                ended_at_ms: time_ms,
-            },
-        );
+        let job = self.jobs.remove(&id).expect("only a known job can end");
+        self.held.remove(&job.queue, job_bytes(&job.spec));
+        self.held.add(&job.queue, OUTCOME_BYTES);
+        let outcome = JobOutcome {
+            state,
+            ended_at_ms: time_ms,
+            queue: self.queue_number(&job.queue),
+        };
+        self.outcomes.insert(id, outcome);
         self.ended.push_back(id);
         Change::JobEnded(id, state)
     }
 
+    fn queue_number(&mut self, queue: &str) -> u32 {
+        let known = self.queue_names.iter().position(|name| name == queue);
+        let number = known.unwrap_or_else(|| {
+            self.queue_names.push(queue.to_owned());
+            self.queue_names.len() - 1
+        });
+        number as u32
+    }
+
     fn drop_old_outcomes(&mut self, time_ms: u64) {
         let retention_ms = OUTCOME_RETENTION.as_millis() as u64;
         while let Some(id) = self.ended.front() {
@@ -369,7 +453,10 @@
                 .ended
                 .pop_front()
                 .expect("the queue of ended jobs is not empty");
-            self.outcomes.remove(&id);
+            if let Some(outcome) = self.outcomes.remove(&id) {
+                let queue = &self.queue_names[outcome.queue as usize];
+                self.held.remove(queue, OUTCOME_BYTES);
+            }
         }
     }
 }
--- a/crates/figdeal-queue/tests/log_lines/node.rs
+++ b/crates/figdeal-queue/tests/log_lines/node.rs
@@ -53,6 +53,7 @@
             seeds: vec![own()],
             voter_count: 1,
             min_resubmit_delay: Duration::ZERO,
+            stored_bytes: 64 << 20,
             data_centres: BTreeSet::new(),
             limits: Limits::default(),
         };
--- a/crates/figdeal-queue/tests/node.rs
+++ b/crates/figdeal-queue/tests/node.rs
@@ -29,6 +29,7 @@
         seeds: Vec::new(),
         voter_count: 3,
         min_resubmit_delay: Duration::ZERO,
+        stored_bytes: 64 << 20,
         data_centres: BTreeSet::new(),
         limits: Limits::default(),
     };
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -363,6 +363,7 @@
             seeds,
             voter_count: 3,
             min_resubmit_delay: RESUBMIT_DELAY,
+            stored_bytes: 64 << 20,
             data_centres: BTreeSet::new(),
             limits: Limits::default(),
         };
