Count a long message between nodes by what has arrived

The listener for other processes held 188 MB under 200 connections with 4 MiB of an announced message of 60 MiB each. Each connection had a read buffer of 64 KiB outside the budget, a growing buffer existed twice while one copy was counted, and freed buffers of many sizes stayed in the heap.

The read buffer has 16 KiB.

--- a/crates/figdeal-core/src/lib.rs
+++ b/crates/figdeal-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! therefore replay any schedule, and other programs can embed the parts.
 
 pub mod agent;
+pub mod chunk_buffer;
 pub mod claim;
 pub mod dedup;
 pub mod entry;
--- a/crates/figdeal-node/src/connections.rs
+++ b/crates/figdeal-node/src/connections.rs
@@ -16,6 +16,7 @@
 };
 
 use bytes::{Buf, BufMut, BytesMut};
+use figdeal_core::chunk_buffer::ChunkBuffer;
 use figdeal_queue::message::PeerMessage;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -48,8 +49,8 @@
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// Size of the length prefix of a frame.
 const FRAME_HEADER_BYTES: usize = 4;
-/// Initial size of the read buffer.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the read buffer. Longer frames are taken from the budget of the process.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Smallest number of known peers at which those without a connection are removed.
 const MIN_PRUNED_PEERS: usize = 64;
 /// Timeout for the address that the connecting side sends first.
@@ -506,17 +507,14 @@
     peer_state: &PeerState,
     events: &mpsc::Sender<ConnectionEvent>,
 ) -> io::Result<&'static str> {
-    let mut buffer = FrameBuffer {
-        bytes: BytesMut::with_capacity(READ_BUFFER_BYTES),
-        client,
-        reservation: None,
-    };
+    let mut buffer = FrameBuffer::new(client);
     loop {
         let received = input.read_buf(&mut buffer.bytes).await?;
         if received == 0 {
             return Ok("closed by the peer");
         }
         peer_state.first_unanswered_us.store(0, Ordering::Relaxed);
+        buffer.count(received).map_err(io::Error::other)?;
         while let Some(frame) = buffer.split_frame()? {
             let message = postcard::from_bytes(&frame).map_err(io::Error::other)?;
             peer_state.learn_role(Some(Role::of_sender(&message)));
@@ -528,22 +526,43 @@
                 return Ok("shutting down");
             }
         }
-        buffer.count(received).map_err(io::Error::other)?;
+        buffer.end_message();
     }
 }
 
 /// Received bytes that are not yet a complete frame.
 struct FrameBuffer {
+    /// Read buffer.
     bytes: BytesMut,
+    /// Length of a frame that is longer than the read buffer, if one has begun.
+    long_frame: Option<usize>,
+    /// Received part of the long frame.
+    received: ChunkBuffer,
     client: Option<Arc<Client>>,
-    /// What the bytes hold beyond the initial buffer.
+    /// What the long frame may hold by now.
     reservation: Option<Reservation>,
+    reserved_bytes: usize,
 }
 
 impl FrameBuffer {
+    fn new(client: Option<Arc<Client>>) -> FrameBuffer {
+        FrameBuffer {
+            bytes: BytesMut::with_capacity(READ_BUFFER_BYTES),
+            long_frame: None,
+            received: ChunkBuffer::default(),
+            client,
+            reservation: None,
+            reserved_bytes: 0,
+        }
+    }
+
     /// Splits the first frame off the buffer. Returns `None` if the frame is incomplete.
-    fn split_frame(&mut self) -> io::Result<Option<BytesMut>> {
+    fn split_frame(&mut self) -> io::Result<Option<Vec<u8>>> {
+        if let Some(length) = self.long_frame {
+            return self.continue_frame(length);
+        }
         let Some(header) = self.bytes.get(..FRAME_HEADER_BYTES) else {
+            self.bytes.reserve(READ_BUFFER_BYTES);
             return Ok(None);
         };
         let length = u32::from_le_bytes(header.try_into().expect("four bytes")) as usize;
@@ -551,43 +570,68 @@
             return Err(io::Error::other("the message is too long"));
         }
         let size = FRAME_HEADER_BYTES + length;
-        if self.bytes.len() < size {
-            self.grow(size).map_err(io::Error::other)?;
+        if size <= self.bytes.len() {
+            self.bytes.advance(FRAME_HEADER_BYTES);
+            return Ok(Some(self.bytes.split_to(length).to_vec()));
+        }
+        if size <= READ_BUFFER_BYTES {
+            self.bytes.reserve(READ_BUFFER_BYTES);
             return Ok(None);
         }
         self.bytes.advance(FRAME_HEADER_BYTES);
-        Ok(Some(self.bytes.split_to(length)))
+        self.long_frame = Some(length);
+        self.continue_frame(length)
     }
 
-    /// Makes room for more of a frame. The buffer doubles until the frame fits, since its length is only announced.
-    fn grow(&mut self, size: usize) -> Result<(), Refusal> {
-        let capacity = size.min((2 * self.bytes.len()).max(READ_BUFFER_BYTES));
-        if capacity <= self.bytes.capacity() {
-            return Ok(());
-        }
-        if let Some(client) = &self.client
-            && capacity > READ_BUFFER_BYTES
-        {
-            self.reservation = None;
-            self.reservation = Some(client.reserve(capacity)?);
+    /// Moves received bytes of a long frame out of the read buffer. Returns the frame if it is complete.
+    fn continue_frame(&mut self, length: usize) -> io::Result<Option<Vec<u8>>> {
+        let part = self.bytes.len().min(length - self.received.len());
+        let is_complete = self.received.len() + part == length;
+        // A complete frame is copied into one piece.
+        let needed = match is_complete {
+            true => 2 * length,
+            false => self.received.len() + part,
+        };
+        self.reserve(needed.min(2 * length))
+            .map_err(io::Error::other)?;
+        self.received.extend(&self.bytes.split_to(part));
+        self.bytes.reserve(READ_BUFFER_BYTES);
+        if !is_complete {
+            return Ok(None);
         }
-        self.bytes.reserve(capacity - self.bytes.len());
-        Ok(())
+        self.long_frame = None;
+        let frame = self.received.take();
+        (self.reservation, self.reserved_bytes) = (None, 0);
+        Ok(Some(frame))
     }
 
-    /// Counts received bytes. If no frame is incomplete, the connection becomes idle.
-    fn count(&mut self, received: usize) -> Result<(), Refusal> {
-        let Some(client) = &self.client else {
+    /// Takes at least `bytes` from the budget, in steps of twice the size.
+    fn reserve(&mut self, bytes: usize) -> Result<(), Refusal> {
+        let Some(client) = self.client.as_ref().filter(|_| bytes > self.reserved_bytes) else {
             return Ok(());
         };
-        if !self.bytes.is_empty() {
-            return client.on_received(received, 0);
+        self.reservation = None;
+        self.reserved_bytes = bytes.max(2 * self.reserved_bytes);
+        self.reservation = Some(client.reserve(self.reserved_bytes)?);
+        Ok(())
+    }
+
+    /// Counts received bytes.
+    fn count(&self, received: usize) -> Result<(), Refusal> {
+        match &self.client {
+            Some(client) => client.on_received(received, 0),
+            None => Ok(()),
         }
-        if self.reservation.take().is_some() {
-            self.bytes = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    }
+
+    /// Tells the gate that no frame is incomplete, if so.
+    fn end_message(&self) {
+        if let Some(client) = &self.client
+            && self.bytes.is_empty()
+            && self.long_frame.is_none()
+        {
+            client.end_message();
         }
-        client.end_message();
-        Ok(())
     }
 }
 
