Bound what HTTP clients of an entry and an agent hold

One unfinished announcement hung the HTTP thread of an agent: no health check, no metrics, no announcement; silent connections took a thread and two descriptors each, headers without an end 518 MB. An entry held 1.7 GB for bodies that stop short, and its silent connections left no descriptors for its agents.

Both have the server that was the entry's, with the table of connections and the budget of the queue's processes (ClientTable, Gate, ClientStream, RequestBody); tiny_http leaves the agent. A submission whose body is refused for the budget gets 504 (undecided), since it may be a resubmission of a job that has run.

--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -10,13 +10,14 @@
 
 use displaydoc::Display;
 use figdeal_core::{dedup::DedupLimits, fair_queue::KindShare, id::Incarnation};
+use figdeal_platform::settings::ClientLimits;
 use figdeal_wire::channel::ChannelTimeouts;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    announcer, entry_activity::EntryActivity, event_loop, event_loop::Event, http, metrics, server,
-    upstream,
+    announcer, entry_activity::EntryActivity, event_loop, event_loop::Event, http, http_server,
+    http_server::ServerLimits, metrics, server, upstream,
 };
 
 /// Time for writing the last replies after the last task has ended.
@@ -141,9 +142,10 @@
         let listener = std::net::TcpListener::bind(options.listen).map_err(listen_error)?;
         listener.set_nonblocking(true).map_err(listen_error)?;
         let listen = listener.local_addr().map_err(listen_error)?;
-        let http_server = tiny_http::Server::http(options.http)
-            .map_err(|e| Error::Listen(options.http.to_string(), io::Error::other(e)))?;
-        let http = http_server.server_addr().to_ip().unwrap_or(options.http);
+        let http_error = |e| Error::Listen(options.http.to_string(), e);
+        let http_listener = std::net::TcpListener::bind(options.http).map_err(http_error)?;
+        http_listener.set_nonblocking(true).map_err(http_error)?;
+        let http = http_listener.local_addr().map_err(http_error)?;
         let (events, event_receiver) = mpsc::channel();
         let (calls, call_receiver) = mpsc::channel();
         let (state, state_receiver) =
@@ -154,7 +156,16 @@
         event_loop::spawn(&options, incarnation, event_receiver, calls, state, runtime)
             .map_err(|e| Error::Thread("control", e))?;
         upstream::spawn(events.clone(), call_receiver).map_err(|e| Error::Thread("upstream", e))?;
-        http::spawn(http_server, events.clone()).map_err(|e| Error::Thread("http", e))?;
+        let _runtime = runtime.enter();
+        let limits = ServerLimits::start(&ClientLimits::default(), http::MAX_BODY_BYTES);
+        let http_events = events.clone();
+        let handle = move |request| http::handle(request, http_events.clone());
+        runtime.spawn(http_server::serve(
+            http_listener,
+            limits,
+            stop.clone(),
+            handle,
+        ));
         runtime.spawn(server::serve(
             listener,
             events.clone(),
--- a/crates/figdeal-agent/src/event_loop.rs
+++ b/crates/figdeal-agent/src/event_loop.rs
@@ -78,7 +78,7 @@
     /// Notifies the sender once no task is queued or running.
     NotifyIdle(mpsc::Sender<()>),
     /// Updates the gauges and confirms, so that the metrics can be rendered.
-    UpdateGauges(mpsc::Sender<()>),
+    UpdateGauges(oneshot::Sender<()>),
     /// Ends the event loop at once, like a crash.
     Kill,
 }
--- a/crates/figdeal-agent/src/http.rs
+++ b/crates/figdeal-agent/src/http.rs
@@ -1,70 +1,65 @@
-//! HTTP server for the announcements of the upstream, health checks and metrics.
+//! HTTP interface for the announcements of the upstream, health checks and metrics.
 
-use std::{io, sync::mpsc, thread};
+use std::sync::mpsc;
 
-use tiny_http::{Method, Request, Response, Server};
+use hyper::Method;
+use serde_json::json;
+use tokio::sync::oneshot;
 
 use crate::{
     event_loop::{Event, Upstream},
+    http_server::{BodyError, HttpReply, HttpRequest},
     metrics,
 };
 
 /// Largest body of an announcement.
-const MAX_BODY_BYTES: usize = 64 << 10;
+pub(crate) const MAX_BODY_BYTES: usize = 64 << 10;
 
-/// Starts the thread that serves the upstream.
-pub(crate) fn spawn(server: Server, events: mpsc::Sender<Event>) -> io::Result<()> {
-    thread::Builder::new()
-        .name("http".to_owned())
-        .spawn(move || {
-            for request in server.incoming_requests() {
-                if handle_request(request, &events).is_none() {
-                    return;
-                }
+/// Handles a request.
+pub(crate) async fn handle(request: HttpRequest, events: mpsc::Sender<Event>) -> HttpReply {
+    let reply = match (&request.method, request.path.as_str()) {
+        (&Method::POST, "/v1/announce") => match read_upstream(&request) {
+            Ok(upstream) => confirm(&events, Event::UpstreamAnnounced(upstream)),
+            Err((status, message)) => {
+                return HttpReply::json(status, &json!({ "error": message }));
             }
-        })?;
-    Ok(())
+        },
+        (&Method::DELETE, "/v1/announce") => confirm(&events, Event::UpstreamLeft),
+        (&Method::GET, "/healthz") => Some(HttpReply::new(200, "text/plain", "ok\n")),
+        (&Method::GET, "/metrics") => render_metrics(&events).await,
+        _ => return HttpReply::json(404, &json!({ "error": "no such path" })),
+    };
+    reply.unwrap_or_else(|| HttpReply::json(503, &json!({ "error": "the agent has stopped" })))
+}
+
+/// Passes an event on. Returns `None` if the event loop has ended.
+fn confirm(events: &mpsc::Sender<Event>, event: Event) -> Option<HttpReply> {
+    events.send(event).ok()?;
+    Some(HttpReply::json(200, &json!({})))
 }
 
 /// Returns `None` if the event loop has ended.
-fn handle_request(mut request: Request, events: &mpsc::Sender<Event>) -> Option<()> {
-    let (status, text) = match (request.method(), request.url()) {
-        (Method::Post, "/v1/announce") => match read_upstream(&mut request) {
-            Ok(upstream) => {
-                events.send(Event::UpstreamAnnounced(upstream)).ok()?;
-                (200, "{}".to_owned())
-            }
-            Err(message) => (400, serde_json::json!({ "error": message }).to_string()),
-        },
-        (Method::Delete, "/v1/announce") => {
-            events.send(Event::UpstreamLeft).ok()?;
-            (200, "{}".to_owned())
-        }
-        (Method::Get, "/healthz") => (200, "ok\n".to_owned()),
-        (Method::Get, "/metrics") => {
-            let (sender, done) = mpsc::channel();
-            events.send(Event::UpdateGauges(sender)).ok()?;
-            done.recv().ok()?;
-            (200, metrics::recorder().render())
-        }
-        _ => (
-            404,
-            serde_json::json!({ "error": "no such path" }).to_string(),
-        ),
-    };
-    // The client may have closed the connection.
-    let _ = request.respond(Response::from_string(text).with_status_code(status));
-    Some(())
+async fn render_metrics(events: &mpsc::Sender<Event>) -> Option<HttpReply> {
+    let (sender, done) = oneshot::channel();
+    events.send(Event::UpdateGauges(sender)).ok()?;
+    done.await.ok()?;
+    let text = metrics::recorder().render();
+    Some(HttpReply::new(200, metrics::CONTENT_TYPE, text))
 }
 
-fn read_upstream(request: &mut Request) -> Result<Upstream, String> {
-    let mut body = Vec::new();
-    let mut reader = io::Read::take(request.as_reader(), MAX_BODY_BYTES as u64 + 1);
-    io::Read::read_to_end(&mut reader, &mut body).map_err(|e| format!("body: {e}"))?;
-    if body.len() > MAX_BODY_BYTES {
-        return Err(format!("body: longer than {MAX_BODY_BYTES} bytes"));
-    }
-    let upstream: Upstream = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+/// Returns the announced upstream, or the status and message of the refusal.
+fn read_upstream(request: &HttpRequest) -> Result<Upstream, (u16, String)> {
+    let body = request.body.as_ref().map_err(|e| match e {
+        BodyError::TooLong => (400, format!("body: longer than {MAX_BODY_BYTES} bytes")),
+        BodyError::TooSlow => (408, "body: arrived too slowly".to_owned()),
+        BodyError::Truncated => (400, "body: truncated".to_owned()),
+        BodyError::Overloaded => (503, "body: too many unfinished requests".to_owned()),
+    })?;
+    parse_upstream(body).map_err(|message| (400, message))
+}
+
+fn parse_upstream(body: &[u8]) -> Result<Upstream, String> {
+    let upstream: Upstream = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     if upstream.slots == 0 || upstream.slots > 4_096 {
         return Err("slots: must be 1 to 4096".to_owned());
     }
--- a/crates/figdeal-agent/src/lib.rs
+++ b/crates/figdeal-agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod entry_activity;
 mod event_loop;
 mod http;
+pub mod http_server;
 pub mod metrics;
 mod server;
 pub mod settings;
--- a/crates/figdeal-node/src/body.rs
+++ b/crates/figdeal-node/src/body.rs
@@ -14,11 +14,11 @@
 const MIN_CAPACITY: usize = 1_024;
 
 /// Result of reading a body. The error is a [`Refusal`] if a limit was exceeded.
-pub(crate) type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+pub type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
 
 /// A complete body, counted in the budget until it is dropped.
 #[derive(Debug, Default)]
-pub(crate) struct RequestBody {
+pub struct RequestBody {
     bytes: Vec<u8>,
     reservation: Option<Reservation>,
 }
@@ -34,7 +34,10 @@
 impl RequestBody {
     /// Appends a part of the body. Copies it, since a received part keeps the whole read buffer alive, however small it
     /// is.
-    fn append(&mut self, part: &[u8], client: &Arc<Client>, limit: usize) -> Result<()> {
+    ///
+    /// # Errors
+    /// Fails when the body becomes longer than `limit` bytes, and when the budget is used up.
+    pub fn append(&mut self, part: &[u8], client: &Arc<Client>, limit: usize) -> Result<()> {
         let length = self.bytes.len() + part.len();
         if length > limit {
             return Err(Refusal::BodySize.into());
@@ -59,7 +62,7 @@
 ///
 /// # Errors
 /// Fails when the body is too long, when the budget is used up and when the client closes the connection.
-pub(crate) async fn read(
+pub async fn read(
     mut incoming: Incoming,
     client: &Arc<Client>,
     limit: usize,
--- a/crates/figdeal-node/src/client_stream.rs
+++ b/crates/figdeal-node/src/client_stream.rs
@@ -16,7 +16,7 @@
 
 /// A connection whose traffic is counted.
 #[derive(Debug)]
-pub(crate) struct ClientStream {
+pub struct ClientStream {
     stream: TcpStream,
     client: Arc<Client>,
     /// Bytes that an unfinished request takes from the budget.
@@ -25,11 +25,7 @@
 
 impl ClientStream {
     /// Wraps the stream of an admitted connection.
-    pub(crate) fn new(
-        stream: TcpStream,
-        client: Arc<Client>,
-        request_bytes: usize,
-    ) -> ClientStream {
+    pub fn new(stream: TcpStream, client: Arc<Client>, request_bytes: usize) -> ClientStream {
         ClientStream {
             stream,
             client,
--- a/crates/figdeal-node/src/gate.rs
+++ b/crates/figdeal-node/src/gate.rs
@@ -27,11 +27,13 @@
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Stands for no limit of time. Connections of other processes may be idle.
 const UNLIMITED: Duration = Duration::from_secs(365 * 86_400);
-/// Largest budget for the messages that an agent receives, in bytes. Nodes send it no snapshots.
+/// Largest budget for the messages that an agent receives, in bytes. It gets no snapshots.
 const MAX_AGENT_BUDGET_BYTES: usize = 16 * 1024 * 1024;
+/// Largest budget for the messages that an entry receives, in bytes: that of the largest message.
+const MAX_RPC_BUDGET_BYTES: usize = 32 * 1024 * 1024;
 
 /// Returns the limits for HTTP.
-pub(crate) fn http_limits(limits: &ClientLimits) -> Limits {
+pub fn http_limits(limits: &ClientLimits) -> Limits {
     // At most half of the descriptors, so that the other half is left to connections of other processes.
     let available = available_descriptors() / 2;
     let reserved = limits.reserved_connections.min(available / 2);
@@ -49,8 +51,8 @@
     }
 }
 
-/// Returns the limits for connections that nodes open to an agent.
-pub(crate) fn agent_peer_limits(limits: &ClientLimits) -> Limits {
+/// Returns the limits for connections that nodes or entries open to an agent.
+pub fn agent_peer_limits(limits: &ClientLimits) -> Limits {
     let peers = peer_limits(limits);
     Limits {
         budget_bytes: peers.budget_bytes.min(MAX_AGENT_BUDGET_BYTES),
@@ -58,8 +60,17 @@
     }
 }
 
+/// Returns the limits for connections that other processes open to an entry.
+pub fn rpc_limits(limits: &ClientLimits) -> Limits {
+    let peers = peer_limits(limits);
+    Limits {
+        budget_bytes: peers.budget_bytes.min(MAX_RPC_BUDGET_BYTES),
+        ..peers
+    }
+}
+
 /// Returns the limits for connections that other processes open to a node. They count as ordinary ones.
-pub(crate) fn peer_limits(limits: &ClientLimits) -> Limits {
+pub fn peer_limits(limits: &ClientLimits) -> Limits {
     let http = http_limits(limits);
     let http_connections = http.connections + http.reserved_connections;
     let available = available_descriptors().saturating_sub(http_connections);
@@ -86,7 +97,7 @@
 
 /// Admits the connections of one kind of traffic.
 #[derive(Debug)]
-pub(crate) struct Gate {
+pub struct Gate {
     /// Kind of traffic in logs and metrics.
     traffic: &'static str,
     state: Mutex<State>,
@@ -125,7 +136,7 @@
 
 impl Gate {
     /// Creates a gate and starts its periodic check.
-    pub(crate) fn start(traffic: &'static str, limits: Limits) -> Arc<Gate> {
+    pub fn start(traffic: &'static str, limits: Limits) -> Arc<Gate> {
         log::info!("E910 limits of connections traffic={traffic} {limits:?}");
         let gate = Arc::new(Gate {
             traffic,
@@ -146,7 +157,7 @@
     }
 
     /// Admits a connection. Returns `None` if it has to be closed. The receiver ends when the connection is evicted.
-    pub(crate) fn open(
+    pub fn open(
         self: &Arc<Gate>,
         address: IpAddr,
         class: Class,
@@ -239,7 +250,7 @@
 
 /// An admitted connection. Dropping it returns all that it holds.
 #[derive(Debug)]
-pub(crate) struct Client {
+pub struct Client {
     gate: Arc<Gate>,
     key: ClientKey,
     address: IpAddr,
@@ -258,7 +269,7 @@
     ///
     /// # Errors
     /// Fails when the budget is used up.
-    pub(crate) fn on_received(&self, bytes: usize, request_bytes: usize) -> Result<()> {
+    pub fn on_received(&self, bytes: usize, request_bytes: usize) -> Result<()> {
         let now = clock::now();
         let mut state = self.gate.lock();
         match state.table.phase(self.key) {
@@ -280,7 +291,7 @@
     ///
     /// # Errors
     /// Fails when the budget is used up.
-    pub(crate) fn begin_body(&self, request_bytes: usize) -> Result<()> {
+    pub fn begin_body(&self, request_bytes: usize) -> Result<()> {
         let now = clock::now();
         let mut state = self.gate.lock();
         let missing = request_bytes.saturating_sub(state.table.client_bytes(self.key));
@@ -297,7 +308,7 @@
     ///
     /// # Errors
     /// Fails when the budget is used up, and when the connection was evicted. The request must not be handled then.
-    pub(crate) fn begin_handling(&self, request_bytes: usize, answer_bytes: usize) -> Result<()> {
+    pub fn begin_handling(&self, request_bytes: usize, answer_bytes: usize) -> Result<()> {
         let now = clock::now();
         let mut state = self.gate.lock();
         state.table.give_back(self.key, request_bytes);
@@ -310,7 +321,7 @@
     ///
     /// # Errors
     /// Fails when the budget is used up.
-    pub(crate) fn begin_answer(&self, bytes: usize) -> Result<()> {
+    pub fn begin_answer(&self, bytes: usize) -> Result<()> {
         let now = clock::now();
         let mut state = self.gate.lock();
         state.table.enter(now, self.key, Phase::Answer);
@@ -323,7 +334,7 @@
     }
 
     /// Counts bytes of an answer that were sent.
-    pub(crate) fn on_sent(&self, bytes: usize) {
+    pub fn on_sent(&self, bytes: usize) {
         let mut state = self.gate.lock();
         if state.table.phase(self.key) == Some(Phase::Answer) {
             state.table.progress(clock::now(), self.key, bytes);
@@ -331,7 +342,7 @@
     }
 
     /// Ends the request if its answer was sent.
-    pub(crate) fn on_flushed(&self) {
+    pub fn on_flushed(&self) {
         let mut state = self.gate.lock();
         if state.table.phase(self.key) == Some(Phase::Answer)
             && state.table.phase_bytes(self.key) > 0
@@ -341,7 +352,7 @@
     }
 
     /// Ends the present message.
-    pub(crate) fn end_message(&self) {
+    pub fn end_message(&self) {
         self.go_idle(&mut self.gate.lock());
     }
 
@@ -355,7 +366,7 @@
     ///
     /// # Errors
     /// Fails when the budget is used up.
-    pub(crate) fn reserve(self: &Arc<Client>, bytes: usize) -> Result<Reservation> {
+    pub fn reserve(self: &Arc<Client>, bytes: usize) -> Result<Reservation> {
         self.take(&mut self.gate.lock(), clock::now(), bytes)?;
         Ok(Reservation {
             client: Arc::clone(self),
@@ -382,14 +393,14 @@
     }
 
     /// Counts and logs that the body of a request is too long.
-    pub(crate) fn report_body_size(&self) {
+    pub fn report_body_size(&self) {
         self.report(&mut self.gate.lock(), clock::now(), Refusal::BodySize);
     }
 }
 
 /// Bytes taken from the budget.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     client: Arc<Client>,
     bytes: usize,
 }
--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -4,15 +4,16 @@
 //! disk writes to it on a second thread.
 
 pub mod agent;
-mod body;
-mod client_stream;
+pub mod body;
+pub mod client_stream;
 pub mod client_table;
 pub mod clock;
 mod connections;
-mod gate;
+pub mod gate;
 mod http;
 pub mod log_output;
 mod metrics_server;
+pub mod peer_stream;
 mod process;
 pub mod queue;
 pub mod queue_metrics;
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -10,7 +10,9 @@
 };
 
 use displaydoc::Display;
+use figdeal_agent::http_server::{self, ServerLimits};
 use figdeal_core::id::{EntryId, Incarnation};
+use figdeal_platform::settings::ClientLimits;
 use tokio::{runtime::Handle, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -264,16 +266,19 @@
                 stop.clone(),
             ));
         }
-        let http_limits = crate::http::ServerLimits {
-            max_connections: MAX_CONNECTIONS,
-            max_body_bytes: options.rules.max_body_bytes,
+        let _runtime = runtime.enter();
+        let client_limits = ClientLimits {
+            connections: MAX_CONNECTIONS,
+            connections_per_address: MAX_CONNECTIONS,
+            ..ClientLimits::default()
         };
+        let http_limits = ServerLimits::start(&client_limits, options.rules.max_body_bytes);
         let handler = http::HttpApi {
             events: events.clone(),
             shared: Arc::clone(&shared),
         };
         let handle = move |call| handler.clone().handle(call);
-        let http_task = runtime.spawn(crate::http::serve(
+        let http_task = runtime.spawn(http_server::serve(
             http_listener,
             http_limits,
             stop.clone(),
--- a/crates/figdeal/src/entry/answer.rs
+++ b/crates/figdeal/src/entry/answer.rs
@@ -7,7 +7,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::http::HttpReply;
+use figdeal_agent::http_server::HttpReply;
 
 /// Renders an answer. `idempotent` states for each task whether it may be submitted again. It is empty for a fetch,
 /// which does not know the content of the job.
--- a/crates/figdeal/src/entry/http.rs
+++ b/crates/figdeal/src/entry/http.rs
@@ -2,7 +2,10 @@
 
 use std::sync::{Arc, atomic::Ordering, mpsc::Sender};
 
-use figdeal_agent::metrics;
+use figdeal_agent::{
+    http_server::{BodyError, HttpReply, HttpRequest},
+    metrics,
+};
 use figdeal_core::{entry::Answer, id::SubmissionKey};
 use hyper::Method;
 use serde_json::json;
@@ -14,7 +17,6 @@
     event_loop::{Event, Responder},
 };
 use crate::{
-    http::{BodyError, HttpReply, HttpRequest},
     report,
     submission::{self, InvalidField, JobRequest, check_name, submission_key},
 };
@@ -27,7 +29,9 @@
 }
 
 impl HttpApi {
-    pub(crate) async fn handle(self, request: HttpRequest) -> HttpReply {
+    pub(crate) async fn handle(self, mut request: HttpRequest) -> HttpReply {
+        // They hold the read buffer.
+        drop(std::mem::take(&mut request.headers));
         let path = request.path.clone();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         let Some(allowed) = allowed_methods(&parts) else {
@@ -111,8 +115,9 @@
         };
         let job = match self.read_job(&request) {
             Ok(job) => job,
-            Err((status, invalid)) => return invalid_reply(status, &invalid),
+            Err(reply) => return reply,
         };
+        drop(request);
         let idempotent: Vec<bool> = job.tasks.iter().map(|t| t.idempotent).collect();
         self.request_answer(&idempotent, |responder| Event::Submit {
             job,
@@ -122,20 +127,25 @@
         .await
     }
 
-    fn read_job(&self, request: &HttpRequest) -> Result<JobRequest, (u16, InvalidField)> {
+    fn read_job(&self, request: &HttpRequest) -> Result<JobRequest, HttpReply> {
         let rules = self.shared.rules();
         let body = match &request.body {
             Ok(body) => body,
             Err(BodyError::TooLong) => {
                 let problem = format!("longer than {} bytes", rules.max_body_bytes);
-                return Err((413, InvalidField::new("body", problem)));
+                return Err(invalid_reply(413, &InvalidField::new("body", problem)));
             }
             Err(BodyError::TooSlow) => {
-                return Err((408, InvalidField::new("body", "arrived too slowly")));
+                let invalid = InvalidField::new("body", "arrived too slowly");
+                return Err(invalid_reply(408, &invalid));
+            }
+            // The job may have been submitted before, so it is not known whether it has run.
+            Err(BodyError::Overloaded) => return Err(render(&Answer::Undecided, &[])),
+            Err(BodyError::Truncated) => {
+                return Err(invalid_reply(400, &InvalidField::new("body", "truncated")));
             }
-            Err(BodyError::Truncated) => return Err((400, InvalidField::new("body", "truncated"))),
         };
-        JobRequest::parse(body, &rules).map_err(|invalid| (400, invalid))
+        JobRequest::parse(body, &rules).map_err(|invalid| invalid_reply(400, &invalid))
     }
 
     /// Sends an event to the event loop and renders its answer. `idempotent` states for each task whether it may be
--- a/crates/figdeal/src/lib.rs
+++ b/crates/figdeal/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod command;
 pub mod control_client;
 pub mod entry;
-mod http;
 pub mod report;
 pub mod rules;
 pub mod settings;
--- a/crates/figdeal/src/stand_in.rs
+++ b/crates/figdeal/src/stand_in.rs
@@ -11,11 +11,11 @@
     time::Duration,
 };
 
+use figdeal_agent::http_server::{self as http, HttpReply, HttpRequest};
+use figdeal_platform::settings::ClientLimits;
 use tokio::{runtime::Handle, sync::watch, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::http::{self, HttpReply, HttpRequest};
-
 /// Time between two announcements: a third of the time after which an agent considers its upstream gone.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of connections that a stand-in accepts.
@@ -90,10 +90,13 @@
             peak: AtomicU32::new(0),
         });
         let stop = CancellationToken::new();
-        let limits = http::ServerLimits {
-            max_connections: MAX_CONNECTIONS as usize,
-            max_body_bytes: MAX_PAYLOAD_BYTES,
+        let _runtime = runtime.enter();
+        let client_limits = ClientLimits {
+            connections: MAX_CONNECTIONS as usize,
+            connections_per_address: MAX_CONNECTIONS as usize,
+            ..ClientLimits::default()
         };
+        let limits = http::ServerLimits::start(&client_limits, MAX_PAYLOAD_BYTES);
         let state = Arc::clone(&shared);
         let handler = move |request| Arc::clone(&state).serve(request);
         runtime.spawn(http::serve(listener, limits, stop.clone(), handler));
