Bound what other processes hold at an entry and an agent

An entry held 996 MB for 120 connections to its port for other processes with 8 MiB of an announced frame of 30 MiB each, and 600 silent ones at each port left 81 descriptors of 512. The codec allocated the announced length, and nothing counted connections or frames.

--- a/crates/figdeal-agent/src/server.rs
+++ b/crates/figdeal-agent/src/server.rs
@@ -6,8 +6,13 @@
 };
 
 use figdeal_core::id::{SubmissionKey, TaskId};
+use figdeal_node::{
+    gate::{self, Gate},
+    peer_stream::PeerStream,
+};
+use figdeal_platform::settings::ClientLimits;
 use figdeal_wire::{
-    codec::transport,
+    codec::transport_on,
     listen,
     message::{CollectReply, LoadReport, QueryRequest, RunRequest, TaskOutcome, TaskReply},
     service::AgentRpc,
@@ -17,7 +22,7 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::sync::oneshot;
+use tokio::{net::TcpStream, sync::oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::{entry_activity::EntryActivity, event_loop::Event};
@@ -90,17 +95,27 @@
     entry_activity: Arc<EntryActivity>,
     stop: CancellationToken,
 ) {
-    let connection = |stream| {
+    let gate = Gate::start("peers", gate::agent_peer_limits(&ClientLimits::default()));
+    let connection = |stream: TcpStream, peer| {
+        // Without the option the connection still works.
+        let _ = stream.set_nodelay(true);
+        let admitted = PeerStream::admit(stream, peer, &gate);
         let server = RpcServer {
             entry_activity: Arc::clone(&entry_activity),
             events: events.clone(),
         };
         async move {
-            let channel = BaseChannel::with_defaults(transport(stream));
-            channel
-                .execute(server.serve())
-                .for_each_concurrent(None, |response| response)
-                .await;
+            let Some((stream, evicted)) = admitted else {
+                return;
+            };
+            let channel = BaseChannel::with_defaults(transport_on(stream));
+            let requests = channel.execute(server.serve());
+            tokio::select! {
+                biased;
+                // An evicted connection is closed at once, to return its memory.
+                _ = evicted => {}
+                () = requests.for_each_concurrent(None, |response| response) => {}
+            }
         }
     };
     listen::serve(listener, stop, connection).await;
--- a/crates/figdeal-agent/tests/hostile.rs
+++ b/crates/figdeal-agent/tests/hostile.rs
@@ -25,14 +25,15 @@
 const DESCRIPTOR_LIMIT: usize = 512;
 /// Bound of the open descriptors: the limit without the 200 that are kept for files and own connections.
 const MAX_DESCRIPTORS: usize = DESCRIPTOR_LIMIT - 200;
-/// Bound of the peak memory: the budget of 24 MiB, 20 KiB for each of 156 connections, and the process itself.
+/// Bound of the peak memory: the budgets of 24 MiB and, for messages of other processes, 16 MiB, 20 KiB for each of 156
+/// connections, and the process itself.
 const MAX_MEMORY_KB: u64 = 64 * 1024;
 
 /// Held by the one test that runs at a time.
 static RUNNING: Mutex<()> = Mutex::new(());
 
 /// Runs a crowd against an agent and checks it before the crowd disconnects.
-fn attack<C>(crowd: impl FnOnce(SocketAddr) -> C) {
+fn attack<C>(crowd: impl FnOnce(SocketAddr, SocketAddr) -> C) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (http, peers) = (SocketAddr::from(HTTP), SocketAddr::from(PEERS));
     let folder = tempfile::tempdir().unwrap();
@@ -46,7 +47,7 @@
     let program = env!("CARGO_BIN_EXE_figdeal-agent");
     let mut agent = Attacked::start(program, &arguments, DESCRIPTOR_LIMIT);
     agent.wait_for_status(http, "/healthz", &[200]);
-    let connected = crowd(http);
+    let connected = crowd(http, peers);
     agent.wait_for_status(http, "/healthz", &[200]);
     agent.wait_for_status(http, "/metrics", &[200]);
     agent.assert_within(MAX_MEMORY_KB, MAX_DESCRIPTORS);
@@ -56,7 +57,7 @@
 /// Guards against an announcement that stops short and keeps all other requests waiting.
 #[test]
 fn announcements_that_stop_short() {
-    attack(|http| {
+    attack(|http, _| {
         crowd::connect(64, http, |_, stream| {
             write!(
                 stream,
@@ -69,19 +70,30 @@
 /// Guards against connections without a request that use up all descriptors and threads.
 #[test]
 fn silent_connections() {
-    attack(|http| crowd::connect(600, http, |_, _| Ok(())));
+    attack(|http, peers| [http, peers].map(|to| crowd::connect(600, to, |_, _| Ok(()))));
+}
+
+/// Guards against messages of other processes that stop short.
+#[test]
+fn peer_messages_that_stop_short() {
+    attack(|_, peers| {
+        crowd::connect(120, peers, |_, stream| {
+            // The length of a frame comes first, in network byte order.
+            crowd::send_frame(stream, (30_u32 << 20).swap_bytes(), 8 << 20)
+        })
+    });
 }
 
 /// Guards against headers without an end that use up the memory.
 #[test]
 fn headers_that_never_end() {
-    attack(|http| crowd::connect(400, http, |_, stream| crowd::send_headers(stream, 400_000)));
+    attack(|http, _| crowd::connect(400, http, |_, stream| crowd::send_headers(stream, 400_000)));
 }
 
 /// Guards against bodies far over the limit, announced or just sent.
 #[test]
 fn bodies_over_the_limit() {
-    attack(|http| {
+    attack(|http, _| {
         crowd::connect(200, http, |n, stream| match n % 2 {
             0 => crowd::send_body(stream, 1 << 30, 1_000_000, 65_536),
             _ => crowd::send_chunks(stream, 65_536, 64),
--- a/crates/figdeal-wire/src/codec.rs
+++ b/crates/figdeal-wire/src/codec.rs
@@ -4,17 +4,18 @@
 
 use serde::{Serialize, de::DeserializeOwned};
 use tarpc::{
-    serde_transport::Transport,
-    tokio_serde::{Deserializer, Serializer},
+    tokio_serde::{Deserializer, Framed as SerdeFramed, Serializer},
     tokio_util::{
         bytes::{Bytes, BytesMut},
-        codec::{Framed, LengthDelimitedCodec},
+        codec::Framed,
     },
 };
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
 
-/// Largest frame. A reply with 390 results of up to 64 KiB fits.
-const MAX_FRAME_BYTES: usize = 32 << 20;
+use crate::frame_codec::FrameCodec;
 
 /// Encodes and decodes frames with postcard.
 #[derive(Debug, Clone, Copy, Default)]
@@ -38,8 +39,11 @@
     }
 }
 
+/// A tarpc transport over a stream.
+pub type Transport<S, In, Out> = SerdeFramed<Framed<S, FrameCodec>, In, Out, Postcard>;
+
 /// A tarpc transport over one TCP connection.
-pub type TcpTransport<In, Out> = Transport<TcpStream, In, Out, Postcard>;
+pub type TcpTransport<In, Out> = Transport<TcpStream, In, Out>;
 
 /// Creates a transport on an open connection. Disables Nagle's algorithm, since messages are small and urgent.
 pub fn transport<In, Out>(stream: TcpStream) -> TcpTransport<In, Out>
@@ -49,10 +53,17 @@
 {
     // Without the option the connection still works.
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
-    tarpc::serde_transport::new(Framed::new(stream, codec), Postcard)
+    transport_on(stream)
+}
+
+/// Creates a transport on any stream.
+pub fn transport_on<S, In, Out>(stream: S) -> Transport<S, In, Out>
+where
+    S: AsyncRead + AsyncWrite,
+    In: DeserializeOwned,
+    Out: Serialize,
+{
+    SerdeFramed::new(Framed::new(stream, FrameCodec::default()), Postcard)
 }
 
 fn invalid_data(e: postcard::Error) -> io::Error {
--- a/crates/figdeal-wire/src/lib.rs
+++ b/crates/figdeal-wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod channel;
 pub mod codec;
+pub mod frame_codec;
 pub mod listen;
 pub mod message;
 pub mod message_count;
--- a/crates/figdeal-wire/src/listen.rs
+++ b/crates/figdeal-wire/src/listen.rs
@@ -1,6 +1,10 @@
 //! Accept loop for connections of other processes.
 
-use std::{future::Future, net::TcpListener, time::Duration};
+use std::{
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
 use tokio::{net::TcpStream, task::JoinSet, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -12,7 +16,7 @@
 pub async fn serve<F>(
     listener: TcpListener,
     stop: CancellationToken,
-    connection: impl Fn(TcpStream) -> F,
+    connection: impl Fn(TcpStream, SocketAddr) -> F,
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
@@ -22,10 +26,10 @@
     };
     let mut connections = JoinSet::new();
     loop {
-        let stream = tokio::select! {
+        let (stream, peer) = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
+                Ok(accepted) => accepted,
                 Err(e) => {
                     log::warn!("E103 cannot accept a connection: {e}");
                     sleep(ACCEPT_RETRY_DELAY).await;
@@ -34,6 +38,6 @@
             },
         };
         while connections.try_join_next().is_some() {}
-        connections.spawn(connection(stream));
+        connections.spawn(connection(stream, peer));
     }
 }
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -10,8 +10,13 @@
     entry::Answer,
     id::{Incarnation, SubmissionKey},
 };
+use figdeal_node::{
+    gate::{self, Gate},
+    peer_stream::PeerStream,
+};
+use figdeal_platform::settings::ClientLimits;
 use figdeal_wire::{
-    codec::transport,
+    codec::transport_on,
     listen,
     message::{AnnounceReply, Announcement, ConfigFiles, OwnerRecord, PeerAnswer, PeerQuery},
     service::EntryRpc,
@@ -21,7 +26,7 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::sync::oneshot;
+use tokio::{net::TcpStream, sync::oneshot};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -118,18 +123,28 @@
     shared: Arc<SharedState>,
     stop: CancellationToken,
 ) {
-    let connection = |stream| {
+    let gate = Gate::start("peers", gate::rpc_limits(&ClientLimits::default()));
+    let connection = |stream: TcpStream, peer| {
+        // Without the option the connection still works.
+        let _ = stream.set_nodelay(true);
+        let admitted = PeerStream::admit(stream, peer, &gate);
         let server = EntryService {
             incarnation,
             events: events.clone(),
             shared: Arc::clone(&shared),
         };
         async move {
-            let channel = BaseChannel::with_defaults(transport(stream));
-            channel
-                .execute(server.serve())
-                .for_each_concurrent(None, |response| response)
-                .await;
+            let Some((stream, evicted)) = admitted else {
+                return;
+            };
+            let channel = BaseChannel::with_defaults(transport_on(stream));
+            let requests = channel.execute(server.serve());
+            tokio::select! {
+                biased;
+                // An evicted connection is closed at once, to return its memory.
+                _ = evicted => {}
+                () = requests.for_each_concurrent(None, |response| response) => {}
+            }
         }
     };
     listen::serve(listener, stop, connection).await;
