Attack all listeners, other protocols, a loss and a stop under a crowd

New tests: bodies at three listeners at once, prefaces of HTTP/2, upgrades and Expect: 100-continue, the loss of each node and SIGTERM under a crowd, and the port of the control replica. The ordinary request of a check goes to the attacked node now, not always to the first.

--- a/crates/figdeal-node/tests/hostile/crowd.rs
+++ b/crates/figdeal-node/tests/hostile/crowd.rs
@@ -70,6 +70,34 @@
     Ok(())
 }
 
+/// Sends what begins a connection of HTTP/2, and bytes that are no frame.
+pub(crate) fn send_preface(stream: &mut TcpStream) -> Result<()> {
+    stream.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")?;
+    stream.write_all(&[0xff; 65_536])
+}
+
+/// Asks for another protocol, and sends bytes of it.
+pub(crate) fn send_upgrade(stream: &mut TcpStream) -> Result<()> {
+    write!(
+        stream,
+        "GET /none/ HTTP/1.1\r\nhost: caller\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n"
+    )?;
+    stream.write_all(&[0x82; 65_536])
+}
+
+/// Announces a body with a question whether to send it, and sends a part of it without waiting for the answer.
+pub(crate) fn send_expectation(
+    stream: &mut TcpStream,
+    announced: usize,
+    sent: usize,
+) -> Result<()> {
+    write!(
+        stream,
+        "POST /none/1 HTTP/1.1\r\nhost: caller\r\nexpect: 100-continue\r\ncontent-length: {announced}\r\n\r\n"
+    )?;
+    stream.write_all(&vec![b'x'; sent])
+}
+
 /// Sends chunks without the last one.
 pub(crate) fn send_chunks(stream: &mut TcpStream, size: usize, count: usize) -> Result<()> {
     write!(
--- a/crates/figdeal-node/tests/hostile/main.rs
+++ b/crates/figdeal-node/tests/hostile/main.rs
@@ -98,8 +98,8 @@
         panic!("no answer: {step}");
     }
 
-    fn call_node(&self, method: &str, path: &str, body: &str) -> Option<u16> {
-        exchange(self.layout.front(TARGET), method, path, body)
+    fn call_node(&self, machine: u8, method: &str, path: &str, body: &str) -> Option<u16> {
+        exchange(self.layout.front(machine), method, path, body)
     }
 
     fn call_agent(&self) -> Option<u16> {
@@ -110,14 +110,20 @@
         SocketAddr::new(self.layout.front(machine).ip(), METRICS_PORT)
     }
 
+    fn kill(&mut self, machine: u8) {
+        let process = &mut self.processes[usize::from(machine) - 1].0;
+        process.kill().unwrap();
+        process.wait().unwrap();
+    }
+
     /// Checks an attacked process while the crowd is still connected.
     fn check(&mut self, machine: u8, max_memory_kb: u64) {
         match machine {
             AGENT => self.wait_for_answer("agent", Fleet::call_agent),
             _ => {
-                self.wait_for_answer("caller", |f| f.call_node("GET", "/none/", ""));
+                self.wait_for_answer("caller", |f| f.call_node(machine, "GET", "/none/", ""));
                 let body = "x".repeat(LEGAL_BODY_BYTES);
-                self.wait_for_answer("body", |f| f.call_node("POST", "/none/1", &body));
+                self.wait_for_answer("body", |f| f.call_node(machine, "POST", "/none/1", &body));
                 let control = self.layout.control(machine);
                 self.wait_for_answer("operator", |_| {
                     exchange(control, "GET", "/figdeal/config", "")
@@ -316,3 +322,67 @@
         })
     });
 }
+
+/// Guards against bodies that share no budget because they arrive at several listeners of a process.
+#[test]
+fn bodies_at_every_listener() {
+    attack(TARGET, |fleet| {
+        let targets = [
+            fleet.layout.front(TARGET),
+            fleet.layout.control(TARGET),
+            fleet.metrics(TARGET),
+        ];
+        targets.map(|to| {
+            crowd::connect(100, to, |_, stream| {
+                crowd::send_body(stream, 1_000_000, 999_990, 65_536)
+            })
+        })
+    });
+}
+
+/// Guards against protocols that the process does not speak, and against bodies that are announced with a question.
+#[test]
+fn other_protocols() {
+    attack(TARGET, |fleet| {
+        crowd::connect(300, fleet.layout.front(TARGET), |n, stream| match n % 3 {
+            0 => crowd::send_preface(stream),
+            1 => crowd::send_upgrade(stream),
+            _ => crowd::send_expectation(stream, 1_000_000, 999_990),
+        })
+    });
+}
+
+/// Guards against a group that finds no new leader, or a node that hangs, while a crowd is connected.
+#[test]
+fn a_node_is_lost_under_a_crowd() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    for lost in 1..=NODES {
+        let mut fleet = Fleet::start();
+        let attacked = lost % NODES + 1;
+        let crowd = crowd::connect(300, fleet.layout.front(attacked), |_, stream| {
+            crowd::send_body(stream, 1_000_000, 999_990, 65_536)
+        });
+        fleet.kill(lost);
+        fleet.check(attacked, MAX_MEMORY_KB);
+        drop(crowd);
+    }
+}
+
+/// Guards against a crowd that keeps a node from ending after SIGTERM.
+#[test]
+fn a_node_ends_under_a_crowd() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut fleet = Fleet::start();
+    let crowd = crowd::connect(300, fleet.layout.front(TARGET), |n, stream| match n % 2 {
+        0 => Ok(()),
+        _ => crowd::send_body(stream, 1_000_000, 999_990, 65_536),
+    });
+    let process = &mut fleet.processes[usize::from(TARGET) - 1];
+    process.signal("TERM");
+    let start = Instant::now();
+    while process.0.try_wait().unwrap().is_none() {
+        assert!(start.elapsed() < STEP_TIMEOUT, "the process does not end");
+        thread::sleep(RETRY_INTERVAL);
+    }
+    drop(crowd);
+}
--- a/crates/figdeal-node/tests/hostile/stored.rs
+++ b/crates/figdeal-node/tests/hostile/stored.rs
@@ -76,12 +76,6 @@
 }
 
 impl Fleet {
-    fn kill(&mut self, machine: u8) {
-        let process = &mut self.processes[usize::from(machine) - 1].0;
-        process.kill().unwrap();
-        process.wait().unwrap();
-    }
-
     fn restart(&mut self, machine: u8) {
         self.processes[usize::from(machine) - 1] = Process::start(&self.layout, machine, false);
     }
@@ -133,7 +127,7 @@
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     let (mut fleet, _) = fill();
     fleet.wait_for_answer("other queue", |f| {
-        f.call_node("POST", "/other/00000000000f0000", SMALL_JOB)
+        f.call_node(TARGET, "POST", "/other/00000000000f0000", SMALL_JOB)
     });
     for machine in 1..AGENT {
         let process = &mut fleet.processes[usize::from(machine) - 1].0;
--- a/crates/figdeal/tests/hostile.rs
+++ b/crates/figdeal/tests/hostile.rs
@@ -18,6 +18,7 @@
 
 const HTTP: ([u8; 4], u16) = ([127, 0, 42, 1], 7_400);
 const PEERS: ([u8; 4], u16) = ([127, 0, 42, 1], 7_401);
+const CONTROL: ([u8; 4], u16) = ([127, 0, 42, 1], 7_402);
 /// Limit of the open descriptors of the process.
 const DESCRIPTOR_LIMIT: usize = 512;
 /// Bound of the open descriptors: the limit without the 200 that are kept for files and own connections.
@@ -36,9 +37,11 @@
     let (http, peers) = (SocketAddr::from(HTTP), SocketAddr::from(PEERS));
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("entry.toml");
+    let (data, control) = (folder.path().join("data"), SocketAddr::from(CONTROL));
     let settings = format!(
         "id = 0\ndata_centre = \"d\"\nhttp_listen = \"{http}\"\npeer_listen = \"{peers}\"\n\
-         control_vms = [\"127.0.42.9:7402\"]\n[[entries]]\nid = 0\naddress = \"{peers}\"\n"
+         data_folder = {data:?}\n[[entries]]\nid = 0\naddress = \"{peers}\"\n\
+         [control]\non = true\nlisten = \"{control}\"\nmembers = [\"{control}\"]\n"
     );
     fs::write(&path, settings).unwrap();
     let arguments = ["entry", "--settings", path.to_str().unwrap()];
@@ -90,3 +93,19 @@
         })
     });
 }
+
+/// Guards against silent connections at the port of the control replica.
+#[test]
+fn silent_control_connections() {
+    attack(|_, _| crowd::connect(600, CONTROL.into(), |_, _| Ok(())));
+}
+
+/// Guards against messages to the control replica that stop short.
+#[test]
+fn control_messages_that_stop_short() {
+    attack(|_, _| {
+        crowd::connect(120, CONTROL.into(), |_, stream| {
+            crowd::send_frame(stream, (7_u32 << 20).swap_bytes(), 6 << 20)
+        })
+    });
+}
