Move the limits for clients into a crate of their own

Entries, their agents and control replicas use the table of connections, the gate and the streams too, and should not depend on the processes of the queue for it. The modules are moved as they were; ClientLimits and its defaults come from the settings of the platform.

--- a/crates/figdeal-agent/src/agent.rs
+++ b/crates/figdeal-agent/src/agent.rs
@@ -10,7 +10,7 @@
 
 use displaydoc::Display;
 use figdeal_core::{dedup::DedupLimits, fair_queue::KindShare, id::Incarnation};
-use figdeal_platform::settings::ClientLimits;
+use figdeal_limits::ClientLimits;
 use figdeal_wire::channel::ChannelTimeouts;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
--- a/crates/figdeal-agent/src/http_server.rs
+++ b/crates/figdeal-agent/src/http_server.rs
@@ -1,19 +1,12 @@
 //! HTTP/1 server of agents and entries, based on hyper. A gate bounds its connections and what their requests hold.
 
-use std::{
-    future::Future,
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
-    time::Duration,
-};
-
-use figdeal_node::{
+use figdeal_limits::{
+    ClientLimits,
     body::RequestBody,
     client_stream::ClientStream,
     client_table::{Class, Refusal},
     gate::{self, Client, Gate},
 };
-use figdeal_platform::settings::ClientLimits;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -23,6 +16,12 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use std::{
+    future::Future,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::TcpStream,
     sync::oneshot,
--- a/crates/figdeal-agent/src/server.rs
+++ b/crates/figdeal-agent/src/server.rs
@@ -6,11 +6,11 @@
 };
 
 use figdeal_core::id::{SubmissionKey, TaskId};
-use figdeal_node::{
+use figdeal_limits::{
+    ClientLimits,
     gate::{self, Gate},
     peer_stream::PeerStream,
 };
-use figdeal_platform::settings::ClientLimits;
 use figdeal_wire::{
     codec::transport_on,
     listen,
--- a/crates/figdeal-node/src/client_table.rs
+++ b/crates/figdeal-limits/src/client_table.rs
@@ -189,7 +189,7 @@
 /// ```
 /// use std::time::Duration;
 /// use figdeal_core::time::Timestamp;
-/// use figdeal_node::client_table::{Class, ClientTable, Limits, Phase};
+/// use figdeal_limits::client_table::{Class, ClientTable, Limits, Phase};
 ///
 /// let limits = Limits {
 ///     budget_bytes: 1_000,
--- a/crates/figdeal-node/src/gate.rs
+++ b/crates/figdeal-limits/src/gate.rs
@@ -8,11 +8,11 @@
 };
 
 use figdeal_core::time::Timestamp;
-use figdeal_platform::settings::ClientLimits;
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
 use crate::{
+    ClientLimits,
     client_table::{Class, ClientKey, ClientTable, Limits, Phase, Refusal, Result},
     clock,
 };
@@ -27,10 +27,12 @@
 const RESERVED_DESCRIPTORS: usize = 200;
 /// Stands for no limit of time. Connections of other processes may be idle.
 const UNLIMITED: Duration = Duration::from_secs(365 * 86_400);
-/// Largest budget for the messages that an agent receives, in bytes. It gets no snapshots.
+/// Largest budget for the messages that an agent or a control replica receives, in bytes. They get no snapshots.
 const MAX_AGENT_BUDGET_BYTES: usize = 16 * 1024 * 1024;
 /// Largest budget for the messages that an entry receives, in bytes: that of the largest message.
 const MAX_RPC_BUDGET_BYTES: usize = 32 * 1024 * 1024;
+/// Connections to a control replica. Each entry and each peer has one.
+const MAX_CONTROL_CONNECTIONS: usize = 256;
 
 /// Returns the limits for HTTP.
 pub fn http_limits(limits: &ClientLimits) -> Limits {
@@ -60,15 +62,35 @@
     }
 }
 
-/// Returns the limits for connections that other processes open to an entry.
+/// Returns the limits for connections that agents and other entries open to an entry. They leave room for those to its
+/// control replica.
 pub fn rpc_limits(limits: &ClientLimits) -> Limits {
     let peers = peer_limits(limits);
+    let connections = peers.connections - control_connections(&peers);
     Limits {
         budget_bytes: peers.budget_bytes.min(MAX_RPC_BUDGET_BYTES),
+        connections,
+        connections_per_address: connections,
         ..peers
     }
 }
 
+/// Returns the limits for connections to a control replica.
+pub fn control_limits(limits: &ClientLimits) -> Limits {
+    let peers = peer_limits(limits);
+    let connections = control_connections(&peers);
+    Limits {
+        budget_bytes: peers.budget_bytes.min(MAX_AGENT_BUDGET_BYTES),
+        connections,
+        connections_per_address: connections,
+        ..peers
+    }
+}
+
+fn control_connections(peers: &Limits) -> usize {
+    (peers.connections / 4).clamp(1, MAX_CONTROL_CONNECTIONS)
+}
+
 /// Returns the limits for connections that other processes open to a node. They count as ordinary ones.
 pub fn peer_limits(limits: &ClientLimits) -> Limits {
     let http = http_limits(limits);
--- a/crates/figdeal-node/src/peer_stream.rs
+++ b/crates/figdeal-limits/src/peer_stream.rs
@@ -53,7 +53,7 @@
 /// Finds the frames in the received bytes.
 ///
 /// ```
-/// use figdeal_node::peer_stream::FrameLengths;
+/// use figdeal_limits::peer_stream::FrameLengths;
 ///
 /// let mut lengths = FrameLengths::default();
 /// lengths.add(&[0, 0, 0, 2, 7]);
--- a/crates/figdeal-node/tests/client_table.rs
+++ b/crates/figdeal-limits/tests/client_table.rs
@@ -3,7 +3,7 @@
 use std::{net::IpAddr, time::Duration};
 
 use figdeal_core::time::Timestamp;
-use figdeal_node::client_table::{Class, ClientKey, ClientTable, Limits, Phase, Refusal};
+use figdeal_limits::client_table::{Class, ClientKey, ClientTable, Limits, Phase, Refusal};
 
 const KIB: usize = 1_024;
 const START: Timestamp = Timestamp::from_micros(1_000_000);
--- a/crates/figdeal-node/src/agent.rs
+++ b/crates/figdeal-node/src/agent.rs
@@ -2,6 +2,10 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use figdeal_limits::{
+    client_table::Class,
+    gate::{self, Gate},
+};
 use figdeal_platform::{
     Response,
     settings::Settings,
@@ -18,11 +22,8 @@
 };
 
 use crate::{
-    Result,
-    client_table::Class,
-    clock,
+    Result, clock,
     connections::{ConnectionEvent, Connections},
-    gate::{self, Gate},
     http::{self, HttpLimits, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
--- a/crates/figdeal-node/src/clock.rs
+++ b/crates/figdeal-node/src/clock.rs
@@ -3,21 +3,8 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use figdeal_core::time::Timestamp;
+pub use figdeal_limits::clock::now;
 use figdeal_queue::node::Clock;
-use rustix::time::{ClockId, clock_gettime};
-
-/// Returns the time since boot. It includes time in which the machine was suspended, so a lease that expires during a
-/// suspension counts as expired afterwards.
-///
-/// ```
-/// let earlier = figdeal_node::clock::now();
-/// assert!(figdeal_node::clock::now() >= earlier);
-/// ```
-pub fn now() -> Timestamp {
-    let since_boot = clock_gettime(ClockId::Boottime);
-    Timestamp::from_micros(since_boot.tv_sec as u64 * 1_000_000 + since_boot.tv_nsec as u64 / 1_000)
-}
 
 /// Reads both clocks at once.
 pub fn read() -> Clock {
--- a/crates/figdeal-node/src/connections.rs
+++ b/crates/figdeal-node/src/connections.rs
@@ -17,6 +17,10 @@
 
 use bytes::{Buf, BufMut, BytesMut};
 use figdeal_core::chunk_buffer::ChunkBuffer;
+use figdeal_limits::{
+    client_table::{Class, Refusal},
+    gate::{Client, Gate, Reservation},
+};
 use figdeal_queue::message::PeerMessage;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,11 +32,7 @@
     time::timeout,
 };
 
-use crate::{
-    client_table::{Class, Refusal},
-    clock,
-    gate::{Client, Gate, Reservation},
-};
+use crate::clock;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/figdeal-node/src/http.rs
+++ b/crates/figdeal-node/src/http.rs
@@ -3,9 +3,14 @@
 use std::{error::Error, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use figdeal_platform::{
-    Response as PlatformResponse, ingress::DEADLINE_HEADER, settings::ClientLimits,
+use figdeal_limits::{
+    ClientLimits,
+    body::{self, RequestBody},
+    client_stream::ClientStream,
+    client_table::{Class, Refusal},
+    gate::{self, Client, Gate},
 };
+use figdeal_platform::{Response as PlatformResponse, ingress::DEADLINE_HEADER};
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
@@ -21,13 +26,6 @@
     sync::watch,
 };
 
-use crate::{
-    body::{self, RequestBody},
-    client_stream::ClientStream,
-    client_table::{Class, Refusal},
-    gate::{self, Client, Gate},
-};
-
 /// Sizes of the socket buffers of a connection, in bytes. The kernel would enlarge them to several megabytes for each
 /// client that sends without end or does not read its answers.
 const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
--- a/crates/figdeal-node/src/lib.rs
+++ b/crates/figdeal-node/src/lib.rs
@@ -4,16 +4,11 @@
 //! disk writes to it on a second thread.
 
 pub mod agent;
-pub mod body;
-pub mod client_stream;
-pub mod client_table;
 pub mod clock;
 mod connections;
-pub mod gate;
 mod http;
 pub mod log_output;
 mod metrics_server;
-pub mod peer_stream;
 mod process;
 pub mod queue;
 pub mod queue_metrics;
--- a/crates/figdeal-node/src/metrics_server.rs
+++ b/crates/figdeal-node/src/metrics_server.rs
@@ -2,15 +2,13 @@
 
 use std::net::SocketAddr;
 
+use figdeal_limits::client_table::Class;
 use figdeal_platform::{Response, settings::METRICS_PORT};
 use figdeal_queue::{dispatch::RackWaitCounts, losses::LossCounts};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::sync::watch;
 
-use crate::{
-    client_table::Class,
-    http::{self, HttpLimits},
-};
+use crate::http::{self, HttpLimits};
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const DURATION_BUCKETS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
--- a/crates/figdeal-node/src/queue.rs
+++ b/crates/figdeal-node/src/queue.rs
@@ -10,6 +10,10 @@
     time::Duration,
 };
 
+use figdeal_limits::{
+    client_table::Class,
+    gate::{self, Gate},
+};
 use figdeal_platform::{Response, ingress, operator, settings::Settings};
 use figdeal_queue::{
     message::{Answer, PeerMessage, RefusalReason, Request},
@@ -23,11 +27,8 @@
 };
 
 use crate::{
-    Result,
-    client_table::Class,
-    clock,
+    Result, clock,
     connections::{ConnectionEvent, Connections},
-    gate::{self, Gate},
     http::{self, HttpLimits, HttpRequest},
     metrics_server,
     process::{self, ProcessEvent},
--- a/crates/figdeal/src/entry.rs
+++ b/crates/figdeal/src/entry.rs
@@ -12,7 +12,7 @@
 use displaydoc::Display;
 use figdeal_agent::http_server::{self, ServerLimits};
 use figdeal_core::id::{EntryId, Incarnation};
-use figdeal_platform::settings::ClientLimits;
+use figdeal_limits::ClientLimits;
 use tokio::{runtime::Handle, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/figdeal/src/entry/server.rs
+++ b/crates/figdeal/src/entry/server.rs
@@ -10,11 +10,11 @@
     entry::Answer,
     id::{Incarnation, SubmissionKey},
 };
-use figdeal_node::{
+use figdeal_limits::{
+    ClientLimits,
     gate::{self, Gate},
     peer_stream::PeerStream,
 };
-use figdeal_platform::settings::ClientLimits;
 use figdeal_wire::{
     codec::transport_on,
     listen,
--- a/crates/figdeal/src/stand_in.rs
+++ b/crates/figdeal/src/stand_in.rs
@@ -12,7 +12,7 @@
 };
 
 use figdeal_agent::http_server::{self as http, HttpReply, HttpRequest};
-use figdeal_platform::settings::ClientLimits;
+use figdeal_limits::ClientLimits;
 use tokio::{runtime::Handle, sync::watch, time::sleep};
 use tokio_util::sync::CancellationToken;
 
