Bound what a control replica holds for its connections

A control replica held 751,172 KiB for 120 connections with 6 MiB of an announced message of 7 MiB each: the codec allocated the announced length, and only the number of connections was bounded, by not accepting more.

Connections pass a gate, as at the entry's port for agents, and frames count as they arrive. control_messages_that_stop_short: 751,172 KiB before (bound 163,840), passes now, with the other tests of figdeal and figdeal-control.

--- a/crates/figdeal-control/src/driver.rs
+++ b/crates/figdeal-control/src/driver.rs
@@ -15,8 +15,17 @@
 };
 
 use figdeal_core::time::{Timestamp, UnixMillis};
-use figdeal_wire::codec::Postcard;
-use futures::{StreamExt, stream};
+use figdeal_limits::{
+    ClientLimits,
+    gate::{self, Gate},
+    peer_stream::PeerStream,
+};
+use figdeal_wire::codec::{Postcard, transport_on};
+use futures::{
+    FutureExt, StreamExt,
+    future::{self, ready},
+    stream,
+};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client, context,
@@ -24,8 +33,9 @@
     server::{BaseChannel, Channel},
 };
 use tokio::{
+    net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -51,13 +61,13 @@
 /// Largest number of messages that wait for one peer. Further messages are dropped, which the consensus protocol
 /// tolerates.
 pub const MAX_QUEUED_MESSAGES: usize = 64;
-/// Largest number of connections that are served at once. Each entry and each peer has one connection.
-pub const MAX_CONNECTIONS: usize = 256;
 /// Largest number of concurrent requests of one connection.
 const MAX_CONCURRENT_REQUESTS: usize = 64;
 /// Time after which a connection without a request is closed. Peers send every 500 ms and entries poll at least every
-/// [`POLL_TIMEOUT`], so this closes only silent connections, which would otherwise use up [`MAX_CONNECTIONS`].
+/// [`POLL_TIMEOUT`], so this closes only silent connections, which would otherwise use up the connections.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Delay after a failed `accept`, which happens when the process has no free file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long [`ReplicaHandle::stop`] waits for the listener. Only a runtime that is blocked needs longer.
 const LISTENER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for connecting to a replica, and for delivering one message to it.
@@ -160,8 +170,9 @@
 where
     D: Disk + Send + 'static,
 {
-    let incoming = tcp::listen(listen, Postcard::default).await?;
-    let address = incoming.local_addr();
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let gate = Gate::start("control", gate::control_limits(&ClientLimits::default()));
     let (inputs, receiver) = mpsc::channel(MAX_QUEUED_INPUTS);
     let confirmed_us = Arc::new(AtomicU64::new(0));
     let (versions, version_updates) = watch::channel(node.poll(0).cloned().map(Arc::new));
@@ -186,18 +197,23 @@
         started_at,
         confirmed_us,
     };
+    let incoming = stream::unfold(listener, |listener| async {
+        Some((accept_one(&listener).await, listener))
+    });
     let accept = incoming
-        .filter_map(|c| async { c.ok() })
-        .map(move |transport| {
-            let channel = BaseChannel::with_defaults(transport);
+        .filter_map(move |(stream, peer)| ready(PeerStream::admit(stream, peer, &gate)))
+        .map(move |(stream, evicted)| {
+            let channel = BaseChannel::with_defaults(transport_on(stream));
             let requests = Box::pin(channel.execute(server.clone().serve()));
             let requests = stream::unfold(requests, |mut requests| async {
                 let next = timeout(IDLE_TIMEOUT, requests.next()).await;
                 next.ok().flatten().map(|request| (request, requests))
             });
-            requests.for_each_concurrent(MAX_CONCURRENT_REQUESTS, |request| request)
+            let requests = requests.for_each_concurrent(MAX_CONCURRENT_REQUESTS, |request| request);
+            // An evicted connection is closed at once, to return its memory.
+            future::select(evicted, Box::pin(requests)).map(drop)
         })
-        .for_each_concurrent(MAX_CONNECTIONS, |connection| connection);
+        .for_each_concurrent(None, |connection| connection);
     let (end, listener_end) = std_mpsc::channel::<()>();
     // Fields are dropped in this order, so the socket is closed before the receiver is told, even if the task is aborted
     // before its first poll.
@@ -217,6 +233,23 @@
     })
 }
 
+/// Accepts the next connection.
+async fn accept_one(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                // Without the option the connection still works.
+                let _ = stream.set_nodelay(true);
+                return (stream, peer);
+            }
+            Err(e) => {
+                log::warn!("E407 cannot accept a connection: {e}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Connects to a control replica.
 ///
 /// # Errors
