--- a/crates/figdeal-node/tests/hostile/main.rs
+++ b/crates/figdeal-node/tests/hostile/main.rs
@@ -12,7 +12,7 @@
     fs,
     io::Read,
     net::{SocketAddr, TcpStream},
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -48,6 +48,11 @@
 /// Held by the one test that runs at a time.
 static RUNNING: Mutex<()> = Mutex::new(());
 
+/// Waits until no other test runs, and keeps others out until the returned value is dropped.
+fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Not a test by itself: runs a node or agent if the parent process requests it.
 #[test]
 fn child_process() {
@@ -168,7 +173,7 @@
 
 /// Like [`attack`], with another bound of the peak memory.
 fn attack_within<C>(max_memory_kb: u64, machine: u8, crowd: impl FnOnce(&Fleet) -> C) {
-    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let _running = run_alone();
     let mut fleet = Fleet::start();
     let connected = crowd(&fleet);
     fleet.check(machine, max_memory_kb);
@@ -355,7 +360,7 @@
 /// Guards against a group that finds no new leader, or a node that hangs, while a crowd is connected.
 #[test]
 fn a_node_is_lost_under_a_crowd() {
-    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let _running = run_alone();
     for lost in 1..=NODES {
         let mut fleet = Fleet::start();
         let attacked = lost % NODES + 1;
@@ -371,7 +376,7 @@
 /// Guards against a crowd that keeps a node from ending after SIGTERM.
 #[test]
 fn a_node_ends_under_a_crowd() {
-    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let _running = run_alone();
     let mut fleet = Fleet::start();
     let crowd = crowd::connect(300, fleet.layout.front(TARGET), |n, stream| match n % 2 {
         0 => Ok(()),
--- a/crates/figdeal-node/tests/hostile/stored.rs
+++ b/crates/figdeal-node/tests/hostile/stored.rs
@@ -10,13 +10,14 @@
 use figdeal_queue::job::JobId;
 
 use crate::{
-    AGENT, Fleet, NODES, RUNNING, STEP_TIMEOUT, TARGET, exchange, peak_memory_kb, processes,
-    processes::Process,
+    AGENT, Fleet, NODES, STEP_TIMEOUT, TARGET, exchange, peak_memory_kb, processes,
+    processes::Process, run_alone,
 };
 
 /// Bound of the peak memory of each node: that of the smallest machine.
 const MAX_NODE_MEMORY_KB: u64 = 160 * 1024;
-/// Number of submitted jobs. Their log entries have more than 12 MiB, so the nodes take a snapshot.
+/// Number of submitted jobs. If all were accepted, their log entries would have more than 12 MiB, so that the nodes take a
+/// snapshot.
 const JOBS: u64 = 3_600;
 /// Number of concurrent clients.
 const CLIENTS: u64 = 48;
@@ -122,9 +123,7 @@
 /// callers of another one out.
 #[test]
 fn stored_jobs_stay_within_the_memory() {
-    let _running = RUNNING
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let _running = run_alone();
     let (mut fleet, _) = fill();
     fleet.wait_for_answer("other queue", |f| {
         f.call_node(TARGET, "POST", "/other/00000000000f0000", SMALL_JOB)
@@ -141,9 +140,7 @@
 /// Guards against a restart of the whole group that loses accepted jobs.
 #[test]
 fn a_restart_keeps_every_accepted_job() {
-    let _running = RUNNING
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let _running = run_alone();
     let (mut fleet, accepted) = fill();
     for machine in 1..=NODES {
         fleet.kill(machine);
@@ -157,9 +154,7 @@
 /// Guards against a node with a wiped disk that never becomes a voter again, because the state is too large to be sent.
 #[test]
 fn a_wiped_voter_joins() {
-    let _running = RUNNING
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let _running = run_alone();
     let (mut fleet, accepted) = fill();
     let wiped = NODES;
     fleet.kill(wiped);
