review: end the processes of a case whose script is ended from outside

Cause: run.sh was waiting in the foreground, so a SIGTERM left the programs that it had started running.

--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -476,11 +476,17 @@
     return f"{random.getrandbits(64):016x}"
 
 
+def give_up(*_):
+    raise CannotRun("the script was ended from outside")
+
+
 def main(case):
     """Runs `case(record, trouble)`, which returns the breaks of the rule, and exits as the script of a case has to."""
     record = Record(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"script: trouble={trouble}")
+    # Whoever ends the script early ends its processes too: the exception reaches the case, which cleans up.
+    signal.signal(signal.SIGTERM, give_up)
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
     except Exception as error:
