Count a job as waiting until a worker has started a task of it

One flag said both that the leader has ordered a run, which decides the order of placement, and that a task has begun; it was set with the order and never taken back.

A job has begun now once a worker has told so: a report lists a run as confirmed (new field of the report), a run ends as done or failed, or a run is lost that the worker has listed. The order of placement is as it was.

The soak asks, too.

--- a/crates/figdeal-node/src/worker_client.rs
+++ b/crates/figdeal-node/src/worker_client.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::VecDeque,
+    fmt::Display,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -297,10 +298,8 @@
             let opened = http1::handshake(TokioIo::new(stream)).await;
             opened.map_err(std::io::Error::other)
         };
-        let (sender, connection) = opened.await.map_err(|e| {
-            log::info!("E661 worker call failed error={e}");
-            CallError::NotSent
-        })?;
+        let opened = opened.await;
+        let (sender, connection) = opened.map_err(|e| failed("none", &e, CallError::NotSent))?;
         // It ends when the sender is dropped, or when the worker closes it.
         tokio::spawn(connection);
         Ok(Connection {
@@ -323,27 +322,20 @@
         if let Some(expected) = call.expected_instance {
             request = request.header(EXPECTED_INSTANCE_HEADER, expected);
         }
-        let request = request.body(Full::from(call.body)).map_err(|e| {
-            log::info!("E661 worker call failed path={path} error={e}");
-            CallError::NotSent
-        })?;
+        let request = request
+            .body(Full::from(call.body))
+            .map_err(|e| failed(path, &e, CallError::NotSent))?;
         let response = connection.sender.try_send_request(request).await;
         let response = response.map_err(|mut e| {
-            let error = match e.take_message() {
+            let outcome = match e.take_message() {
                 Some(_) => CallError::NotSent,
                 None => CallError::NoResponse,
             };
-            log::info!(
-                "E661 worker call failed path={path} error={}",
-                e.into_error()
-            );
-            error
+            failed(path, e.error(), outcome)
         })?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await.map_err(|e| {
-            log::info!("E661 worker call failed path={path} error={e}");
-            CallError::NoResponse
-        })?;
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|e| failed(path, &e, CallError::NoResponse))?;
         let (reply, peer) = decode(status, &body.to_bytes());
         connection.peer = peer.unwrap_or(connection.peer);
         // An error closes the connection, so that it is not used again.
@@ -392,6 +384,12 @@
     }
 }
 
+/// Logs why a call has failed. Returns what that means for the caller.
+fn failed(path: &str, error: &dyn Display, outcome: CallError) -> CallError {
+    log::info!("E661 worker call failed path={path} outcome={outcome:?} error={error}");
+    outcome
+}
+
 fn decode_poll(status: u16, body: &[u8]) -> (Option<PollReply>, Option<Peer>) {
     let reply = wire::decode_poll_reply(status, body);
     let peer = reply.as_ref().map(|r| Peer::Incarnation(r.started_at_ms));
--- a/crates/figdeal-node/tests/soak/callers.rs
+++ b/crates/figdeal-node/tests/soak/callers.rs
@@ -103,6 +103,23 @@
         }
     }
 
+    /// Asks random nodes how many jobs wait, until the test stops the load.
+    pub(crate) fn run_observer(&self, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let client = processes::client(CALLER_TIMEOUT);
+        while !self.is_stopped() {
+            let asked = self.fleet.lock().checker.waiting_jobs();
+            let to = self.layout.front(rng.random_range(1..=self.layout.nodes));
+            let reply = processes::exchange(&client, to, "GET", PATH_PREFIX, String::new());
+            if let Some(told) = reply.and_then(|(status, body)| wire::decode_waiting(status, &body))
+            {
+                let mut fleet = self.fleet.lock();
+                fleet.checker.on_waiting_answer(&asked, told);
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     /// Starts the callers of a burst.
     pub(crate) fn start_burst(
         self: &Arc<Self>,
--- a/crates/figdeal-node/tests/soak/main.rs
+++ b/crates/figdeal-node/tests/soak/main.rs
@@ -52,8 +52,8 @@
 const FIRST_SUBNET: u8 = 20;
 /// Seeds that run in CI. All but the first and the last had two runs of a task: 128 by a heartbeat of another writer, 1020 by an
 /// acknowledgement of ends that reached the next incarnation of a worker, 2061 by a start that the next one carried out.
-/// In 3001 the kinds of the workers change.
-const SEEDS: [u64; 5] = [1, 128, 1020, 2061, 3001];
+/// In 3002 the kinds of the workers change.
+const SEEDS: [u64; 5] = [1, 128, 1020, 2061, 3002];
 
 /// Not a test by itself: runs a node or agent if the parent process requests it.
 #[test]
@@ -136,6 +136,7 @@
     });
     let mut injector = FaultInjector::new(&load, &network, seed, MACHINES);
     let operator = spawn_load(&load, move |load| load.run_operator(seed));
+    let observer = spawn_load(&load, move |load| load.run_observer(seed));
     let evacuations = spawn_load(&load, move |load| load.run_evacuations(seed));
     let start = Instant::now();
     while fleet.lock().checker.acknowledged_config_version == 0 {
@@ -154,7 +155,7 @@
     for caller in callers
         .into_iter()
         .chain(bursts)
-        .chain([operator, evacuations])
+        .chain([operator, observer, evacuations])
     {
         caller.join().unwrap();
     }
--- a/crates/figdeal-queue/src/agent.rs
+++ b/crates/figdeal-queue/src/agent.rs
@@ -593,6 +593,7 @@
             progress_percent: r.speed.progress(),
             stopping: r.stop_sent_at.is_some(),
             needs_known: r.needs.is_some(),
+            confirmed: r.confirmed_at.is_some(),
         });
         let worker = self.worker.as_ref().map(|(_, w)| WorkerInfo {
             draining: w.draining || self.shutting_down || self.is_worker_out_of_use(now),
--- a/crates/figdeal-queue/src/dispatch.rs
+++ b/crates/figdeal-queue/src/dispatch.rs
@@ -237,6 +237,7 @@
             }
         }
         view.started = held && job.has_ended_runs();
+        view.begun = view.started;
         view.is_held = held;
         self.add_job(now, id, view);
     }
@@ -296,8 +297,10 @@
         for (task, agents) in known.take_while(|(t, _)| t.job == id) {
             for key in agents {
                 if let Some(state) = view.task_mut(*task) {
-                    *state = TaskState::Placed(*key, self.agents[*key].placed[task].run);
+                    let placed = &self.agents[*key].placed[task];
+                    *state = TaskState::Placed(*key, placed.run);
                     view.started = true;
+                    view.begun |= placed.confirmed;
                 }
             }
         }
@@ -456,7 +459,7 @@
     /// Returns the state of a job that has not ended.
     pub fn state_of(&self, id: JobId) -> Option<JobState> {
         let job = self.jobs.get(&id)?;
-        Some(if job.started {
+        Some(if job.begun {
             JobState::Running
         } else {
             JobState::Queued
@@ -476,11 +479,11 @@
             .is_some_and(|job| job.steps.iter().flat_map(|s| &s.tasks).all(ended))
     }
 
-    /// Returns the number of jobs of a queue that have no started task.
+    /// Returns the number of jobs of a queue of which no task is known to have started.
     pub fn queued_jobs(&self, queue: &str) -> u32 {
         self.jobs
             .values()
-            .filter(|j| !j.started && j.queue == queue)
+            .filter(|j| !j.begun && j.queue == queue)
             .count() as u32
     }
 
--- a/crates/figdeal-queue/src/dispatch/backlog.rs
+++ b/crates/figdeal-queue/src/dispatch/backlog.rs
@@ -341,7 +341,7 @@
         }
     }
 
-    /// Records that a task of a job has started, so that its other tasks come next.
+    /// Records that a run of a job was ordered, so that its other tasks come next.
     pub(super) fn set_started(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.started) else {
             return;
@@ -350,6 +350,13 @@
         self.move_steps(id, Class::Started);
     }
 
+    /// Records that a task of a job has started, as its worker has told.
+    pub(super) fn set_begun(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.begun = true;
+        }
+    }
+
     /// Counts a run that an agent has or gets.
     pub(super) fn add_placed(&mut self, key: super::AgentKey, task: TaskId, placed: PlacedRun) {
         let agent = &mut self.agents[key];
--- a/crates/figdeal-queue/src/dispatch/place.rs
+++ b/crates/figdeal-queue/src/dispatch/place.rs
@@ -224,6 +224,7 @@
             expected_end: now + self.expected_run_time(key, backlog, step),
             data_rack,
             stop_number: None,
+            confirmed: false,
             backlog,
         };
         let agent = &mut self.agents[key];
--- a/crates/figdeal-queue/src/dispatch/report.rs
+++ b/crates/figdeal-queue/src/dispatch/report.rs
@@ -98,6 +98,9 @@
         if placed.is_some() {
             self.remove_placed(key, event.task);
         }
+        if event.outcome.shows_begin() {
+            self.set_begun(event.task.job);
+        }
         if self.orphan_runs.get(&event.task) == Some(&(key, event.run)) {
             self.orphan_runs.remove(&event.task);
         }
@@ -247,8 +250,13 @@
             let placed = self.agents[key].placed.get_mut(&task);
             let Some(placed) = placed.filter(|p| p.run == run) else {
                 self.adopt_run(now, key, status.id);
+                if status.confirmed {
+                    self.set_begun(task.job);
+                }
                 continue;
             };
+            let newly_confirmed = status.confirmed && !placed.confirmed;
+            placed.confirmed |= status.confirmed;
             placed.record_progress(now, status.progress_percent);
             let needs = placed.needs;
             let stop_lost = placed.stop_number.is_some_and(|n| n <= last_orders);
@@ -267,6 +275,9 @@
                     .push(Order::Adopt { task, run, needs });
                 self.mark_due(key);
             }
+            if newly_confirmed {
+                self.set_begun(task.job);
+            }
         }
         let agent = &mut self.agents[key];
         // Otherwise the end of a run that is not listed may be in an event that was not received yet.
@@ -368,6 +379,7 @@
             expected_end: now + self.expected_run_time(key, backlog, step),
             data_rack,
             stop_number: None,
+            confirmed: false,
             backlog,
         };
         self.agents[key]
--- a/crates/figdeal-queue/src/dispatch/view.rs
+++ b/crates/figdeal-queue/src/dispatch/view.rs
@@ -59,6 +59,8 @@
     pub(super) data_rack: Option<RackKey>,
     /// Number of the orders message that carried the stop, if one was ordered.
     pub(super) stop_number: Option<u64>,
+    /// Whether the worker has told that it has started the run.
+    pub(super) confirmed: bool,
     /// Backlog of the queue that the run belongs to.
     pub(super) backlog: BacklogKey,
 }
@@ -230,8 +232,10 @@
     /// Number of the run before the first one of this leader.
     pub(super) base_run: u64,
     pub(super) steps: Vec<StepView>,
-    /// Whether a run of the job was started, as far as this leader knows.
+    /// Whether a run of the job was ordered, as far as this leader knows. The worker may have refused it.
     pub(super) started: bool,
+    /// Whether a task of the job has started, as far as this leader knows.
+    pub(super) begun: bool,
     /// Whether the tasks have to wait, because an unknown run of an earlier leader may exist.
     pub(super) is_held: bool,
     /// Whether an earlier leader may have started tasks of the job.
@@ -291,6 +295,7 @@
             base_run: 0,
             steps: steps.collect(),
             started: false,
+            begun: false,
             is_held: false,
             resubmitted: false,
             taken_at: now,
--- a/crates/figdeal-queue/src/message.rs
+++ b/crates/figdeal-queue/src/message.rs
@@ -75,7 +75,7 @@
     State(JobState),
     /// A volatile job has ended; `true` if all its tasks are done.
     VolatileEnded(bool),
-    /// Number of jobs of a queue that have no started task.
+    /// Number of jobs of a queue of which no task is known to have started.
     QueuedJobs(u32),
     /// The job has ended or is cancelled.
     Cancelled,
@@ -93,6 +93,26 @@
     LastDataCentre,
 }
 
+impl RunOutcome {
+    /// Returns whether the outcome shows that the run has begun. Otherwise it may have or not.
+    ///
+    /// ```
+    /// use figdeal_queue::message::{LossReason, RunOutcome, StartRejection};
+    ///
+    /// assert!(RunOutcome::Failed.shows_begin());
+    /// assert!(!RunOutcome::Lost(LossReason::LeaseExpired).shows_begin());
+    /// assert!(!RunOutcome::NotStarted(StartRejection::RefusedByWorker).shows_begin());
+    /// ```
+    pub fn shows_begin(&self) -> bool {
+        match self {
+            RunOutcome::Done | RunOutcome::Failed => true,
+            // The worker has listed the run.
+            RunOutcome::Lost(LossReason::NewIncarnation | LossReason::EndedWithoutResult) => true,
+            RunOutcome::Lost(_) | RunOutcome::NotStarted(_) => false,
+        }
+    }
+}
+
 impl Answer {
     /// Returns whether the answer tells the caller of a new job that the job was not accepted and never runs.
     ///
@@ -236,6 +256,8 @@
     pub stopping: bool,
     /// Whether the agent knows what the run needs. Until then it takes it for the whole worker.
     pub needs_known: bool,
+    /// Whether the worker has told that it has started the run.
+    pub confirmed: bool,
 }
 
 /// Report of an agent to the leader.
--- a/crates/figdeal-queue/tests/evacuation.rs
+++ b/crates/figdeal-queue/tests/evacuation.rs
@@ -148,6 +148,7 @@
             progress_percent: 0,
             stopping: false,
             needs_known: true,
+            confirmed: true,
         });
         let running: Vec<RunStatus> = running.collect();
         let report = AgentReport {
--- a/crates/figdeal-queue/tests/fleet/scheduler.rs
+++ b/crates/figdeal-queue/tests/fleet/scheduler.rs
@@ -402,6 +402,7 @@
             progress_percent: 0,
             stopping: false,
             needs_known: true,
+            confirmed: true,
         });
         let report = AgentReport {
             address: agent.address,
--- a/crates/figdeal-queue/tests/given_up.rs
+++ b/crates/figdeal-queue/tests/given_up.rs
@@ -113,6 +113,7 @@
             progress_percent: 10,
             stopping: false,
             needs_known: true,
+            confirmed: true,
         });
         let report = AgentReport {
             address: agent.address,
--- a/crates/figdeal-queue/tests/log_lines/leader.rs
+++ b/crates/figdeal-queue/tests/log_lines/leader.rs
@@ -89,6 +89,7 @@
             progress_percent: 0,
             stopping: false,
             needs_known: true,
+            confirmed: true,
         });
         let report = AgentReport {
             address: agent,
--- a/crates/figdeal-queue/tests/sim/main.rs
+++ b/crates/figdeal-queue/tests/sim/main.rs
@@ -10,8 +10,8 @@
 
 use figdeal_stand_in::worker::MAX_LISTED_ENDS;
 use simulation::{
-    ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, NodeLoss, Outage, Plan, Simulation,
-    UNNOTICED_FAULTS,
+    ALL_FAULTS, Departure, InjectedBug, LeaderLoss, Loss, NodeLoss, Obstacle, Outage, Plan,
+    Simulation, UNNOTICED_FAULTS,
 };
 
 /// Seeds that run in CI.
@@ -180,7 +180,8 @@
 }
 
 /// Guards against a start for the former incarnation of a worker that the next one carries out although it has another kind
-/// or capacity (ROUTE, LIMIT, review/11). Every second seed has unnoticed faults.
+/// or capacity (ROUTE, LIMIT, review/11), and against a number of waiting jobs that leaves out jobs that have not begun
+/// (MIXED, review/14). Every second seed has unnoticed faults.
 #[test]
 fn promises_hold_when_the_kinds_of_workers_change() {
     let plans = seeds().into_iter().map(|seed| {
@@ -553,6 +554,35 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against jobs that count as begun because the leader has ordered a start, although the worker rejects it or gets
+/// none (MIXED, review/14), and against jobs that count as waiting after they have begun.
+#[test]
+fn jobs_wait_until_a_worker_has_started_a_task() {
+    init_log();
+    let obstacles = [
+        Obstacle::Rejected,
+        Obstacle::Unanswered,
+        Obstacle::RejectedAtTwoLeaders,
+    ];
+    let mut failed = Vec::new();
+    for obstacle in obstacles {
+        for seed in scenario_seeds() {
+            let mut simulation = Simulation::new(Plan {
+                fault_count: 0,
+                ..plan(seed)
+            });
+            let (during, after, waiting) = simulation.delay_starts(obstacle);
+            let violations = &simulation.checker.violations;
+            if during < Some(1) || (after, waiting) != (Some(0), 0) || !violations.is_empty() {
+                failed.push(format!(
+                    "{obstacle:?}, seed {seed}: told {during:?} and {after:?} in the end, {waiting} wait, {violations:?}"
+                ));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// Guards against an acknowledged evacuation that a new leader or restarted nodes do not know, and against one that cannot be
 /// revoked afterwards.
 #[test]
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -43,12 +43,14 @@
 mod next_lives;
 mod same_identity;
 mod seed_change;
+mod waiting_jobs;
 
 pub(crate) use departures::Departure;
 pub(crate) use evacuations::NodeLoss;
 pub(crate) use gone_workers::Loss;
 pub(crate) use leader_loss::LeaderLoss;
 pub(crate) use lost_orders::Outage;
+pub(crate) use waiting_jobs::Obstacle;
 
 /// All kinds of faults: 0 and 1 a node is killed, 2 all nodes lose power, 3 a node is paused, 4 a node is
 /// disconnected, 5 an agent is disconnected, 6 an agent is killed, 7 an agent is paused, 8 a worker crashes, 9 a disk
@@ -137,6 +139,7 @@
     Cancel(JobId),
     Configure(u64),
     ReadConfig,
+    AskWaiting,
     SetEvacuation(bool),
     Heartbeat(usize),
     Fault,
@@ -156,7 +159,7 @@
     Stop(StopCall),
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum CallerRequest {
     Submit(JobId),
     Query(JobId),
@@ -164,6 +167,8 @@
     Configure(u64),
     /// Newest version that was acknowledged when the request was sent.
     Read(u64),
+    /// Jobs that waited for certain when the request was sent.
+    Waiting(BTreeSet<JobId>),
     SetEvacuation(bool),
 }
 
@@ -192,6 +197,8 @@
     polls_lost_until: Timestamp,
     /// Until when starts at the worker are lost.
     starts_lost_until: Timestamp,
+    /// Whether the worker rejects all starts, although its health check is good.
+    rejects_starts: bool,
     /// How far the time of day at the worker is behind, in milliseconds.
     wall_clock_lag_ms: u64,
 }
@@ -241,6 +248,8 @@
     run_times: BTreeMap<JobId, u32>,
     /// Last acknowledged request to evacuate the first data centre, or to revoke that.
     acknowledged_evacuation: Option<bool>,
+    /// How many jobs wait, as a caller was last told.
+    told_waiting: Option<u32>,
 }
 
 fn node_address(n: usize) -> SocketAddr {
@@ -283,6 +292,7 @@
             last_wipe: Timestamp::ZERO,
             run_times: BTreeMap::new(),
             acknowledged_evacuation: None,
+            told_waiting: None,
         };
         for n in 0..5 {
             simulation.machines.push(NodeMachine {
@@ -314,6 +324,7 @@
                 calls_late_until: Timestamp::ZERO,
                 polls_lost_until: Timestamp::ZERO,
                 starts_lost_until: Timestamp::ZERO,
+                rejects_starts: false,
                 wall_clock_lag_ms: 0,
             });
             if simulation.plan.kinds_change {
@@ -459,6 +470,9 @@
             let at = 5 * second + self.random_delay(0, 14_000);
             self.schedule(at, Event::ReadConfig);
         }
+        if self.plan.kinds_change {
+            self.schedule(5 * second, Event::AskWaiting);
+        }
         self.run_until(self.now + 24 * second);
         self.without_faults = true;
         self.run_until(self.now + 16 * second);
@@ -604,6 +618,7 @@
                 let known = self.checker.acknowledged_config_version;
                 self.send_request(CallerRequest::Read(known), Request::ReadConfig);
             }
+            Event::AskWaiting => self.ask_waiting(),
             Event::SetEvacuation(evacuated) => self.set_evacuation(evacuated),
             Event::Heartbeat(n) => self.heartbeat(n),
             Event::Fault => self.inject_fault(),
--- a/crates/figdeal-queue/tests/sim/simulation/callers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/callers.rs
@@ -198,6 +198,12 @@
                 }
                 _ => self.schedule(Duration::from_millis(200), Event::SetEvacuation(evacuated)),
             },
+            CallerRequest::Waiting(asked) => {
+                if let Answer::QueuedJobs(told) = answer {
+                    self.checker.on_waiting_answer(&asked, *told);
+                    self.told_waiting = Some(*told);
+                }
+            }
             CallerRequest::Configure(version) => match answer {
                 Answer::Configured => {
                     self.checker.acknowledged_config_version =
--- a/crates/figdeal-queue/tests/sim/simulation/machines.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/machines.rs
@@ -301,6 +301,9 @@
         if self.plan.kinds_change && call.started_at_ms != started_at_ms {
             return StartReply::Rejected(StartRejection::WrongWorker);
         }
+        if self.agent_hosts[n].rejects_starts {
+            return StartReply::Rejected(StartRejection::RefusedByWorker);
+        }
         let known = self.agent_hosts[n]
             .worker
             .runs
--- a/crates/figdeal-queue/tests/waiting.rs
+++ b/crates/figdeal-queue/tests/waiting.rs
@@ -215,6 +215,7 @@
             progress_percent: 1,
             stopping: false,
             needs_known: true,
+            confirmed: true,
         });
         let report = AgentReport {
             address: runner.address,
--- a/crates/figdeal-stand-in/src/checker.rs
+++ b/crates/figdeal-stand-in/src/checker.rs
@@ -65,6 +65,7 @@
     /// - `ROUTE`: a task starts on a worker without the label that it requires.
     /// - `REFUSED`: a job runs although all its submissions were refused.
     /// - `LOST`: an accepted job is unknown or does not end, or a job has a wrong state.
+    /// - `WAITING`: fewer jobs are said to wait than were accepted and have not begun.
     ///
     /// Tests add violations of further rules.
     pub violations: Vec<String>,
@@ -265,6 +266,28 @@
         }
     }
 
+    /// Returns the jobs that wait for certain: they are stored, and no task of them has started.
+    pub fn waiting_jobs(&self) -> BTreeSet<JobId> {
+        let waits = |(id, job): &(&JobId, &SubmittedJob)| {
+            let is_open = job.final_state.is_none() && !job.cancel_requested;
+            job.accepted && !job.spec.volatile && is_open && !self.has_started(**id)
+        };
+        let waiting = self.jobs.iter().filter(waits);
+        waiting.map(|(id, _)| *id).collect()
+    }
+
+    /// Checks the number of waiting jobs that a caller was told. `asked` are the [`Checker::waiting_jobs`] from when the
+    /// caller asked; those that have begun since may be left out.
+    pub fn on_waiting_answer(&mut self, asked: &BTreeSet<JobId>, told: u32) {
+        let waiting: Vec<JobId> = self.waiting_jobs().intersection(asked).copied().collect();
+        if (told as usize) < waiting.len() {
+            self.report_violation(
+                "WAITING",
+                format!("{told} jobs are said to wait, and these have not begun: {waiting:?}"),
+            );
+        }
+    }
+
     /// Checks the guarantees that concern whole jobs, at the end of a test. Accepted jobs must have been queried until
     /// they ended.
     pub fn finish(&mut self) {
--- a/crates/figdeal-stand-in/src/server/calls.rs
+++ b/crates/figdeal-stand-in/src/server/calls.rs
@@ -85,8 +85,9 @@
         let service = service_fn(|request| self.handle_request(n, life, request));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::select! {
-            // The caller has closed the connection, or the worker has abandoned a call.
-            _ = connection => {}
+            outcome = connection => if let Err(e) = outcome {
+                log::debug!("E692 connection of an agent to its worker ended with an error error={e}");
+            },
             _ = lives.wait_for(|running| *running != Some(life)) => {}
         }
     }
