Count a job as failed only if its workers saw it fail

The check now leaves out a job only if the workers have told the agents of max_attempts failed runs of one of its tasks; a job that waits, is lost or fails for any other reason still counts.

--- a/crates/figdeal-queue/tests/sim/simulation/gone_workers.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/gone_workers.rs
@@ -31,7 +31,7 @@
 
 impl Simulation {
     /// Lets one worker go for good while it has runs. Returns how many tasks have no run in progress elsewhere and
-    /// have not ended after `limit`, and after how long the last task had one or had ended.
+    /// have not ended as done or failed after `limit`, and after how long the last task had one or had ended.
     pub(crate) fn lose_worker(&mut self, loss: Loss, limit: Duration) -> (usize, Duration) {
         self.schedule(Duration::from_secs(3), Event::Configure(1));
         self.run_until(self.now + Duration::from_secs(20));
@@ -74,7 +74,7 @@
     }
 
     /// Returns how many accepted jobs of one task neither run on another worker than `gone` nor have completed their
-    /// task.
+    /// task, nor have failed because their task has failed as often as it may.
     fn count_waiting(&self, ids: &[JobId], gone: usize) -> usize {
         let hosts = self.agent_hosts.iter().enumerate();
         let others = hosts.filter(|(n, _)| *n != gone);
@@ -89,6 +89,7 @@
                 job.accepted && !job.cancel_requested
             })
             .filter(|id| !running.contains(id) && !completed.contains(id))
+            .filter(|id| !self.checker.has_failed(**id))
             .count()
     }
 }
--- a/crates/figdeal-stand-in/src/checker.rs
+++ b/crates/figdeal-stand-in/src/checker.rs
@@ -311,6 +311,15 @@
         }
     }
 
+    /// Returns whether a task of the job has failed as often as it may, as its workers have told the agents.
+    pub fn has_failed(&self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let mut failures = self.acknowledged_failures.iter();
+        failures.any(|(task, runs)| task.job == id && runs.len() >= job.max_attempts as usize)
+    }
+
     /// Returns whether a task of the job has started.
     pub fn has_started(&self, id: JobId) -> bool {
         self.begun_jobs.contains(&id)
