Say once what the tests of changing kinds and of the client repeat

The soak had two functions that build a step and differ in ranges and a label: one takes the ranges now, and draws the same numbers in the same order. Two tests of the worker client began with the same four lines, which are a function now. Workers of simulations whose kinds don't change had a kind label that nothing asks for; it is gone, and the rack label is written in one place.

--- a/crates/figdeal-node/tests/soak/callers.rs
+++ b/crates/figdeal-node/tests/soak/callers.rs
@@ -391,46 +391,34 @@
     }
 }
 
-/// Returns a step of a job in seeds in which the kinds of the workers change: small tasks leave room, so that starts are
-/// always on their way, and most of them require a kind.
-fn step_of_kind(rng: &mut SmallRng) -> Step {
-    let requires = rng.random_bool(0.9);
+/// Returns a step without earlier ones. In seeds in which the kinds of the workers change, its tasks are small and leave
+/// room, so that starts are always on their way, and most of them require a kind.
+fn random_step(rng: &mut SmallRng, kinds_change: bool) -> Step {
+    let requires = kinds_change && rng.random_bool(0.9);
+    let (millicores, estimate_ms) = match kinds_change {
+        true => (100..500, 20..60),
+        false => (500..3_000, 20..250),
+    };
     Step {
         count: rng.random_range(1..6),
         needs: Resources {
-            millicores: rng.random_range(100..500),
+            millicores: rng.random_range(millicores),
             memory_mb: 64,
             gpus: 0,
         },
-        estimate_ms: rng.random_range(20..60),
+        estimate_ms: rng.random_range(estimate_ms),
         label: requires.then(|| kind_label(rng.random_range(0..KINDS))),
         ..Step::default()
     }
 }
 
-fn random_step(rng: &mut SmallRng) -> Step {
-    Step {
-        count: rng.random_range(1..6),
-        needs: Resources {
-            millicores: rng.random_range(500..3_000),
-            memory_mb: 64,
-            gpus: 0,
-        },
-        estimate_ms: rng.random_range(20..250),
-        ..Step::default()
-    }
-}
-
 fn random_job(rng: &mut SmallRng, kinds_change: bool) -> JobSpec {
     let payload = format!("work-{}", rng.random::<u32>());
     let volatile = rng.random_bool(0.5);
     let steps = rng.random_range(1..3u16);
     let steps = (0..steps).map(|n| Step {
         depends_on: if n > 0 { vec![n - 1] } else { Vec::new() },
-        ..match kinds_change {
-            true => step_of_kind(rng),
-            false => random_step(rng),
-        }
+        ..random_step(rng, kinds_change)
     });
     JobSpec {
         payload,
--- a/crates/figdeal-node/tests/worker_client.rs
+++ b/crates/figdeal-node/tests/worker_client.rs
@@ -187,15 +187,22 @@
     panic!("no start for {started_at_ms} gets {expected:?}");
 }
 
+/// Returns a client on whose connections the first incarnation of a worker has replied, and the next one, which has begun
+/// at the same address since.
+async fn restart_worker() -> (WorkerClient, Incarnation) {
+    let first = Incarnation::begin(ANY_PORT, 1, Duration::ZERO).await;
+    let client = WorkerClient::new(first.address);
+    expect_reply(&client, 1, StartReply::Started).await;
+    let second = Incarnation::begin(first.crash().await, 2, Duration::ZERO).await;
+    (client, second)
+}
+
 /// Guards against a start for the former incarnation of a worker that its next one receives at the same address, although
 /// the agent has not heard of it (ROUTE, review/11).
 #[test]
 fn a_start_reaches_only_the_incarnation_that_it_names() {
     run(async {
-        let first = Incarnation::begin(ANY_PORT, 1, Duration::ZERO).await;
-        let client = WorkerClient::new(first.address);
-        expect_reply(&client, 1, StartReply::Started).await;
-        let second = Incarnation::begin(first.crash().await, 2, Duration::ZERO).await;
+        let (client, second) = restart_worker().await;
         expect_reply(&client, 1, OTHER).await;
         assert_eq!(second.starts(), 0);
         expect_reply(&client, 2, StartReply::Started).await;
@@ -207,10 +214,7 @@
 #[test]
 fn a_poll_does_not_let_starts_for_a_former_incarnation_through() {
     run(async {
-        let first = Incarnation::begin(ANY_PORT, 1, Duration::ZERO).await;
-        let client = WorkerClient::new(first.address);
-        expect_reply(&client, 1, StartReply::Started).await;
-        let second = Incarnation::begin(first.crash().await, 2, Duration::ZERO).await;
+        let (client, second) = restart_worker().await;
         let mut polls = 0;
         while client.poll(&poll_call()).await.is_none() {
             polls += 1;
--- a/crates/figdeal-queue/tests/sim/simulation.rs
+++ b/crates/figdeal-queue/tests/sim/simulation.rs
@@ -22,7 +22,6 @@
 };
 use figdeal_stand_in::{
     checker::{Checker, SubmittedJob},
-    server::kind_label,
     worker::{Run, Worker},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -265,9 +264,9 @@
     format!("z{}", n % 2)
 }
 
-/// Labels of a worker of the first kind.
+/// Labels of a worker without a kind.
 fn labels_of(n: usize) -> Vec<String> {
-    vec![format!("rack-{}", n % 2), kind_label(0)]
+    vec![format!("rack-{}", n % 2)]
 }
 
 impl Simulation {
--- a/crates/figdeal-queue/tests/sim/simulation/next_lives.rs
+++ b/crates/figdeal-queue/tests/sim/simulation/next_lives.rs
@@ -11,14 +11,15 @@
 const LARGE_CAPACITIES: (u32, u32) = (12_000, 20_000);
 
 impl Simulation {
-    /// Makes the present incarnation of a worker one of a random kind and capacity. Of each kind, one worker stays.
+    /// Gives the present incarnation of a worker a random kind and capacity. Of each kind, one worker stays.
     pub(super) fn change_kind(&mut self, n: usize) {
         let (kind, (smallest, largest)) = match n {
             0..KINDS => (n, LARGE_CAPACITIES),
             _ => (self.rng.random_range(0..KINDS), CAPACITIES),
         };
         let worker = &mut self.agent_hosts[n].worker;
-        worker.labels = vec![format!("rack-{}", n % 2), kind_label(kind)];
+        worker.labels = labels_of(n);
+        worker.labels.push(kind_label(kind));
         worker.capacity.millicores = self.rng.random_range(smallest..=largest);
     }
 
